Set down the shape: supervisor tree, core types, framed connections, HTTP and the build

Cause: the repository is empty; every later part needs the folders, the core types and the plumbing it stands on. Ruled out: libmsgpack-cxx-dev, which conflicts with Boost 1.81; Boost 1.74, whose MSM does not compile as C++20. Conclusion: parts can now be built side by side on these interfaces.

--- /dev/null
+++ b/include/tamarackcove/Base/Priority.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+namespace tamarackcove {
+
+/// Order of requests under load; a higher one goes first.
+enum class Priority {
+    Low = 0,
+    Normal = 1,
+    High = 2,
+};
+
+[[nodiscard]] std::string_view toString(Priority priority);
+[[nodiscard]] std::optional<Priority> parsePriority(std::string_view text);
+
+} // namespace tamarackcove
--- /dev/null
+++ b/include/tamarackcove/Base/Result.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <boost/outcome.hpp>
+
+namespace tamarackcove {
+
+/// A value of type T, or the error E of the layer that returns it. Reading the wrong one ends the process.
+template<typename T, typename E>
+using Result = boost::outcome_v2::basic_result<T, E, boost::outcome_v2::policy::terminate>;
+
+/// Result of a call that returns nothing: `return ok();`
+[[nodiscard]] inline auto ok()
+{
+    return boost::outcome_v2::success();
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/include/tamarackcove/Http/HttpError.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+namespace tamarackcove {
+
+enum class HttpErrorCode {
+    ConnectFailed,
+    Closed,
+    TimedOut,
+    TooLarge,
+    Malformed,
+};
+
+/// Why an HTTP exchange failed.
+struct HttpError
+{
+    HttpErrorCode code = HttpErrorCode::Closed;
+    std::string detail;
+};
+
+} // namespace tamarackcove
--- /dev/null
+++ b/include/tamarackcove/Wire/FramedConnection.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "tamarackcove/Base/Endpoint.h"
+#include "tamarackcove/Base/Result.h"
+#include "tamarackcove/Base/Time.h"
+#include "tamarackcove/Wire/Codec.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+
+namespace tamarackcove {
+
+/// A TCP connection that carries frames between our own processes.
+///
+/// Thread safety: used on one thread. One coroutine may read while one other writes.
+class FramedConnection
+{
+public:
+    explicit FramedConnection(boost::asio::ip::tcp::socket socket);
+    ~FramedConnection();
+    FramedConnection(const FramedConnection &) = delete;
+    FramedConnection &operator=(const FramedConnection &) = delete;
+
+    static boost::asio::awaitable<Result<std::unique_ptr<FramedConnection>, WireError>> connect(Endpoint endpoint,
+                                                                                                milliseconds timeout);
+
+    /// Reads one message. Fails with TimedOut when none is complete within the timeout; the connection is then
+    /// unusable.
+    boost::asio::awaitable<Result<Message, WireError>> read(milliseconds timeout);
+
+    /// Writes one message. Fails with TimedOut when the peer does not take it within the timeout.
+    boost::asio::awaitable<Result<void, WireError>> write(Message message, milliseconds timeout);
+
+    /// Ends pending reads and writes with Closed.
+    void close();
+
+    [[nodiscard]] std::string peerName() const;
+    [[nodiscard]] std::uint64_t bytesRead() const;
+    [[nodiscard]] std::uint64_t bytesWritten() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace tamarackcove
--- /dev/null
+++ b/include/tamarackcove/Wire/WireError.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+
+namespace tamarackcove {
+
+enum class WireErrorCode {
+    ConnectFailed,
+    Closed,
+    TimedOut,
+    FrameTooLarge,
+    BadFrame,
+    OtherVersion,
+    UnexpectedMessage,
+};
+
+/// Why a connection between our own processes failed.
+struct WireError
+{
+    WireErrorCode code = WireErrorCode::Closed;
+    std::string detail;
+};
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Base/Pch.cpp
@@ -0,0 +1,1 @@
+// Gives the precompiled header a target to belong to.
--- /dev/null
+++ b/lib/Http/HttpConversion.cpp
@@ -0,0 +1,73 @@
+#include "HttpConversion.h"
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/fields.hpp>
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace tamarackcove {
+
+HttpError toHttpError(const boost::system::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return HttpError{HttpErrorCode::TimedOut, "no progress before the deadline"};
+    }
+    if (error == http::error::body_limit || error == http::error::header_limit) {
+        return HttpError{HttpErrorCode::TooLarge, error.message()};
+    }
+    if (error.category() == http::make_error_code(http::error::bad_method).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message) {
+        return HttpError{HttpErrorCode::Malformed, error.message()};
+    }
+    return HttpError{HttpErrorCode::Closed, error.message()};
+}
+
+static std::string_view toView(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+HttpHeaders headersFromBeast(const http::fields &fields)
+{
+    HttpHeaders headers;
+    for (const auto &field : fields) {
+        switch (field.name()) {
+        case http::field::connection:
+        case http::field::transfer_encoding:
+        case http::field::content_length:
+        case http::field::keep_alive:
+        case http::field::expect:
+            break;
+        default:
+            headers.set(toView(field.name_string()), toView(field.value()));
+        }
+    }
+    return headers;
+}
+
+HttpRequest fromBeast(http::request<http::string_body> request)
+{
+    HttpRequest result;
+    result.method = std::string(toView(request.method_string()));
+    result.target = std::string(toView(request.target()));
+    result.headers = headersFromBeast(request);
+    result.body = std::move(request.body());
+    return result;
+}
+
+HttpResponse streamHead(std::string_view contentType)
+{
+    HttpResponse head;
+    head.headers.set("content-type", contentType);
+    head.headers.set("cache-control", "no-cache");
+    return head;
+}
+
+HttpResponse jsonResponse(int status, std::string body)
+{
+    return HttpResponse{.status = status, .headers = {{"content-type", "application/json"}}, .body = std::move(body)};
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Wire/Codec.cpp
@@ -0,0 +1,38 @@
+#include "tamarackcove/Wire/Codec.h"
+
+namespace tamarackcove {
+
+static constexpr std::size_t LengthBytes = 4;
+
+Result<std::vector<std::uint8_t>, WireError> encodeFrame(const Message &message)
+{
+    const nlohmann::json envelope = {{"v", WireVersion}, {"type", message.type}, {"body", message.body}};
+    std::vector<std::uint8_t> frame(LengthBytes);
+    nlohmann::json::to_msgpack(envelope, frame);
+    const auto payloadBytes = frame.size() - LengthBytes;
+    if (payloadBytes > MaxFrameBytes) {
+        return WireError{WireErrorCode::FrameTooLarge,
+                         message.type + " has " + std::to_string(payloadBytes) + " bytes"};
+    }
+    for (std::size_t i = 0; i < LengthBytes; ++i) {
+        frame[i] = static_cast<std::uint8_t>(payloadBytes >> (8 * (LengthBytes - 1 - i)));
+    }
+    return frame;
+}
+
+Result<Message, WireError> decodeFrame(std::span<const std::uint8_t> payload)
+{
+    auto envelope = nlohmann::json::from_msgpack(payload.begin(), payload.end(), true, false);
+    if (!envelope.is_object() || !envelope.contains("v") || !envelope["v"].is_number_integer()) {
+        return WireError{WireErrorCode::BadFrame, "frame is not a msgpack message"};
+    }
+    if (envelope["v"].get<int>() != WireVersion) {
+        return WireError{WireErrorCode::OtherVersion, "peer speaks version " + envelope["v"].dump()};
+    }
+    if (!envelope.contains("type") || !envelope["type"].is_string() || !envelope.contains("body")) {
+        return WireError{WireErrorCode::BadFrame, "frame has no type or body"};
+    }
+    return Message{.type = envelope["type"].get<std::string>(), .body = std::move(envelope["body"])};
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Wire/FramedConnection.cpp
@@ -0,0 +1,171 @@
+#include "tamarackcove/Wire/FramedConnection.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace tamarackcove {
+
+static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Closes the socket when a wait passes its deadline. It is armed before each wait and disarmed after it.
+class SocketDeadline
+{
+public:
+    SocketDeadline(tcp::socket &socket, asio::steady_timer &timer, milliseconds timeout, bool &expired)
+        : m_timer(timer)
+    {
+        expired = false;
+        timer.expires_after(timeout);
+        timer.async_wait([&socket, &expired](boost::system::error_code error) {
+            if (!error) {
+                expired = true;
+                socket.close(error);
+            }
+        });
+    }
+    ~SocketDeadline()
+    {
+        m_timer.cancel();
+    }
+    SocketDeadline(const SocketDeadline &) = delete;
+    SocketDeadline &operator=(const SocketDeadline &) = delete;
+
+private:
+    asio::steady_timer &m_timer;
+};
+
+struct FramedConnection::Impl
+{
+    explicit Impl(tcp::socket openSocket)
+        : socket(std::move(openSocket))
+        , readTimer(socket.get_executor())
+        , writeTimer(socket.get_executor())
+    {
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+    }
+
+    tcp::socket socket;
+    asio::steady_timer readTimer;
+    asio::steady_timer writeTimer;
+    bool readExpired = false;
+    bool writeExpired = false;
+    std::uint64_t bytesRead = 0;
+    std::uint64_t bytesWritten = 0;
+    std::vector<std::uint8_t> payload;
+};
+
+static WireError connectionError(bool expired, const boost::system::error_code &error)
+{
+    if (expired) {
+        return WireError{WireErrorCode::TimedOut, "no progress before the deadline"};
+    }
+    return WireError{WireErrorCode::Closed, error.message()};
+}
+
+FramedConnection::FramedConnection(tcp::socket socket)
+    : m_impl(std::make_unique<Impl>(std::move(socket)))
+{
+}
+
+FramedConnection::~FramedConnection() = default;
+
+asio::awaitable<Result<std::unique_ptr<FramedConnection>, WireError>> FramedConnection::connect(Endpoint endpoint,
+                                                                                                milliseconds timeout)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    tcp::socket socket(executor);
+    asio::steady_timer timer(executor);
+    boost::system::error_code error;
+    const tcp::endpoint address(asio::ip::make_address(endpoint.host, error), endpoint.port);
+    if (error) {
+        co_return WireError{WireErrorCode::ConnectFailed, endpoint.toString() + " is not an ip number and port"};
+    }
+    bool expired = false;
+    {
+        const SocketDeadline deadline(socket, timer, timeout, expired);
+        std::tie(error) = co_await socket.async_connect(address, UseTuple);
+    }
+    if (error) {
+        co_return WireError{WireErrorCode::ConnectFailed, endpoint.toString() + ": " + error.message()};
+    }
+    co_return std::make_unique<FramedConnection>(std::move(socket));
+}
+
+asio::awaitable<Result<Message, WireError>> FramedConnection::read(milliseconds timeout)
+{
+    auto &impl = *m_impl;
+    const SocketDeadline deadline(impl.socket, impl.readTimer, timeout, impl.readExpired);
+    std::array<std::uint8_t, 4> lengthField{};
+    auto [lengthError, lengthRead] = co_await asio::async_read(impl.socket, asio::buffer(lengthField), UseTuple);
+    if (lengthError) {
+        co_return connectionError(impl.readExpired, lengthError);
+    }
+    std::size_t length = 0;
+    for (const auto byte : lengthField) {
+        length = length << 8 | byte;
+    }
+    if (length > MaxFrameBytes) {
+        close();
+        co_return WireError{WireErrorCode::FrameTooLarge, "peer announced " + std::to_string(length) + " bytes"};
+    }
+    impl.payload.resize(length);
+    auto [payloadError, payloadRead] = co_await asio::async_read(impl.socket, asio::buffer(impl.payload), UseTuple);
+    if (payloadError) {
+        co_return connectionError(impl.readExpired, payloadError);
+    }
+    impl.bytesRead += lengthRead + payloadRead;
+    co_return decodeFrame(impl.payload);
+}
+
+asio::awaitable<Result<void, WireError>> FramedConnection::write(Message message, milliseconds timeout)
+{
+    auto frame = encodeFrame(message);
+    if (frame.has_error()) {
+        co_return std::move(frame).error();
+    }
+    auto &impl = *m_impl;
+    const SocketDeadline deadline(impl.socket, impl.writeTimer, timeout, impl.writeExpired);
+    auto [error, written] = co_await asio::async_write(impl.socket, asio::buffer(frame.value()), UseTuple);
+    if (error) {
+        co_return connectionError(impl.writeExpired, error);
+    }
+    impl.bytesWritten += written;
+    co_return ok();
+}
+
+void FramedConnection::close()
+{
+    boost::system::error_code ignored;
+    m_impl->socket.close(ignored);
+}
+
+std::string FramedConnection::peerName() const
+{
+    boost::system::error_code error;
+    const auto peer = m_impl->socket.remote_endpoint(error);
+    if (error) {
+        return "disconnected";
+    }
+    return Endpoint{peer.address().to_string(), peer.port()}.toString();
+}
+
+std::uint64_t FramedConnection::bytesRead() const
+{
+    return m_impl->bytesRead;
+}
+
+std::uint64_t FramedConnection::bytesWritten() const
+{
+    return m_impl->bytesWritten;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Builds and tests everything. CI runs this; so does `make check`.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+step() { printf '\n== %s (%ss)\n' "$1" "$SECONDS"; }
+step packages
+scripts/install-packages.sh
+step build
+cmake --preset release > /dev/null
+cmake --build --preset release
+step lint
+scripts/lint.sh
+step "sanitizer build"
+cmake --preset sanitize > /dev/null
+cmake --build --preset sanitize
+step "unit tests"
+ctest --preset release
+ctest --preset sanitize
+step "integration tests"
+scripts/integration.sh
+step done
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Checks formatting and runs clang-tidy. With arguments only these .cpp files are read, else all of them.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t formatted < <(git ls-files -co --exclude-standard '*.h' '*.cpp')
+clang-format --dry-run --Werror "${formatted[@]}"
+cmake --preset lint > /dev/null
+files=("$@")
+if [ "${#files[@]}" -eq 0 ]; then
+    mapfile -t files < <(git ls-files -co --exclude-standard 'lib/*.cpp' 'tools/*.cpp' 'unittests/*.cpp')
+fi
+if ! printf '%s\n' "${files[@]}" | xargs -P "${LINT_JOBS:-8}" -I{} clang-tidy --quiet -p build/lint {} 2> build/lint/tidy.err; then
+    echo "lint: clang-tidy found the problems above"
+    exit 1
+fi
+echo "lint: ${#files[@]} files clean"
--- /dev/null
+++ b/unittests/Http/HttpServerTest.cpp
@@ -0,0 +1,86 @@
+#include "tamarackcove/Http/HttpServer.h"
+#include "tamarackcove/Http/HttpConnection.h"
+#include "tamarackcove/Http/HttpResponder.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+namespace asio = boost::asio;
+using namespace tamarackcove;
+
+/// Runs one client coroutine against a server with this handler.
+static void withServer(HttpLimits limits, HttpServer::Handler handler,
+                       std::function<asio::awaitable<void>(Endpoint)> client)
+{
+    asio::io_context io;
+    Supervisor supervisor(io.get_executor(), "test");
+    HttpServer server(supervisor, limits, std::move(handler));
+    REQUIRE(server.listen({"127.0.0.1", 0}).has_value());
+    supervisor.start("accept", [&server] { return server.run(); });
+    const Endpoint endpoint{"127.0.0.1", server.port()};
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            co_await client(endpoint);
+            co_await supervisor.stop();
+        },
+        asio::detached);
+    io.run();
+}
+
+static asio::awaitable<void> streamThreePieces(const HttpRequest &, HttpResponder &responder)
+{
+    (void)co_await responder.beginStream(streamHead("text/event-stream"));
+    for (int i = 0; i < 3; ++i) {
+        (void)co_await responder.writePiece("piece;");
+    }
+    (void)co_await responder.endStream();
+}
+
+TEST_CASE("a streamed response arrives whole and the connection serves another request")
+{
+    withServer({}, streamThreePieces, [](Endpoint endpoint) -> asio::awaitable<void> {
+        auto connection = co_await HttpConnection::connect(endpoint, seconds(5));
+        REQUIRE(connection.has_value());
+        for (int i = 0; i < 2; ++i) {
+            HttpRequest request;
+            const auto response = co_await connection.value()->exchange(std::move(request), seconds(5));
+            REQUIRE(response.has_value());
+            CHECK(response.value().body == "piece;piece;piece;");
+            CHECK(connection.value()->reusable());
+        }
+    });
+}
+
+TEST_CASE("a stream without its end is an error for the reader, not a short body")
+{
+    const auto cutStream = [](const HttpRequest &, HttpResponder &responder) -> asio::awaitable<void> {
+        (void)co_await responder.beginStream(streamHead("text/plain"));
+        (void)co_await responder.writePiece("half");
+    };
+    withServer({}, cutStream, [](Endpoint endpoint) -> asio::awaitable<void> {
+        HttpRequest request;
+        const auto response = co_await httpExchange(endpoint, std::move(request), seconds(5));
+        REQUIRE(response.has_error());
+        CHECK(response.error().code == HttpErrorCode::Closed);
+    });
+}
+
+TEST_CASE("a body over the limit is refused with 413 and others are served")
+{
+    withServer({.maxBodyBytes = 10}, streamThreePieces, [](Endpoint endpoint) -> asio::awaitable<void> {
+        HttpRequest large;
+        large.method = "POST";
+        large.body = std::string(100, 'x');
+        const auto refused = co_await httpExchange(endpoint, std::move(large), seconds(5));
+        REQUIRE(refused.has_value());
+        CHECK(refused.value().status == 413);
+        HttpRequest small;
+        const auto served = co_await httpExchange(endpoint, std::move(small), seconds(5));
+        REQUIRE(served.has_value());
+        CHECK(served.value().status == 200);
+    });
+}
--- /dev/null
+++ b/unittests/TestMain.cpp
@@ -0,0 +1,2 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/unittests/Wire/FramedConnectionTest.cpp
@@ -0,0 +1,63 @@
+#include "tamarackcove/Wire/FramedConnection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using namespace tamarackcove;
+
+/// Sends raw bytes to a reader and returns what the reader makes of them.
+static Result<Message, WireError> readRaw(std::vector<std::uint8_t> bytes, milliseconds timeout)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    tcp::socket sender(io);
+    Result<Message, WireError> read = WireError{};
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            co_await sender.async_connect(acceptor.local_endpoint(), asio::use_awaitable);
+            co_await asio::async_write(sender, asio::buffer(bytes), asio::use_awaitable);
+        },
+        asio::detached);
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            FramedConnection connection(co_await acceptor.async_accept(asio::use_awaitable));
+            read = co_await connection.read(timeout);
+        },
+        asio::detached);
+    io.run();
+    return read;
+}
+
+TEST_CASE("a whole frame is read as the message that was written")
+{
+    const auto frame = encodeFrame({.type = "hello", .body = {{"entry", "e1"}}});
+    const auto message = readRaw(frame.value(), seconds(5));
+    REQUIRE(message.has_value());
+    CHECK(message.value().type == "hello");
+    CHECK(message.value().body.at("entry").get<std::string>() == "e1");
+}
+
+TEST_CASE("a frame cut in half ends with a timeout, not with half a message")
+{
+    auto frame = encodeFrame({.type = "hello", .body = {{"entry", "e1"}}}).value();
+    frame.resize(frame.size() / 2);
+    CHECK(readRaw(frame, milliseconds(50)).error().code == WireErrorCode::TimedOut);
+}
+
+TEST_CASE("frames with an absurd length, nonsense or another version are refused")
+{
+    CHECK(readRaw({0xff, 0xff, 0xff, 0xff}, seconds(5)).error().code == WireErrorCode::FrameTooLarge);
+    CHECK(readRaw({0, 0, 0, 2, 0xc1, 0xc1}, seconds(5)).error().code == WireErrorCode::BadFrame);
+    std::vector<std::uint8_t> other{0, 0, 0, 0};
+    nlohmann::json::to_msgpack({{"v", 2}, {"type", "x"}, {"body", nullptr}}, other);
+    other[3] = static_cast<std::uint8_t>(other.size() - 4);
+    CHECK(readRaw(other, seconds(5)).error().code == WireErrorCode::OtherVersion);
+}
