--- a/include/tamarackcove/Control/Replica/ReplicaTask.h
+++ b/include/tamarackcove/Control/Replica/ReplicaTask.h
@@ -49,7 +49,7 @@
     void start();
 
     /// The calls for the other parts of the process; valid as long as this object. propose() before an election fails
-    /// with NotLeader, so a caller that has just started the process waits for readBarrier() or retries.
+    /// with Unavailable, so a caller that has just started the process waits for readBarrier() or retries.
     [[nodiscard]] LogClient client();
 
     /// The port that accepts control peers; 0 without peers.
@@ -61,6 +61,9 @@
     /// Whether this replica leads and its lease is valid now.
     [[nodiscard]] bool leads() const;
 
+    /// Bytes written to the peers since the start.
+    [[nodiscard]] std::uint64_t bytesSent() const;
+
     /// Hands leadership to the most advanced peer before a shutdown. Returns whether this replica no longer leads.
     boost::asio::awaitable<bool> transferLeadership(milliseconds timeout);
 
--- /dev/null
+++ b/include/tamarackcove/Storage/EntryCodec.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "tamarackcove/Consensus/ReplicaOutput.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tamarackcove {
+
+/// Appends fixed-width little-endian numbers and length-prefixed strings to a buffer. Thread safety: one thread.
+class ByteWriter
+{
+public:
+    explicit ByteWriter(std::string &out);
+    void number(std::uint64_t value, int bytes);
+    void text(std::string_view bytes);
+
+private:
+    std::string &m_out;
+};
+
+/// Reads what a ByteWriter wrote. After a read past the end every value is empty and failed() is true.
+///
+/// Thread safety: one thread.
+class ByteReader
+{
+public:
+    explicit ByteReader(std::string_view bytes);
+    [[nodiscard]] std::uint64_t number(int bytes);
+    [[nodiscard]] std::string_view text();
+    [[nodiscard]] bool failed() const;
+    [[nodiscard]] bool atEnd() const;
+
+private:
+    std::string_view m_rest;
+    bool m_failed = false;
+};
+
+/// The bytes of entries and groups, the same on disk and between replicas.
+void encodeEntry(ByteWriter &writer, const LogEntry &entry);
+[[nodiscard]] std::optional<LogEntry> decodeEntry(ByteReader &reader);
+void encodeGroup(ByteWriter &writer, const ReplicaGroup &group);
+[[nodiscard]] std::optional<ReplicaGroup> decodeGroup(ByteReader &reader);
+
+/// Time as nanoseconds since the clock's epoch, as it is stored and sent.
+template<typename Point>
+[[nodiscard]] std::uint64_t encodeTime(Point time)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count());
+}
+template<typename Point>
+[[nodiscard]] Point decodeTime(std::uint64_t stored)
+{
+    const std::chrono::nanoseconds sinceEpoch(static_cast<std::int64_t>(stored));
+    return Point(std::chrono::duration_cast<typename Point::duration>(sinceEpoch));
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Consensus/Replica.cpp
@@ -0,0 +1,322 @@
+#include "tamarackcove/Consensus/Replica.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace tamarackcove {
+
+/// Commands handed out at once; more would delay heartbeats while a long log is applied after a restart.
+static constexpr LogIndex MaxDelivered = 2000;
+
+static ReplicaLog recoverLog(const RecoveredState &recovered)
+{
+    ReplicaLog::Base base;
+    if (recovered.snapshot) {
+        const auto &snapshot = *recovered.snapshot;
+        base = {
+            .index = snapshot.lastIndex, .term = snapshot.lastTerm, .time = snapshot.lastTime, .group = snapshot.group};
+    }
+    ReplicaLog log(std::move(base));
+    for (const auto &entry : recovered.entries) {
+        log.append(entry);
+    }
+    return log;
+}
+
+Replica::Replica(ReplicaOptions options, RecoveredState recovered, TimePoint now)
+    : m_options(std::move(options))
+    , m_self(recovered.self)
+    , m_role(false)
+    , m_log(recoverLog(recovered))
+    , m_hardState(recovered.hardState)
+    , m_snapshot(recovered.snapshot)
+    , m_commitIndex(m_log.base().index)
+    , m_deliveredIndex(m_log.base().index)
+    , m_persistedIndex(m_log.lastIndex())
+{
+    assert(m_options.leaderLease < m_options.minElectionTimeout && "a lease must end before the next election");
+    // Before the restart this replica may have promised a leader not to vote for others. A new folder promised nothing.
+    if (m_hardState.term > 0) {
+        m_lastLeaderContact = now;
+    }
+    updateVoterRole();
+    resetElectionDeadline(now);
+    // A replica that decides alone has nobody to wait for.
+    if (m_log.group().voterCount() == 1 && m_log.group().isVoter(m_self)) {
+        m_electionDeadline = now;
+    }
+}
+
+void Replica::bootstrap(ReplicaGroup group, TimePoint now)
+{
+    assert(m_log.lastIndex() == 0 && m_hardState.term == 0 && "only an empty replica may form a group");
+    setHardState(1, {});
+    appendLocal({.kind = EntryKind::Group, .group = std::move(group)});
+    updateVoterRole();
+    m_electionDeadline = now;
+}
+
+void Replica::receive(const ReplicaMessage &message, TimePoint now)
+{
+    const auto &ownGroup = m_log.group().groupId;
+    const bool otherGroup = !ownGroup.empty() && !message.groupId.empty() && message.groupId != ownGroup;
+    if (message.to != m_self || otherGroup) {
+        return;
+    }
+    if (const auto *request = std::get_if<VoteRequest>(&message.body)) {
+        onVoteRequest(message, *request, now);
+        return;
+    }
+    const auto *voteReply = std::get_if<VoteReply>(&message.body);
+    if (message.term > m_hardState.term) {
+        adoptTerm(message.term, now);
+    } else if (message.term < m_hardState.term) {
+        // Tells a leader of an earlier term that its term is over.
+        if (std::holds_alternative<AppendRequest>(message.body)
+            || std::holds_alternative<SnapshotChunk>(message.body)) {
+            sendOncePersisted(message.from, AppendReply{});
+        }
+        return;
+    }
+    if (voteReply != nullptr) {
+        onVoteReply(message, *voteReply, now);
+    } else if (const auto *append = std::get_if<AppendRequest>(&message.body)) {
+        onAppendRequest(message, *append, now);
+    } else if (const auto *appendReply = std::get_if<AppendReply>(&message.body)) {
+        onAppendReply(message, *appendReply, now);
+    } else if (const auto *chunk = std::get_if<SnapshotChunk>(&message.body)) {
+        onSnapshotChunk(message, *chunk, now);
+    } else if (const auto *snapshotReply = std::get_if<SnapshotReply>(&message.body)) {
+        onSnapshotReply(message, *snapshotReply, now);
+    } else if (std::holds_alternative<TimeoutNow>(message.body)) {
+        onTimeoutNow(message, now);
+    }
+}
+
+void Replica::tick(TimePoint now)
+{
+    if (role() == ReplicaRole::Leader) {
+        // Slower than the lease, so that a short disturbance costs no election.
+        if (now > std::max(m_leadingSince, majorityContact(now)) + m_options.maxElectionTimeout) {
+            stepDown(now);
+            return;
+        }
+        continueTransfer(now);
+        reconcileGroup(now);
+        return;
+    }
+    if (role() != ReplicaRole::Learner && now >= m_electionDeadline) {
+        m_role.handle(RoleEvent::ElectionTimeout);
+        campaign(true, false, now);
+    }
+}
+
+TimePoint Replica::deadline() const
+{
+    if (m_deliveredIndex < m_commitIndex && !installing()) {
+        return TimePoint{};
+    }
+    if (role() == ReplicaRole::Learner) {
+        return TimePoint::max();
+    }
+    if (role() != ReplicaRole::Leader) {
+        return m_electionDeadline;
+    }
+    auto next = m_nextCatchUpCheck;
+    for (const auto &[id, progress] : m_progress) {
+        next = std::min(next, std::max(progress.lastHeartbeat, progress.contact) + m_options.heartbeatInterval);
+    }
+    return m_progress.empty() && m_seenPeers.empty() ? TimePoint::max() : next;
+}
+
+Result<LogPosition, ReplicaError> Replica::propose(std::string command, std::chrono::system_clock::time_point wallTime,
+                                                   TimePoint now)
+{
+    if (role() != ReplicaRole::Leader) {
+        return ReplicaError::NotLeader;
+    }
+    if (!leaseValid(now) || m_transfer) {
+        return ReplicaError::NoMajority;
+    }
+    if (command.size() > m_options.maxCommandBytes) {
+        return ReplicaError::CommandTooLong;
+    }
+    if (m_log.lastIndex() - m_commitIndex >= m_options.maxUncommitted) {
+        return ReplicaError::TooManyUncommitted;
+    }
+    appendLocal({.kind = EntryKind::Command, .time = wallTime, .command = std::move(command)});
+    return LogPosition{.index = m_log.lastIndex(), .term = m_hardState.term};
+}
+
+Result<std::uint64_t, ReplicaError> Replica::requestRead(TimePoint now)
+{
+    if (role() != ReplicaRole::Leader) {
+        return ReplicaError::NotLeader;
+    }
+    m_reads.push_back({.number = ++m_lastRead, .requestedAt = now, .index = std::max(m_commitIndex, m_termStartIndex)});
+    if (!leaseValid(now)) {
+        for (auto &[id, progress] : m_progress) {
+            sendHeartbeat(id, progress, now);
+        }
+    }
+    return m_lastRead;
+}
+
+void Replica::persisted(std::uint64_t sequence, TimePoint now)
+{
+    assert(sequence <= m_sequence && "only issued requests can be persisted");
+    while (!m_inFlightPersists.empty() && m_inFlightPersists.front().sequence <= sequence) {
+        m_persistedIndex = std::max(m_persistedIndex, m_inFlightPersists.front().lastIndex);
+        m_inFlightPersists.pop_front();
+    }
+    m_persistedSequence = std::max(m_persistedSequence, sequence);
+    while (!m_held.empty() && m_held.front().sequence <= m_persistedSequence) {
+        // A message of an earlier term would only be refused.
+        if (m_held.front().message.term >= m_hardState.term) {
+            m_messages.push_back(std::move(m_held.front().message));
+        }
+        m_held.pop_front();
+    }
+    if (role() == ReplicaRole::Candidate && m_ownVoteSequence <= m_persistedSequence) {
+        countVote(m_self, now);
+    }
+    if (role() == ReplicaRole::Leader) {
+        advanceCommit();
+    }
+}
+
+ReplicaOutput Replica::takeOutput(TimePoint now)
+{
+    ReplicaOutput output;
+    if (role() == ReplicaRole::Leader) {
+        sendAppends(now);
+    }
+    collectPersist(output);
+    collectCommitted(output);
+    finishReads(output, now);
+    output.messages = std::exchange(m_messages, {});
+    return output;
+}
+
+const ReplicaId &Replica::self() const
+{
+    return m_self;
+}
+
+ReplicaRole Replica::role() const
+{
+    return m_role.role();
+}
+
+Term Replica::term() const
+{
+    return m_hardState.term;
+}
+
+const ReplicaId &Replica::leader() const
+{
+    return m_leader;
+}
+
+bool Replica::leads(TimePoint now) const
+{
+    return role() == ReplicaRole::Leader && m_deliveredIndex >= m_termStartIndex && leaseValid(now);
+}
+
+LogIndex Replica::commitIndex() const
+{
+    return m_commitIndex;
+}
+
+const ReplicaLog &Replica::log() const
+{
+    return m_log;
+}
+
+const ReplicaGroup &Replica::group() const
+{
+    return m_log.group();
+}
+
+ReplicaMessage Replica::compose(const ReplicaId &to, MessageBody body) const
+{
+    return {
+        .from = m_self, .to = to, .groupId = m_log.group().groupId, .term = m_hardState.term, .body = std::move(body)};
+}
+
+void Replica::send(const ReplicaId &to, MessageBody body)
+{
+    m_messages.push_back(compose(to, std::move(body)));
+}
+
+void Replica::sendOncePersisted(const ReplicaId &to, MessageBody body)
+{
+    const auto sequence = unsaved() ? m_sequence + 1 : m_sequence;
+    if (sequence <= m_persistedSequence) {
+        send(to, std::move(body));
+        return;
+    }
+    m_held.push_back({.sequence = sequence, .message = compose(to, std::move(body))});
+}
+
+void Replica::setHardState(Term term, ReplicaId votedFor)
+{
+    m_hardState = {.term = term, .votedFor = std::move(votedFor)};
+    m_hardStateDirty = true;
+}
+
+void Replica::appendLocal(LogEntry entry)
+{
+    entry.index = m_log.lastIndex() + 1;
+    entry.term = m_hardState.term;
+    entry.time = std::max(entry.time, m_log.lastTime());
+    if (m_firstUnsaved == 0) {
+        m_firstUnsaved = entry.index;
+    }
+    m_log.append(std::make_shared<const LogEntry>(std::move(entry)));
+}
+
+bool Replica::unsaved() const
+{
+    return m_hardStateDirty || m_firstUnsaved != 0 || m_unsavedSnapshot;
+}
+
+bool Replica::installing() const
+{
+    return m_unsavedSnapshot
+        || std::any_of(m_inFlightPersists.begin(), m_inFlightPersists.end(),
+                       [](const auto &request) { return request.installsSnapshot; });
+}
+
+void Replica::collectPersist(ReplicaOutput &output)
+{
+    if (!unsaved()) {
+        return;
+    }
+    auto &request = output.persist.emplace();
+    request.sequence = ++m_sequence;
+    if (std::exchange(m_hardStateDirty, false)) {
+        request.hardState = m_hardState;
+        m_hardStateSequence = m_sequence;
+    }
+    request.snapshot = std::exchange(m_unsavedSnapshot, std::nullopt);
+    for (auto index = std::exchange(m_firstUnsaved, 0); index != 0 && index <= m_log.lastIndex(); ++index) {
+        request.entries.push_back(m_log.at(index));
+    }
+    m_inFlightPersists.push_back(
+        {.sequence = m_sequence, .lastIndex = m_log.lastIndex(), .installsSnapshot = request.snapshot.has_value()});
+}
+
+void Replica::collectCommitted(ReplicaOutput &output)
+{
+    // The state machine must hold the snapshot before it gets the entries after it.
+    if (installing()) {
+        return;
+    }
+    const auto last = std::min(m_commitIndex, m_deliveredIndex + MaxDelivered);
+    while (m_deliveredIndex < last) {
+        output.committed.push_back(m_log.at(++m_deliveredIndex));
+    }
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Consensus/ReplicaElection.cpp
@@ -0,0 +1,203 @@
+#include "tamarackcove/Consensus/Replica.h"
+
+#include <algorithm>
+
+namespace tamarackcove {
+
+void Replica::resetElectionDeadline(TimePoint now)
+{
+    const auto spread
+        = static_cast<std::uint64_t>((m_options.maxElectionTimeout - m_options.minElectionTimeout).count());
+    const milliseconds extra(spread == 0 ? 0 : m_options.random() % (spread + 1));
+    m_electionDeadline = now + m_options.minElectionTimeout + extra;
+}
+
+void Replica::campaign(bool preVote, bool transfer, TimePoint now)
+{
+    m_votes.clear();
+    m_leader = {};
+    resetElectionDeadline(now);
+    if (!preVote) {
+        setHardState(m_hardState.term + 1, m_self);
+        m_ownVoteSequence = m_sequence + 1;
+    }
+    for (const auto &member : m_log.group().members) {
+        if (!member.voter || member.id == m_self) {
+            continue;
+        }
+        const VoteRequest request{
+            .preVote = preVote, .transfer = transfer, .lastIndex = m_log.lastIndex(), .lastTerm = m_log.lastTerm()};
+        if (preVote) {
+            send(member.id, request);
+            m_messages.back().term = m_hardState.term + 1;
+        } else {
+            sendOncePersisted(member.id, request);
+        }
+    }
+    if (preVote) {
+        countVote(m_self, now);
+    }
+}
+
+void Replica::countVote(const ReplicaId &voter, TimePoint now)
+{
+    m_votes.insert(voter);
+    const auto &group = m_log.group();
+    const auto granted = static_cast<std::size_t>(
+        std::count_if(m_votes.begin(), m_votes.end(), [&](const ReplicaId &id) { return group.isVoter(id); }));
+    if (granted < group.majority()) {
+        return;
+    }
+    if (role() == ReplicaRole::PreCandidate) {
+        m_role.handle(RoleEvent::PreVoteWon);
+        campaign(false, false, now);
+    } else if (role() == ReplicaRole::Candidate) {
+        becomeLeader(now);
+    }
+}
+
+void Replica::becomeLeader(TimePoint now)
+{
+    m_role.handle(RoleEvent::VoteWon);
+    m_leader = m_self;
+    m_leadingSince = now;
+    m_transfer.reset();
+    m_progress.clear();
+    syncProgress();
+    appendLocal({.kind = EntryKind::NoOp});
+    m_termStartIndex = m_log.lastIndex();
+    m_catchUpIndex = m_commitIndex;
+    m_nextCatchUpCheck = now + m_options.catchUpInterval;
+    for (auto &[id, progress] : m_progress) {
+        sendHeartbeat(id, progress, now);
+    }
+}
+
+void Replica::stepDown(TimePoint now)
+{
+    m_role.handle(RoleEvent::StepDown);
+    m_leader = {};
+    m_leaderLossesTolerated = -1;
+    m_progress.clear();
+    m_transfer.reset();
+    for (const auto &read : m_reads) {
+        m_failedReads.push_back(read.number);
+    }
+    m_reads.clear();
+    resetElectionDeadline(now);
+}
+
+void Replica::adoptTerm(Term term, TimePoint now)
+{
+    setHardState(term, {});
+    m_leader = {};
+    if (role() != ReplicaRole::Follower && role() != ReplicaRole::Learner) {
+        stepDown(now);
+    }
+}
+
+void Replica::updateVoterRole()
+{
+    m_role.handle(m_log.group().isVoter(m_self) ? RoleEvent::BecameVoter : RoleEvent::NoLongerVoter);
+}
+
+bool Replica::promisedToLeader(TimePoint now) const
+{
+    if (role() == ReplicaRole::Leader) {
+        return leaseValid(now);
+    }
+    return m_lastLeaderContact != TimePoint{} && now < m_lastLeaderContact + m_options.minElectionTimeout;
+}
+
+void Replica::onVoteRequest(const ReplicaMessage &message, const VoteRequest &request, TimePoint now)
+{
+    VoteReply reply{.preVote = request.preVote, .granted = false, .requestTerm = message.term};
+    const bool promised = promisedToLeader(now) && !request.transfer;
+    const bool upToDate = request.lastTerm > m_log.lastTerm()
+        || (request.lastTerm == m_log.lastTerm() && request.lastIndex >= m_log.lastIndex());
+    if (request.preVote) {
+        reply.granted = !promised && upToDate && message.term > m_hardState.term;
+        sendOncePersisted(message.from, reply);
+        return;
+    }
+    // The term is not adopted either, or a replica that was cut off could end the term of a working leader.
+    if (promised) {
+        return;
+    }
+    if (message.term > m_hardState.term) {
+        adoptTerm(message.term, now);
+    }
+    const bool free = m_hardState.votedFor.empty() || m_hardState.votedFor == message.from;
+    if (message.term == m_hardState.term && free && upToDate) {
+        if (m_hardState.votedFor.empty()) {
+            setHardState(m_hardState.term, message.from);
+        }
+        resetElectionDeadline(now);
+        reply.granted = true;
+    }
+    sendOncePersisted(message.from, reply);
+}
+
+void Replica::onVoteReply(const ReplicaMessage &message, const VoteReply &reply, TimePoint now)
+{
+    const auto wanted = reply.preVote ? m_hardState.term + 1 : m_hardState.term;
+    const auto expected = reply.preVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
+    if (reply.granted && reply.requestTerm == wanted && role() == expected) {
+        countVote(message.from, now);
+    }
+}
+
+void Replica::onTimeoutNow(const ReplicaMessage &message, TimePoint now)
+{
+    const bool ready = role() == ReplicaRole::Follower || role() == ReplicaRole::PreCandidate;
+    if (ready && message.from == m_leader) {
+        m_role.handle(RoleEvent::TransferReceived);
+        campaign(false, true, now);
+    }
+}
+
+bool Replica::transferLeadership(TimePoint now)
+{
+    if (role() != ReplicaRole::Leader) {
+        return false;
+    }
+    const ReplicaId *best = nullptr;
+    for (const auto &[id, progress] : m_progress) {
+        if (m_log.group().isVoter(id) && reachable(id, now)
+            && (best == nullptr || progress.matched > m_progress.at(*best).matched)) {
+            best = &id;
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    if (!m_transfer) {
+        m_transfer = Transfer{.target = *best, .deadline = now + m_options.maxElectionTimeout};
+    }
+    continueTransfer(now);
+    return true;
+}
+
+void Replica::continueTransfer(TimePoint now)
+{
+    if (!m_transfer) {
+        return;
+    }
+    const auto progress = m_progress.find(m_transfer->target);
+    if (!m_transfer->sent && progress != m_progress.end() && progress->second.matched == m_log.lastIndex()) {
+        m_transfer->sent = true;
+        send(m_transfer->target, TimeoutNow{});
+    }
+    if (now < m_transfer->deadline) {
+        return;
+    }
+    // Once the peer may have been asked, an election without regard to the lease can start at any time: this term must
+    // not decide any more.
+    if (m_transfer->sent) {
+        stepDown(now);
+    } else {
+        m_transfer.reset();
+    }
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -0,0 +1,337 @@
+#include "PeerLinks.h"
+
+#include "tamarackcove/Observe/LogLine.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace tamarackcove {
+
+static constexpr milliseconds ConnectTimeout{500};
+static constexpr milliseconds GreetingTimeout{1000};
+static constexpr milliseconds WriteTimeout{1000};
+static constexpr milliseconds PingInterval{300};
+/// A connection without an answer to its pings for this long is replaced. Three pings may be lost or late.
+static constexpr milliseconds PongTimeout{1000};
+static constexpr milliseconds IncomingTimeout{3000};
+static constexpr milliseconds FirstBackoff{20};
+static constexpr milliseconds MaxBackoff{500};
+/// Beyond it a slow peer loses the oldest messages; the leader sends them again.
+static constexpr std::size_t MaxQueued = 1024;
+
+struct PeerLinks::Peer
+{
+    Peer(ControlPeer peerSettings, const asio::any_io_executor &executor)
+        : settings(std::move(peerSettings))
+        , wake(executor, TimePoint::max())
+    {
+    }
+
+    ControlPeer settings;
+    /// What the peer said on the newest connection in either direction.
+    ReplicaId identity;
+    std::optional<Endpoint> administration;
+    /// Whether the connection to it is open, and whether the peer belonged to no group when it was opened.
+    bool connected = false;
+    bool empty = false;
+    std::deque<ReplicaMessage> queue;
+    asio::steady_timer wake;
+};
+
+PeerLinks::PeerLinks(Supervisor &supervisor, ReplicaDriver &driver, const ReplicaSettings &settings)
+    : m_supervisor(supervisor)
+    , m_driver(driver)
+    , m_settings(settings)
+{
+    for (const auto &peer : settings.peers) {
+        m_peers[peer.name] = std::make_unique<Peer>(peer, supervisor.executor());
+    }
+}
+
+PeerLinks::~PeerLinks() = default;
+
+Result<void, StorageError> PeerLinks::listen()
+{
+    if (m_peers.empty()) {
+        return ok();
+    }
+    boost::system::error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(m_settings.listen.host, error), m_settings.listen.port);
+    auto &acceptor = m_acceptor.emplace(m_supervisor.executor());
+    if (!error) {
+        acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return StorageError{StorageErrorCode::OpenFailed,
+                            "cannot listen for control peers on " + m_settings.listen.toString() + ": "
+                                + error.message()};
+    }
+    return ok();
+}
+
+std::uint16_t PeerLinks::port() const
+{
+    return m_acceptor ? m_acceptor->local_endpoint().port() : 0;
+}
+
+void PeerLinks::start()
+{
+    if (m_acceptor) {
+        m_supervisor.start("replica-accept", [this] { return acceptPeers(); }, {.restart = Restart::Always});
+    }
+    for (auto &[name, peer] : m_peers) {
+        m_supervisor.start("peer-" + name, [this, peer = peer.get()] { return runPeer(*peer); },
+                           {.restart = Restart::Always});
+    }
+    formGroupIfAllAreEmpty();
+}
+
+void PeerLinks::advertise(Endpoint administration)
+{
+    m_settings.administration = std::move(administration);
+}
+
+void PeerLinks::send(ReplicaMessage message)
+{
+    for (auto &[name, peer] : m_peers) {
+        if (peer->identity != message.to || !peer->connected) {
+            continue;
+        }
+        if (peer->queue.size() >= MaxQueued) {
+            peer->queue.pop_front();
+        }
+        peer->queue.push_back(std::move(message));
+        peer->wake.cancel();
+        return;
+    }
+}
+
+std::optional<Endpoint> PeerLinks::administrationOf(const ReplicaId &id) const
+{
+    if (id == m_driver.replica().self()) {
+        return m_settings.administration;
+    }
+    for (const auto &[name, peer] : m_peers) {
+        if (!id.empty() && peer->identity == id) {
+            return peer->administration;
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint64_t PeerLinks::bytesSent() const
+{
+    return m_bytesSent;
+}
+
+PeerHello PeerLinks::ownHello() const
+{
+    PeerHello hello;
+    hello.name = m_settings.name;
+    hello.identity = m_driver.replica().self().value();
+    hello.group = m_driver.empty() ? "" : m_driver.replica().group().groupId;
+    // A replica that has voted but holds no group yet is not empty either.
+    if (hello.group.empty() && !m_driver.empty()) {
+        hello.group = "joining";
+    }
+    hello.administration = m_settings.administration.toString();
+    return hello;
+}
+
+bool PeerLinks::learnIdentity(Peer &peer, const PeerHello &hello)
+{
+    if (hello.identity.empty() || hello.identity == m_driver.replica().self().value()) {
+        LogLine(LogLevel::Error, "peer_refused")
+            .add("peer", peer.settings.name)
+            .add("reason", "it has the identity of this replica; one data folder is a copy of the other, empty it");
+        return false;
+    }
+    if (peer.identity.value() != hello.identity) {
+        peer.identity = ReplicaId(hello.identity);
+        peer.queue.clear();
+        LogLine(LogLevel::Info, "peer_identified").add("peer", peer.settings.name).add("identity", hello.identity);
+    }
+    peer.administration = Endpoint::parse(hello.administration);
+    m_driver.replica().peerSeen(peer.settings.name, peer.identity);
+    m_driver.scheduleStep();
+    return true;
+}
+
+void PeerLinks::formGroupIfAllAreEmpty()
+{
+    // Only when every peer says that it belongs to no group can none of them hold one that this host has lost. The
+    // first name does it, so that no two replicas form a group at the same time.
+    const bool first = m_peers.empty() || m_settings.name < m_peers.begin()->first;
+    const bool allEmpty = std::all_of(m_peers.begin(), m_peers.end(),
+                                      [](const auto &item) { return item.second->connected && item.second->empty; });
+    if (!first || !allEmpty || !m_driver.empty()) {
+        return;
+    }
+    ReplicaGroup group;
+    group.groupId = randomIdentity();
+    group.members.push_back({.id = m_driver.replica().self(), .name = m_settings.name, .voter = true});
+    for (const auto &[name, peer] : m_peers) {
+        group.members.push_back({.id = peer->identity, .name = name, .voter = true});
+    }
+    LogLine(LogLevel::Info, "group_formed")
+        .add("group", group.groupId)
+        .add("voters", std::uint64_t{group.members.size()});
+    m_driver.replica().bootstrap(std::move(group), Clock::now());
+    m_driver.scheduleStep();
+}
+
+asio::awaitable<void> PeerLinks::runPeer(Peer &peer)
+{
+    using namespace asio::experimental::awaitable_operators;
+    auto backoff = FirstBackoff;
+    for (;;) {
+        auto connected = co_await FramedConnection::connect(peer.settings.endpoint, ConnectTimeout);
+        if (connected.has_value()) {
+            auto &connection = *connected.value();
+            if (co_await greet(connection, peer)) {
+                backoff = FirstBackoff;
+                peer.connected = true;
+                formGroupIfAllAreEmpty();
+                co_await (writeMessages(connection, peer) || readPongs(connection));
+                LogLine(LogLevel::Info, "peer_disconnected").add("peer", peer.settings.name);
+            }
+        }
+        peer.connected = false;
+        peer.queue.clear();
+        asio::steady_timer timer(m_supervisor.executor(), backoff);
+        backoff = std::min(2 * backoff, MaxBackoff);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<bool> PeerLinks::greet(FramedConnection &connection, Peer &peer)
+{
+    auto hello = toMessage(ownHello());
+    if ((co_await connection.write(std::move(hello), GreetingTimeout)).has_error()) {
+        co_return false;
+    }
+    const auto reply = co_await connection.read(GreetingTimeout);
+    if (reply.has_error()) {
+        co_return false;
+    }
+    const auto welcome = fromMessage<PeerHello>(reply.value());
+    if (welcome.has_error() || welcome.value().name != peer.settings.name) {
+        LogLine(LogLevel::Warning, "peer_refused")
+            .add("peer", peer.settings.name)
+            .add("reason", "another process answers on its endpoint; check the peers setting");
+        co_return false;
+    }
+    peer.empty = welcome.value().group.empty();
+    co_return learnIdentity(peer, welcome.value());
+}
+
+asio::awaitable<void> PeerLinks::writeMessages(FramedConnection &connection, Peer &peer)
+{
+    auto nextPing = Clock::now() + PingInterval;
+    auto counted = connection.bytesWritten();
+    for (;;) {
+        Message message{.type = "peer_ping", .body = nullptr};
+        if (!peer.queue.empty()) {
+            message = encodeReplicaMessage(peer.queue.front());
+            peer.queue.pop_front();
+        } else if (Clock::now() < nextPing) {
+            peer.wake.expires_at(nextPing);
+            boost::system::error_code ignored;
+            co_await peer.wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
+        } else {
+            nextPing = Clock::now() + PingInterval;
+        }
+        const auto written = co_await connection.write(std::move(message), WriteTimeout);
+        if (written.has_error()) {
+            co_return;
+        }
+        m_bytesSent += connection.bytesWritten() - counted;
+        counted = connection.bytesWritten();
+    }
+}
+
+asio::awaitable<void> PeerLinks::readPongs(FramedConnection &connection)
+{
+    while ((co_await connection.read(PongTimeout)).has_value()) { }
+}
+
+asio::awaitable<void> PeerLinks::acceptPeers()
+{
+    for (;;) {
+        auto [error, socket] = co_await m_acceptor->async_accept(asio::as_tuple(asio::use_awaitable));
+        if (error) {
+            // Out of descriptors, for example; the peers connect again.
+            asio::steady_timer timer(m_supervisor.executor(), MaxBackoff);
+            co_await timer.async_wait(asio::use_awaitable);
+            continue;
+        }
+        auto connection = std::make_shared<FramedConnection>(std::move(socket));
+        m_supervisor.startTemporary("peer-incoming-" + std::to_string(++m_accepted),
+                                    [this, connection] { return serveIncoming(connection); });
+    }
+}
+
+asio::awaitable<void> PeerLinks::serveIncoming(std::shared_ptr<FramedConnection> connection)
+{
+    const auto first = co_await connection->read(GreetingTimeout);
+    if (first.has_error()) {
+        co_return;
+    }
+    const auto hello = fromMessage<PeerHello>(first.value());
+    const auto found = hello.has_value() ? m_peers.find(hello.value().name) : m_peers.end();
+    if (found == m_peers.end()) {
+        LogLine(LogLevel::Warning, "peer_refused")
+            .add("peer", connection->peerName())
+            .add("reason", "its name is not in the peers setting");
+        co_return;
+    }
+    if (!learnIdentity(*found->second, hello.value())) {
+        co_return;
+    }
+    auto welcome = toMessage(ownHello());
+    if ((co_await connection->write(std::move(welcome), GreetingTimeout)).has_error()) {
+        co_return;
+    }
+    const ReplicaId from(hello.value().identity);
+    for (;;) {
+        const auto message = co_await connection->read(IncomingTimeout);
+        if (message.has_error()) {
+            co_return;
+        }
+        if (message.value().type == "peer_ping") {
+            Message pong{.type = "peer_pong", .body = nullptr};
+            if ((co_await connection->write(std::move(pong), WriteTimeout)).has_error()) {
+                co_return;
+            }
+            continue;
+        }
+        auto decoded = decodeReplicaMessage(message.value());
+        if (decoded.has_error()) {
+            LogLine(LogLevel::Warning, "peer_message_refused")
+                .add("peer", hello.value().name)
+                .add("reason", decoded.error().detail);
+            co_return;
+        }
+        decoded.value().from = from;
+        decoded.value().to = m_driver.replica().self();
+        m_driver.replica().receive(decoded.value(), Clock::now());
+        m_driver.scheduleStep();
+    }
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Control/Replica/ReplicaDriver.cpp
@@ -0,0 +1,393 @@
+#include "ReplicaDriver.h"
+
+#include "tamarackcove/Observe/LogLine.h"
+
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+/// Longest wait for a command to be committed; then its outcome is reported as unknown.
+static constexpr milliseconds ProposalTimeout{5000};
+static constexpr milliseconds ReadTimeout{2000};
+
+static ReplicaOptions optionsFrom(const ReplicaSettings &settings)
+{
+    ReplicaOptions options;
+    options.heartbeatInterval = settings.heartbeatInterval;
+    options.minElectionTimeout = settings.minElectionTimeout;
+    options.maxElectionTimeout = settings.maxElectionTimeout;
+    options.leaderLease = settings.leaderLease;
+    options.random = [generator = std::mt19937_64(std::random_device()())]() mutable {
+        return generator();
+    };
+    return options;
+}
+
+ReplicaDriver::ReplicaDriver(asio::any_io_executor executor, ReplicaSettings settings, StateMachineHooks machine,
+                             Hooks hooks)
+    : m_executor(std::move(executor))
+    , m_settings(std::move(settings))
+    , m_machine(std::move(machine))
+    , m_hooks(std::move(hooks))
+    , m_storageWork(m_executor, TimePoint::max())
+    , m_tick(m_executor)
+{
+}
+
+ReplicaDriver::~ReplicaDriver()
+{
+    *m_alive = false;
+    m_storageThread.join();
+}
+
+Result<void, StorageError> ReplicaDriver::open()
+{
+    RecoveredState recovered;
+    auto folder = DataFolder::open(m_settings.dataFolder, m_hooks.files, randomIdentity, recovered);
+    if (folder.has_error()) {
+        return std::move(folder).error();
+    }
+    m_folder = std::move(folder).value();
+    if (recovered.snapshot) {
+        m_machine.loadSnapshot(*recovered.snapshot->bytes);
+        m_applied = m_lastSnapshot = recovered.snapshot->lastIndex;
+    }
+    m_replica.emplace(optionsFrom(m_settings), std::move(recovered), Clock::now());
+    LogLine(LogLevel::Info, "replica_opened")
+        .add("identity", m_replica->self().value())
+        .add("last_index", m_replica->log().lastIndex())
+        .add("snapshot_index", m_lastSnapshot)
+        .add("term", m_replica->term());
+    return ok();
+}
+
+Replica &ReplicaDriver::replica()
+{
+    return *m_replica;
+}
+
+const Replica &ReplicaDriver::replica() const
+{
+    return *m_replica;
+}
+
+bool ReplicaDriver::empty() const
+{
+    return m_replica->group().empty() && m_replica->term() == 0;
+}
+
+LogIndex ReplicaDriver::appliedIndex() const
+{
+    return m_applied;
+}
+
+bool ReplicaDriver::leads() const
+{
+    return !m_failed && m_replica->leads(Clock::now());
+}
+
+void ReplicaDriver::scheduleStep()
+{
+    if (m_stepScheduled || m_failed) {
+        return;
+    }
+    m_stepScheduled = true;
+    asio::post(m_executor, [this, alive = m_alive] {
+        if (*alive) {
+            m_stepScheduled = false;
+            step();
+        }
+    });
+}
+
+void ReplicaDriver::step()
+{
+    if (m_failed) {
+        return;
+    }
+    auto output = m_replica->takeOutput(Clock::now());
+    for (auto &message : output.messages) {
+        m_hooks.send(std::move(message));
+    }
+    if (output.persist) {
+        m_toPersist.push_back(std::move(*output.persist));
+        m_storageWork.cancel();
+    }
+    for (const auto &entry : output.committed) {
+        apply(*entry);
+    }
+    for (const auto number : output.readyReads) {
+        if (const auto node = m_reads.extract(number)) {
+            finish(node.mapped(), std::string());
+        }
+    }
+    for (const auto number : output.failedReads) {
+        if (const auto node = m_reads.extract(number)) {
+            finish(node.mapped(), refusal());
+        }
+    }
+    if (m_replica->role() != ReplicaRole::Leader) {
+        failWaiters();
+    }
+    reportLeadership();
+    snapshotIfDue();
+    armTimer();
+}
+
+void ReplicaDriver::apply(const LogEntry &entry)
+{
+    m_applied = entry.index;
+    std::string answer;
+    if (entry.kind == EntryKind::Command) {
+        answer = m_machine.apply(entry.index, entry.time, entry.command);
+    }
+    const auto node = m_proposals.extract(entry.index);
+    if (!node) {
+        return;
+    }
+    if (node.mapped()->term == entry.term) {
+        finish(node.mapped(), std::move(answer));
+    } else {
+        // Another leader's entry was committed at this place, so the command is in no replica's committed log.
+        finish(node.mapped(), refusal());
+    }
+}
+
+void ReplicaDriver::failWaiters()
+{
+    for (const auto &[index, waiter] : std::exchange(m_proposals, {})) {
+        finish(waiter,
+               LogError{.code = LogErrorCode::OutcomeUnknown,
+                        .detail = "leadership was lost before the command was committed; send it again with the same "
+                                  "command id",
+                        .leader = m_hooks.administration(m_replica->leader())});
+    }
+}
+
+void ReplicaDriver::finish(const WaiterPtr &waiter, Result<std::string, LogError> result)
+{
+    waiter->result = std::move(result);
+    waiter->timer.cancel();
+}
+
+void ReplicaDriver::reportLeadership()
+{
+    const bool leading = leads();
+    if (leading == m_reportedLeading) {
+        return;
+    }
+    m_reportedLeading = leading;
+    LogLine(LogLevel::Info, leading ? "leadership_gained" : "leadership_lost")
+        .add("replica", m_settings.name)
+        .add("term", m_replica->term());
+    if (m_hooks.onLeadership) {
+        m_hooks.onLeadership(leading);
+    }
+}
+
+void ReplicaDriver::snapshotIfDue()
+{
+    if (m_applied < m_lastSnapshot + m_settings.snapshotEvery || m_toSnapshot
+        || m_applied <= m_replica->log().base().index) {
+        return;
+    }
+    const auto &last = *m_replica->log().at(m_applied);
+    m_toSnapshot = SnapshotImage{.lastIndex = m_applied,
+                                 .lastTerm = last.term,
+                                 .lastTime = last.time,
+                                 .group = m_replica->log().groupAt(m_applied),
+                                 .bytes = std::make_shared<const std::string>(m_machine.saveSnapshot())};
+    m_lastSnapshot = m_applied;
+    m_storageWork.cancel();
+}
+
+void ReplicaDriver::armTimer()
+{
+    const auto deadline = m_replica->deadline();
+    if (deadline <= Clock::now()) {
+        scheduleStep();
+    }
+    if (deadline < m_tick.expiry()) {
+        m_tick.expires_at(deadline);
+    }
+}
+
+asio::awaitable<void> ReplicaDriver::runTimer()
+{
+    while (!m_failed) {
+        m_tick.expires_at(m_replica->deadline());
+        boost::system::error_code ignored;
+        co_await m_tick.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (Clock::now() >= m_replica->deadline()) {
+            m_replica->tick(Clock::now());
+            scheduleStep();
+            // Lets the step run, which moves the deadline.
+            co_await asio::post(m_executor, asio::use_awaitable);
+        }
+    }
+}
+
+asio::awaitable<void> ReplicaDriver::runStorage()
+{
+    while (!m_failed) {
+        if (m_toPersist.empty() && !m_toSnapshot) {
+            boost::system::error_code ignored;
+            co_await m_storageWork.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
+        }
+        if (!m_toPersist.empty()) {
+            auto requests = std::make_shared<std::vector<PersistRequest>>(std::make_move_iterator(m_toPersist.begin()),
+                                                                          std::make_move_iterator(m_toPersist.end()));
+            m_toPersist.clear();
+            const auto written = co_await onStorageThread([this, requests] { return m_folder->persist(*requests); });
+            if (written.has_error()) {
+                failFatally(written.error());
+                co_return;
+            }
+            for (const auto &request : *requests) {
+                if (request.snapshot) {
+                    m_machine.loadSnapshot(*request.snapshot->bytes);
+                    m_applied = m_lastSnapshot = request.snapshot->lastIndex;
+                }
+            }
+            m_replica->persisted(requests->back().sequence, Clock::now());
+            scheduleStep();
+        }
+        if (m_toSnapshot) {
+            const auto image = *m_toSnapshot;
+            const auto saved = co_await onStorageThread([this, image] { return m_folder->saveSnapshot(image); });
+            if (saved.has_error()) {
+                failFatally(saved.error());
+                co_return;
+            }
+            m_toSnapshot.reset();
+            m_replica->snapshotSaved(image);
+        }
+    }
+}
+
+void ReplicaDriver::failFatally(const StorageError &error)
+{
+    m_failed = true;
+    LogLine(LogLevel::Error, "storage_failed").add("replica", m_settings.name).add("reason", error.detail);
+    failWaiters();
+    m_tick.cancel();
+    if (m_hooks.onLeadership && std::exchange(m_reportedLeading, false)) {
+        m_hooks.onLeadership(false);
+    }
+    if (m_hooks.onFatal) {
+        m_hooks.onFatal(error);
+    }
+}
+
+asio::awaitable<Result<void, StorageError>>
+ReplicaDriver::onStorageThread(std::function<Result<void, StorageError>()> work)
+{
+    auto initiate = [this, &work](auto handler) {
+        // Keeps the io_context running while the work is on the other thread.
+        auto executor = asio::prefer(asio::get_associated_executor(handler, m_executor),
+                                     asio::execution::outstanding_work.tracked);
+        asio::post(m_storageThread, [work, executor, done = std::move(handler)]() mutable {
+            auto result = work();
+            asio::post(executor, [result = std::move(result), done = std::move(done)]() mutable {
+                std::move(done)(std::move(result));
+            });
+        });
+    };
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(Result<void, StorageError>)>(
+        initiate, asio::use_awaitable);
+}
+
+LogError ReplicaDriver::refusal() const
+{
+    const auto &leader = m_replica->leader();
+    if (leader.empty() || leader == m_replica->self()) {
+        return {.code = LogErrorCode::Unavailable,
+                .detail = "no leader: a majority of the control replicas cannot be reached, or an election is running; "
+                          "try again",
+                .leader = std::nullopt};
+    }
+    return {.code = LogErrorCode::NotLeader,
+            .detail = "this replica does not lead; ask the leader",
+            .leader = m_hooks.administration(leader)};
+}
+
+LogError ReplicaDriver::translate(ReplicaError error) const
+{
+    switch (error) {
+    case ReplicaError::NotLeader:
+        return refusal();
+    case ReplicaError::NoMajority:
+        return {.code = LogErrorCode::Unavailable,
+                .detail = "a majority of the control replicas cannot be reached; restore hosts or try again later",
+                .leader = std::nullopt};
+    case ReplicaError::CommandTooLong:
+        return {.code = LogErrorCode::Unavailable,
+                .detail = "the command is longer than 512 KiB; split it",
+                .leader = std::nullopt};
+    case ReplicaError::TooManyUncommitted:
+        return {.code = LogErrorCode::Unavailable,
+                .detail = "too many commands are waiting; try again later",
+                .leader = std::nullopt};
+    }
+    return refusal();
+}
+
+asio::awaitable<Result<std::string, LogError>> ReplicaDriver::wait(WaiterPtr waiter, milliseconds timeout,
+                                                                   LogError late)
+{
+    scheduleStep();
+    waiter->timer.expires_after(timeout);
+    boost::system::error_code ignored;
+    co_await waiter->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    if (waiter->result) {
+        co_return std::move(*waiter->result);
+    }
+    co_return late;
+}
+
+asio::awaitable<Result<std::string, LogError>> ReplicaDriver::propose(std::string command)
+{
+    if (m_failed) {
+        co_return refusal();
+    }
+    const auto position = m_replica->propose(std::move(command), std::chrono::system_clock::now(), Clock::now());
+    if (position.has_error()) {
+        co_return translate(position.error());
+    }
+    auto waiter = std::make_shared<Waiter>(m_executor);
+    waiter->term = position.value().term;
+    m_proposals[position.value().index] = waiter;
+    LogError late;
+    late.code = LogErrorCode::OutcomeUnknown;
+    late.detail = "the command was not committed in time; send it again with the same command id";
+    co_return co_await wait(std::move(waiter), ProposalTimeout, std::move(late));
+}
+
+asio::awaitable<Result<void, LogError>> ReplicaDriver::readBarrier()
+{
+    if (m_failed) {
+        co_return refusal();
+    }
+    const auto number = m_replica->requestRead(Clock::now());
+    if (number.has_error()) {
+        co_return translate(number.error());
+    }
+    auto waiter = std::make_shared<Waiter>(m_executor);
+    m_reads[number.value()] = waiter;
+    const auto result = co_await wait(std::move(waiter), ReadTimeout, translate(ReplicaError::NoMajority));
+    m_reads.erase(number.value());
+    if (result.has_error()) {
+        co_return result.error();
+    }
+    co_return ok();
+}
+
+} // namespace tamarackcove
--- a/lib/Control/Replica/ReplicaTask.cpp
+++ b/lib/Control/Replica/ReplicaTask.cpp
@@ -1,8 +1,10 @@
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 
+#include "PeerLinks.h"
+#include "ReplicaDriver.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
-#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
@@ -11,16 +13,56 @@
 
 struct ReplicaTask::Impl
 {
+    Impl(Supervisor &owner, ReplicaSettings replicaSettings, StateMachineHooks machine, Hooks hooks)
+        : supervisor(owner)
+        , settings(std::move(replicaSettings))
+        , driver(owner.executor(), settings, std::move(machine),
+                 {.send = [this](ReplicaMessage message) { links.send(std::move(message)); },
+                  .administration = [this](const ReplicaId &id) { return links.administrationOf(id); },
+                  .onFatal = std::move(hooks.onFatal),
+                  .onLeadership = std::move(hooks.onLeadership)})
+        , links(owner, driver, settings)
+    {
+    }
+
+    [[nodiscard]] LogStatus status() const;
+
     Supervisor &supervisor;
     ReplicaSettings settings;
-    StateMachineHooks machine;
-    Hooks hooks;
-    std::uint64_t index = 0;
-    bool started = false;
+    ReplicaDriver driver;
+    PeerLinks links;
 };
 
+/// Host name and the start of the identity: short enough for an operator, and a replaced disk is told apart.
+static ReplicaId displayId(const std::string &name, const ReplicaId &id)
+{
+    constexpr std::size_t ShownDigits = 8;
+    return ReplicaId(name + "@" + id.value().substr(0, ShownDigits));
+}
+
+LogStatus ReplicaTask::Impl::status() const
+{
+    const auto &replica = driver.replica();
+    const auto now = Clock::now();
+    LogStatus status;
+    status.self = displayId(settings.name, replica.self());
+    status.role = toString(replica.role());
+    status.term = replica.term();
+    status.commitIndex = replica.commitIndex();
+    status.appliedIndex = driver.appliedIndex();
+    status.leader = links.administrationOf(replica.leader());
+    for (const auto &member : replica.group().members) {
+        status.replicas.push_back({.id = displayId(member.name, member.id),
+                                   .voter = member.voter,
+                                   .reachable = replica.reachable(member.id, now),
+                                   .matchedIndex = replica.matchedIndex(member.id)});
+    }
+    status.lossesTolerated = replica.lossesTolerated(now);
+    return status;
+}
+
 ReplicaTask::ReplicaTask(Supervisor &supervisor, ReplicaSettings settings, StateMachineHooks machine, Hooks hooks)
-    : m_impl(std::make_shared<Impl>(Impl{supervisor, std::move(settings), std::move(machine), std::move(hooks)}))
+    : m_impl(std::make_shared<Impl>(supervisor, std::move(settings), std::move(machine), std::move(hooks)))
 {
 }
 
@@ -28,60 +70,63 @@
 
 Result<void, StorageError> ReplicaTask::open()
 {
-    return ok();
+    if (auto opened = m_impl->driver.open(); opened.has_error()) {
+        return opened;
+    }
+    return m_impl->links.listen();
 }
 
 void ReplicaTask::start()
 {
-    m_impl->started = true;
-    if (m_impl->hooks.onLeadership) {
-        m_impl->hooks.onLeadership(true);
-    }
+    auto &driver = m_impl->driver;
+    m_impl->supervisor.start("replica-storage", [&driver] { return driver.runStorage(); });
+    m_impl->supervisor.start("replica-timer", [&driver] { return driver.runTimer(); });
+    m_impl->links.start();
 }
 
 LogClient ReplicaTask::client()
 {
-    auto impl = m_impl;
     return LogClient{
-        .propose = [impl](std::string command) -> asio::awaitable<Result<std::string, LogError>> {
-            co_await asio::post(impl->supervisor.executor(), asio::use_awaitable);
-            co_return impl->machine.apply(++impl->index, std::chrono::system_clock::now(), command);
-        },
-        .readBarrier = [impl]() -> asio::awaitable<Result<void, LogError>> {
-            co_await asio::post(impl->supervisor.executor(), asio::use_awaitable);
-            co_return ok();
-        },
-        .status =
-            [impl] {
-                LogStatus status;
-                status.self = ReplicaId(impl->settings.name);
-                status.role = "leader";
-                status.commitIndex = impl->index;
-                status.appliedIndex = impl->index;
-                status.leader = impl->settings.administration;
-                return status;
-            },
+        .propose = [impl = m_impl](std::string command) { return impl->driver.propose(std::move(command)); },
+        .readBarrier = [impl = m_impl] { return impl->driver.readBarrier(); },
+        .status = [impl = m_impl] { return impl->status(); },
     };
 }
 
 std::uint16_t ReplicaTask::port() const
 {
-    return 0;
+    return m_impl->links.port();
 }
 
 void ReplicaTask::advertise(Endpoint administration)
 {
-    m_impl->settings.administration = std::move(administration);
+    m_impl->links.advertise(std::move(administration));
 }
 
 bool ReplicaTask::leads() const
 {
-    return m_impl->started;
+    return m_impl->driver.leads();
 }
 
-asio::awaitable<bool> ReplicaTask::transferLeadership(milliseconds)
+std::uint64_t ReplicaTask::bytesSent() const
 {
-    co_return false;
+    return m_impl->links.bytesSent();
+}
+
+asio::awaitable<bool> ReplicaTask::transferLeadership(milliseconds timeout)
+{
+    constexpr milliseconds PollInterval{10};
+    const auto deadline = Clock::now() + timeout;
+    auto impl = m_impl;
+    auto &replica = impl->driver.replica();
+    asio::steady_timer timer(impl->supervisor.executor());
+    while (replica.role() == ReplicaRole::Leader && Clock::now() < deadline) {
+        (void)replica.transferLeadership(Clock::now());
+        impl->driver.scheduleStep();
+        timer.expires_after(PollInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_return replica.role() != ReplicaRole::Leader;
 }
 
 } // namespace tamarackcove
--- /dev/null
+++ b/unittests/Control/Replica/ReplicaGroupFixture.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "tamarackcove/Control/Replica/ReplicaTask.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tamarackcove::test {
+
+/// A folder that is removed at the end of the test.
+struct TemporaryFolder
+{
+    TemporaryFolder()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "tamarackcove-XXXXXX").string();
+        path = mkdtemp(pattern.data());
+    }
+    ~TemporaryFolder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(path, ignored);
+    }
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+    std::filesystem::path path;
+};
+
+/// A state machine that keeps the commands it was fed.
+struct RecordingMachine
+{
+    std::vector<std::string> commands;
+
+    StateMachineHooks hooks()
+    {
+        return {.apply =
+                    [this](std::uint64_t, std::chrono::system_clock::time_point, std::string_view command) {
+                        commands.emplace_back(command);
+                        return "answer to " + std::string(command);
+                    },
+                .saveSnapshot =
+                    [this] {
+                        std::string bytes;
+                        for (const auto &command : commands) {
+                            bytes += command + "\n";
+                        }
+                        return bytes;
+                    },
+                .loadSnapshot =
+                    [this](std::string_view bytes) {
+                        commands.clear();
+                        while (!bytes.empty()) {
+                            const auto end = bytes.find('\n');
+                            commands.emplace_back(bytes.substr(0, end));
+                            bytes.remove_prefix(end + 1);
+                        }
+                    }};
+    }
+};
+
+/// One control process without its front ends.
+struct TestReplica
+{
+    TestReplica(boost::asio::io_context &io, ReplicaSettings settings)
+        : supervisor(io.get_executor(), settings.name)
+        , task(supervisor, std::move(settings), machine.hooks(), {})
+    {
+        REQUIRE(task.open().has_value());
+        task.start();
+        log = task.client();
+    }
+
+    RecordingMachine machine;
+    Supervisor supervisor;
+    ReplicaTask task;
+    LogClient log;
+};
+
+/// Waits until the condition holds; fails the test after the timeout.
+inline boost::asio::awaitable<void> eventually(std::function<bool()> condition, milliseconds timeout = seconds(10))
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    const auto deadline = Clock::now() + timeout;
+    while (!condition() && Clock::now() < deadline) {
+        timer.expires_after(milliseconds(5));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    CHECK(condition());
+}
+
+/// Runs the coroutine to its end.
+inline void run(boost::asio::io_context &io, std::function<boost::asio::awaitable<void>()> body)
+{
+    std::exception_ptr failure;
+    boost::asio::co_spawn(io, body(), [&](std::exception_ptr error) { failure = error; });
+    io.restart();
+    io.run();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+} // namespace tamarackcove::test
