Route requests by residency, zone and a load estimate that counts unreported work

Cause: load reports lag, and many entries decide at once; the emptiest target by a stale report draws them all. Change: Router takes the better of two random holders by reported load plus own work since the report; an adapter that no zone holds goes to its home zone by rendezvous hashing; one forward at most. Conclusion: kept as the default; leastLoaded stays as a baseline hook.

--- a/include/tamarackcove/Control/LogClient.h
+++ b/include/tamarackcove/Control/LogClient.h
@@ -13,7 +13,8 @@
 /// How the other parts of a control process use the replicated log.
 ///
 /// Thread safety: called on the thread of the process.
-struct LogClient {
+struct LogClient
+{
     /// Appends a command and returns what applying it answered, once it is committed and applied here.
     std::function<boost::asio::awaitable<Result<std::string, LogError>>(std::string command)> propose;
     /// Returns once this replica is known to lead and has applied all that was committed before the call.
--- a/include/tamarackcove/Control/LogError.h
+++ b/include/tamarackcove/Control/LogError.h
@@ -17,7 +17,8 @@
 };
 
 /// Why the replicated log did not take a command.
-struct LogError {
+struct LogError
+{
     LogErrorCode code = LogErrorCode::Unavailable;
     std::string detail;
     /// Where the leader's administration API is, when known.
--- a/include/tamarackcove/Control/LogStatus.h
+++ b/include/tamarackcove/Control/LogStatus.h
@@ -11,7 +11,8 @@
 namespace tamarackcove {
 
 /// One replica as the answering replica sees it.
-struct ReplicaStatus {
+struct ReplicaStatus
+{
     ReplicaId id;
     bool voter = false;
     bool reachable = false;
@@ -19,7 +20,8 @@
 };
 
 /// The replicated log as one replica sees it.
-struct LogStatus {
+struct LogStatus
+{
     ReplicaId self;
     std::string role;
     std::uint64_t term = 0;
--- a/include/tamarackcove/Entry/ControlCalls.h
+++ b/include/tamarackcove/Entry/ControlCalls.h
@@ -21,7 +21,8 @@
     Refused,
 };
 
-struct ControlError {
+struct ControlError
+{
     ControlErrorCode code = ControlErrorCode::Unavailable;
     std::string detail;
 };
@@ -38,7 +39,8 @@
 };
 
 /// The answer to the reservation of a call that may not be repeated.
-struct CallReservation {
+struct CallReservation
+{
     ReservationOutcome outcome = ReservationOutcome::InDoubt;
     /// The recorded answer, when completed.
     int status = 0;
@@ -48,16 +50,18 @@
 
 /// The right to load from the weight store, for the whole zone. Valid until it runs out, counted from the sending of
 /// the request for it.
-struct StorePermit {
+struct StorePermit
+{
     double loadsPerSecond = 0;
     int concurrentLoads = 0;
-    milliseconds validFor {0};
+    milliseconds validFor{0};
 };
 
 /// How the other parts of an entry reach the control group.
 ///
 /// Thread safety: called on the thread of the process.
-struct ControlCalls {
+struct ControlCalls
+{
     std::function<boost::asio::awaitable<Result<CallReservation, ControlError>>(std::string key, std::uint64_t digest)>
         reserveCall;
     std::function<boost::asio::awaitable<Result<void, ControlError>>(std::string key, int status,
--- a/include/tamarackcove/Entry/ZoneAccess.h
+++ b/include/tamarackcove/Entry/ZoneAccess.h
@@ -15,7 +15,8 @@
 /// How the request path of an entry sees and reaches its zone and the others.
 ///
 /// Thread safety: called on the thread of the process.
-struct ZoneAccess {
+struct ZoneAccess
+{
     std::function<const ZoneView &()> view;
     /// Whether this entry may start new work on targets: it holds a view lease of the zone coordinator.
     std::function<bool(TimePoint now)> mayDispatch;
--- a/include/tamarackcove/Routing/RouteChoice.h
+++ b/include/tamarackcove/Routing/RouteChoice.h
@@ -16,7 +16,8 @@
 };
 
 /// Where a request goes.
-struct RouteChoice {
+struct RouteChoice
+{
     RouteKind kind = RouteKind::None;
     TargetId target;
     Zone zone;
--- a/include/tamarackcove/Routing/Router.h
+++ b/include/tamarackcove/Routing/Router.h
@@ -6,10 +6,11 @@
 #include "tamarackcove/Routing/RouteChoice.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
-#include <map>
 #include <random>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace tamarackcove {
@@ -27,40 +28,48 @@
 public:
     /// Chooses among targets that may take the request; never called with an empty list. `load` is the estimate of
     /// running and waiting requests on a target over its batch size.
-    using ChooseTarget = std::function<const TargetView *(
-        const std::vector<const TargetView *> &candidates, const std::function<double(const TargetView &)> &load,
-        std::mt19937_64 &random)>;
+    using ChooseTarget = std::function<const TargetView *(const std::vector<const TargetView *> &candidates,
+                                                          const std::function<double(const TargetView &)> &load,
+                                                          std::mt19937_64 &random)>;
 
-    struct Options {
+    struct Options
+    {
         Zone zone;
         std::uint64_t seed = 1;
-        /// The default is the better of two random candidates.
+        /// The default is betterOfTwo() with a pack threshold of 0.75.
         ChooseTarget chooseTarget;
-        /// Whether a request may be dispatched to a target that does not hold the adapter; only baselines do that.
+        /// Whether the least loaded target is chosen before looking at what it holds; only baselines do that.
         bool ignoreResidency = false;
+        /// Whether an adapter that no zone holds is loaded by its home zone only.
+        bool useHomeZone = true;
+        /// Work sent this long before a load report arrived may be missing from it.
+        milliseconds reportLag = milliseconds(500);
         /// A holder in the own zone above this load loses to a holder in another zone.
         double forwardAboveLoad = 2.0;
     };
 
-    struct Request {
+    struct Request
+    {
         AdapterRef adapter;
         BaseModel baseModel;
         /// Targets that failed this request before.
         std::set<TargetId> excluded;
         /// False when the request was forwarded here; it then stays in this zone.
         bool mayForward = true;
+        /// True when the request has waited for a load that has ended.
+        bool hasWaited = false;
     };
 
     explicit Router(Options options);
 
     /// Chooses for a request that names an adapter.
     /// Precondition: reachableZones holds the own zone.
-    [[nodiscard]] RouteChoice choose(const Request &request, const ZoneView &view, const std::vector<Zone> &reachableZones,
-                                     TimePoint now);
+    [[nodiscard]] RouteChoice choose(const Request &request, const ZoneView &view,
+                                     const std::vector<Zone> &reachableZones);
 
     /// Chooses a target of a plain service.
     [[nodiscard]] RouteChoice chooseService(const ServiceName &service, const std::set<TargetId> &excluded,
-                                            const ZoneView &view, TimePoint now);
+                                            const ZoneView &view);
 
     /// Notes that a request was dispatched to the target, or has left it.
     void noteDispatched(const TargetId &target, TimePoint now);
@@ -72,17 +81,30 @@
     /// Estimated requests on the target, over its batch size.
     [[nodiscard]] double estimatedLoad(const TargetView &target) const;
 
+    /// Takes two random candidates. While both are below the threshold it prefers the fuller one, which fills batches;
+    /// above it the emptier one, which keeps queues short. A threshold of 0 always takes the emptier one.
+    [[nodiscard]] static ChooseTarget betterOfTwo(double packThreshold);
+    /// Baseline: the emptiest of all candidates by the same estimate.
+    [[nodiscard]] static ChooseTarget leastLoaded();
+
 private:
-    struct Sent {
-        std::vector<TimePoint> since;
-        std::vector<TimePoint> finished;
+    struct Sent
+    {
+        std::deque<TimePoint> dispatched;
+        std::deque<TimePoint> finished;
+        int inFlight = 0;
     };
 
-    [[nodiscard]] const TargetView *best(std::vector<const TargetView *> candidates, const std::set<TargetId> &excluded);
+    [[nodiscard]] const TargetView *choose(const std::vector<const TargetView *> &holders,
+                                           const std::set<TargetId> &excluded);
+    [[nodiscard]] std::vector<const TargetView *> engines(const ZoneView &view, const BaseModel &baseModel) const;
+    [[nodiscard]] RouteChoice chooseElsewhere(const Request &request, const ZoneView &view,
+                                              const std::vector<Zone> &reachableZones);
+    void forgetReported(Sent &sent, TimePoint now) const;
 
     Options m_options;
     std::mt19937_64 m_random;
-    std::map<TargetId, Sent> m_sent;
+    std::unordered_map<TargetId, Sent> m_sent;
 };
 
 } // namespace tamarackcove
--- /dev/null
+++ b/lib/Routing/Router.cpp
@@ -0,0 +1,216 @@
+#include "tamarackcove/Routing/Router.h"
+
+#include "tamarackcove/Base/Hash.h"
+#include "tamarackcove/Targets/ZoneView.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace tamarackcove {
+
+static constexpr double DefaultPackThreshold = 0.75;
+
+/// Old enough to be in every load report; bounds what is remembered of a target that stopped reporting.
+static constexpr seconds LongestReportGap{10};
+
+Router::Router(Options options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+    if (!m_options.chooseTarget) {
+        m_options.chooseTarget = betterOfTwo(DefaultPackThreshold);
+    }
+}
+
+RouteChoice Router::choose(const Request &request, const ZoneView &view, const std::vector<Zone> &reachableZones)
+{
+    if (m_options.ignoreResidency && !request.hasWaited) {
+        const auto *target = choose(engines(view, request.baseModel), request.excluded);
+        if (target == nullptr) {
+            return {};
+        }
+        const auto held = target->adapters.find(request.adapter);
+        if (held == target->adapters.end() || held->second != ResidencyState::Resident) {
+            return {.kind = RouteKind::WaitForLoad, .target = target->id, .zone = m_options.zone};
+        }
+        return {.kind = RouteKind::Target, .target = target->id, .zone = m_options.zone};
+    }
+    const auto *holder = choose(view.holders(request.adapter), request.excluded);
+    if (holder == nullptr) {
+        return chooseElsewhere(request, view, reachableZones);
+    }
+    if (request.mayForward && estimatedLoad(*holder) > m_options.forwardAboveLoad) {
+        const auto elsewhere = chooseElsewhere(request, view, reachableZones);
+        if (elsewhere.kind == RouteKind::Forward) {
+            return elsewhere;
+        }
+    }
+    return {.kind = RouteKind::Target, .target = holder->id, .zone = m_options.zone};
+}
+
+RouteChoice Router::chooseElsewhere(const Request &request, const ZoneView &view,
+                                    const std::vector<Zone> &reachableZones)
+{
+    const RouteChoice waitHere{.kind = RouteKind::WaitForLoad, .target = {}, .zone = m_options.zone};
+    const bool canLoadHere = !engines(view, request.baseModel).empty();
+    if (!request.mayForward) {
+        return canLoadHere ? waitHere : RouteChoice{};
+    }
+    std::vector<Zone> holding;
+    for (const auto &zone : view.remoteHolders(request.adapter)) {
+        if (std::find(reachableZones.begin(), reachableZones.end(), zone) != reachableZones.end()) {
+            holding.push_back(zone);
+        }
+    }
+    if (!holding.empty()) {
+        const auto index = std::uniform_int_distribution<std::size_t>(0, holding.size() - 1)(m_random);
+        return {.kind = RouteKind::Forward, .target = {}, .zone = holding[index]};
+    }
+    if (canLoadHere && (!m_options.useHomeZone || view.isLoading(request.adapter))) {
+        return waitHere;
+    }
+    const auto home = homeZone(request.adapter, reachableZones);
+    if (home != m_options.zone) {
+        return {.kind = RouteKind::Forward, .target = {}, .zone = home};
+    }
+    if (canLoadHere) {
+        return waitHere;
+    }
+    // The home zone has no engine left; any other reachable zone may have one.
+    for (const auto &zone : reachableZones) {
+        if (zone != m_options.zone) {
+            return {.kind = RouteKind::Forward, .target = {}, .zone = zone};
+        }
+    }
+    return {};
+}
+
+RouteChoice Router::chooseService(const ServiceName &service, const std::set<TargetId> &excluded, const ZoneView &view)
+{
+    const auto *target = choose(view.services(service), excluded);
+    if (target == nullptr) {
+        return {};
+    }
+    return {.kind = RouteKind::Target, .target = target->id, .zone = m_options.zone};
+}
+
+const TargetView *Router::choose(const std::vector<const TargetView *> &holders, const std::set<TargetId> &excluded)
+{
+    std::vector<const TargetView *> serving;
+    std::vector<const TargetView *> suspect;
+    for (const auto *target : holders) {
+        if (excluded.contains(target->id)) {
+            continue;
+        }
+        if (target->health == TargetHealth::Serving) {
+            serving.push_back(target);
+        } else if (target->health == TargetHealth::Suspect) {
+            suspect.push_back(target);
+        }
+    }
+    const auto &candidates = serving.empty() ? suspect : serving;
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    if (candidates.size() == 1) {
+        return candidates.front();
+    }
+    return m_options.chooseTarget(
+        candidates, [this](const TargetView &target) { return estimatedLoad(target); }, m_random);
+}
+
+std::vector<const TargetView *> Router::engines(const ZoneView &view, const BaseModel &baseModel) const
+{
+    std::vector<const TargetView *> result;
+    for (const auto &[id, target] : view.targets()) {
+        if (target.kind == TargetKind::Engine && target.baseModel == baseModel
+            && target.health != TargetHealth::Leaving) {
+            result.push_back(&target);
+        }
+    }
+    return result;
+}
+
+void Router::noteDispatched(const TargetId &target, TimePoint now)
+{
+    auto &sent = m_sent[target];
+    forgetReported(sent, now);
+    sent.dispatched.push_back(now);
+    ++sent.inFlight;
+}
+
+void Router::noteFinished(const TargetId &target, TimePoint now)
+{
+    auto &sent = m_sent[target];
+    assert(sent.inFlight > 0 && "a request finishes once");
+    forgetReported(sent, now);
+    sent.finished.push_back(now);
+    --sent.inFlight;
+}
+
+static void forgetBefore(std::deque<TimePoint> &times, TimePoint limit)
+{
+    while (!times.empty() && times.front() < limit) {
+        times.pop_front();
+    }
+}
+
+void Router::forgetReported(Sent &sent, TimePoint now) const
+{
+    forgetBefore(sent.dispatched, now - LongestReportGap);
+    forgetBefore(sent.finished, now - LongestReportGap);
+}
+
+static int countSince(const std::deque<TimePoint> &times, TimePoint since)
+{
+    return static_cast<int>(times.end() - std::lower_bound(times.begin(), times.end(), since));
+}
+
+double Router::estimatedLoad(const TargetView &target) const
+{
+    int requests = target.running + target.waiting;
+    const auto found = m_sent.find(target.id);
+    if (found != m_sent.end()) {
+        const auto since = target.reportedAt - m_options.reportLag;
+        requests += countSince(found->second.dispatched, since) - countSince(found->second.finished, since);
+        requests = std::max(requests, found->second.inFlight);
+    }
+    return static_cast<double>(requests) / std::max(1, target.maxBatch);
+}
+
+Zone Router::homeZone(const AdapterRef &adapter, const std::vector<Zone> &zones)
+{
+    assert(!zones.empty() && "the own zone is always reachable");
+    const auto key = hash64(adapter.name(), hash64(adapter.version()));
+    const auto weight = [key](const Zone &zone) {
+        return hash64(zone.value(), key);
+    };
+    return *std::max_element(zones.begin(), zones.end(),
+                             [&weight](const Zone &left, const Zone &right) { return weight(left) < weight(right); });
+}
+
+Router::ChooseTarget Router::betterOfTwo(double packThreshold)
+{
+    return [packThreshold](const std::vector<const TargetView *> &candidates,
+                           const std::function<double(const TargetView &)> &load, std::mt19937_64 &random) {
+        const auto first = std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random);
+        auto second = std::uniform_int_distribution<std::size_t>(0, candidates.size() - 2)(random);
+        second += second >= first ? 1 : 0;
+        const auto firstLoad = load(*candidates[first]);
+        const auto secondLoad = load(*candidates[second]);
+        const bool pack = firstLoad < packThreshold && secondLoad < packThreshold;
+        const bool takeFirst = pack ? firstLoad >= secondLoad : firstLoad <= secondLoad;
+        return candidates[takeFirst ? first : second];
+    };
+}
+
+Router::ChooseTarget Router::leastLoaded()
+{
+    return [](const std::vector<const TargetView *> &candidates, const std::function<double(const TargetView &)> &load,
+              std::mt19937_64 &) {
+        return *std::min_element(candidates.begin(), candidates.end(),
+                                 [&load](const auto *left, const auto *right) { return load(*left) < load(*right); });
+    };
+}
+
+} // namespace tamarackcove
