--- a/include/tamarackcove/Entry/ZoneOptions.h
+++ b/include/tamarackcove/Entry/ZoneOptions.h
@@ -16,7 +16,8 @@
 namespace tamarackcove {
 
 /// Another entry, as the settings list it.
-struct ZonePeer {
+struct ZonePeer
+{
     EntryId id;
     Zone zone;
     /// Where it accepts the protocol between entries.
@@ -26,7 +27,8 @@
 };
 
 /// Settings of ZoneMember. The lease times must be the same on all entries of a zone.
-struct ZoneOptions {
+struct ZoneOptions
+{
     EntryId self;
     Zone zone;
     /// `peer_listen`
@@ -51,7 +53,8 @@
 };
 
 /// What ZoneMember asks of the rest of the entry.
-struct ZoneHooks {
+struct ZoneHooks
+{
     /// Functions that are not set count as a control group that cannot be reached, but an unset requestPermit grants
     /// what is wanted: without a control group configured, the store has no limit.
     ControlCalls control;
--- a/include/tamarackcove/Residency/PlannerHooks.h
+++ b/include/tamarackcove/Residency/PlannerHooks.h
@@ -13,7 +13,8 @@
 class ZoneView;
 
 /// What a planner may use for one decision.
-struct PlanInput {
+struct PlanInput
+{
     const ZoneView &view;
     TimePoint now;
     /// Loads that the store permit allows to start now; surplus loads are dropped and may be planned again.
@@ -25,7 +26,8 @@
 /// How the zone coordinator learns what to load and evict. A planner belongs to one term of the coordinator.
 ///
 /// Thread safety: called on the thread of the process.
-struct PlannerHooks {
+struct PlannerHooks
+{
     std::function<void(const EntryId &from, const LoadDemand &demand, TimePoint now)> noteDemand;
     std::function<std::vector<ResidencyAction>(const PlanInput &input)> plan;
 };
--- a/include/tamarackcove/Residency/ResidencyAction.h
+++ b/include/tamarackcove/Residency/ResidencyAction.h
@@ -12,10 +12,13 @@
 };
 
 /// One change of what a target holds, as decided by a planner.
-struct ResidencyAction {
+struct ResidencyAction
+{
     ResidencyActionKind kind = ResidencyActionKind::Load;
     TargetId target;
     AdapterRef adapter;
+
+    bool operator==(const ResidencyAction &) const = default;
 };
 
 } // namespace tamarackcove
