--- a/include/tamarackcove/Residency/ResidencyPlanner.h
+++ b/include/tamarackcove/Residency/ResidencyPlanner.h
@@ -54,17 +54,17 @@
         bool orderByValue = true;
         /// Evict only when the load is worth more than what it displaces; waiting requests gain worth with age.
         bool compareWorth = true;
-        /// Load copies of hot adapters, and popular adapters ahead of requests, when permits are left.
+        /// Load copies of hot adapters when permits are left.
         bool loadAhead = true;
         double packThreshold = 0.75;
         /// A holder above this share of its batch makes a popular adapter want another copy.
         double copyAboveLoad = 0.9;
-        /// Rate below which nothing is loaded ahead (requests per second).
-        double aheadMinRate = 0.5;
         /// An adapter stays at least this long after its load, so that two adapters do not displace each other in turn.
         milliseconds minResidence = seconds(1);
         /// Demand that an entry has not repeated for this long is void.
         milliseconds demandLifetime = seconds(2);
+        /// How often copies are considered; it costs a look at every loaded target.
+        milliseconds aheadInterval = milliseconds(500);
         /// How long an adapter that was found in use is not asked for release again.
         milliseconds releaseRetry = milliseconds(500);
         /// Releases under way at once, ahead of the loads that need the slots.
@@ -100,6 +100,17 @@
         AdapterRef adapter;
         double worth = 0;
     };
+    struct Started
+    {
+        ResidencyActionKind kind = ResidencyActionKind::Load;
+        TimePoint at;
+    };
+    struct Victim
+    {
+        const TargetView *target = nullptr;
+        AdapterRef adapter;
+        double cost = 0;
+    };
     struct Round;
     using OnTarget = std::pair<TargetId, AdapterRef>;
 
@@ -107,21 +118,24 @@
     [[nodiscard]] std::vector<Wanted> loadsAhead(const ZoneView &view, TimePoint now) const;
     [[nodiscard]] double worthOf(const std::map<EntryId, Waiting> &waiting, TimePoint now) const;
     [[nodiscard]] bool wantsCopy(const ZoneView &view, const AdapterRef &adapter, TimePoint now) const;
-    bool placeLoad(Round &round, const Wanted &wanted, bool evict);
+    void placeLoad(Round &round, const Wanted &wanted);
     void retireFor(Round &round, const Wanted &wanted);
+    [[nodiscard]] std::vector<Victim> findVictims(const PlanInput &input) const;
+    void start(Round &round, ResidencyAction action);
     void observe(const PlanInput &input);
     [[nodiscard]] bool mayLoadOn(const Round &round, const TargetView &target, const AdapterRef &adapter) const;
-    [[nodiscard]] bool mayRetire(const Round &round, const OnTarget &key, ResidencyState state) const;
+    [[nodiscard]] bool mayRetire(const OnTarget &key, ResidencyState state, TimePoint now) const;
     [[nodiscard]] const TargetView *defaultPlacement(const std::vector<const TargetView *> &candidates) const;
 
     Options m_options;
     Popularity m_popularity;
     std::unordered_map<AdapterRef, std::map<EntryId, Waiting>> m_waiting;
-    /// Loads and retirements under way as of the plan before.
-    std::set<OnTarget> m_loading;
-    std::set<OnTarget> m_retiring;
+    /// Actions that were started and are not yet seen to have ended.
+    std::map<OnTarget, Started> m_started;
+    /// Adapters that are not retired before this time.
     std::map<OnTarget, TimePoint> m_keepUntil;
     TimePoint m_tidiedAt;
+    TimePoint m_lookedAheadAt;
 };
 
 /// A new planner as the zone coordinator takes it; one for each term.
--- a/lib/Residency/ResidencyPlanner.cpp
+++ b/lib/Residency/ResidencyPlanner.cpp
@@ -13,6 +13,9 @@
 
 static constexpr seconds TidyInterval{10};
 
+/// The view shows an action this long after its start.
+static constexpr milliseconds ActionVisibleAfter{100};
+
 /// Requests of a higher priority weigh more, but a low one that has waited long still overtakes.
 static double priorityWeight(Priority priority)
 {
@@ -31,14 +34,20 @@
 struct ResidencyPlanner::Round
 {
     const PlanInput &input;
-    const ZoneView &view;
-    TimePoint now;
     int loadsLeft = 0;
     int releasesLeft = 0;
-    /// Slots in use by target, actions of this round included.
-    std::map<TargetId, int> slotsUsed;
-    std::set<OnTarget> retired;
+    /// Slots taken by loads of this round.
+    std::map<TargetId, int> slotsTaken;
+    /// What could be evicted, the cheapest first; made when the first load of the round finds no free slot.
+    std::optional<std::vector<Victim>> victims;
     std::vector<ResidencyAction> actions;
+
+    [[nodiscard]] bool hasRoom(const TargetView &target) const
+    {
+        const auto taken = slotsTaken.find(target.id);
+        return static_cast<int>(target.adapters.size()) + (taken == slotsTaken.end() ? 0 : taken->second)
+            < target.adapterSlots;
+    }
 };
 
 static double loadOf(const TargetView &target)
@@ -84,24 +93,23 @@
 
 void ResidencyPlanner::observe(const PlanInput &input)
 {
-    std::set<OnTarget> loading;
-    std::set<OnTarget> retiring;
-    for (const auto &[id, target] : input.view.targets()) {
-        for (const auto &[adapter, state] : target.adapters) {
-            const OnTarget key{id, adapter};
-            if (state == ResidencyState::Loading) {
-                loading.insert(key);
-            } else if (state == ResidencyState::Retiring) {
-                retiring.insert(key);
-            } else if (m_loading.contains(key)) {
-                m_keepUntil[key] = input.now + m_options.minResidence;
-            } else if (m_retiring.contains(key)) {
-                m_keepUntil[key] = input.now + m_options.releaseRetry;
-            }
+    for (auto entry = m_started.begin(); entry != m_started.end();) {
+        const auto &[key, started] = *entry;
+        const auto *target = input.view.find(key.first);
+        const auto held = target == nullptr ? std::map<AdapterRef, ResidencyState>::const_iterator()
+                                            : target->adapters.find(key.second);
+        const bool present = target != nullptr && held != target->adapters.end();
+        const bool resident = present && held->second == ResidencyState::Resident;
+        if ((present && !resident) || input.now - started.at < ActionVisibleAfter) {
+            ++entry;
+            continue;
+        }
+        if (resident) {
+            const bool wasLoad = started.kind == ResidencyActionKind::Load;
+            m_keepUntil[key] = input.now + (wasLoad ? m_options.minResidence : m_options.releaseRetry);
         }
+        entry = m_started.erase(entry);
     }
-    m_loading = std::move(loading);
-    m_retiring = std::move(retiring);
     if (input.now - m_tidiedAt >= TidyInterval) {
         m_popularity.forgetIdle(input.now);
         std::erase_if(m_keepUntil, [&input](const auto &entry) { return entry.second <= input.now; });
@@ -109,25 +117,28 @@
     }
 }
 
+void ResidencyPlanner::start(Round &round, ResidencyAction action)
+{
+    m_started[{action.target, action.adapter}] = {.kind = action.kind, .at = round.input.now};
+    round.actions.push_back(std::move(action));
+}
+
 std::vector<ResidencyAction> ResidencyPlanner::plan(const PlanInput &input)
 {
     observe(input);
-    const auto &view = input.view;
-    const auto now = input.now;
+    const auto retiring = std::count_if(m_started.begin(), m_started.end(), [](const auto &entry) {
+        return entry.second.kind == ResidencyActionKind::Retire;
+    });
     Round round{.input = input,
-                .view = view,
-                .now = now,
                 .loadsLeft = input.loadsAllowed,
-                .releasesLeft = m_options.releasesAhead - static_cast<int>(m_retiring.size())};
-    for (const auto &[id, target] : view.targets()) {
-        round.slotsUsed[id] = static_cast<int>(target.adapters.size());
+                .releasesLeft = m_options.releasesAhead - static_cast<int>(retiring)};
+    for (const auto &wanted : waitingLoads(input.view, input.now)) {
+        placeLoad(round, wanted);
     }
-    for (const auto &wanted : waitingLoads(view, now)) {
-        placeLoad(round, wanted, true);
-    }
-    if (m_options.loadAhead && round.loadsLeft > 0) {
-        for (const auto &wanted : loadsAhead(view, now)) {
-            placeLoad(round, wanted, wanted.worth > 0);
+    if (m_options.loadAhead && round.loadsLeft > 0 && input.now - m_lookedAheadAt >= m_options.aheadInterval) {
+        m_lookedAheadAt = input.now;
+        for (const auto &wanted : loadsAhead(input.view, input.now)) {
+            placeLoad(round, wanted);
         }
     }
     return std::move(round.actions);
@@ -199,6 +210,9 @@
     std::vector<Wanted> wanted;
     std::set<AdapterRef> seen;
     for (const auto &[id, target] : view.targets()) {
+        if (loadOf(target) < m_options.copyAboveLoad) {
+            continue;
+        }
         for (const auto &[adapter, state] : target.adapters) {
             if (seen.insert(adapter).second && wantsCopy(view, adapter, now)) {
                 const auto copies = static_cast<double>(view.holders(adapter).size());
@@ -224,75 +238,77 @@
     return !round.input.mayLoad || round.input.mayLoad(target.id, adapter);
 }
 
-bool ResidencyPlanner::mayRetire(const Round &round, const OnTarget &key, ResidencyState state) const
+bool ResidencyPlanner::mayRetire(const OnTarget &key, ResidencyState state, TimePoint now) const
 {
-    if (state != ResidencyState::Resident || round.retired.contains(key)) {
+    if (state != ResidencyState::Resident || m_started.contains(key)) {
         return false;
     }
     const auto keepUntil = m_keepUntil.find(key);
-    return keepUntil == m_keepUntil.end() || keepUntil->second <= round.now;
+    return keepUntil == m_keepUntil.end() || keepUntil->second <= now;
 }
 
-bool ResidencyPlanner::placeLoad(Round &round, const Wanted &wanted, bool evict)
+void ResidencyPlanner::placeLoad(Round &round, const Wanted &wanted)
 {
     std::vector<const TargetView *> withRoom;
-    for (const auto &[id, target] : round.view.targets()) {
-        if (mayLoadOn(round, target, wanted.adapter) && round.slotsUsed.at(id) < target.adapterSlots) {
+    for (const auto &[id, target] : round.input.view.targets()) {
+        if (round.hasRoom(target) && mayLoadOn(round, target, wanted.adapter)) {
             withRoom.push_back(&target);
         }
     }
     if (withRoom.empty()) {
-        if (evict) {
-            retireFor(round, wanted);
-        }
-        return false;
+        retireFor(round, wanted);
+        return;
     }
     if (round.loadsLeft <= 0) {
-        return false;
+        return;
     }
     const auto *target = m_options.placement(withRoom);
     --round.loadsLeft;
-    ++round.slotsUsed[target->id];
-    round.actions.push_back({.kind = ResidencyActionKind::Load, .target = target->id, .adapter = wanted.adapter});
-    return true;
+    ++round.slotsTaken[target->id];
+    start(round, {.kind = ResidencyActionKind::Load, .target = target->id, .adapter = wanted.adapter});
 }
 
-void ResidencyPlanner::retireFor(Round &round, const Wanted &wanted)
+std::vector<ResidencyPlanner::Victim> ResidencyPlanner::findVictims(const PlanInput &input) const
 {
-    if (round.releasesLeft <= 0) {
-        return;
-    }
-    const TargetView *victimTarget = nullptr;
-    AdapterRef victim;
-    double lowest = std::numeric_limits<double>::infinity();
-    for (const auto &[id, target] : round.view.targets()) {
-        if (!mayLoadOn(round, target, wanted.adapter)) {
-            continue;
-        }
+    std::vector<Victim> victims;
+    for (const auto &[id, target] : input.view.targets()) {
         for (const auto &[adapter, state] : target.adapters) {
-            const OnTarget key{id, adapter};
-            if (!mayRetire(round, key, state)) {
+            if (!mayRetire({id, adapter}, state, input.now)) {
                 continue;
             }
             const Candidate candidate{.adapter = adapter,
-                                      .ratePerSecond = m_popularity.rate(adapter, round.now),
+                                      .ratePerSecond = m_popularity.rate(adapter, input.now),
                                       .lastUse = m_popularity.lastUse(adapter),
                                       .useCount = m_popularity.useCount(adapter),
-                                      .copies = static_cast<int>(round.view.holders(adapter).size())};
-            const auto cost = m_options.evictionCost(candidate, round.now);
-            if (cost < lowest) {
-                lowest = cost;
-                victimTarget = &target;
-                victim = adapter;
-            }
+                                      .copies = static_cast<int>(input.view.holders(adapter).size())};
+            victims.push_back(
+                {.target = &target, .adapter = adapter, .cost = m_options.evictionCost(candidate, input.now)});
         }
     }
-    if (victimTarget == nullptr || (m_options.compareWorth && wanted.worth <= lowest)) {
+    std::sort(victims.begin(), victims.end(),
+              [](const Victim &left, const Victim &right) { return left.cost < right.cost; });
+    return victims;
+}
+
+void ResidencyPlanner::retireFor(Round &round, const Wanted &wanted)
+{
+    if (round.releasesLeft <= 0) {
+        return;
+    }
+    if (!round.victims) {
+        round.victims = findVictims(round.input);
+    }
+    auto &victims = *round.victims;
+    const auto victim = std::find_if(victims.begin(), victims.end(), [&](const Victim &candidate) {
+        return mayLoadOn(round, *candidate.target, wanted.adapter);
+    });
+    if (victim == victims.end() || (m_options.compareWorth && wanted.worth <= victim->cost)) {
         return;
     }
     --round.releasesLeft;
-    round.retired.insert({victimTarget->id, victim});
-    round.actions.push_back({.kind = ResidencyActionKind::Retire, .target = victimTarget->id, .adapter = victim});
+    start(round,
+          {.kind = ResidencyActionKind::Retire, .target = victim->target->id, .adapter = std::move(victim->adapter)});
+    victims.erase(victim);
 }
 
 const TargetView *ResidencyPlanner::defaultPlacement(const std::vector<const TargetView *> &candidates) const
