Name the policies, and add bounded rendezvous hashing as a baseline

Cause: the comparison of policies must run any of them by a setting, on the same trace. Change: ChooseTarget sees the request; boundedRendezvous(); Policy with policyByName().

--- a/include/tamarackcove/Routing/Router.h
+++ b/include/tamarackcove/Routing/Router.h
@@ -26,11 +26,24 @@
 class Router
 {
 public:
-    /// Chooses among targets that may take the request; never called with an empty list. `load` is the estimate of
-    /// running and waiting requests on a target over its batch size.
-    using ChooseTarget = std::function<const TargetView *(const std::vector<const TargetView *> &candidates,
-                                                          const std::function<double(const TargetView &)> &load,
-                                                          std::mt19937_64 &random)>;
+    struct Request
+    {
+        AdapterRef adapter;
+        BaseModel baseModel;
+        /// Targets that failed this request before.
+        std::set<TargetId> excluded;
+        /// False when the request was forwarded here; it then stays in this zone.
+        bool mayForward = true;
+        /// True when the request has waited for a load that has ended.
+        bool hasWaited = false;
+    };
+
+    /// Estimate of running and waiting requests on a target, over its batch size.
+    using LoadOf = std::function<double(const TargetView &)>;
+    /// Chooses among at least two targets that may take the request.
+    using ChooseTarget
+        = std::function<const TargetView *(const Request &request, const std::vector<const TargetView *> &candidates,
+                                           const LoadOf &load, std::mt19937_64 &random)>;
 
     struct Options
     {
@@ -48,18 +61,6 @@
         double forwardAboveLoad = 2.0;
     };
 
-    struct Request
-    {
-        AdapterRef adapter;
-        BaseModel baseModel;
-        /// Targets that failed this request before.
-        std::set<TargetId> excluded;
-        /// False when the request was forwarded here; it then stays in this zone.
-        bool mayForward = true;
-        /// True when the request has waited for a load that has ended.
-        bool hasWaited = false;
-    };
-
     explicit Router(Options options);
 
     /// Chooses for a request that names an adapter.
@@ -86,6 +87,8 @@
     [[nodiscard]] static ChooseTarget betterOfTwo(double packThreshold);
     /// Baseline: the emptiest of all candidates by the same estimate.
     [[nodiscard]] static ChooseTarget leastLoaded();
+    /// Baseline: rendezvous hashing of the adapter, passing over targets whose load is above `bound` times the mean.
+    [[nodiscard]] static ChooseTarget boundedRendezvous(double bound);
 
 private:
     struct Sent
@@ -95,8 +98,7 @@
         int inFlight = 0;
     };
 
-    [[nodiscard]] const TargetView *choose(const std::vector<const TargetView *> &holders,
-                                           const std::set<TargetId> &excluded);
+    [[nodiscard]] const TargetView *choose(const Request &request, const std::vector<const TargetView *> &holders);
     [[nodiscard]] std::vector<const TargetView *> engines(const ZoneView &view, const BaseModel &baseModel) const;
     [[nodiscard]] RouteChoice chooseElsewhere(const Request &request, const ZoneView &view,
                                               const std::vector<Zone> &reachableZones);
--- /dev/null
+++ b/lib/Entry/Policy.cpp
@@ -0,0 +1,44 @@
+#include "tamarackcove/Entry/Policy.h"
+
+#include "tamarackcove/Residency/Baselines.h"
+
+#include <utility>
+
+namespace tamarackcove {
+
+static constexpr double RendezvousBound = 1.25;
+
+static Policy baseline(Router::ChooseTarget chooseTarget, Policy base)
+{
+    base.routing.chooseTarget = std::move(chooseTarget);
+    base.routing.ignoreResidency = true;
+    base.routing.useHomeZone = false;
+    return base;
+}
+
+std::vector<std::string_view> policyNames()
+{
+    return {"default", "least_loaded_lru", "least_loaded_lfu", "bounded_rendezvous_lru"};
+}
+
+std::optional<Policy> policyByName(std::string_view name, Policy base)
+{
+    if (name == "default") {
+        return base;
+    }
+    if (name == "least_loaded_lru") {
+        base.residency = leastLoadedWithLru(std::move(base.residency));
+        return baseline(Router::leastLoaded(), std::move(base));
+    }
+    if (name == "least_loaded_lfu") {
+        base.residency = leastLoadedWithLfu(std::move(base.residency));
+        return baseline(Router::leastLoaded(), std::move(base));
+    }
+    if (name == "bounded_rendezvous_lru") {
+        base.residency = leastLoadedWithLru(std::move(base.residency));
+        return baseline(Router::boundedRendezvous(RendezvousBound), std::move(base));
+    }
+    return std::nullopt;
+}
+
+} // namespace tamarackcove
--- a/lib/Routing/Router.cpp
+++ b/lib/Routing/Router.cpp
@@ -25,7 +25,7 @@
 RouteChoice Router::choose(const Request &request, const ZoneView &view, const std::vector<Zone> &reachableZones)
 {
     if (m_options.ignoreResidency && !request.hasWaited) {
-        const auto *target = choose(engines(view, request.baseModel), request.excluded);
+        const auto *target = choose(request, engines(view, request.baseModel));
         if (target == nullptr) {
             return {};
         }
@@ -35,7 +35,7 @@
         }
         return {.kind = RouteKind::Target, .target = target->id, .zone = m_options.zone};
     }
-    const auto *holder = choose(view.holders(request.adapter), request.excluded);
+    const auto *holder = choose(request, view.holders(request.adapter));
     if (holder == nullptr) {
         return chooseElsewhere(request, view, reachableZones);
     }
@@ -87,19 +87,20 @@
 
 RouteChoice Router::chooseService(const ServiceName &service, const std::set<TargetId> &excluded, const ZoneView &view)
 {
-    const auto *target = choose(view.services(service), excluded);
+    const Request request{.adapter = {}, .baseModel = {}, .excluded = excluded};
+    const auto *target = choose(request, view.services(service));
     if (target == nullptr) {
         return {};
     }
     return {.kind = RouteKind::Target, .target = target->id, .zone = m_options.zone};
 }
 
-const TargetView *Router::choose(const std::vector<const TargetView *> &holders, const std::set<TargetId> &excluded)
+const TargetView *Router::choose(const Request &request, const std::vector<const TargetView *> &holders)
 {
     std::vector<const TargetView *> serving;
     std::vector<const TargetView *> suspect;
     for (const auto *target : holders) {
-        if (excluded.contains(target->id)) {
+        if (request.excluded.contains(target->id)) {
             continue;
         }
         if (target->health == TargetHealth::Serving) {
@@ -116,7 +117,7 @@
         return candidates.front();
     }
     return m_options.chooseTarget(
-        candidates, [this](const TargetView &target) { return estimatedLoad(target); }, m_random);
+        request, candidates, [this](const TargetView &target) { return estimatedLoad(target); }, m_random);
 }
 
 std::vector<const TargetView *> Router::engines(const ZoneView &view, const BaseModel &baseModel) const
@@ -191,8 +192,8 @@
 
 Router::ChooseTarget Router::betterOfTwo(double packThreshold)
 {
-    return [packThreshold](const std::vector<const TargetView *> &candidates,
-                           const std::function<double(const TargetView &)> &load, std::mt19937_64 &random) {
+    return [packThreshold](const Request &, const std::vector<const TargetView *> &candidates, const LoadOf &load,
+                           std::mt19937_64 &random) {
         const auto first = std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random);
         auto second = std::uniform_int_distribution<std::size_t>(0, candidates.size() - 2)(random);
         second += second >= first ? 1 : 0;
@@ -206,11 +207,33 @@
 
 Router::ChooseTarget Router::leastLoaded()
 {
-    return [](const std::vector<const TargetView *> &candidates, const std::function<double(const TargetView &)> &load,
+    return [](const Request &, const std::vector<const TargetView *> &candidates, const LoadOf &load,
               std::mt19937_64 &) {
         return *std::min_element(candidates.begin(), candidates.end(),
                                  [&load](const auto *left, const auto *right) { return load(*left) < load(*right); });
     };
 }
 
+Router::ChooseTarget Router::boundedRendezvous(double bound)
+{
+    return [bound](const Request &request, const std::vector<const TargetView *> &candidates, const LoadOf &load,
+                   std::mt19937_64 &) {
+        double mean = 0;
+        for (const auto *target : candidates) {
+            mean += load(*target) / static_cast<double>(candidates.size());
+        }
+        const auto key = hash64(request.adapter.name(), hash64(request.adapter.version()));
+        const TargetView *chosen = nullptr;
+        std::uint64_t highest = 0;
+        for (const auto *target : candidates) {
+            const auto weight = hash64(target->id.value(), key);
+            if (load(*target) <= bound * mean && (chosen == nullptr || weight > highest)) {
+                chosen = target;
+                highest = weight;
+            }
+        }
+        return chosen != nullptr ? chosen : candidates.front();
+    };
+}
+
 } // namespace tamarackcove
--- a/unittests/Routing/RouterTest.cpp
+++ b/unittests/Routing/RouterTest.cpp
@@ -127,3 +127,16 @@
     CHECK(busiest(Router::leastLoaded()) == Entries);
     CHECK(busiest(Router::betterOfTwo(0)) <= Entries / 3);
 }
+
+TEST_CASE("bounded rendezvous sends an adapter to one target until that is overloaded")
+{
+    Router router({.zone = ZoneA, .chooseTarget = Router::boundedRendezvous(1.25), .ignoreResidency = true});
+    ZoneView view;
+    for (int i = 0; i < 5; ++i) {
+        view.putTarget(engine("t" + std::to_string(i), false, 4));
+    }
+    const auto first = router.choose(request(), view, {ZoneA}).target;
+    CHECK(router.choose(request(), view, {ZoneA}).target == first);
+    view.setLoad(first, 10, 5, TimePoint());
+    CHECK(router.choose(request(), view, {ZoneA}).target != first);
+}
