--- a/lib/Control/Replica/ReplicaDriver.cpp
+++ b/lib/Control/Replica/ReplicaDriver.cpp
@@ -246,7 +246,8 @@
             auto requests = std::make_shared<std::vector<PersistRequest>>(std::make_move_iterator(m_toPersist.begin()),
                                                                           std::make_move_iterator(m_toPersist.end()));
             m_toPersist.clear();
-            const auto written = co_await onStorageThread([this, requests] { return m_folder->persist(*requests); });
+            StorageWork work = [this, requests] { return m_folder->persist(*requests); };
+            const auto written = co_await onStorageThread(std::move(work));
             if (written.has_error()) {
                 failFatally(written.error());
                 co_return;
@@ -262,7 +263,8 @@
         }
         if (m_toSnapshot) {
             const auto image = *m_toSnapshot;
-            const auto saved = co_await onStorageThread([this, image] { return m_folder->saveSnapshot(image); });
+            StorageWork work = [this, image] { return m_folder->saveSnapshot(image); };
+            const auto saved = co_await onStorageThread(std::move(work));
             if (saved.has_error()) {
                 failFatally(saved.error());
                 co_return;
@@ -288,7 +290,7 @@
 }
 
 asio::awaitable<Result<void, StorageError>>
-ReplicaDriver::onStorageThread(std::function<Result<void, StorageError>()> work)
+ReplicaDriver::onStorageThread(StorageWork work)
 {
     auto initiate = [this, &work](auto handler) {
         // Keeps the io_context running while the work is on the other thread.
@@ -382,7 +384,8 @@
     }
     auto waiter = std::make_shared<Waiter>(m_executor);
     m_reads[number.value()] = waiter;
-    const auto result = co_await wait(std::move(waiter), ReadTimeout, translate(ReplicaError::NoMajority));
+    auto late = translate(ReplicaError::NoMajority);
+    const auto result = co_await wait(std::move(waiter), ReadTimeout, std::move(late));
     m_reads.erase(number.value());
     if (result.has_error()) {
         co_return result.error();
--- a/lib/Control/Replica/ReplicaDriver.h
+++ b/lib/Control/Replica/ReplicaDriver.h
@@ -61,6 +61,8 @@
     [[nodiscard]] bool empty() const;
 
 private:
+    using StorageWork = std::function<Result<void, StorageError>()>;
+
     /// A coroutine that waits for a proposal or a read.
     struct Waiter
     {
@@ -85,8 +87,7 @@
     [[nodiscard]] LogError translate(ReplicaError error) const;
     [[nodiscard]] LogError refusal() const;
     boost::asio::awaitable<Result<std::string, LogError>> wait(WaiterPtr waiter, milliseconds timeout, LogError late);
-    boost::asio::awaitable<Result<void, StorageError>>
-    onStorageThread(std::function<Result<void, StorageError>()> work);
+    boost::asio::awaitable<Result<void, StorageError>> onStorageThread(StorageWork work);
 
     boost::asio::any_io_executor m_executor;
     ReplicaSettings m_settings;
