--- a/lib/Consensus/Replica.cpp
+++ b/lib/Consensus/Replica.cpp
@@ -68,9 +68,11 @@
         return;
     }
     const auto *voteReply = std::get_if<VoteReply>(&message.body);
+    // A voter that grants a pre-vote has not adopted the term, and may be behind.
+    const bool preVoteReply = voteReply != nullptr && voteReply->preVote;
     if (message.term > m_hardState.term) {
         adoptTerm(message.term, now);
-    } else if (message.term < m_hardState.term) {
+    } else if (message.term < m_hardState.term && !preVoteReply) {
         // Tells a leader of an earlier term that its term is over.
         if (std::holds_alternative<AppendRequest>(message.body)
             || std::holds_alternative<SnapshotChunk>(message.body)) {
--- /dev/null
+++ b/unittests/Consensus/SimulatedGroup.cpp
@@ -0,0 +1,496 @@
+#include "SimulatedGroup.h"
+
+#include <algorithm>
+
+namespace tamarackcove::test {
+
+/// Virtual time starts here, so that no clock is near its epoch.
+static constexpr TimePoint Epoch{std::chrono::hours(1)};
+static constexpr milliseconds IntroductionInterval{100};
+
+SimulatedGroup::SimulatedGroup(SimulationOptions options, std::uint64_t seed)
+    : m_options(options)
+    , m_random(seed)
+    , m_now(Epoch)
+    , m_nextIntroduction(Epoch)
+{
+    m_nodes.resize(static_cast<std::size_t>(options.nodes));
+    for (int i = 0; i < options.nodes; ++i) {
+        auto &created = node(i);
+        created.name = "c" + std::to_string(i);
+        created.clockOffset = milliseconds(random(1000000));
+        created.clockDrift = options.clockDrift * (static_cast<double>(random(2001)) / 1000.0 - 1.0);
+        created.disk.self = ReplicaId(created.name + ".0");
+        start(created);
+    }
+}
+
+void SimulatedGroup::bootstrap()
+{
+    ReplicaGroup group{.groupId = "g", .members = {}};
+    for (const auto &member : m_nodes) {
+        group.members.push_back({.id = member.disk.self, .name = member.name, .voter = true});
+    }
+    node(0).replica->bootstrap(std::move(group), localNow(node(0)));
+    settle(node(0));
+}
+
+void SimulatedGroup::start(SimulatedNode &node)
+{
+    ReplicaOptions options;
+    options.trailingEntries = m_options.trailingEntries;
+    // Small, so that a snapshot takes several messages.
+    options.snapshotChunkBytes = 8;
+    options.random = [this] {
+        return m_random();
+    };
+    node.applied = node.highestCommit = node.lastSnapshot = 0;
+    node.stateHash = 0;
+    node.lastTime = {};
+    if (node.disk.snapshot) {
+        applySnapshot(node, *node.disk.snapshot);
+    }
+    node.replica.emplace(std::move(options), node.disk, localNow(node));
+}
+
+SimulatedNode &SimulatedGroup::node(int index)
+{
+    return m_nodes[static_cast<std::size_t>(index)];
+}
+
+int SimulatedGroup::size() const
+{
+    return static_cast<int>(m_nodes.size());
+}
+
+bool SimulatedGroup::alive(int node) const
+{
+    return m_nodes[static_cast<std::size_t>(node)].replica.has_value();
+}
+
+TimePoint SimulatedGroup::now() const
+{
+    return m_now;
+}
+
+TimePoint SimulatedGroup::localNow(const SimulatedNode &node) const
+{
+    const auto drift = std::chrono::duration<double, std::nano>(m_now - Epoch) * node.clockDrift;
+    return m_now + node.clockOffset + duration_cast<Duration>(drift);
+}
+
+TimePoint SimulatedGroup::globalTime(const SimulatedNode &node, TimePoint local) const
+{
+    // Rounded up, or a deadline would be met a nanosecond early again and again.
+    const std::chrono::duration<double, std::nano> elapsed(local - node.clockOffset - Epoch);
+    return Epoch + duration_cast<Duration>(elapsed / (1 + node.clockDrift)) + microseconds(1);
+}
+
+std::uint64_t SimulatedGroup::random(std::uint64_t bound)
+{
+    return bound == 0 ? 0 : m_random() % bound;
+}
+
+bool SimulatedGroup::chance(double probability)
+{
+    return probability > 0 && static_cast<double>(random(1000000)) < probability * 1000000;
+}
+
+TimePoint SimulatedGroup::nextEvent() const
+{
+    auto next = m_nextIntroduction;
+    if (!m_network.empty()) {
+        next = std::min(next, m_network.begin()->first);
+    }
+    for (const auto &node : m_nodes) {
+        if (!node.replica) {
+            continue;
+        }
+        if (node.frozenUntil) {
+            next = std::min(next, *node.frozenUntil);
+            continue;
+        }
+        if (!node.persists.empty()) {
+            next = std::min(next, node.persists.front().due);
+        }
+        const auto deadline = node.replica->deadline();
+        if (deadline != TimePoint::max()) {
+            next = std::min(next, globalTime(node, deadline));
+        }
+    }
+    return std::max(next, m_now);
+}
+
+void SimulatedGroup::run(Duration duration)
+{
+    (void)runUntil([] { return false; }, duration);
+}
+
+bool SimulatedGroup::runUntil(const std::function<bool()> &condition, Duration atMost)
+{
+    const auto end = m_now + atMost;
+    while (m_violation.empty()) {
+        if (condition()) {
+            return true;
+        }
+        const auto next = nextEvent();
+        if (next > end) {
+            m_now = end;
+            return condition();
+        }
+        m_now = next;
+        if (m_now >= m_nextIntroduction) {
+            introducePeers();
+            m_nextIntroduction = m_now + IntroductionInterval;
+        }
+        if (!m_network.empty() && m_network.begin()->first <= m_now) {
+            auto [to, message] = std::move(m_network.begin()->second);
+            m_network.erase(m_network.begin());
+            auto &receiver = node(to);
+            if (receiver.frozenUntil) {
+                receiver.inbox.push_back(std::move(message));
+            } else if (receiver.replica) {
+                receiver.replica->receive(message, localNow(receiver));
+                settle(receiver);
+            }
+        }
+        for (auto &each : m_nodes) {
+            if (!each.replica) {
+                continue;
+            }
+            if (each.frozenUntil && *each.frozenUntil <= m_now) {
+                each.frozenUntil.reset();
+                for (const auto &message : std::exchange(each.inbox, {})) {
+                    each.replica->receive(message, localNow(each));
+                }
+                settle(each);
+            }
+            if (each.frozenUntil) {
+                continue;
+            }
+            completePersists(each);
+            if (each.replica->deadline() <= localNow(each)) {
+                each.replica->tick(localNow(each));
+                settle(each);
+            }
+        }
+        checkLeaders();
+    }
+    return false;
+}
+
+void SimulatedGroup::introducePeers()
+{
+    for (int from = 0; from < size(); ++from) {
+        for (int to = 0; to < size(); ++to) {
+            const bool connected = !m_cuts.contains({from, to}) && !m_cuts.contains({to, from});
+            if (from != to && connected && alive(from) && alive(to) && !node(to).frozenUntil
+                && !node(from).frozenUntil) {
+                node(to).replica->peerSeen(node(from).name, node(from).disk.self);
+            }
+        }
+    }
+}
+
+void SimulatedGroup::settle(SimulatedNode &node)
+{
+    auto output = node.replica->takeOutput(localNow(node));
+    const auto self = static_cast<int>(&node - m_nodes.data());
+    if (output.persist) {
+        auto due
+            = m_now + microseconds(random(static_cast<std::uint64_t>(microseconds(m_options.maxSync).count())) + 1);
+        if (!node.persists.empty()) {
+            due = std::max(due, node.persists.back().due);
+        }
+        node.persists.push_back({.due = due, .request = std::move(*output.persist)});
+    }
+    for (auto &message : output.messages) {
+        transmit(self, std::move(message));
+    }
+    for (const auto &entry : output.committed) {
+        apply(node, *entry);
+    }
+    for (const auto number : output.readyReads) {
+        if (node.applied < node.reads[number]) {
+            report("a read on " + node.name + " missed an acknowledged command");
+        }
+        node.reads.erase(number);
+        ++m_readsAnswered;
+    }
+    if (node.replica->commitIndex() < node.highestCommit) {
+        report("the commit index of " + node.name + " went back");
+    }
+    node.highestCommit = node.replica->commitIndex();
+    if (node.replica->role() != ReplicaRole::Leader) {
+        node.proposals.clear();
+    }
+    saveSnapshot(node);
+}
+
+void SimulatedGroup::transmit(int from, ReplicaMessage message)
+{
+    const auto receiver
+        = std::find_if(m_nodes.begin(), m_nodes.end(), [&](const auto &node) { return node.disk.self == message.to; });
+    if (receiver == m_nodes.end()) {
+        return;
+    }
+    const auto to = static_cast<int>(receiver - m_nodes.begin());
+    if (m_cuts.contains({from, to}) || chance(m_options.dropRate)) {
+        return;
+    }
+    const auto spread = static_cast<std::uint64_t>(microseconds(m_options.maxDelay - m_options.minDelay).count());
+    for (int copies = chance(m_options.duplicateRate) ? 2 : 1; copies > 0; --copies) {
+        m_network.emplace(m_now + m_options.minDelay + microseconds(random(spread + 1)), std::pair(to, message));
+    }
+}
+
+void SimulatedGroup::apply(SimulatedNode &node, const LogEntry &entry)
+{
+    if (entry.index != node.applied + 1) {
+        report(node.name + " applied " + std::to_string(entry.index) + " after " + std::to_string(node.applied));
+    }
+    if (entry.time < node.lastTime) {
+        report("the time of the commands went back on " + node.name);
+    }
+    node.lastTime = entry.time;
+    node.applied = entry.index;
+    node.stateHash = node.stateHash * 1000003 + std::hash<std::string>()(entry.command) + entry.index;
+    const Decision decision{.term = entry.term, .command = entry.command, .stateHash = node.stateHash};
+    const auto [known, added] = m_decided.emplace(entry.index, decision);
+    if (known->second.term != decision.term || known->second.command != decision.command) {
+        report("two decisions for slot " + std::to_string(entry.index));
+    }
+    if (known->second.stateHash != decision.stateHash) {
+        report("states differ at " + std::to_string(entry.index));
+    }
+    const auto proposal = node.proposals.extract(entry.index);
+    if (proposal && proposal.mapped() == entry.term) {
+        m_acknowledgedIndex = std::max(m_acknowledgedIndex, entry.index);
+        ++m_acknowledged;
+    }
+}
+
+void SimulatedGroup::applySnapshot(SimulatedNode &node, const SnapshotImage &image)
+{
+    node.stateHash = std::stoull(*image.bytes);
+    node.applied = node.lastSnapshot = image.lastIndex;
+    node.lastTime = image.lastTime;
+    const auto known = m_decided.find(image.lastIndex);
+    if (known == m_decided.end() || known->second.stateHash != node.stateHash) {
+        report("a snapshot holds another state than was decided");
+    }
+}
+
+void SimulatedGroup::saveSnapshot(SimulatedNode &node)
+{
+    if (node.applied < node.lastSnapshot + m_options.snapshotEvery
+        || node.applied <= node.replica->log().base().index) {
+        return;
+    }
+    const auto &last = *node.replica->log().at(node.applied);
+    const SnapshotImage image{.lastIndex = node.applied,
+                              .lastTerm = last.term,
+                              .lastTime = last.time,
+                              .group = node.replica->log().groupAt(node.applied),
+                              .bytes = std::make_shared<const std::string>(std::to_string(node.stateHash))};
+    node.lastSnapshot = node.applied;
+    node.disk.snapshot = image;
+    std::erase_if(node.disk.entries, [&](const auto &entry) { return entry->index <= image.lastIndex; });
+    node.replica->snapshotSaved(image);
+}
+
+void SimulatedGroup::writeToDisk(RecoveredState &disk, const PersistRequest &request)
+{
+    if (request.hardState) {
+        disk.hardState = *request.hardState;
+    }
+    if (request.snapshot) {
+        disk.snapshot = request.snapshot;
+        disk.entries.clear();
+    }
+    for (const auto &entry : request.entries) {
+        if (disk.snapshot && entry->index <= disk.snapshot->lastIndex) {
+            continue;
+        }
+        while (!disk.entries.empty() && disk.entries.back()->index >= entry->index) {
+            disk.entries.pop_back();
+        }
+        disk.entries.push_back(entry);
+    }
+}
+
+void SimulatedGroup::completePersists(SimulatedNode &node)
+{
+    while (!node.persists.empty() && node.persists.front().due <= m_now) {
+        const auto request = std::move(node.persists.front().request);
+        node.persists.pop_front();
+        writeToDisk(node.disk, request);
+        if (request.snapshot) {
+            applySnapshot(node, *request.snapshot);
+        }
+        node.replica->persisted(request.sequence, localNow(node));
+        settle(node);
+    }
+}
+
+void SimulatedGroup::crash(int index)
+{
+    auto &crashed = node(index);
+    if (!crashed.replica) {
+        return;
+    }
+    // Some of the writes under way reach the disk, in order.
+    for (auto kept = random(crashed.persists.size() + 1); kept > 0; --kept) {
+        writeToDisk(crashed.disk, crashed.persists.front().request);
+        crashed.persists.pop_front();
+    }
+    crashed.persists.clear();
+    crashed.replica.reset();
+    crashed.frozenUntil.reset();
+    crashed.inbox.clear();
+    crashed.reads.clear();
+    crashed.proposals.clear();
+}
+
+void SimulatedGroup::restart(int index)
+{
+    if (!node(index).replica) {
+        start(node(index));
+    }
+}
+
+void SimulatedGroup::wipe(int index)
+{
+    crash(index);
+    auto &wiped = node(index);
+    wiped.disk = {};
+    wiped.disk.self = ReplicaId(wiped.name + "." + std::to_string(++wiped.incarnation));
+    start(wiped);
+}
+
+void SimulatedGroup::freeze(int index, Duration duration)
+{
+    if (node(index).replica) {
+        node(index).frozenUntil = m_now + duration;
+    }
+}
+
+void SimulatedGroup::cut(int from, int to, bool blocked)
+{
+    if (blocked) {
+        m_cuts.insert({from, to});
+    } else {
+        m_cuts.erase({from, to});
+    }
+}
+
+void SimulatedGroup::isolate(int index)
+{
+    for (int other = 0; other < size(); ++other) {
+        if (other != index) {
+            cut(index, other);
+            cut(other, index);
+        }
+    }
+}
+
+void SimulatedGroup::heal()
+{
+    m_cuts.clear();
+}
+
+bool SimulatedGroup::propose(int index)
+{
+    auto &target = node(index);
+    if (!target.replica || target.frozenUntil) {
+        return false;
+    }
+    const std::chrono::system_clock::time_point wallTime(milliseconds(random(1000000)));
+    const auto position
+        = target.replica->propose("command-" + std::to_string(m_nextCommand++), wallTime, localNow(target));
+    if (position.has_error()) {
+        return false;
+    }
+    target.proposals[position.value().index] = position.value().term;
+    settle(target);
+    return true;
+}
+
+void SimulatedGroup::requestRead(int index)
+{
+    auto &target = node(index);
+    if (!target.replica || target.frozenUntil) {
+        return;
+    }
+    const auto number = target.replica->requestRead(localNow(target));
+    if (number.has_value()) {
+        target.reads[number.value()] = m_acknowledgedIndex;
+        settle(target);
+    }
+}
+
+void SimulatedGroup::transfer(int index)
+{
+    if (node(index).replica && !node(index).frozenUntil) {
+        (void)node(index).replica->transferLeadership(localNow(node(index)));
+        settle(node(index));
+    }
+}
+
+int SimulatedGroup::leader() const
+{
+    for (int i = 0; i < size(); ++i) {
+        const auto &each = m_nodes[static_cast<std::size_t>(i)];
+        if (each.replica && !each.frozenUntil && each.replica->leads(localNow(each))) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+void SimulatedGroup::checkLeaders()
+{
+    int leaders = 0;
+    for (const auto &each : m_nodes) {
+        // A frozen leader counts as well: it may wake up and decide at this moment.
+        leaders += each.replica && each.replica->leads(localNow(each)) ? 1 : 0;
+    }
+    if (leaders > 1) {
+        report("two leaders hold a valid lease");
+    }
+}
+
+LogIndex SimulatedGroup::highestDecided() const
+{
+    return m_decided.empty() ? 0 : m_decided.rbegin()->first;
+}
+
+std::size_t SimulatedGroup::acknowledged() const
+{
+    return m_acknowledged;
+}
+
+std::size_t SimulatedGroup::readsAnswered() const
+{
+    return m_readsAnswered;
+}
+
+bool SimulatedGroup::converged() const
+{
+    return std::all_of(m_nodes.begin(), m_nodes.end(),
+                       [this](const auto &each) { return !each.replica || each.applied == highestDecided(); });
+}
+
+const std::string &SimulatedGroup::violation() const
+{
+    return m_violation;
+}
+
+void SimulatedGroup::report(const std::string &what)
+{
+    if (m_violation.empty()) {
+        m_violation = what;
+    }
+}
+
+} // namespace tamarackcove::test
