Count reachability from the sending time of what a peer answered

Ruled out: a fault of the lease, which already counted from the sending time. Change: reachability and the guard before replacing a voter use the sending time; the arrival time is gone.

--- a/include/tamarackcove/Consensus/Replica.h
+++ b/include/tamarackcove/Consensus/Replica.h
@@ -152,7 +152,7 @@
     // ReplicaSnapshot.cpp
     void sendChunk(const ReplicaId &to, ReplicaProgress &progress, TimePoint now);
     void onSnapshotChunk(const ReplicaMessage &message, const SnapshotChunk &chunk, TimePoint now);
-    void onSnapshotReply(const ReplicaMessage &message, const SnapshotReply &reply, TimePoint now);
+    void onSnapshotReply(const ReplicaMessage &message, const SnapshotReply &reply);
     void install(const SnapshotChunk &chunk);
 
     // ReplicaMembership.cpp
--- a/include/tamarackcove/Consensus/ReplicaProgress.h
+++ b/include/tamarackcove/Consensus/ReplicaProgress.h
@@ -20,10 +20,9 @@
     /// False until the peer has accepted one append: only then are several sent ahead of the answers.
     bool pipelining = false;
     TimePoint lastHeartbeat{};
-    /// Sending time of the newest message that the peer has answered; the lease counts from it.
+    /// Sending time of the newest message that the peer has answered. Lease and reachability count from it, not from
+    /// the arrival of the answer: a leader that was frozen reads answers that a lost replica sent long ago.
     TimePoint contact{};
-    /// When the newest answer arrived.
-    TimePoint lastReply{};
     /// Holds what was committed one catch-up interval ago.
     bool caughtUp = false;
     /// The snapshot that is being sent, if any.
--- a/lib/Consensus/Replica.cpp
+++ b/lib/Consensus/Replica.cpp
@@ -89,7 +89,7 @@
     } else if (const auto *chunk = std::get_if<SnapshotChunk>(&message.body)) {
         onSnapshotChunk(message, *chunk, now);
     } else if (const auto *snapshotReply = std::get_if<SnapshotReply>(&message.body)) {
-        onSnapshotReply(message, *snapshotReply, now);
+        onSnapshotReply(message, *snapshotReply);
     } else if (std::holds_alternative<TimeoutNow>(message.body)) {
         onTimeoutNow(message, now);
     }
--- a/lib/Consensus/ReplicaMembership.cpp
+++ b/lib/Consensus/ReplicaMembership.cpp
@@ -72,7 +72,7 @@
             // decide than the group with it. Twice the timeout excludes a host of the same name that still works.
             const auto progress = m_progress.find(old->id);
             if (progress == m_progress.end()
-                || now < std::max(m_leadingSince, progress->second.lastReply) + 2 * m_options.maxElectionTimeout) {
+                || now < std::max(m_leadingSince, progress->second.contact) + 2 * m_options.maxElectionTimeout) {
                 continue;
             }
             std::erase_if(changed.members, [id = old->id](const auto &member) { return member.id == id; });
@@ -98,8 +98,8 @@
         return id == m_leader && now <= m_lastLeaderContact + m_options.maxElectionTimeout;
     }
     const auto progress = m_progress.find(id);
-    return progress != m_progress.end() && progress->second.lastReply != TimePoint{}
-    && now <= progress->second.lastReply + m_options.maxElectionTimeout;
+    return progress != m_progress.end() && progress->second.contact != TimePoint{}
+    && now <= progress->second.contact + m_options.maxElectionTimeout;
 }
 
 bool Replica::healthy(const ReplicaId &id, TimePoint now) const
--- a/lib/Consensus/ReplicaReplication.cpp
+++ b/lib/Consensus/ReplicaReplication.cpp
@@ -79,7 +79,6 @@
     }
     auto &progress = found->second;
     progress.contact = std::max(progress.contact, reply.sentAt);
-    progress.lastReply = now;
     if (!reply.accepted) {
         progress.next = std::max(progress.matched, std::min(reply.matchedIndex, m_log.lastIndex())) + 1;
         progress.inFlight = 0;
@@ -138,7 +137,7 @@
 
 void Replica::sendHeartbeat(const ReplicaId &to, ReplicaProgress &progress, TimePoint now)
 {
-    if (progress.lastReply + m_options.maxElectionTimeout < now && !progress.snapshot) {
+    if (progress.contact + m_options.maxElectionTimeout < now && !progress.snapshot) {
         // Answers may have been lost; once the peer is back, start from what it certainly has.
         progress.next = std::max(progress.matched, m_log.base().index) + 1;
         progress.inFlight = 0;
--- a/lib/Consensus/ReplicaSnapshot.cpp
+++ b/lib/Consensus/ReplicaSnapshot.cpp
@@ -35,7 +35,7 @@
                        .sentAt = now});
 }
 
-void Replica::onSnapshotReply(const ReplicaMessage &message, const SnapshotReply &reply, TimePoint now)
+void Replica::onSnapshotReply(const ReplicaMessage &message, const SnapshotReply &reply)
 {
     const auto found = m_progress.find(message.from);
     if (role() != ReplicaRole::Leader || found == m_progress.end()) {
@@ -43,7 +43,6 @@
     }
     auto &progress = found->second;
     progress.contact = std::max(progress.contact, reply.sentAt);
-    progress.lastReply = now;
     if (!progress.snapshot || progress.snapshot->lastIndex != reply.lastIndex) {
         return;
     }
