--- a/include/tamarackcove/Configuration/ServingConfiguration.h
+++ b/include/tamarackcove/Configuration/ServingConfiguration.h
@@ -18,6 +18,8 @@
     milliseconds timeout = seconds(30);
     /// Share of an entry's admission that this service may take, in percent; keeps one customer from starving others.
     int sharePercent = 50;
+
+    bool operator==(const ServiceRoute &) const = default;
 };
 
 /// What the weight store allows, over all zones together.
@@ -25,6 +27,8 @@
 {
     double loadsPerSecond = 7.0;
     int concurrentLoads = 3;
+
+    bool operator==(const StoreLimits &) const = default;
 };
 
 /// How a deployment weighs its two measures; see docs/design.md section 1.2.
@@ -32,6 +36,8 @@
 {
     double loadStall = 1.0;
     double batchEfficiency = 1.0;
+
+    bool operator==(const PolicyWeights &) const = default;
 };
 
 /// The accepted configuration, as far as an entry needs it.
--- /dev/null
+++ b/include/tamarackcove/Wire/ControlMessages.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "tamarackcove/Base/Time.h"
+#include "tamarackcove/Wire/ChronoJson.h"
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace tamarackcove {
+
+/// An entry asks for what follows the revision it holds. The control host answers at once when it has a newer one, else
+/// after the wait. The next watch is the acknowledgement of the answer before.
+struct WatchMessage
+{
+    static constexpr const char *Type = "watch";
+    std::string entry;
+    std::string zone;
+    /// The newest revision that the entry holds.
+    std::uint64_t revision = 0;
+    /// The revision that its requests are served by.
+    std::uint64_t inForce = 0;
+    milliseconds wait{0};
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WatchMessage, entry, zone, revision, inForce, wait)
+
+/// The answer to a watch, in one or more parts.
+struct ConfigMessage
+{
+    static constexpr const char *Type = "config";
+    /// Whether the answering host leads, and in which term.
+    bool leads = false;
+    std::uint64_t term = 0;
+    bool last = true;
+    /// See DeltaCodec.h; null when nothing has changed.
+    nlohmann::json delta;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigMessage, leads, term, last, delta)
+
+struct ReserveCallMessage
+{
+    static constexpr const char *Type = "reserve_call";
+    std::string key;
+    std::uint64_t digest = 0;
+    std::string entry;
+    std::string attempt;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReserveCallMessage, key, digest, entry, attempt)
+
+struct ReservationMessage
+{
+    static constexpr const char *Type = "reservation";
+    /// `granted`, `completed`, `in_doubt`, `key_reused` or `full`.
+    std::string outcome;
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReservationMessage, outcome, status, contentType, body)
+
+struct CompleteCallMessage
+{
+    static constexpr const char *Type = "complete_call";
+    std::string key;
+    std::string entry;
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CompleteCallMessage, key, entry, status, contentType, body)
+
+struct ReleaseCallMessage
+{
+    static constexpr const char *Type = "release_call";
+    std::string key;
+    std::string entry;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReleaseCallMessage, key, entry)
+
+struct CrashReportMessage
+{
+    static constexpr const char *Type = "crash_report";
+    std::string target;
+    std::uint64_t incarnation = 0;
+    std::vector<std::uint64_t> fingerprints;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashReportMessage, target, incarnation, fingerprints)
+
+struct CrashClearedMessage
+{
+    static constexpr const char *Type = "crash_cleared";
+    std::uint64_t fingerprint = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashClearedMessage, fingerprint)
+
+struct DoneMessage
+{
+    static constexpr const char *Type = "done";
+    bool done = true;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DoneMessage, done)
+
+/// Any call may be answered by this.
+struct RefusedMessage
+{
+    static constexpr const char *Type = "refused";
+    /// `not_leader` and `unavailable`: certainly without effect; `outcome_unknown`; `refused`.
+    std::string code;
+    std::string detail;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RefusedMessage, code, detail)
+
+struct PermitRequestMessage
+{
+    static constexpr const char *Type = "permit_request";
+    std::string zone;
+    std::uint64_t fencing = 0;
+    double loadsPerSecond = 0;
+    int concurrentLoads = 0;
+    int inFlight = 0;
+    /// The stamp of the newest permit that the zone has received; zeros before the first.
+    std::uint64_t stampTerm = 0;
+    std::uint64_t stampNumber = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitRequestMessage, zone, fencing, loadsPerSecond, concurrentLoads, inFlight,
+                                   stampTerm, stampNumber)
+
+struct PermitMessage
+{
+    static constexpr const char *Type = "permit";
+    double loadsPerSecond = 0;
+    int concurrentLoads = 0;
+    milliseconds validFor{0};
+    std::uint64_t stampTerm = 0;
+    std::uint64_t stampNumber = 0;
+    double quotaLoadsPerSecond = 0;
+    int quotaConcurrentLoads = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitMessage, loadsPerSecond, concurrentLoads, validFor, stampTerm, stampNumber,
+                                   quotaLoadsPerSecond, quotaConcurrentLoads)
+
+struct ZoneVoteMessage
+{
+    static constexpr const char *Type = "zone_vote";
+    std::string zone;
+    std::string candidate;
+    std::uint64_t fencing = 0;
+    milliseconds lease{0};
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneVoteMessage, zone, candidate, fencing, lease)
+
+struct ZoneVoteAnswerMessage
+{
+    static constexpr const char *Type = "zone_vote_answer";
+    bool granted = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneVoteAnswerMessage, granted)
+
+/// What a zone coordinator sees, for the status page.
+struct ZoneReportMessage
+{
+    static constexpr const char *Type = "zone_report";
+    std::string zone;
+    std::string coordinator;
+    std::uint64_t fencing = 0;
+    /// `[{id, kind, health, running, waiting, adapters:[names]}]`
+    nlohmann::json targets;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneReportMessage, zone, coordinator, fencing, targets)
+
+} // namespace tamarackcove
--- /dev/null
+++ b/include/tamarackcove/Wire/DeltaCodec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "tamarackcove/Base/Result.h"
+#include "tamarackcove/Configuration/ConfigurationDelta.h"
+#include "tamarackcove/Wire/WireError.h"
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace tamarackcove {
+
+/// The body of a configuration delta in a message. Base models and services are listed once and referred to by their
+/// index. Thread safe.
+[[nodiscard]] nlohmann::json encodeDelta(const ConfigurationDelta &delta);
+
+/// Thread safe.
+[[nodiscard]] Result<ConfigurationDelta, WireError> decodeDelta(const nlohmann::json &body);
+
+/// Splits a delta into parts that each fit into a frame and that give the whole when they are applied in order. Every
+/// part has the `from` and `to` of the whole; only the first part of a full delta is full. Thread safe.
+[[nodiscard]] std::vector<ConfigurationDelta> splitDelta(ConfigurationDelta delta, std::size_t maxBytes);
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Configuration/CallLedger.cpp
@@ -0,0 +1,136 @@
+#include "tamarackcove/Configuration/CallLedger.h"
+
+#include <utility>
+
+namespace tamarackcove {
+
+CallLedger::CallLedger(Limits limits)
+    : m_limits(limits)
+{
+}
+
+static ReservationAnswer decided(CallDecision decision)
+{
+    ReservationAnswer answer;
+    answer.decision = decision;
+    return answer;
+}
+
+ReservationAnswer CallLedger::reserve(LeaderTime now, const std::string &key, std::uint64_t digest,
+                                      const EntryId &entry, const RequestId &attempt)
+{
+    const auto found = m_contents.records.find(key);
+    if (found == m_contents.records.end()) {
+        if (m_contents.records.size() >= m_limits.maxRecords) {
+            return decided(CallDecision::Full);
+        }
+        CallRecord record;
+        record.digest = digest;
+        record.entry = entry;
+        record.attempt = attempt;
+        record.reservedAt = now;
+        m_contents.records.emplace(key, std::move(record));
+        m_contents.order.push_back({.reservedAt = now, .key = key});
+        return decided(CallDecision::Granted);
+    }
+    const auto &record = found->second;
+    if (record.digest != digest) {
+        return decided(CallDecision::KeyReused);
+    }
+    if (record.state == CallState::Completed) {
+        return {.decision = CallDecision::Completed,
+                .status = record.status,
+                .contentType = record.contentType,
+                .body = record.body};
+    }
+    // The entry resends a reservation when its answer was lost; it has dispatched nothing yet.
+    if (record.state == CallState::Reserved && record.entry == entry && record.attempt == attempt) {
+        return decided(CallDecision::Granted);
+    }
+    return decided(CallDecision::InDoubt);
+}
+
+bool CallLedger::complete(const std::string &key, const EntryId &entry, int status, std::string contentType,
+                          std::string body)
+{
+    const auto found = m_contents.records.find(key);
+    if (found == m_contents.records.end() || found->second.entry != entry
+        || found->second.state != CallState::Reserved) {
+        return false;
+    }
+    auto &record = found->second;
+    record.status = status;
+    if (body.size() > m_limits.maxAnswerBytes) {
+        record.state = CallState::AnswerDropped;
+        return true;
+    }
+    record.state = CallState::Completed;
+    record.contentType = std::move(contentType);
+    m_contents.answerBytes += body.size();
+    record.body = std::move(body);
+    m_contents.answered.push_back({.reservedAt = record.reservedAt, .key = key});
+    dropOldestAnswers();
+    return true;
+}
+
+CallRecord *CallLedger::recordOf(const Entry &entry)
+{
+    const auto found = m_contents.records.find(entry.key);
+    return found != m_contents.records.end() && found->second.reservedAt == entry.reservedAt ? &found->second : nullptr;
+}
+
+void CallLedger::dropOldestAnswers()
+{
+    while (m_contents.answerBytes > m_limits.maxTotalAnswerBytes && !m_contents.answered.empty()) {
+        auto *record = recordOf(m_contents.answered.front());
+        m_contents.answered.pop_front();
+        if (record != nullptr && record->state == CallState::Completed) {
+            m_contents.answerBytes -= record->body.size();
+            record->state = CallState::AnswerDropped;
+            record->body = {};
+        }
+    }
+}
+
+bool CallLedger::release(const std::string &key, const EntryId &entry)
+{
+    const auto found = m_contents.records.find(key);
+    if (found == m_contents.records.end() || found->second.entry != entry
+        || found->second.state != CallState::Reserved) {
+        return false;
+    }
+    m_contents.records.erase(found);
+    return true;
+}
+
+void CallLedger::expire(LeaderTime now)
+{
+    const auto expired = [&](const std::deque<Entry> &queue) {
+        return !queue.empty() && now - queue.front().reservedAt >= m_limits.retention;
+    };
+    while (expired(m_contents.order)) {
+        const auto *record = recordOf(m_contents.order.front());
+        if (record != nullptr) {
+            if (record->state == CallState::Completed) {
+                m_contents.answerBytes -= record->body.size();
+            }
+            m_contents.records.erase(m_contents.order.front().key);
+        }
+        m_contents.order.pop_front();
+    }
+    while (expired(m_contents.answered)) {
+        m_contents.answered.pop_front();
+    }
+}
+
+const CallLedger::Contents &CallLedger::contents() const
+{
+    return m_contents;
+}
+
+void CallLedger::restore(Contents contents)
+{
+    m_contents = std::move(contents);
+}
+
+} // namespace tamarackcove
