--- /dev/null
+++ b/include/tamarackcove/Control/ControlProcess.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "tamarackcove/Control/ControlSettings.h"
+
+namespace tamarackcove {
+
+/// Runs a control process until SIGTERM or SIGINT, and returns its exit code: 0 after a graceful shutdown.
+///
+/// Call once per process, on its main thread, after initLogging().
+int runControlProcess(const ControlSettings &settings);
+
+} // namespace tamarackcove
--- /dev/null
+++ b/include/tamarackcove/Control/State/SnapshotCodec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "tamarackcove/Base/Result.h"
+#include "tamarackcove/Configuration/ConfigurationState.h"
+#include "tamarackcove/Wire/WireError.h"
+
+#include <string>
+#include <string_view>
+
+namespace tamarackcove {
+
+/// The whole state as bytes. Equal states give equal bytes. Thread safe.
+[[nodiscard]] std::string encodeSnapshot(const ConfigurationState &state);
+
+/// Replaces the state. On an error the state is unchanged.
+[[nodiscard]] Result<void, WireError> decodeSnapshot(std::string_view bytes, ConfigurationState &state);
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Control/State/ReplicatedState.cpp
@@ -0,0 +1,85 @@
+#include "tamarackcove/Control/State/ReplicatedState.h"
+
+#include "tamarackcove/Control/State/CommandCodec.h"
+#include "tamarackcove/Control/State/SnapshotCodec.h"
+#include "tamarackcove/Observe/LogLine.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <stdexcept>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+ReplicatedState::ReplicatedState(asio::any_io_executor executor)
+    : m_executor(std::move(executor))
+{
+}
+
+StateMachineHooks ReplicatedState::hooks()
+{
+    return {.apply = [this](std::uint64_t /*index*/, std::chrono::system_clock::time_point time,
+                            std::string_view command) { return apply(time, command); },
+            .saveSnapshot = [this] { return encodeSnapshot(m_state); },
+            .loadSnapshot =
+                [this](std::string_view snapshot) {
+                    const auto loaded = decodeSnapshot(snapshot, m_state);
+                    if (loaded.has_error()) {
+                        // The log has checked the file; a snapshot that cannot be read is of another version.
+                        throw std::runtime_error("cannot read the snapshot of the state: " + loaded.error().detail);
+                    }
+                    wakeWaiters();
+                }};
+}
+
+const ConfigurationState &ReplicatedState::state() const
+{
+    return m_state;
+}
+
+std::string ReplicatedState::apply(std::chrono::system_clock::time_point time, std::string_view command)
+{
+    const auto decoded = decodeCommand(command);
+    if (decoded.has_error()) {
+        // Every replica skips the same command, so they stay equal.
+        LogLine(LogLevel::Error, "command_unreadable").add("reason", decoded.error().detail);
+        return encodeAnswer(DoneAnswer{false});
+    }
+    const auto before = m_state.serving().revision;
+    const auto answer = m_state.apply(time, decoded.value());
+    if (m_state.serving().revision != before) {
+        wakeWaiters();
+    }
+    return encodeAnswer(answer);
+}
+
+void ReplicatedState::wakeWaiters()
+{
+    for (auto *waiter : m_waiters) {
+        waiter->cancel();
+    }
+}
+
+asio::awaitable<void> ReplicatedState::waitForChange(Revision known, milliseconds wait)
+{
+    if (m_state.serving().revision != known) {
+        co_return;
+    }
+    asio::steady_timer timer(m_executor, wait);
+    // Leaves the set also when the coroutine is destroyed while it waits.
+    struct Registration
+    {
+        std::set<asio::steady_timer *> &waiters;
+        asio::steady_timer *waiter;
+        ~Registration()
+        {
+            waiters.erase(waiter);
+        }
+    };
+    m_waiters.insert(&timer);
+    const Registration registration{m_waiters, &timer};
+    (void)co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Control/State/SnapshotCodec.cpp
@@ -0,0 +1,162 @@
+#include "tamarackcove/Control/State/SnapshotCodec.h"
+
+#include "SnapshotParts.h"
+
+namespace tamarackcove {
+
+static constexpr std::uint64_t SnapshotVersion = 1;
+
+/// The kinds of recorded answers in a snapshot.
+enum class AnswerKind : std::uint64_t {
+    Plan,
+    Confirmed,
+    Refused,
+};
+
+static void writeAnswer(ByteWriter &out, const PlanAnswer &answer, const ConfigurationState::Contents &contents)
+{
+    out.number(static_cast<std::uint64_t>(AnswerKind::Plan));
+    // A pending plan is written once, among the pending ones.
+    out.text(answer.plan->id.value());
+    const bool pending = contents.pending.contains(answer.plan->id);
+    out.flag(pending);
+    if (!pending) {
+        writePlan(out, *answer.plan);
+    }
+}
+
+static void writeAnswer(ByteWriter &out, const ConfirmedAnswer &answer, const ConfigurationState::Contents & /*unused*/)
+{
+    out.number(static_cast<std::uint64_t>(AnswerKind::Confirmed));
+    out.text(answer.plan.value());
+    out.number(answer.revision.value());
+}
+
+static void writeAnswer(ByteWriter &out, const RefusedAnswer &answer, const ConfigurationState::Contents & /*unused*/)
+{
+    out.number(static_cast<std::uint64_t>(AnswerKind::Refused));
+    out.number(static_cast<std::uint64_t>(answer.error.code));
+    out.text(answer.error.detail);
+    out.number(answer.inForce.value());
+    out.text(answer.lastConfirmedPlan.value());
+}
+
+static OperatorAnswer readAnswer(ByteReader &in, const ConfigurationState::Contents &contents)
+{
+    switch (static_cast<AnswerKind>(in.number())) {
+    case AnswerKind::Plan: {
+        const PlanId id(in.text());
+        if (in.flag()) {
+            const auto found = contents.pending.find(id);
+            if (found == contents.pending.end()) {
+                throw std::runtime_error("an answer names a plan that is absent");
+            }
+            return PlanAnswer{found->second};
+        }
+        return PlanAnswer{std::make_shared<const Plan>(readPlan(in))};
+    }
+    case AnswerKind::Confirmed: {
+        ConfirmedAnswer answer;
+        answer.plan = PlanId(in.text());
+        answer.revision = Revision(in.number());
+        return answer;
+    }
+    case AnswerKind::Refused: {
+        RefusedAnswer answer;
+        const auto code = in.number();
+        if (code > static_cast<std::uint64_t>(ConfigurationErrorCode::CommandReused)) {
+            throw std::runtime_error("a refusal is out of range");
+        }
+        answer.error.code = static_cast<ConfigurationErrorCode>(code);
+        answer.error.detail = in.text();
+        answer.inForce = Revision(in.number());
+        answer.lastConfirmedPlan = PlanId(in.text());
+        return answer;
+    }
+    }
+    throw std::runtime_error("an answer is of an unknown kind");
+}
+
+static void writeContents(ByteWriter &out, const ConfigurationState::Contents &contents)
+{
+    writeDelta(out, fullDelta(contents.serving));
+    out.number(contents.operatorRevision.value());
+    out.text(contents.lastConfirmedPlan.value());
+    out.number(contents.plansMade);
+    writeAll(out, contents.intents, [&](const auto &entry) { writeIntent(out, *entry.second); });
+    writeAll(out, contents.pending, [&](const auto &entry) { writePlan(out, *entry.second); });
+    writeAll(out, contents.answerOrder, [&](const CommandId &id) {
+        const auto &recorded = contents.answers.at(id);
+        out.text(id.value());
+        out.number(recorded.digest);
+        out.time(recorded.at);
+        std::visit([&](const auto &answer) { writeAnswer(out, answer, contents); }, recorded.answer);
+    });
+    writeAll(out, contents.history, [&](const auto &delta) { writeDelta(out, *delta); });
+    out.time(contents.lastExpiry);
+}
+
+static ConfigurationState::Contents readContents(ByteReader &in)
+{
+    ConfigurationState::Contents contents;
+    applyDelta(contents.serving, readDelta(in));
+    contents.operatorRevision = Revision(in.number());
+    contents.lastConfirmedPlan = PlanId(in.text());
+    contents.plansMade = in.number();
+    readAll(in, [&] {
+        auto intent = std::make_shared<const Intent>(readIntent(in));
+        contents.intents.emplace(intent->name, intent);
+    });
+    readAll(in, [&] {
+        auto plan = std::make_shared<const Plan>(readPlan(in));
+        contents.pending.emplace(plan->id, plan);
+    });
+    readAll(in, [&] {
+        CommandId id(in.text());
+        ConfigurationState::RecordedAnswer recorded;
+        recorded.digest = in.number();
+        recorded.at = in.time();
+        recorded.answer = readAnswer(in, contents);
+        contents.answerOrder.push_back(id);
+        contents.answers.emplace(std::move(id), std::move(recorded));
+    });
+    readAll(in, [&] {
+        auto delta = std::make_shared<const ConfigurationDelta>(readDelta(in));
+        contents.historyChanges += delta->size();
+        contents.history.push_back(std::move(delta));
+    });
+    contents.lastExpiry = in.time();
+    return contents;
+}
+
+std::string encodeSnapshot(const ConfigurationState &state)
+{
+    ByteWriter out;
+    out.number(SnapshotVersion);
+    writeContents(out, state.contents());
+    writeCalls(out, state.calls().contents());
+    writeQuarantine(out, state.quarantine().contents());
+    return out.take();
+}
+
+Result<void, WireError> decodeSnapshot(std::string_view bytes, ConfigurationState &state)
+{
+    try {
+        ByteReader in(bytes);
+        if (in.number() != SnapshotVersion) {
+            return WireError{WireErrorCode::OtherVersion, "the snapshot is of another version"};
+        }
+        auto contents = readContents(in);
+        auto calls = readCalls(in);
+        auto quarantine = readQuarantine(in);
+        if (!in.atEnd()) {
+            return WireError{WireErrorCode::BadFrame, "the snapshot has bytes after its end"};
+        }
+        state.restore(std::move(contents), std::move(calls), std::move(quarantine));
+    } catch (const std::exception &error) {
+        return WireError{WireErrorCode::BadFrame, error.what()};
+    }
+    return ok();
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Residency/StoreShare.cpp
@@ -0,0 +1,117 @@
+#include "tamarackcove/Residency/StoreShare.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace tamarackcove {
+
+StoreShare::StoreShare(PermitTiming timing, TimePoint now, int inFlight)
+    : m_timing(timing)
+    , m_lastAnswer(now)
+    , m_creditAt(now)
+    , m_validUntil(now)
+    , m_inFlight(inFlight)
+{
+}
+
+void StoreShare::received(const PermitAnswer &answer, TimePoint sentAt, TimePoint now)
+{
+    if (answer.stamp <= m_stamp) {
+        return;
+    }
+    m_credit = credit(now);
+    m_creditAt = now;
+    m_stamp = answer.stamp;
+    m_granted = answer.rights;
+    m_validUntil = sentAt + answer.validFor;
+    m_quota = answer.quota;
+    m_lastAnswer = now;
+}
+
+void StoreShare::setQuota(StoreRights quota, TimePoint now)
+{
+    m_credit = credit(now);
+    m_creditAt = now;
+    m_quota = quota;
+}
+
+TimePoint StoreShare::quotaFrom() const
+{
+    return std::max(m_validUntil, m_lastAnswer + 2 * m_timing.lease + m_timing.longestLoad);
+}
+
+bool StoreShare::usesQuota(TimePoint now) const
+{
+    return now >= quotaFrom();
+}
+
+static double secondsBetween(TimePoint from, TimePoint to)
+{
+    return std::max(0.0, std::chrono::duration<double>(to - from).count());
+}
+
+double StoreShare::credit(TimePoint now) const
+{
+    const double earned = m_granted.loadsPerSecond * secondsBetween(m_creditAt, std::min(now, m_validUntil))
+        + m_quota.loadsPerSecond * secondsBetween(std::max(m_creditAt, quotaFrom()), now);
+    return std::min(1.0, m_credit + earned);
+}
+
+StoreRights StoreShare::rights(TimePoint now) const
+{
+    if (now < m_validUntil) {
+        return m_granted;
+    }
+    return usesQuota(now) ? m_quota : StoreRights{};
+}
+
+TimePoint StoreShare::nextStart(TimePoint now) const
+{
+    const auto current = rights(now);
+    // A rate below one load in about eleven days is none; its interval would overflow.
+    constexpr double LowestRate = 1e-6;
+    if (current.concurrentLoads <= m_inFlight || current.loadsPerSecond < LowestRate) {
+        return TimePoint::max();
+    }
+    // Rounding must not make the caller wait for a time at which the credit is a hair below one.
+    constexpr double WholeLoad = 1.0 - 1e-9;
+    const double missing = WholeLoad - credit(now);
+    if (missing <= 0) {
+        return now;
+    }
+    return now + std::chrono::ceil<Duration>(std::chrono::duration<double>(missing / current.loadsPerSecond));
+}
+
+bool StoreShare::tryStart(TimePoint now)
+{
+    if (now < nextStart(now)) {
+        return false;
+    }
+    m_credit = credit(now) - 1.0;
+    m_creditAt = now;
+    ++m_inFlight;
+    return true;
+}
+
+void StoreShare::finished()
+{
+    assert(m_inFlight > 0 && "a load ends once");
+    --m_inFlight;
+}
+
+int StoreShare::inFlight() const
+{
+    return m_inFlight;
+}
+
+PermitRequest StoreShare::request(const Zone &zone, FencingNumber fencing, StoreRights wanted, TimePoint now) const
+{
+    return {.zone = zone,
+            .fencing = fencing,
+            .wanted = wanted,
+            .held = now < m_validUntil ? m_granted : StoreRights{},
+            .inFlight = m_inFlight,
+            .received = m_stamp};
+}
+
+} // namespace tamarackcove
