Add the control process: operators, watching entries, permits and zone votes

Cause: operators need one place to create and confirm plans, entries one to watch. Change: administration API, status page, watcher tasks, leader duties, settings, graceful stop, thin main.

--- a/include/tamarackcove/Configuration/Command.h
+++ b/include/tamarackcove/Configuration/Command.h
@@ -65,8 +65,17 @@
     std::uint64_t fingerprint = 0;
 };
 
-using Command
-    = std::variant<CreateIntent, ConfirmPlan, ReserveCall, CompleteCall, ReleaseCall, ReportCrash, ReportCleared>;
+/// Records the control group's vote for a zone coordinator, so that a later leader votes for no lower number and for no
+/// other candidate under the same one.
+struct RecordVote
+{
+    Zone zone;
+    EntryId candidate;
+    FencingNumber number;
+};
+
+using Command = std::variant<CreateIntent, ConfirmPlan, ReserveCall, CompleteCall, ReleaseCall, ReportCrash,
+                             ReportCleared, RecordVote>;
 
 struct PlanAnswer
 {
--- a/include/tamarackcove/Configuration/ConfigurationState.h
+++ b/include/tamarackcove/Configuration/ConfigurationState.h
@@ -25,6 +25,11 @@
         LeaderTime at;
         OperatorAnswer answer;
     };
+    struct ZoneVote
+    {
+        FencingNumber number;
+        EntryId candidate;
+    };
     /// Everything the state consists of, for snapshots.
     struct Contents
     {
@@ -42,6 +47,8 @@
         std::deque<std::shared_ptr<const ConfigurationDelta>> history;
         std::size_t historyChanges = 0;
         LeaderTime lastExpiry;
+        /// The newest vote for a coordinator of each zone.
+        std::map<Zone, ZoneVote> zoneVotes;
     };
     struct Limits
     {
@@ -79,6 +86,7 @@
     CommandAnswer applyOne(LeaderTime now, const ReleaseCall &command);
     CommandAnswer applyOne(LeaderTime now, const ReportCrash &command);
     CommandAnswer applyOne(LeaderTime now, const ReportCleared &command);
+    CommandAnswer applyOne(LeaderTime now, const RecordVote &command);
 
     template<typename Execute>
     CommandAnswer once(LeaderTime now, const CommandId &id, std::uint64_t digest, Execute execute);
--- a/include/tamarackcove/Control/State/ReplicatedState.h
+++ b/include/tamarackcove/Control/State/ReplicatedState.h
@@ -27,8 +27,8 @@
     [[nodiscard]] StateMachineHooks hooks();
     [[nodiscard]] const ConfigurationState &state() const;
 
-    /// Returns once the revision is another one than `known`, at the latest after the wait.
-    boost::asio::awaitable<void> waitForChange(Revision known, milliseconds wait);
+    /// Returns once the revision is newer than `known`, at the latest after the wait.
+    boost::asio::awaitable<void> waitForNewer(Revision known, milliseconds wait);
 
 private:
     std::string apply(std::chrono::system_clock::time_point time, std::string_view command);
--- a/include/tamarackcove/Wire/ControlMessages.h
+++ b/include/tamarackcove/Wire/ControlMessages.h
@@ -33,10 +33,13 @@
     bool leads = false;
     std::uint64_t term = 0;
     bool last = true;
+    /// The partition quota of the entry's zone.
+    double quotaLoadsPerSecond = 0;
+    int quotaConcurrentLoads = 0;
     /// See DeltaCodec.h; null when nothing has changed.
     nlohmann::json delta;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigMessage, leads, term, last, delta)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigMessage, leads, term, last, quotaLoadsPerSecond, quotaConcurrentLoads, delta)
 
 struct ReserveCallMessage
 {
@@ -118,13 +121,16 @@
     std::uint64_t fencing = 0;
     double loadsPerSecond = 0;
     int concurrentLoads = 0;
+    /// The unexpired permit that the zone holds.
+    double heldLoadsPerSecond = 0;
+    int heldConcurrentLoads = 0;
     int inFlight = 0;
     /// The stamp of the newest permit that the zone has received; zeros before the first.
     std::uint64_t stampTerm = 0;
     std::uint64_t stampNumber = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitRequestMessage, zone, fencing, loadsPerSecond, concurrentLoads, inFlight,
-                                   stampTerm, stampNumber)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitRequestMessage, zone, fencing, loadsPerSecond, concurrentLoads,
+                                   heldLoadsPerSecond, heldConcurrentLoads, inFlight, stampTerm, stampNumber)
 
 struct PermitMessage
 {
@@ -154,8 +160,10 @@
 {
     static constexpr const char *Type = "zone_vote_answer";
     bool granted = false;
+    /// The highest number that the control group has voted for in this zone.
+    std::uint64_t highest = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneVoteAnswerMessage, granted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneVoteAnswerMessage, granted, highest)
 
 /// What a zone coordinator sees, for the status page.
 struct ZoneReportMessage
--- a/lib/Configuration/ConfigurationState.cpp
+++ b/lib/Configuration/ConfigurationState.cpp
@@ -100,6 +100,17 @@
     return DoneAnswer{};
 }
 
+CommandAnswer ConfigurationState::applyOne(LeaderTime /*now*/, const RecordVote &command)
+{
+    auto &vote = m_contents.zoneVotes[command.zone];
+    const bool granted
+        = command.number > vote.number || (command.number == vote.number && command.candidate == vote.candidate);
+    if (granted) {
+        vote = {.number = command.number, .candidate = command.candidate};
+    }
+    return DoneAnswer{granted};
+}
+
 IntentName ConfigurationState::ownerOf(const AdapterRef &adapter, const IntentName &except) const
 {
     for (const auto &[name, intent] : m_contents.intents) {
--- a/lib/Control/State/CommandCodec.cpp
+++ b/lib/Control/State/CommandCodec.cpp
@@ -72,6 +72,14 @@
     return {{"c", "report_cleared"}, {"fingerprint", command.fingerprint}};
 }
 
+static json commandToJson(const RecordVote &command)
+{
+    return {{"c", "record_vote"},
+            {"zone", command.zone.value()},
+            {"candidate", command.candidate.value()},
+            {"number", command.number.value()}};
+}
+
 std::string encodeCommand(const Command &command)
 {
     return toBytes(std::visit([](const auto &one) { return commandToJson(one); }, command));
@@ -129,6 +137,11 @@
     if (kind == "report_cleared") {
         return Command(ReportCleared{.fingerprint = number(body, "fingerprint")});
     }
+    if (kind == "record_vote") {
+        return Command(RecordVote{.zone = Zone(text(body, "zone")),
+                                  .candidate = EntryId(text(body, "candidate")),
+                                  .number = FencingNumber(number(body, "number"))});
+    }
     return WireError{WireErrorCode::UnexpectedMessage, "unknown command " + kind};
 }
 
--- a/lib/Control/State/ReplicatedState.cpp
+++ b/lib/Control/State/ReplicatedState.cpp
@@ -61,12 +61,8 @@
     }
 }
 
-asio::awaitable<void> ReplicatedState::waitForChange(Revision known, milliseconds wait)
+asio::awaitable<void> ReplicatedState::waitForNewer(Revision known, milliseconds wait)
 {
-    if (m_state.serving().revision != known) {
-        co_return;
-    }
-    asio::steady_timer timer(m_executor, wait);
     // Leaves the set also when the coroutine is destroyed while it waits.
     struct Registration
     {
@@ -77,9 +73,14 @@
             waiters.erase(waiter);
         }
     };
-    m_waiters.insert(&timer);
-    const Registration registration{m_waiters, &timer};
-    (void)co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    const auto deadline = Clock::now() + wait;
+    asio::steady_timer timer(m_executor);
+    while (m_state.serving().revision <= known && Clock::now() < deadline) {
+        timer.expires_at(deadline);
+        m_waiters.insert(&timer);
+        const Registration registration{m_waiters, &timer};
+        (void)co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
 }
 
 } // namespace tamarackcove
--- a/lib/Control/State/SnapshotCodec.cpp
+++ b/lib/Control/State/SnapshotCodec.cpp
@@ -94,6 +94,11 @@
     });
     writeAll(out, contents.history, [&](const auto &delta) { writeDelta(out, *delta); });
     out.time(contents.lastExpiry);
+    writeAll(out, contents.zoneVotes, [&](const auto &entry) {
+        out.text(entry.first.value());
+        out.number(entry.second.number.value());
+        out.text(entry.second.candidate.value());
+    });
 }
 
 static ConfigurationState::Contents readContents(ByteReader &in)
@@ -126,6 +131,11 @@
         contents.history.push_back(std::move(delta));
     });
     contents.lastExpiry = in.time();
+    readAll(in, [&] {
+        auto &vote = contents.zoneVotes[Zone(in.text())];
+        vote.number = FencingNumber(in.number());
+        vote.candidate = EntryId(in.text());
+    });
     return contents;
 }
 
--- /dev/null
+++ b/lib/Control/Watchers/WatcherServer.cpp
@@ -0,0 +1,152 @@
+#include "tamarackcove/Control/Watchers/WatcherServer.h"
+
+#include "tamarackcove/Control/State/ReplicatedState.h"
+#include "tamarackcove/Control/Watchers/EntryRegistry.h"
+#include "tamarackcove/Control/Watchers/LeaderDuties.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Observe/Metrics.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Wire/ControlMessages.h"
+#include "tamarackcove/Wire/DeltaCodec.h"
+#include "tamarackcove/Wire/FramedConnection.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace tamarackcove {
+
+// A watching entry sends its next message within its own wait; a calling one closes its connection when idle for less.
+static constexpr milliseconds ReadTimeout = seconds(60);
+static constexpr milliseconds WriteTimeout = seconds(5);
+static constexpr milliseconds MaxWatchWait = seconds(30);
+// Leaves room in a frame for what is not counted byte by byte: services, fingerprints and the envelope.
+static constexpr std::size_t MaxPartBytes = 512 * 1024;
+
+WatcherServer::WatcherServer(Supervisor &connections, ControlParts parts)
+    : m_connections(connections)
+    , m_parts(parts)
+    , m_calls(parts)
+    , m_acceptor(connections.executor())
+{
+}
+
+Result<void, WireError> WatcherServer::listen(const Endpoint &endpoint)
+{
+    boost::system::error_code error;
+    const tcp::endpoint address(asio::ip::make_address(endpoint.host, error), endpoint.port);
+    if (!error) {
+        m_acceptor.open(address.protocol(), error);
+    }
+    if (!error) {
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        m_acceptor.bind(address, error);
+    }
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return WireError{WireErrorCode::ConnectFailed,
+                         "cannot listen on " + endpoint.toString() + ": " + error.message()};
+    }
+    return ok();
+}
+
+std::uint16_t WatcherServer::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+void WatcherServer::beginDrain()
+{
+    m_draining = true;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+asio::awaitable<void> WatcherServer::run()
+{
+    constexpr milliseconds AcceptPause{20};
+    while (m_acceptor.is_open()) {
+        auto [error, socket] = co_await m_acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+            break;
+        }
+        if (error) {
+            // Out of descriptors; waits for connections to end.
+            asio::steady_timer pause(m_connections.executor(), AcceptPause);
+            co_await pause.async_wait(asio::use_awaitable);
+            continue;
+        }
+        auto connection = std::make_shared<FramedConnection>(std::move(socket));
+        m_connections.startTemporary("entry-" + std::to_string(++m_accepted),
+                                     [this, connection]() -> asio::awaitable<void> { co_await serve(*connection); });
+    }
+}
+
+asio::awaitable<void> WatcherServer::serve(FramedConnection &connection)
+{
+    while (!m_draining) {
+        auto message = co_await connection.read(ReadTimeout);
+        if (message.has_error()) {
+            if (message.error().code != WireErrorCode::Closed && message.error().code != WireErrorCode::TimedOut) {
+                LogLine(LogLevel::Warning, "entry_connection_refused")
+                    .add("peer", connection.peerName())
+                    .add("reason", message.error().detail);
+            }
+            co_return;
+        }
+        if (message.value().type == WatchMessage::Type) {
+            auto watch = fromMessage<WatchMessage>(message.value());
+            if (watch.has_error() || !co_await answerWatch(connection, std::move(watch).value())) {
+                co_return;
+            }
+            continue;
+        }
+        auto reply = co_await m_calls.answer(std::move(message).value());
+        const auto written = co_await connection.write(std::move(reply), WriteTimeout);
+        if (written.has_error()) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> WatcherServer::answerWatch(FramedConnection &connection, WatchMessage watch)
+{
+    const Revision held(watch.revision);
+    m_parts.entries.heard(EntryId(watch.entry), Zone(watch.zone), held, Revision(watch.inForce), Clock::now());
+    co_await m_parts.state.waitForNewer(held, std::min(watch.wait, MaxWatchWait));
+    ConfigMessage reply;
+    const auto status = m_parts.log.status();
+    reply.leads = status.role == "leader";
+    reply.term = status.term;
+    const auto quota = m_parts.duties.budget().quotaOf(Zone(watch.zone));
+    reply.quotaLoadsPerSecond = quota.loadsPerSecond;
+    reply.quotaConcurrentLoads = quota.concurrentLoads;
+    const auto &state = m_parts.state.state();
+    // A replica that lags behind the entry has nothing for it; the entry never goes back.
+    if (state.serving().revision <= held) {
+        co_return !(co_await connection.write(toMessage(reply), WriteTimeout)).has_error();
+    }
+    const auto parts = splitDelta(state.changesSince(held), MaxPartBytes);
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        reply.last = i + 1 == parts.size();
+        reply.delta = encodeDelta(parts[i]);
+        const auto before = connection.bytesWritten();
+        const auto written = co_await connection.write(toMessage(reply), WriteTimeout);
+        if (written.has_error()) {
+            co_return false;
+        }
+        m_parts.metrics.count("watch_bytes_total", connection.bytesWritten() - before);
+    }
+    m_parts.metrics.count("watch_changes_total");
+    co_return true;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/tools/tamarackcove-control/main.cpp
@@ -0,0 +1,39 @@
+#include "tamarackcove/Control/ControlProcess.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Settings/SettingsFile.h"
+
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+using namespace tamarackcove;
+
+int main(int argc, char **argv)
+{
+    std::string path;
+    bool check = false;
+    try {
+        TCLAP::CmdLine line("control process of tamarackcove: a replica of the configuration", ' ',
+                            TAMARACKCOVE_VERSION);
+        line.setExceptionHandling(false);
+        TCLAP::ValueArg<std::string> settingsArg("s", "settings", "settings file", true, "", "FILE", line);
+        TCLAP::SwitchArg checkArg("c", "check", "check the settings file and exit", line);
+        line.parse(argc, argv);
+        path = settingsArg.getValue();
+        check = checkArg.getValue();
+    } catch (const TCLAP::ArgException &error) {
+        std::cerr << "tamarackcove-control: " << error.error() << ' ' << error.argId() << '\n';
+        return ExitUsage;
+    } catch (const TCLAP::ExitException &exit) {
+        return exit.getExitStatus();
+    }
+    const auto settings = loadControlSettings(path);
+    if (settings.has_error()) {
+        std::cerr << "tamarackcove-control: " << settings.error().detail << '\n';
+        return ExitUsage;
+    }
+    if (check) {
+        return 0;
+    }
+    initLogging("tamarackcove-control", settings.value().logLevel);
+    return runControlProcess(settings.value());
+}
