Add the entry's link to the control group

Cause: entries need the newest configuration, and calls that find the leader. Change: one watching task for each control host, a call channel that resends, held and active revisions; ControlNode holds the control tree without its process, so that both sides are tested together. Conclusion: an intent travels from create over confirm to an entry.

--- a/include/tamarackcove/Control/Watchers/WatcherServer.h
+++ b/include/tamarackcove/Control/Watchers/WatcherServer.h
@@ -2,6 +2,7 @@
 
 #include "tamarackcove/Base/Endpoint.h"
 #include "tamarackcove/Base/Result.h"
+#include "tamarackcove/Base/Time.h"
 #include "tamarackcove/Control/ControlParts.h"
 #include "tamarackcove/Control/Watchers/EntryCalls.h"
 #include "tamarackcove/Wire/WireError.h"
@@ -30,6 +31,8 @@
     boost::asio::awaitable<void> run();
     /// Stops accepting; open connections end after the answer they are in.
     void beginDrain();
+    /// Waits until no call is in progress, at most until the deadline. Returns whether none is. Watches may go on.
+    boost::asio::awaitable<bool> callsFinished(TimePoint deadline);
     /// Precondition: listen() has succeeded.
     [[nodiscard]] std::uint16_t port() const;
 
@@ -42,6 +45,8 @@
     EntryCalls m_calls;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint64_t m_accepted = 0;
+    std::size_t m_callsInProgress = 0;
+    std::uint16_t m_port = 0;
     bool m_draining = false;
 };
 
--- a/include/tamarackcove/Entry/ControlCalls.h
+++ b/include/tamarackcove/Entry/ControlCalls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackcove/Base/AdapterRef.h"
 #include "tamarackcove/Base/Ids.h"
 #include "tamarackcove/Base/Result.h"
 #include "tamarackcove/Base/Time.h"
@@ -49,12 +50,28 @@
 };
 
 /// The right to load from the weight store, for the whole zone. Valid until it runs out, counted from the sending of
-/// the request for it.
+/// the request for it. The newest permit replaces the one before at once, also when it allows less.
 struct StorePermit
 {
     double loadsPerSecond = 0;
     int concurrentLoads = 0;
     milliseconds validFor{0};
+    /// In a request: loads in progress on all targets of the zone, whoever ordered them.
+    int inFlight = 0;
+    /// In an answer: the partition quota of the zone; see StoreShare.
+    double quotaLoadsPerSecond = 0;
+    int quotaConcurrentLoads = 0;
+};
+
+/// What a zone coordinator shows on the status page about one target.
+struct TargetReport
+{
+    TargetId target;
+    std::string kind;
+    std::string health;
+    int running = 0;
+    int waiting = 0;
+    std::vector<AdapterRef> adapters;
 };
 
 /// How the other parts of an entry reach the control group.
@@ -81,6 +98,15 @@
                                                                      milliseconds lease)>
         zoneVote;
     std::function<bool()> connected;
+    /// Frees the key of a reserved call that certainly was not dispatched, so that a resend may run.
+    std::function<boost::asio::awaitable<Result<void, ControlError>>(std::string key)> releaseCall;
+    /// Sends what the coordinator of the zone sees to the status page; every few seconds.
+    std::function<void(Zone zone, FencingNumber number, std::vector<TargetReport> targets)> reportZone;
+    /// The highest fencing number that the control group is known to have voted for in this zone; a candidate needs a
+    /// higher one.
+    std::function<FencingNumber()> highestVote;
+    /// The partition quota of this zone as last told by the control group; only the quota fields are set.
+    std::function<StorePermit()> partitionQuota;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Wire/DeltaCodec.h
+++ b/include/tamarackcove/Wire/DeltaCodec.h
@@ -16,8 +16,9 @@
 /// Thread safe.
 [[nodiscard]] Result<ConfigurationDelta, WireError> decodeDelta(const nlohmann::json &body);
 
-/// Splits a delta into parts that each fit into a frame and that give the whole when they are applied in order. Every
-/// part has the `from` and `to` of the whole; only the first part of a full delta is full. Thread safe.
+/// Splits a delta into parts that each fit into a frame and that give the whole when they are applied or appended in
+/// order. The first part leads to the last revision already, so none may be used before the last one is there. Only the
+/// first part of a full delta is full. Thread safe.
 [[nodiscard]] std::vector<ConfigurationDelta> splitDelta(ConfigurationDelta delta, std::size_t maxBytes);
 
 } // namespace tamarackcove
--- a/lib/Control/Watchers/WatcherServer.cpp
+++ b/lib/Control/Watchers/WatcherServer.cpp
@@ -55,12 +55,24 @@
         return WireError{WireErrorCode::ConnectFailed,
                          "cannot listen on " + endpoint.toString() + ": " + error.message()};
     }
+    m_port = m_acceptor.local_endpoint().port();
     return ok();
 }
 
 std::uint16_t WatcherServer::port() const
 {
-    return m_acceptor.local_endpoint().port();
+    return m_port;
+}
+
+asio::awaitable<bool> WatcherServer::callsFinished(TimePoint deadline)
+{
+    constexpr milliseconds PollInterval{10};
+    asio::steady_timer timer(m_connections.executor());
+    while (m_callsInProgress > 0 && Clock::now() < deadline) {
+        timer.expires_after(PollInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_return m_callsInProgress == 0;
 }
 
 void WatcherServer::beginDrain()
@@ -109,6 +121,16 @@
             }
             continue;
         }
+        struct InProgress
+        {
+            std::size_t &count;
+            ~InProgress()
+            {
+                --count;
+            }
+        };
+        ++m_callsInProgress;
+        const InProgress call{m_callsInProgress};
         auto reply = co_await m_calls.answer(std::move(message).value());
         const auto written = co_await connection.write(std::move(reply), WriteTimeout);
         if (written.has_error()) {
--- /dev/null
+++ b/lib/Entry/Control/ControlHosts.cpp
@@ -0,0 +1,62 @@
+#include "tamarackcove/Entry/Control/ControlHosts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarackcove {
+
+ControlHosts::ControlHosts(std::vector<Endpoint> hosts)
+{
+    m_hosts.reserve(hosts.size());
+    for (auto &endpoint : hosts) {
+        m_hosts.push_back({.endpoint = std::move(endpoint), .heardAt = TimePoint::min()});
+    }
+}
+
+std::size_t ControlHosts::count() const
+{
+    return m_hosts.size();
+}
+
+const Endpoint &ControlHosts::endpoint(std::size_t host) const
+{
+    return m_hosts.at(host).endpoint;
+}
+
+void ControlHosts::heard(std::size_t host, bool leads, std::uint64_t term, TimePoint now)
+{
+    auto &entry = m_hosts.at(host);
+    entry.leads = leads;
+    entry.term = term;
+    entry.heardAt = now;
+}
+
+void ControlHosts::failed(std::size_t host)
+{
+    m_hosts.at(host).leads = false;
+}
+
+std::optional<std::size_t> ControlHosts::leader() const
+{
+    std::optional<std::size_t> best;
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        if (m_hosts[host].leads && (!best || m_hosts[host].term > m_hosts[*best].term)) {
+            best = host;
+        }
+    }
+    return best;
+}
+
+std::size_t ControlHosts::next()
+{
+    m_tried = leader().value_or((m_tried + 1) % m_hosts.size());
+    return m_tried;
+}
+
+bool ControlHosts::leaderHeardSince(TimePoint then) const
+{
+    return std::any_of(m_hosts.begin(), m_hosts.end(),
+                       [then](const Host &host) { return host.leads && host.heardAt >= then; });
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Entry/Control/ControlLink.cpp
@@ -0,0 +1,234 @@
+#include "tamarackcove/Entry/Control/ControlLink.h"
+
+#include "ControlLinkImpl.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Wire/Codec.h"
+#include "tamarackcove/Wire/ControlMessages.h"
+#include "tamarackcove/Wire/DeltaCodec.h"
+#include "tamarackcove/Wire/FramedConnection.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+static constexpr milliseconds WriteTimeout = seconds(1);
+
+ControlLink::Impl::Impl(Supervisor &parent, ControlOptions linkOptions, Hooks linkHooks)
+    : supervisor(parent)
+    , options(std::move(linkOptions))
+    , hooks(std::move(linkHooks))
+    , hosts(options.hosts)
+    , channel(options, hosts)
+    , random(options.seed ^ std::random_device{}())
+{
+}
+
+static asio::awaitable<void> sleepFor(milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> ControlLink::Impl::watchHost(std::size_t host)
+{
+    auto backoff = options.firstBackoff;
+    while (true) {
+        auto connected = co_await FramedConnection::connect(hosts.endpoint(host), options.connectTimeout);
+        if (connected.has_value()) {
+            const auto since = Clock::now();
+            co_await watch(host, *connected.value());
+            // A host that accepts and then closes at once is tried less and less often, too.
+            backoff = Clock::now() - since > options.maxBackoff ? options.firstBackoff : backoff;
+            LogLine(LogLevel::Warning, "control_host_lost").add("host", hosts.endpoint(host).toString());
+        }
+        hosts.failed(host);
+        // Entries that lost the same host must not all come back in the same instant.
+        const auto jitter = std::uniform_int_distribution<std::int64_t>(backoff.count() / 2, backoff.count())(random);
+        co_await sleepFor(milliseconds(jitter));
+        backoff = std::min(backoff * 2, options.maxBackoff);
+    }
+}
+
+asio::awaitable<void> ControlLink::Impl::watch(std::size_t host, FramedConnection &connection)
+{
+    constexpr milliseconds FirstPoll{100};
+    struct FirstFetch
+    {
+        bool &fetching;
+        bool mine;
+        ~FirstFetch()
+        {
+            fetching = mine ? false : fetching;
+        }
+    };
+    while (true) {
+        const bool first = !configuration.hasAny();
+        if (first && fetchingFirst) {
+            co_await sleepFor(FirstPoll);
+            continue;
+        }
+        fetchingFirst = fetchingFirst || first;
+        const FirstFetch fetch{fetchingFirst, first};
+        WatchMessage message;
+        message.entry = options.self.value();
+        message.zone = options.zone.value();
+        message.revision = configuration.newest().value();
+        message.inForce = configuration.inForce().revision.value();
+        const bool activating = message.inForce < message.revision;
+        message.wait = first ? milliseconds(0) : activating ? options.activationWait : options.watchWait;
+        const auto timeout = message.wait + options.answerTimeout;
+        const auto written = co_await connection.write(toMessage(message), WriteTimeout);
+        if (written.has_error() || !co_await readAnswer(host, connection, timeout)) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> ControlLink::Impl::readAnswer(std::size_t host, FramedConnection &connection,
+                                                    milliseconds timeout)
+{
+    HeldConfiguration::Parts parts;
+    bool any = false;
+    while (true) {
+        const auto received = co_await connection.read(timeout);
+        if (received.has_error()) {
+            co_return false;
+        }
+        const auto message = fromMessage<ConfigMessage>(received.value());
+        if (message.has_error()) {
+            LogLine(LogLevel::Warning, "control_answer_refused").add("reason", message.error().detail);
+            co_return false;
+        }
+        noteHost(host, message.value());
+        if (!message.value().delta.is_null()) {
+            auto delta = decodeDelta(message.value().delta);
+            auto added
+                = delta.has_error() ? Result<void, WireError>(delta.error()) : parts.add(std::move(delta).value());
+            if (added.has_error()) {
+                LogLine(LogLevel::Warning, "control_answer_refused").add("reason", added.error().detail);
+                co_return false;
+            }
+            any = true;
+        }
+        if (message.value().last) {
+            break;
+        }
+    }
+    if (any) {
+        hold(std::move(parts));
+    } else if (!configuration.hasAny()) {
+        configuration.holdEmpty();
+        inForceChanged();
+    }
+    co_return true;
+}
+
+void ControlLink::Impl::noteHost(std::size_t host, const ConfigMessage &message)
+{
+    hosts.heard(host, message.leads, message.term, Clock::now());
+    quota = {.loadsPerSecond = message.quotaLoadsPerSecond, .concurrentLoads = message.quotaConcurrentLoads};
+}
+
+void ControlLink::Impl::hold(HeldConfiguration::Parts parts)
+{
+    // Another control host may have brought the same revision in the meantime.
+    if (configuration.hold(std::move(parts))) {
+        announceHeld();
+    }
+}
+
+void ControlLink::Impl::announceHeld()
+{
+    const auto newest = configuration.newest();
+    if (hooks.onHeld) {
+        hooks.onHeld(newest);
+        return;
+    }
+    configuration.activate(newest);
+    inForceChanged();
+}
+
+void ControlLink::Impl::inForceChanged()
+{
+    if (hooks.onInForce) {
+        hooks.onInForce(configuration.inForce());
+    }
+}
+
+ControlLink::ControlLink(Supervisor &supervisor, ControlOptions options, Hooks hooks)
+    : m_impl(std::make_unique<Impl>(supervisor, std::move(options), std::move(hooks)))
+{
+}
+
+ControlLink::~ControlLink() = default;
+
+void ControlLink::start()
+{
+    auto &impl = *m_impl;
+    for (std::size_t host = 0; host < impl.hosts.count(); ++host) {
+        impl.supervisor.start("control-" + impl.hosts.endpoint(host).toString(),
+                              [&impl, host] { return impl.watchHost(host); }, {.restart = Restart::Always});
+    }
+}
+
+void ControlLink::activate(Revision revision)
+{
+    const auto before = m_impl->configuration.inForce().revision;
+    m_impl->configuration.activate(revision);
+    if (m_impl->configuration.inForce().revision != before) {
+        m_impl->inForceChanged();
+    }
+}
+
+const ServingConfiguration &ControlLink::inForce() const
+{
+    return m_impl->configuration.inForce();
+}
+
+Revision ControlLink::held() const
+{
+    return m_impl->configuration.newest();
+}
+
+bool ControlLink::hasConfiguration() const
+{
+    return m_impl->configuration.hasAny();
+}
+
+std::optional<std::pair<Revision, std::string>> ControlLink::exportHeld() const
+{
+    if (!m_impl->configuration.hasAny()) {
+        return std::nullopt;
+    }
+    const auto newest = m_impl->configuration.copyNewest();
+    std::string bytes;
+    nlohmann::json::to_msgpack(encodeDelta(fullDelta(newest)), bytes);
+    return std::pair(newest.revision, std::move(bytes));
+}
+
+bool ControlLink::importFromPeer(const std::string &bytes)
+{
+    const auto body = nlohmann::json::from_msgpack(bytes, true, false);
+    if (body.is_discarded()) {
+        return false;
+    }
+    auto delta = decodeDelta(body);
+    if (delta.has_error() || !delta.value().full) {
+        return false;
+    }
+    HeldConfiguration::Parts parts;
+    if (parts.add(std::move(delta).value()).has_error()) {
+        return false;
+    }
+    m_impl->hold(std::move(parts));
+    return true;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Entry/Control/ControlLinkImpl.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "tamarackcove/Entry/Control/CallChannel.h"
+#include "tamarackcove/Entry/Control/ControlHosts.h"
+#include "tamarackcove/Entry/Control/ControlLink.h"
+#include "tamarackcove/Entry/Control/HeldConfiguration.h"
+#include "tamarackcove/Residency/StorePermits.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <random>
+
+namespace tamarackcove {
+
+class FramedConnection;
+struct ConfigMessage;
+
+struct ControlLink::Impl
+{
+    Impl(Supervisor &parent, ControlOptions linkOptions, Hooks linkHooks);
+
+    /// The task of one control host: connects, watches, and connects again.
+    boost::asio::awaitable<void> watchHost(std::size_t host);
+    /// Watches over one connection until it fails.
+    boost::asio::awaitable<void> watch(std::size_t host, FramedConnection &connection);
+    /// Reads the parts of one answer. Returns false when the connection cannot be used any more.
+    boost::asio::awaitable<bool> readAnswer(std::size_t host, FramedConnection &connection, milliseconds timeout);
+    void noteHost(std::size_t host, const ConfigMessage &message);
+    void hold(HeldConfiguration::Parts parts);
+    void announceHeld();
+    void inForceChanged();
+
+    boost::asio::awaitable<Result<CallReservation, ControlError>> reserveCall(std::string key, std::uint64_t digest);
+    boost::asio::awaitable<Result<void, ControlError>> completeCall(std::string key, int status,
+                                                                    std::string contentType, std::string body);
+    boost::asio::awaitable<Result<void, ControlError>> releaseCall(std::string key);
+    boost::asio::awaitable<Result<StorePermit, ControlError>> requestPermit(Zone zone, FencingNumber number,
+                                                                            StorePermit wanted);
+    boost::asio::awaitable<Result<bool, ControlError>> zoneVote(Zone zone, EntryId candidate, FencingNumber number,
+                                                                milliseconds lease);
+    /// Sends a report in a task of its own, which tries for a while.
+    void report(Message message);
+    [[nodiscard]] bool connected() const;
+    std::string newAttempt();
+
+    Supervisor &supervisor;
+    ControlOptions options;
+    Hooks hooks;
+    ControlHosts hosts;
+    CallChannel channel;
+    HeldConfiguration configuration;
+    std::mt19937_64 random;
+    std::uint64_t attempts = 0;
+    std::uint64_t reports = 0;
+    std::size_t openReports = 0;
+    /// Set while one task fetches the first configuration, which may be large.
+    bool fetchingFirst = false;
+
+    /// The newest permit that was handed to the coordinator, for the fencing number it asked with.
+    FencingNumber permitFencing;
+    PermitStamp permitStamp;
+    StoreRights permitHeld;
+    TimePoint permitUntil;
+    StoreRights quota;
+    FencingNumber highestVote;
+};
+
+} // namespace tamarackcove
--- a/lib/Wire/DeltaCodec.cpp
+++ b/lib/Wire/DeltaCodec.cpp
@@ -133,7 +133,7 @@
 static ConfigurationDelta nextPart(const ConfigurationDelta &whole)
 {
     ConfigurationDelta part;
-    part.from = whole.from;
+    part.from = whole.to;
     part.to = whole.to;
     return part;
 }
--- /dev/null
+++ b/unittests/Entry/ControlLinkTest.cpp
@@ -0,0 +1,197 @@
+#include "tamarackcove/Entry/Control/ControlLink.h"
+
+#include "tamarackcove/Control/ControlNode.h"
+#include "tamarackcove/Http/HttpConnection.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using namespace tamarackcove;
+
+namespace {
+
+/// A control node of one and one entry that watches it.
+struct System
+{
+    System()
+        : folder(std::filesystem::temp_directory_path() / ("control-link-test-" + std::to_string(::getpid())))
+    {
+        std::filesystem::remove_all(folder);
+        ControlSettings settings;
+        settings.name = "c1";
+        settings.listen = {"127.0.0.1", 0};
+        settings.peerListen = {"127.0.0.1", 0};
+        settings.dataFolder = folder;
+        settings.zones = {Zone("a"), Zone("b")};
+        node = std::make_unique<ControlNode>(io.get_executor(), settings, ControlNode::Hooks{});
+        REQUIRE(node->open().has_value());
+        node->start();
+    }
+    ~System()
+    {
+        std::filesystem::remove_all(folder);
+    }
+
+    [[nodiscard]] ControlOptions options(const std::string &name) const
+    {
+        ControlOptions options;
+        options.self = EntryId(name);
+        options.zone = Zone("a");
+        options.hosts = {node->entries()};
+        return options;
+    }
+
+    asio::awaitable<json> post(std::string path, json body, int status = 200)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = std::move(path);
+        request.body = body.dump();
+        const auto response = co_await httpExchange(node->administration(), std::move(request), seconds(5));
+        REQUIRE(response.has_value());
+        CHECK(response.value().status == status);
+        co_return json::parse(response.value().body);
+    }
+
+    /// Creates an intent with one adapter and confirms its plan.
+    asio::awaitable<void> confirmAdapter(std::string name, std::string version)
+    {
+        json adapters = json::array();
+        adapters.push_back({{"name", name}, {"version", version}, {"base_model", "base"}, {"current", true}});
+        const auto intent = json{{"command_id", "create-" + name + version},
+                                 {"name", name},
+                                 {"service", "drafting"},
+                                 {"adapters", adapters}};
+        const auto plan = co_await post("/v1/intents", intent);
+        const auto confirm
+            = json{{"command_id", "confirm-" + name + version}, {"base_revision", plan.at("base_revision")}};
+        (void)co_await post("/v1/plans/" + plan.at("plan").get<std::string>() + "/confirm", confirm);
+    }
+
+    void run(std::function<asio::awaitable<void>()> client)
+    {
+        std::exception_ptr failure;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                co_await client();
+                co_await entry.stop();
+                co_await node->shutDown();
+            },
+            [&](std::exception_ptr error) { failure = error; });
+        io.run();
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    }
+
+    asio::io_context io;
+    std::filesystem::path folder;
+    std::unique_ptr<ControlNode> node;
+    Supervisor entry{io.get_executor(), "entry"};
+};
+
+asio::awaitable<void> until(std::function<bool()> condition)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    const auto deadline = Clock::now() + seconds(10);
+    while (!condition()) {
+        REQUIRE(Clock::now() < deadline);
+        timer.expires_after(milliseconds(5));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a confirmed plan reaches a watching entry and is in force there only once the entry activates it")
+{
+    System system;
+    std::vector<Revision> held;
+    ControlLink link(system.entry, system.options("e1"), {.onHeld = [&](Revision revision) {
+                         held.push_back(revision);
+                     }});
+    link.start();
+    system.run([&]() -> asio::awaitable<void> {
+        co_await until([&] { return link.hasConfiguration(); });
+        co_await system.confirmAdapter("rules", "1");
+        co_await until([&] { return link.held() == Revision(1); });
+        CHECK(link.inForce().adapters.size() == 0);
+        link.activate(Revision(1));
+        CHECK(link.inForce().adapters.currentVersion("rules") == AdapterRef("rules", "1"));
+        co_await system.confirmAdapter("rules", "2");
+        co_await until([&] { return link.held() == Revision(2); });
+        link.activate(Revision(2));
+        CHECK_FALSE(link.inForce().adapters.find(AdapterRef("rules", "1")));
+        CHECK(held == std::vector<Revision>{Revision(1), Revision(2)});
+    });
+}
+
+TEST_CASE("a call that may not be repeated is granted to one entry, and a resend gets the recorded answer")
+{
+    System system;
+    ControlLink first(system.entry, system.options("e1"), {});
+    ControlLink second(system.entry, system.options("e2"), {});
+    first.start();
+    second.start();
+    system.run([&]() -> asio::awaitable<void> {
+        auto calls = first.calls();
+        auto others = second.calls();
+        co_await until([&] { return calls.connected() && others.connected(); });
+        CHECK((co_await calls.reserveCall("k", 7)).value().outcome == ReservationOutcome::Granted);
+        CHECK((co_await calls.reserveCall("k", 7)).value().outcome == ReservationOutcome::InDoubt);
+        CHECK((co_await others.reserveCall("k", 8)).value().outcome == ReservationOutcome::KeyReused);
+        CHECK((co_await calls.completeCall("k", 201, "text/plain", "done")).has_value());
+        const auto resent = co_await others.reserveCall("k", 7);
+        CHECK(resent.value().outcome == ReservationOutcome::Completed);
+        CHECK(resent.value().status == 201);
+        CHECK(resent.value().body == "done");
+        CHECK((co_await calls.reserveCall("never-sent", 1)).value().outcome == ReservationOutcome::Granted);
+        CHECK((co_await calls.releaseCall("never-sent")).has_value());
+        CHECK((co_await others.reserveCall("never-sent", 1)).value().outcome == ReservationOutcome::Granted);
+    });
+}
+
+TEST_CASE("without a control host a call fails as certainly not recorded")
+{
+    System system;
+    auto options = system.options("e1");
+    options.hosts = {{"127.0.0.1", 1}};
+    options.callTimeout = milliseconds(200);
+    ControlLink link(system.entry, options, {});
+    system.run([&]() -> asio::awaitable<void> {
+        const auto reserved = co_await link.calls().reserveCall("k", 1);
+        REQUIRE(reserved.has_error());
+        CHECK(reserved.error().code == ControlErrorCode::Unavailable);
+        CHECK_FALSE(link.calls().connected());
+    });
+}
+
+TEST_CASE("an entry without a control host starts from what a peer holds, and refuses damaged bytes")
+{
+    System system;
+    ControlLink link(system.entry, system.options("e1"), {});
+    ControlLink restarted(system.entry, system.options("e2"), {});
+    link.start();
+    system.run([&]() -> asio::awaitable<void> {
+        co_await until([&] { return link.hasConfiguration(); });
+        co_await system.confirmAdapter("rules", "1");
+        co_await until([&] { return link.held() == Revision(1); });
+        const auto exported = link.exportHeld();
+        REQUIRE(exported);
+        CHECK_FALSE(restarted.importFromPeer(exported->second.substr(0, exported->second.size() / 2)));
+        CHECK_FALSE(restarted.hasConfiguration());
+        CHECK(restarted.importFromPeer(exported->second));
+        CHECK(restarted.held() == Revision(1));
+        CHECK(restarted.inForce().adapters.size() == 1);
+    });
+}
