--- /dev/null
+++ b/lib/Operator/ControlApi.cpp
@@ -0,0 +1,77 @@
+#include "tamarackcove/Operator/ControlApi.h"
+
+#include "tamarackcove/Http/HttpConnection.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cassert>
+#include <nlohmann/json.hpp>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+ControlApi::ControlApi(Options options)
+    : m_options(std::move(options))
+{
+    assert(!m_options.hosts.empty() && "at least one control host is needed");
+}
+
+/// The endpoint of `http://ip:port/path`.
+static std::optional<Endpoint> redirectTarget(const HttpResponse &response)
+{
+    constexpr std::string_view Scheme = "http://";
+    const auto location = response.headers.find("location");
+    if (response.status != 307 || !location || !location->starts_with(Scheme)) {
+        return std::nullopt;
+    }
+    const auto rest = location->substr(Scheme.size());
+    return Endpoint::parse(rest.substr(0, rest.find('/')));
+}
+
+static std::string errorMessage(const HttpResponse &response)
+{
+    const auto body = nlohmann::json::parse(response.body, nullptr, false);
+    if (body.is_object() && body.contains("error") && body["error"].is_object()) {
+        return body["error"].value("message", "status " + std::to_string(response.status));
+    }
+    return "status " + std::to_string(response.status);
+}
+
+asio::awaitable<Result<HttpResponse, UnreachableError>> ControlApi::send(HttpRequest request)
+{
+    const auto deadline = Clock::now() + m_options.timeout;
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    UnreachableError error;
+    std::size_t next = 0;
+    int redirects = 0;
+    std::optional<Endpoint> leader;
+    while (Clock::now() < deadline) {
+        const auto host = leader ? *leader : m_options.hosts[next++ % m_options.hosts.size()];
+        leader.reset();
+        auto copy = request;
+        auto response = co_await httpExchange(host, std::move(copy), m_options.tryTimeout);
+        if (response.has_error()) {
+            error.maybeDone = error.maybeDone || response.error().code != HttpErrorCode::ConnectFailed;
+            error.detail = host.toString() + ": " + response.error().detail;
+        } else if (auto target = redirectTarget(response.value())) {
+            leader = std::move(target);
+            error.detail = host.toString() + ": redirects without end";
+        } else if (response.value().status == 503 || response.value().status == 504) {
+            error.maybeDone = error.maybeDone || response.value().status == 504;
+            error.detail = errorMessage(response.value());
+        } else {
+            co_return std::move(response).value();
+        }
+        // Replicas may name a leader that is gone until they have elected a new one.
+        redirects = leader ? redirects + 1 : 0;
+        if (leader ? redirects > 1 : next % m_options.hosts.size() == 0) {
+            timer.expires_after(m_options.pause);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+    co_return error;
+}
+
+} // namespace tamarackcove
