--- /dev/null
+++ b/include/tamarackcove/Entry/Peers/PeerNetwork.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "tamarackcove/Base/Ids.h"
+#include "tamarackcove/Base/Result.h"
+#include "tamarackcove/Base/Time.h"
+#include "tamarackcove/Entry/Peers/PeerLink.h"
+#include "tamarackcove/Entry/Peers/PeerMessages.h"
+#include "tamarackcove/Entry/ZoneOptions.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tamarackcove {
+
+class FramedConnection;
+class Supervisor;
+
+/// The connections between this entry and others: one task for each peer of the zone, and one for each connection
+/// from the coordinator of another zone.
+///
+/// Of two entries of a zone, the one with the lower name connects. A new connection from a peer replaces the old one,
+/// which may have become silent without an error.
+/// Thread safety: used on one thread.
+class PeerNetwork
+{
+public:
+    struct Hooks {
+        std::function<HelloMessage()> hello;
+        std::function<void(PeerLink &link)> onUp;
+        std::function<void(PeerLink &link)> onDown;
+        std::function<void(PeerLink &link, const Message &message)> onMessage;
+        std::function<Message(PeerLink &link)> makeBeat;
+        std::function<milliseconds(const PeerLink &link)> beatInterval;
+        /// A coordinator of another zone has connected for the summaries of this zone.
+        std::function<void(PeerLink &link)> onForeignUp;
+        std::function<void(PeerLink &link)> onForeignDown;
+    };
+
+    /// Traffic of all links, closed ones included.
+    struct Traffic {
+        std::uint64_t bytesRead = 0;
+        std::uint64_t bytesWritten = 0;
+        std::uint64_t messagesRead = 0;
+        std::uint64_t messagesWritten = 0;
+    };
+
+    /// Precondition: the options outlive the object.
+    PeerNetwork(const ZoneOptions &options, Hooks hooks);
+    ~PeerNetwork();
+
+    Result<void, std::string> listen(const boost::asio::any_io_executor &executor);
+    [[nodiscard]] std::uint16_t port() const;
+    /// Starts the accepting task and one task for each peer to connect to. Precondition: listen() has succeeded.
+    void start(Supervisor &supervisor);
+
+    /// Sends to a peer of the zone. Returns false when there is no link to it.
+    bool send(const EntryId &peer, Message message);
+    void broadcast(const Message &message);
+    [[nodiscard]] PeerLink *link(const EntryId &peer) const;
+    [[nodiscard]] std::vector<PeerLink *> links() const;
+    [[nodiscard]] Traffic traffic() const;
+
+    /// Connects to another entry, here of another zone, and exchanges hellos.
+    boost::asio::awaitable<Result<std::pair<HelloMessage, std::unique_ptr<FramedConnection>>, std::string>>
+    greet(Endpoint endpoint);
+    [[nodiscard]] PeerLink::Options linkOptions() const;
+
+private:
+    using Links = std::map<EntryId, PeerLink *>;
+
+    boost::asio::awaitable<void> accept(Supervisor &supervisor);
+    boost::asio::awaitable<void> dial(ZonePeer peer);
+    boost::asio::awaitable<void> welcome(std::unique_ptr<FramedConnection> connection);
+    boost::asio::awaitable<void> runZoneLink(EntryId peer, std::unique_ptr<FramedConnection> connection);
+    boost::asio::awaitable<void> runForeignLink(EntryId peer, std::unique_ptr<FramedConnection> connection);
+    void addTraffic(const PeerLink &link);
+    [[nodiscard]] bool isZonePeer(const EntryId &peer) const;
+
+    const ZoneOptions &m_options;
+    Hooks m_hooks;
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    Links m_links;
+    std::vector<PeerLink *> m_foreign;
+    Traffic m_closedTraffic;
+};
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Entry/Peers/PeerLink.cpp
@@ -0,0 +1,148 @@
+#include "tamarackcove/Entry/Peers/PeerLink.h"
+
+#include "tamarackcove/Wire/FramedConnection.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+// Echoes come back within the lease; older heartbeats cannot extend it any more.
+static constexpr std::size_t RememberedBeats = 16;
+
+PeerLink::PeerLink(asio::any_io_executor executor, EntryId peer, std::unique_ptr<FramedConnection> connection,
+                   Options options, Hooks hooks)
+    : m_peer(std::move(peer))
+    , m_connection(std::move(connection))
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+    , m_wake(std::move(executor))
+    , m_nextBeat(Clock::now())
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+asio::awaitable<std::string> PeerLink::run()
+{
+    using namespace asio::experimental::awaitable_operators;
+    co_await (readLoop() || writeLoop());
+    close();
+    co_return m_reason;
+}
+
+asio::awaitable<void> PeerLink::readLoop()
+{
+    while (!m_closed) {
+        const auto message = co_await m_connection->read(m_options.silence);
+        if (message.has_error()) {
+            m_reason = message.error().detail;
+            co_return;
+        }
+        ++m_messagesRead;
+        m_hooks.onMessage(message.value());
+    }
+}
+
+asio::awaitable<void> PeerLink::writeLoop()
+{
+    while (!m_closed) {
+        if (m_queue.empty() && Clock::now() < m_nextBeat) {
+            m_wake.expires_at(m_nextBeat);
+            boost::system::error_code ignored;
+            co_await m_wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
+        }
+        Message message;
+        if (m_queue.empty()) {
+            const auto interval = m_hooks.beatInterval();
+            m_nextBeat = interval == milliseconds::max() ? TimePoint::max() : Clock::now() + interval;
+            message = m_hooks.makeBeat();
+        } else {
+            message = std::move(m_queue.front());
+            m_queue.pop_front();
+        }
+        const auto written = co_await m_connection->write(std::move(message), m_options.writeTimeout);
+        if (written.has_error()) {
+            m_reason = written.error().detail;
+            co_return;
+        }
+        ++m_messagesWritten;
+    }
+}
+
+void PeerLink::send(Message message)
+{
+    if (m_closed) {
+        return;
+    }
+    if (m_queue.size() >= m_options.maxQueued) {
+        m_reason = "peer takes no messages";
+        close();
+        return;
+    }
+    m_queue.push_back(std::move(message));
+    m_wake.cancel();
+}
+
+void PeerLink::beatNow()
+{
+    m_nextBeat = TimePoint::min();
+    m_wake.cancel();
+}
+
+void PeerLink::close()
+{
+    m_closed = true;
+    m_connection->close();
+    m_wake.cancel();
+}
+
+const EntryId &PeerLink::peer() const
+{
+    return m_peer;
+}
+
+std::uint64_t PeerLink::bytesRead() const
+{
+    return m_connection->bytesRead();
+}
+
+std::uint64_t PeerLink::bytesWritten() const
+{
+    return m_connection->bytesWritten();
+}
+
+std::uint64_t PeerLink::messagesRead() const
+{
+    return m_messagesRead;
+}
+
+std::uint64_t PeerLink::messagesWritten() const
+{
+    return m_messagesWritten;
+}
+
+std::uint64_t PeerLink::noteBeatSent(TimePoint now)
+{
+    m_beats.emplace(++m_beat, now);
+    if (m_beats.size() > RememberedBeats) {
+        m_beats.erase(m_beats.begin());
+    }
+    return m_beat;
+}
+
+std::optional<TimePoint> PeerLink::beatSentAt(std::uint64_t beat) const
+{
+    const auto found = m_beats.find(beat);
+    if (found == m_beats.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Membership/ReleaseRound.cpp
@@ -0,0 +1,82 @@
+#include "tamarackcove/Membership/ReleaseRound.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarackcove {
+
+ReleaseRound::ReleaseRound(Options options, TimePoint now)
+    : m_options(std::move(options))
+    , m_startedAt(now)
+{
+}
+
+void ReleaseRound::onAnswer(const EntryId &entry, bool released)
+{
+    if (!m_options.entries.contains(entry)) {
+        return;
+    }
+    if (released) {
+        m_released.insert(entry);
+    } else {
+        m_inUse = true;
+    }
+}
+
+void ReleaseRound::noteViewLeaseEnd(const EntryId &entry, TimePoint end)
+{
+    m_leaseEnds[entry] = end;
+}
+
+void ReleaseRound::noteEngineState(TimePoint askedAt, int running)
+{
+    if (running == 0) {
+        m_idleSince = std::max(m_idleSince, askedAt);
+    }
+}
+
+std::set<EntryId> ReleaseRound::silentEntries(TimePoint now) const
+{
+    std::set<EntryId> silent;
+    if (now - m_startedAt >= m_options.answerTimeout) {
+        std::set_difference(m_options.entries.begin(), m_options.entries.end(), m_released.begin(), m_released.end(),
+                            std::inserter(silent, silent.end()));
+    }
+    return silent;
+}
+
+TimePoint ReleaseRound::leasesEnd(TimePoint now) const
+{
+    TimePoint latest = TimePoint::min();
+    for (const auto &entry : silentEntries(now)) {
+        const auto end = m_leaseEnds.find(entry);
+        latest = std::max(latest, end == m_leaseEnds.end() ? TimePoint::max() : end->second);
+    }
+    return latest;
+}
+
+ReleaseState ReleaseRound::state(TimePoint now) const
+{
+    if (m_inUse) {
+        return ReleaseState::Refused;
+    }
+    if (m_released.size() == m_options.entries.size()) {
+        return ReleaseState::MayEvict;
+    }
+    if (now - m_startedAt > m_options.roundTimeout) {
+        return ReleaseState::Refused;
+    }
+    if (now - m_startedAt < m_options.answerTimeout) {
+        return ReleaseState::Waiting;
+    }
+    if (m_released.size() < m_options.minAnswers) {
+        return ReleaseState::Refused;
+    }
+    const auto end = leasesEnd(now);
+    if (now <= end) {
+        return ReleaseState::Waiting;
+    }
+    return m_idleSince > end ? ReleaseState::MayEvict : ReleaseState::NeedsEngineState;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Membership/ZoneElection.cpp
@@ -0,0 +1,170 @@
+#include "tamarackcove/Membership/ZoneElection.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace tamarackcove {
+
+EntryId controlGroupVoter()
+{
+    return EntryId("@control");
+}
+
+bool controlGroupVotes(std::size_t entries)
+{
+    return entries % 2 == 0;
+}
+
+ZoneElection::ZoneElection(Options options, TimePoint now)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_highest(m_options.firstNumber)
+{
+    assert(m_options.voters.contains(m_options.self) && "a candidate votes too");
+    m_nextCampaign = now;
+    if (m_options.voters.size() > 1) {
+        becomeIdle(now);
+    }
+}
+
+VoteRequest ZoneElection::request() const
+{
+    return VoteRequest {.candidate = m_options.self,
+                        .session = m_options.session,
+                        .number = m_number,
+                        .lease = m_options.lease};
+}
+
+ZoneElection::Round ZoneElection::startRound(TimePoint now)
+{
+    ++m_lastRound;
+    // A reply to a round older than the lease can no longer extend it.
+    std::erase_if(m_rounds, [&](const auto &round) { return now - round.second.at > m_options.lease; });
+    m_rounds[m_lastRound].at = now;
+    return Round {.kind = RoundKind::Request, .id = m_lastRound, .request = request()};
+}
+
+ZoneElection::Round ZoneElection::releaseRound()
+{
+    m_rounds.clear();
+    return Round {.kind = RoundKind::Release, .id = ++m_lastRound, .request = request()};
+}
+
+void ZoneElection::becomeIdle(TimePoint retryFrom)
+{
+    m_stage = Stage::Idle;
+    m_leaseEnd = TimePoint::min();
+    std::uniform_int_distribution<milliseconds::rep> delay(0, m_options.maxCampaignDelay.count());
+    m_nextCampaign = retryFrom + milliseconds(delay(m_random));
+}
+
+std::optional<ZoneElection::Round> ZoneElection::poll(TimePoint now, std::optional<TimePoint> otherPromiseEnd)
+{
+    if (m_resigned) {
+        return std::nullopt;
+    }
+    switch (m_stage) {
+    case Stage::Holding:
+        if (now >= m_leaseEnd) {
+            becomeIdle(now);
+            return releaseRound();
+        }
+        if (m_highest > m_number) {
+            becomeIdle(now);
+            m_nextCampaign = now;
+            return releaseRound();
+        }
+        if (now >= m_nextRenewal) {
+            m_nextRenewal = now + m_options.renewInterval;
+            return startRound(now);
+        }
+        return std::nullopt;
+    case Stage::Campaigning:
+        if (now < m_campaignEnd) {
+            return std::nullopt;
+        }
+        becomeIdle(now);
+        return releaseRound();
+    case Stage::Idle:
+        break;
+    }
+    if (otherPromiseEnd && *otherPromiseEnd > m_nextCampaign) {
+        becomeIdle(*otherPromiseEnd);
+    }
+    if (now < m_nextCampaign) {
+        return std::nullopt;
+    }
+    m_stage = Stage::Campaigning;
+    m_number = m_highest.next();
+    m_campaignEnd = now + m_options.campaignTimeout;
+    m_nextRenewal = now + m_options.renewInterval;
+    return startRound(now);
+}
+
+TimePoint ZoneElection::nextPoll() const
+{
+    if (m_resigned) {
+        return TimePoint::max();
+    }
+    switch (m_stage) {
+    case Stage::Holding:
+        return std::min(m_nextRenewal, m_leaseEnd);
+    case Stage::Campaigning:
+        return m_campaignEnd;
+    case Stage::Idle:
+        break;
+    }
+    return m_nextCampaign;
+}
+
+void ZoneElection::onReply(std::uint64_t roundId, const EntryId &voter, const VoteReply &reply)
+{
+    if (m_stage != Stage::Holding) {
+        m_highest = std::max(m_highest, reply.highest);
+    }
+    const auto round = m_rounds.find(roundId);
+    if (m_stage == Stage::Idle || !reply.granted || round == m_rounds.end() || !m_options.voters.contains(voter)) {
+        return;
+    }
+    round->second.granted.insert(voter);
+    if (round->second.granted.size() * 2 <= m_options.voters.size()) {
+        return;
+    }
+    if (m_stage == Stage::Campaigning) {
+        m_highest = m_number;
+    }
+    m_stage = Stage::Holding;
+    m_leaseEnd = std::max(m_leaseEnd, round->second.at + m_options.lease - m_options.clockMargin);
+}
+
+void ZoneElection::noteNumber(FencingNumber number)
+{
+    m_highest = std::max(m_highest, number);
+}
+
+std::optional<ZoneElection::Round> ZoneElection::resign()
+{
+    m_resigned = true;
+    if (m_stage == Stage::Idle) {
+        return std::nullopt;
+    }
+    becomeIdle(TimePoint::max() - m_options.maxCampaignDelay);
+    return releaseRound();
+}
+
+bool ZoneElection::holdsLease(TimePoint now) const
+{
+    return m_stage == Stage::Holding && now < m_leaseEnd;
+}
+
+TimePoint ZoneElection::leaseEnd() const
+{
+    return m_leaseEnd;
+}
+
+FencingNumber ZoneElection::number() const
+{
+    return m_number;
+}
+
+} // namespace tamarackcove
