--- a/include/tamarackcove/Entry/Peers/PeerLink.h
+++ b/include/tamarackcove/Entry/Peers/PeerLink.h
@@ -24,7 +24,8 @@
 class PeerLink
 {
 public:
-    struct Options {
+    struct Options
+    {
         /// The link fails when nothing arrives for this long.
         milliseconds silence = milliseconds(2500);
         milliseconds writeTimeout = seconds(2);
@@ -32,7 +33,8 @@
         std::size_t maxQueued = 4096;
     };
 
-    struct Hooks {
+    struct Hooks
+    {
         std::function<void(const Message &message)> onMessage;
         /// Makes the next heartbeat.
         std::function<Message()> makeBeat;
--- a/include/tamarackcove/Entry/Peers/PeerMessages.h
+++ b/include/tamarackcove/Entry/Peers/PeerMessages.h
@@ -12,7 +12,8 @@
 // Messages between entries. Those that are sent all the time are arrays without field names, which halves their size.
 
 /// The first message of either side.
-struct HelloMessage {
+struct HelloMessage
+{
     static constexpr const char *Type = "hello";
     std::string entry;
     std::string zone;
@@ -24,7 +25,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HelloMessage, entry, zone, session, coordinator)
 
 /// Heartbeat. From the zone coordinator it also renews the view lease of the receiver.
-struct BeatMessage {
+struct BeatMessage
+{
     static constexpr const char *Type = "beat";
     std::uint64_t beat = 0;
     /// The last beat that was received on this link.
@@ -42,7 +44,8 @@
 void to_json(nlohmann::json &json, const BeatMessage &message);
 void from_json(const nlohmann::json &json, BeatMessage &message);
 
-struct VoteMessage {
+struct VoteMessage
+{
     static constexpr const char *Type = "vote";
     std::uint64_t round = 0;
     std::string candidate;
@@ -54,7 +57,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(VoteMessage, round, candidate, session, number, leaseMs, release)
 
-struct VoteReplyMessage {
+struct VoteReplyMessage
+{
     static constexpr const char *Type = "vote_reply";
     std::uint64_t round = 0;
     bool granted = false;
@@ -66,12 +70,12 @@
 
 /// index, id, host, port, kind, service, base model, incarnation, fencing, health, slots, batch, running, waiting,
 /// adapters with their residency state
-using WireTarget
-    = std::tuple<std::uint32_t, std::string, std::string, std::uint16_t, int, std::string, std::string, std::uint64_t,
-                 int, int, int, int, int, int, std::vector<std::pair<std::string, int>>>;
+using WireTarget = std::tuple<std::uint32_t, std::string, std::string, std::uint16_t, int, std::string, std::string,
+                              std::uint64_t, int, int, int, int, int, int, std::vector<std::pair<std::string, int>>>;
 
 /// Changes of the view of the zone; sent by its coordinator.
-struct ViewMessage {
+struct ViewMessage
+{
     static constexpr const char *Type = "view";
     static constexpr int Absent = -1;
 
@@ -97,14 +101,16 @@
 /// adapter, waiting, highest priority, oldest wait in ms, arrivals
 using WireDemand = std::tuple<std::string, int, int, std::int64_t, int>;
 
-struct DemandMessage {
+struct DemandMessage
+{
     static constexpr const char *Type = "demand";
     std::vector<WireDemand> items;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandMessage, items)
 
 /// Asks an entry to release an adapter on a target.
-struct ReleaseMessage {
+struct ReleaseMessage
+{
     static constexpr const char *Type = "release";
     std::uint64_t round = 0;
     std::uint64_t number = 0;
@@ -113,7 +119,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReleaseMessage, round, number, target, adapter)
 
-struct ReleaseReplyMessage {
+struct ReleaseReplyMessage
+{
     static constexpr const char *Type = "release_reply";
     std::uint64_t round = 0;
     /// False when requests of the entry use the adapter.
@@ -122,19 +129,22 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReleaseReplyMessage, round, released)
 
 /// An announcement that an entry forwards to the coordinator, in the form in which targets send it.
-struct AnnounceMessage {
+struct AnnounceMessage
+{
     static constexpr const char *Type = "announce";
     nlohmann::json announcement;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnounceMessage, announcement)
 
-struct BrokenMessage {
+struct BrokenMessage
+{
     static constexpr const char *Type = "broken";
     std::string target;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BrokenMessage, target)
 
-struct CrashMessage {
+struct CrashMessage
+{
     static constexpr const char *Type = "crash_report";
     std::string target;
     std::uint64_t incarnation = 0;
@@ -142,20 +152,23 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashMessage, target, incarnation, fingerprints)
 
-struct ConfigHoldMessage {
+struct ConfigHoldMessage
+{
     static constexpr const char *Type = "config_hold";
     std::uint64_t revision = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigHoldMessage, revision)
 
-struct ConfigFetchMessage {
+struct ConfigFetchMessage
+{
     static constexpr const char *Type = "config_fetch";
     std::uint64_t revision = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigFetchMessage, revision)
 
 /// A part of a configuration, because a whole one may be longer than a frame.
-struct ConfigPartMessage {
+struct ConfigPartMessage
+{
     static constexpr const char *Type = "config_part";
     std::uint64_t revision = 0;
     std::uint32_t part = 0;
@@ -165,7 +178,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigPartMessage, revision, part, parts, bytes)
 
 /// Changes of what a zone holds; between the coordinators of two zones.
-struct ZoneSummaryMessage {
+struct ZoneSummaryMessage
+{
     static constexpr const char *Type = "zone_summary";
     std::uint64_t number = 0;
     bool full = false;
--- a/include/tamarackcove/Entry/Peers/PeerNetwork.h
+++ b/include/tamarackcove/Entry/Peers/PeerNetwork.h
@@ -30,7 +30,8 @@
 class PeerNetwork
 {
 public:
-    struct Hooks {
+    struct Hooks
+    {
         std::function<HelloMessage()> hello;
         std::function<void(PeerLink &link)> onUp;
         std::function<void(PeerLink &link)> onDown;
@@ -43,7 +44,8 @@
     };
 
     /// Traffic of all links, closed ones included.
-    struct Traffic {
+    struct Traffic
+    {
         std::uint64_t bytesRead = 0;
         std::uint64_t bytesWritten = 0;
         std::uint64_t messagesRead = 0;
--- a/include/tamarackcove/Entry/Targets/AnnouncementRelay.h
+++ b/include/tamarackcove/Entry/Targets/AnnouncementRelay.h
@@ -25,7 +25,8 @@
     /// Forgets what the coordinator has got, because it is another one now or the link to it is new.
     void resetForwarded();
 
-    struct Loads {
+    struct Loads
+    {
         /// Triples of target index, running and waiting.
         std::vector<std::uint32_t> triples;
         /// To pass as `after` next time.
@@ -39,7 +40,8 @@
     void tick(TimePoint now);
 
 private:
-    struct Known {
+    struct Known
+    {
         Announcement announcement;
         TimePoint at;
         std::uint64_t report = 0;
--- a/include/tamarackcove/Entry/ZoneOptions.h
+++ b/include/tamarackcove/Entry/ZoneOptions.h
@@ -38,14 +38,20 @@
 
     milliseconds lease = seconds(2);
     milliseconds renewInterval = milliseconds(500);
-    milliseconds heartbeatInterval = milliseconds(500);
+    /// Between entries of which neither is the coordinator.
+    milliseconds heartbeatInterval = milliseconds(1000);
+    /// To and from the coordinator; it also renews the view lease.
+    milliseconds coordinatorHeartbeatInterval = milliseconds(500);
     /// A link without a message for this long is silent.
-    milliseconds linkSilence = milliseconds(1500);
+    milliseconds linkSilence = milliseconds(2500);
     milliseconds viewInterval = milliseconds(200);
     /// An entry dispatches for this long after the heartbeat that the coordinator acknowledged last.
     milliseconds viewLease = seconds(2);
     milliseconds orderDeadline = seconds(10);
-    milliseconds planInterval = milliseconds(50);
+    /// How long the coordinator tries to have one adapter released.
+    milliseconds releaseTimeout = seconds(6);
+    /// The planner runs this often, and whenever demand or residency changes.
+    milliseconds planInterval = milliseconds(500);
     milliseconds suspectAfter = seconds(3);
     milliseconds goneAfter = seconds(10);
     milliseconds configurationHoldTimeout = milliseconds(1500);
@@ -70,6 +76,8 @@
     std::function<void(TargetId target, Incarnation incarnation, std::vector<std::uint64_t> fingerprints)> onCrash;
     /// The path that a load order names as `lora_path`. The default is the adapter as text.
     std::function<std::string(const AdapterRef &adapter)> loraPath;
+    /// The base model of an adapter. When set, orders go only to engines that serve it.
+    std::function<std::optional<BaseModel>(const AdapterRef &adapter)> baseModel;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Membership/ConfigurationHold.h
+++ b/include/tamarackcove/Membership/ConfigurationHold.h
@@ -18,7 +18,8 @@
 class ConfigurationHold
 {
 public:
-    struct Options {
+    struct Options
+    {
         EntryId self;
         /// The other entries of the zone.
         std::set<EntryId> peers;
--- a/include/tamarackcove/Membership/FailureDetector.h
+++ b/include/tamarackcove/Membership/FailureDetector.h
@@ -26,7 +26,8 @@
 class FailureDetector
 {
 public:
-    struct Options {
+    struct Options
+    {
         /// A link without a message for this long is silent.
         milliseconds silentAfter = milliseconds(1500);
         /// A report of another peer counts for this long.
@@ -51,7 +52,8 @@
     [[nodiscard]] std::vector<EntryId> peers(const Zone &zone) const;
 
 private:
-    struct Peer {
+    struct Peer
+    {
         Zone zone;
         TimePoint heardAt = TimePoint::min();
         TimePoint reportedAt = TimePoint::min();
--- a/include/tamarackcove/Membership/ReleaseMarks.h
+++ b/include/tamarackcove/Membership/ReleaseMarks.h
@@ -34,7 +34,8 @@
     [[nodiscard]] std::vector<Pair> takeEnded(TimePoint now);
 
 private:
-    struct Mark {
+    struct Mark
+    {
         FencingNumber releasedTo;
         TimePoint end;
     };
--- a/include/tamarackcove/Membership/ReleaseRound.h
+++ b/include/tamarackcove/Membership/ReleaseRound.h
@@ -28,7 +28,8 @@
 class ReleaseRound
 {
 public:
-    struct Options {
+    struct Options
+    {
         /// Every entry of the zone, the coordinator's own one included.
         std::set<EntryId> entries;
         /// Fewer answers than this refuse the eviction. A majority of the voters makes every later coordinator learn
--- a/include/tamarackcove/Membership/ZoneElection.h
+++ b/include/tamarackcove/Membership/ZoneElection.h
@@ -27,7 +27,8 @@
 class ZoneElection
 {
 public:
-    struct Options {
+    struct Options
+    {
         EntryId self;
         /// Entries of the zone, this one included, and the control group where it votes.
         std::set<EntryId> voters;
@@ -50,7 +51,8 @@
         Release,
     };
 
-    struct Round {
+    struct Round
+    {
         RoundKind kind = RoundKind::Request;
         std::uint64_t id = 0;
         VoteRequest request;
@@ -84,7 +86,8 @@
         Holding,
     };
 
-    struct Sent {
+    struct Sent
+    {
         TimePoint at;
         std::set<EntryId> granted;
     };
--- a/include/tamarackcove/Targets/AdapterResidency.h
+++ b/include/tamarackcove/Targets/AdapterResidency.h
@@ -38,7 +38,8 @@
 class AdapterResidency
 {
 public:
-    struct Options {
+    struct Options
+    {
         milliseconds firstBackOff = milliseconds(500);
         milliseconds maxBackOff = seconds(60);
     };
--- a/include/tamarackcove/Targets/Announcement.h
+++ b/include/tamarackcove/Targets/Announcement.h
@@ -4,13 +4,15 @@
 #include "tamarackcove/Base/Result.h"
 #include "tamarackcove/Targets/TargetView.h"
 
+#include <optional>
 #include <set>
 #include <string>
 
 namespace tamarackcove {
 
 /// What a target says of itself every second.
-struct Announcement {
+struct Announcement
+{
     TargetId id;
     Incarnation incarnation;
     Zone zone;
@@ -24,10 +26,11 @@
     bool leaving = false;
     int running = 0;
     int waiting = 0;
-    std::set<AdapterRef> adapters;
+    /// Nothing when the target left the list out, as engines do at times.
+    std::optional<std::set<AdapterRef>> adapters;
 };
 
-/// Whether two announcements differ in load figures only.
+/// Whether two announcements differ in load figures only. A list of adapters that was left out counts as equal.
 [[nodiscard]] bool sameApartFromLoad(const Announcement &left, const Announcement &right);
 
 /// Refuses nonsense, with a message that tells the operator of the target what to change. `zone` is the one of the
--- a/include/tamarackcove/Targets/TargetRegistry.h
+++ b/include/tamarackcove/Targets/TargetRegistry.h
@@ -23,11 +23,11 @@
 class TargetRegistry
 {
 public:
-    struct Options {
+    struct Options
+    {
         milliseconds suspectAfter = seconds(3);
         milliseconds goneAfter = seconds(10);
-        /// An adapter that became resident through an order is believed for this long even when an announcement lacks
-        /// it, because the announcement may be older than the order.
+        /// A change of an adapter is believed for this long even when announcements say otherwise: they lag.
         milliseconds reportLag = seconds(3);
         AdapterResidency::Options residency;
     };
@@ -40,7 +40,8 @@
         Outdated,
     };
 
-    struct ResidencyChange {
+    struct ResidencyChange
+    {
         TargetId target;
         AdapterRef adapter;
         /// Nothing when the target does not hold the adapter any more.
@@ -48,7 +49,8 @@
     };
 
     /// What changed since the last call of takeChanges().
-    struct Changes {
+    struct Changes
+    {
         /// Joined, restarted, or changed in more than health and residency: replace all that is known of them.
         std::set<TargetId> replaced;
         std::set<TargetId> gone;
@@ -69,8 +71,11 @@
 
     /// Returns whether the stage of the adapter changed.
     bool apply(const TargetId &target, const AdapterRef &adapter, ResidencyEvent event, TimePoint now);
-    /// What the engine said it holds, read while no order was under way on it. Replaces older knowledge.
-    void setHeld(const TargetId &target, const std::set<AdapterRef> &adapters, TimePoint now);
+    /// What the engine said it holds, asked for at `askedAt`. Changes since then are not undone.
+    void setHeld(const TargetId &target, const std::set<AdapterRef> &adapters, TimePoint askedAt, TimePoint now);
+    /// Targets whose announcements contradict what is known of their adapters. Announcements come late and with gaps,
+    /// so only the state of the engine itself, read because of this, changes residency.
+    [[nodiscard]] std::set<TargetId> takeContradicted();
 
     [[nodiscard]] ResidencyStage stage(const TargetId &target, const AdapterRef &adapter) const;
     [[nodiscard]] bool contains(const TargetId &target) const;
@@ -85,7 +90,8 @@
     [[nodiscard]] Changes takeChanges();
 
 private:
-    struct Target {
+    struct Target
+    {
         Announcement announced;
         TargetLifeCycle life;
         TimePoint announcedAt;
@@ -96,7 +102,7 @@
     };
 
     void noteEvent(Target &target, TargetEvent event);
-    void seeAnnouncedAdapters(Target &target, TimePoint now);
+    void checkAnnouncedAdapters(const Target &target, TimePoint now);
     bool applyTo(Target &target, const AdapterRef &adapter, ResidencyEvent event, TimePoint now);
 
     Options m_options;
@@ -104,6 +110,7 @@
     std::map<std::uint32_t, TargetId> m_byIndex;
     std::uint32_t m_lastIndex = 0;
     Changes m_changes;
+    std::set<TargetId> m_contradicted;
 };
 
 } // namespace tamarackcove
--- a/lib/Entry/Coordinator/LeastLoadedPlanner.cpp
+++ b/lib/Entry/Coordinator/LeastLoadedPlanner.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // An entry repeats its demand while requests wait; one that it no longer repeats is served or given up.
-constexpr seconds DemandLifetime {2};
+constexpr seconds DemandLifetime{2};
 
 class LeastLoadedPlanner
 {
@@ -36,12 +36,14 @@
     std::vector<ResidencyAction> plan(const PlanInput &input)
     {
         forgetOldDemand(input.now);
+        // What is resident waits no more, even when the entry has not said so yet.
+        std::erase_if(m_wanted, [&input](const auto &wanted) { return !input.view.holders(wanted.first).empty(); });
         std::vector<ResidencyAction> actions;
         std::map<TargetId, int> planned;
         // Retirements under way free a slot soon; one is enough for each adapter that waits.
         std::size_t freeing = retiring(input.view);
         for (const auto &[adapter, since] : m_wanted) {
-            if (!input.view.holders(adapter).empty() || input.view.isLoading(adapter)) {
+            if (input.view.isLoading(adapter)) {
                 continue;
             }
             if (const auto *target = leastLoadedWithSlot(input, adapter, planned)) {
@@ -101,7 +103,9 @@
                 || used >= target.adapterSlots || !input.mayLoad(id, adapter)) {
                 continue;
             }
-            const auto load = [](const TargetView &view) { return view.running + view.waiting; };
+            const auto load = [](const TargetView &view) {
+                return view.running + view.waiting;
+            };
             if (best == nullptr || load(target) < load(*best) || (load(target) == load(*best) && id < best->id)) {
                 best = &target;
             }
@@ -146,7 +150,9 @@
     hooks.noteDemand = [planner](const EntryId &from, const LoadDemand &demand, TimePoint now) {
         planner->noteDemand(from, demand, now);
     };
-    hooks.plan = [planner](const PlanInput &input) { return planner->plan(input); };
+    hooks.plan = [planner](const PlanInput &input) {
+        return planner->plan(input);
+    };
     return hooks;
 }
 
--- a/lib/Entry/Peers/PeerNetwork.cpp
+++ b/lib/Entry/Peers/PeerNetwork.cpp
@@ -17,10 +17,10 @@
 
 namespace tamarackcove {
 
-static constexpr milliseconds ConnectTimeout {1000};
-static constexpr milliseconds HelloTimeout {2000};
-static constexpr milliseconds FirstRedial {100};
-static constexpr milliseconds MaxRedial {1000};
+static constexpr milliseconds ConnectTimeout{1000};
+static constexpr milliseconds HelloTimeout{2000};
+static constexpr milliseconds FirstRedial{100};
+static constexpr milliseconds MaxRedial{1000};
 
 PeerNetwork::PeerNetwork(const ZoneOptions &options, Hooks hooks)
     : m_options(options)
@@ -71,11 +71,13 @@
 void PeerNetwork::start(Supervisor &supervisor)
 {
     // A peer may be away for any length of time, so the tasks that wait for it are restarted without limit.
-    const RestartPolicy policy {.restart = Restart::Always, .maxRestarts = 1000};
-    supervisor.start("peer_accept", [this, &supervisor] { return accept(supervisor); }, policy);
+    const RestartPolicy policy{.restart = Restart::Always, .maxRestarts = 1000};
+    supervisor.start(
+        "peer_accept", [this, &supervisor] { return accept(supervisor); }, policy);
     for (const auto &peer : m_options.peers) {
         if (isZonePeer(peer.id) && m_options.self < peer.id) {
-            supervisor.start("peer_" + peer.id.value(), [this, peer] { return dial(peer); }, policy);
+            supervisor.start(
+                "peer_" + peer.id.value(), [this, peer] { return dial(peer); }, policy);
         }
     }
 }
@@ -174,7 +176,7 @@
 
 PeerLink::Options PeerNetwork::linkOptions() const
 {
-    return PeerLink::Options {.silence = m_options.linkSilence};
+    return PeerLink::Options{.silence = m_options.linkSilence};
 }
 
 asio::awaitable<void> PeerNetwork::runZoneLink(EntryId peer, std::unique_ptr<FramedConnection> connection)
@@ -185,9 +187,15 @@
     }
     PeerLink *self = nullptr;
     PeerLink::Hooks hooks;
-    hooks.onMessage = [this, &self](const Message &message) { m_hooks.onMessage(*self, message); };
-    hooks.makeBeat = [this, &self] { return m_hooks.makeBeat(*self); };
-    hooks.beatInterval = [this, &self] { return m_hooks.beatInterval(*self); };
+    hooks.onMessage = [this, &self](const Message &message) {
+        m_hooks.onMessage(*self, message);
+    };
+    hooks.makeBeat = [this, &self] {
+        return m_hooks.makeBeat(*self);
+    };
+    hooks.beatInterval = [this, &self] {
+        return m_hooks.beatInterval(*self);
+    };
     PeerLink link(co_await asio::this_coro::executor, peer, std::move(connection), linkOptions(), std::move(hooks));
     self = &link;
     m_links[peer] = &link;
@@ -215,9 +223,14 @@
 asio::awaitable<void> PeerNetwork::runForeignLink(EntryId peer, std::unique_ptr<FramedConnection> connection)
 {
     PeerLink::Hooks hooks;
-    hooks.onMessage = [](const Message &) { };
-    hooks.makeBeat = [] { return toMessage(BeatMessage()); };
-    hooks.beatInterval = [this] { return m_options.heartbeatInterval; };
+    hooks.onMessage = [](const Message &) {
+    };
+    hooks.makeBeat = [] {
+        return toMessage(BeatMessage());
+    };
+    hooks.beatInterval = [this] {
+        return m_options.heartbeatInterval;
+    };
     PeerLink link(co_await asio::this_coro::executor, peer, std::move(connection), linkOptions(), std::move(hooks));
     m_foreign.push_back(&link);
     const auto leave = [&] {
--- a/lib/Entry/Peers/ViewEncoding.cpp
+++ b/lib/Entry/Peers/ViewEncoding.cpp
@@ -63,7 +63,7 @@
         = wire;
     TargetView target;
     target.id = TargetId(id);
-    target.endpoint = Endpoint {.host = host, .port = port};
+    target.endpoint = Endpoint{.host = host, .port = port};
     target.kind = kind == static_cast<int>(TargetKind::Service) ? TargetKind::Service : TargetKind::Engine;
     target.service = ServiceName(service);
     target.baseModel = BaseModel(baseModel);
--- a/lib/Entry/Targets/AnnouncementRelay.cpp
+++ b/lib/Entry/Targets/AnnouncementRelay.cpp
@@ -1,15 +1,21 @@
 #include "tamarackcove/Entry/Targets/AnnouncementRelay.h"
 
+#include <utility>
+
 namespace tamarackcove {
 
 // Longer than the time after which a silent target is gone.
-static constexpr seconds KnownFor {15};
+static constexpr seconds KnownFor{15};
 
 bool AnnouncementRelay::accept(const Announcement &announcement, TimePoint now)
 {
     auto &known = m_known[announcement.id];
     const bool changed = !known.forwarded || !sameApartFromLoad(known.announcement, announcement);
+    auto adapters = std::move(known.announcement.adapters);
     known.announcement = announcement;
+    if (!known.announcement.adapters) {
+        known.announcement.adapters = std::move(adapters);
+    }
     known.at = now;
     known.report = ++m_lastReport;
     known.forwarded = true;
@@ -27,7 +33,7 @@
 AnnouncementRelay::loadsAfter(std::uint64_t after,
                               const std::function<std::optional<std::uint32_t>(const TargetId &)> &index) const
 {
-    Loads loads {.triples = {}, .upTo = m_lastReport};
+    Loads loads{.triples = {}, .upTo = m_lastReport};
     for (const auto &[id, known] : m_known) {
         if (known.report <= after) {
             continue;
--- a/lib/Entry/Targets/Announcements.cpp
+++ b/lib/Entry/Targets/Announcements.cpp
@@ -154,9 +154,12 @@
     announcement.leaving = fields.flag("leaving");
     announcement.running = fields.count("running", 0);
     announcement.waiting = fields.count("waiting", 0);
-    for (const auto &name : fields.texts("adapters")) {
-        if (const auto adapter = AdapterRef::parse(name)) {
-            announcement.adapters.insert(*adapter);
+    if (json.contains("adapters")) {
+        auto &adapters = announcement.adapters.emplace();
+        for (const auto &name : fields.texts("adapters")) {
+            if (const auto adapter = AdapterRef::parse(name)) {
+                adapters.insert(*adapter);
+            }
         }
     }
     if (!fields.error().empty()) {
@@ -182,9 +185,11 @@
     json["leaving"] = announcement.leaving;
     json["running"] = announcement.running;
     json["waiting"] = announcement.waiting;
-    json["adapters"] = nlohmann::json::array();
-    for (const auto &adapter : announcement.adapters) {
-        json["adapters"].push_back(adapter.toString());
+    if (announcement.adapters) {
+        json["adapters"] = nlohmann::json::array();
+        for (const auto &adapter : *announcement.adapters) {
+            json["adapters"].push_back(adapter.toString());
+        }
     }
     return json;
 }
--- a/lib/Membership/ConfigurationHold.cpp
+++ b/lib/Membership/ConfigurationHold.cpp
@@ -40,8 +40,8 @@
 bool ConfigurationHold::majorityHolds(Revision revision) const
 {
     const auto holding = 1 + std::count_if(m_peers.begin(), m_peers.end(), [revision](const auto &peer) {
-        return peer.second >= revision;
-    });
+                             return peer.second >= revision;
+                         });
     return static_cast<std::size_t>(holding) * 2 > m_options.peers.size() + 1;
 }
 
@@ -49,7 +49,8 @@
 {
     std::optional<Revision> newest;
     for (const auto &[revision, deadline] : m_waiting) {
-        // Peers that hold a later revision hold what this one changed, so the newest that qualifies takes the rest along.
+        // Peers that hold a later revision hold what this one changed, so the newest that qualifies takes the rest
+        // along.
         if (now >= deadline || majorityHolds(revision)) {
             newest = revision;
         }
@@ -76,8 +77,8 @@
     // entries, rounded up, then include at least one other that holds it. Peers that hold nothing have just restarted
     // themselves and cannot tell.
     const auto entries = m_options.peers.size() + 1;
-    const auto known = std::count_if(m_peers.begin(), m_peers.end(),
-                                     [](const auto &peer) { return peer.second > Revision(); });
+    const auto known
+        = std::count_if(m_peers.begin(), m_peers.end(), [](const auto &peer) { return peer.second > Revision(); });
     return !m_options.peers.empty() && static_cast<std::size_t>(known) >= (entries + 1) / 2;
 }
 
@@ -86,9 +87,8 @@
     if (m_fromControl || !enoughPeersKnown()) {
         return std::nullopt;
     }
-    const auto newest = std::max_element(m_peers.begin(), m_peers.end(), [](const auto &left, const auto &right) {
-        return left.second < right.second;
-    });
+    const auto newest = std::max_element(
+        m_peers.begin(), m_peers.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
     if (newest->second <= m_held) {
         return std::nullopt;
     }
--- a/lib/Membership/ReleaseMarks.cpp
+++ b/lib/Membership/ReleaseMarks.cpp
@@ -12,7 +12,7 @@
     auto &mark = m_marks[pair];
     // A mark of an earlier coordinator may be passed on late; it must not hide that of a later one.
     if (releasedTo >= mark.releasedTo) {
-        mark = Mark {.releasedTo = releasedTo, .end = now + m_lifetime};
+        mark = Mark{.releasedTo = releasedTo, .end = now + m_lifetime};
     }
 }
 
--- a/lib/Membership/ZoneElection.cpp
+++ b/lib/Membership/ZoneElection.cpp
@@ -29,10 +29,8 @@
 
 VoteRequest ZoneElection::request() const
 {
-    return VoteRequest {.candidate = m_options.self,
-                        .session = m_options.session,
-                        .number = m_number,
-                        .lease = m_options.lease};
+    return VoteRequest{
+        .candidate = m_options.self, .session = m_options.session, .number = m_number, .lease = m_options.lease};
 }
 
 ZoneElection::Round ZoneElection::startRound(TimePoint now)
@@ -41,13 +39,13 @@
     // A reply to a round older than the lease can no longer extend it.
     std::erase_if(m_rounds, [&](const auto &round) { return now - round.second.at > m_options.lease; });
     m_rounds[m_lastRound].at = now;
-    return Round {.kind = RoundKind::Request, .id = m_lastRound, .request = request()};
+    return Round{.kind = RoundKind::Request, .id = m_lastRound, .request = request()};
 }
 
 ZoneElection::Round ZoneElection::releaseRound()
 {
     m_rounds.clear();
-    return Round {.kind = RoundKind::Release, .id = ++m_lastRound, .request = request()};
+    return Round{.kind = RoundKind::Release, .id = ++m_lastRound, .request = request()};
 }
 
 void ZoneElection::becomeIdle(TimePoint retryFrom)
--- a/lib/Membership/ZoneVoter.cpp
+++ b/lib/Membership/ZoneVoter.cpp
@@ -17,17 +17,17 @@
 VoteReply ZoneVoter::request(const VoteRequest &request, TimePoint now)
 {
     if (now < m_votesFrom) {
-        return VoteReply {.granted = false, .highest = m_highest};
+        return VoteReply{.granted = false, .highest = m_highest};
     }
     const bool extends = sameTerm(request, m_promised) && request.number == m_highest;
     const bool isFree = now >= m_promiseEnd;
     if (!extends && (!isFree || request.number <= m_highest)) {
-        return VoteReply {.granted = false, .highest = m_highest};
+        return VoteReply{.granted = false, .highest = m_highest};
     }
     m_promiseEnd = extends ? std::max(m_promiseEnd, now + request.lease) : now + request.lease;
     m_promised = request;
     m_highest = request.number;
-    return VoteReply {.granted = true, .highest = m_highest};
+    return VoteReply{.granted = true, .highest = m_highest};
 }
 
 void ZoneVoter::release(const VoteRequest &promised)
--- a/lib/Targets/AdapterResidency.cpp
+++ b/lib/Targets/AdapterResidency.cpp
@@ -12,35 +12,50 @@
 
 namespace {
 
-struct LoadOrdered {
+struct LoadOrdered
+{
 };
-struct Loaded {
+struct Loaded
+{
 };
-struct LoadFailed {
+struct LoadFailed
+{
 };
-struct RetireStarted {
+struct RetireStarted
+{
 };
-struct RetireRefused {
+struct RetireRefused
+{
 };
-struct Unloaded {
+struct Unloaded
+{
 };
-struct SeenResident {
+struct SeenResident
+{
 };
-struct SeenAbsent {
+struct SeenAbsent
+{
 };
-struct BackOffOver {
+struct BackOffOver
+{
 };
 
-struct ResidencyTable : msm::front::state_machine_def<ResidencyTable> {
-    struct Absent : msm::front::state<> {
+struct ResidencyTable : msm::front::state_machine_def<ResidencyTable>
+{
+    struct Absent : msm::front::state<>
+    {
     };
-    struct Loading : msm::front::state<> {
+    struct Loading : msm::front::state<>
+    {
     };
-    struct Resident : msm::front::state<> {
+    struct Resident : msm::front::state<>
+    {
     };
-    struct Retiring : msm::front::state<> {
+    struct Retiring : msm::front::state<>
+    {
     };
-    struct BackOff : msm::front::state<> {
+    struct BackOff : msm::front::state<>
+    {
     };
     using initial_state = Absent;
 
@@ -53,7 +68,8 @@
                              Row<Loading, Loaded, Resident>, Row<Loading, LoadFailed, BackOff>,
                              Row<Resident, RetireStarted, Retiring>, Row<Resident, SeenAbsent, Absent>,
                              Row<Retiring, RetireRefused, Resident>, Row<Retiring, Unloaded, Absent>,
-                             Row<BackOff, BackOffOver, Absent>, Row<BackOff, SeenResident, Resident>> {
+                             Row<BackOff, BackOffOver, Absent>, Row<BackOff, SeenResident, Resident>>
+    {
     };
 
     template<typename Machine, typename Event>
@@ -64,7 +80,8 @@
 
 } // namespace
 
-struct AdapterResidency::Machine : msm::back::state_machine<ResidencyTable> {
+struct AdapterResidency::Machine : msm::back::state_machine<ResidencyTable>
+{
 };
 
 AdapterResidency::AdapterResidency()
@@ -135,9 +152,9 @@
 ResidencyStage AdapterResidency::stage() const
 {
     // MSM numbers the states in the order in which the table names them first as a source.
-    static constexpr ResidencyStage Stages[] = {ResidencyStage::Absent, ResidencyStage::Loading,
-                                                ResidencyStage::Resident, ResidencyStage::Retiring,
-                                                ResidencyStage::BackOff};
+    static constexpr ResidencyStage Stages[]
+        = {ResidencyStage::Absent, ResidencyStage::Loading, ResidencyStage::Resident, ResidencyStage::Retiring,
+           ResidencyStage::BackOff};
     return Stages[m_machine->current_state()[0]];
 }
 
--- a/lib/Targets/Announcement.cpp
+++ b/lib/Targets/Announcement.cpp
@@ -28,7 +28,7 @@
         && left.kind == right.kind && left.service == right.service && left.endpoint == right.endpoint
         && left.baseModel == right.baseModel && left.adapterSlots == right.adapterSlots
         && left.maxBatch == right.maxBatch && left.fencing == right.fencing && left.leaving == right.leaving
-        && left.adapters == right.adapters;
+        && (!left.adapters || !right.adapters || left.adapters == right.adapters);
 }
 
 static Result<void, std::string> validateEngine(const Announcement &announcement)
@@ -42,8 +42,9 @@
     if (announcement.maxBatch < 1 || announcement.maxBatch > MaxBatchSize) {
         return "max_batch must be 1 to " + std::to_string(MaxBatchSize);
     }
-    if (announcement.adapters.size() > static_cast<std::size_t>(announcement.adapterSlots)) {
-        return "adapters holds " + std::to_string(announcement.adapters.size()) + " names, but adapter_slots is "
+    const auto held = announcement.adapters ? announcement.adapters->size() : 0;
+    if (held > static_cast<std::size_t>(announcement.adapterSlots)) {
+        return "adapters holds " + std::to_string(held) + " names, but adapter_slots is "
             + std::to_string(announcement.adapterSlots);
     }
     return ok();
@@ -76,7 +77,7 @@
     if (!isName(announcement.service.value())) {
         return std::string("service must name the service that the target provides");
     }
-    if (!announcement.adapters.empty()) {
+    if (announcement.adapters && !announcement.adapters->empty()) {
         return std::string("a service holds no adapters; leave adapters empty");
     }
     return ok();
--- a/lib/Targets/TargetLifeCycle.cpp
+++ b/lib/Targets/TargetLifeCycle.cpp
@@ -11,25 +11,35 @@
 
 namespace {
 
-struct Announced {
+struct Announced
+{
 };
-struct AnnouncedLeaving {
+struct AnnouncedLeaving
+{
 };
-struct Restarted {
+struct Restarted
+{
 };
-struct Missed {
+struct Missed
+{
 };
-struct Lost {
+struct Lost
+{
 };
 
-struct LifeCycleTable : msm::front::state_machine_def<LifeCycleTable> {
-    struct Serving : msm::front::state<> {
+struct LifeCycleTable : msm::front::state_machine_def<LifeCycleTable>
+{
+    struct Serving : msm::front::state<>
+    {
     };
-    struct Suspect : msm::front::state<> {
+    struct Suspect : msm::front::state<>
+    {
     };
-    struct Leaving : msm::front::state<> {
+    struct Leaving : msm::front::state<>
+    {
     };
-    struct Gone : msm::front::state<> {
+    struct Gone : msm::front::state<>
+    {
     };
     using initial_state = Serving;
 
@@ -44,7 +54,8 @@
                              Row<Suspect, AnnouncedLeaving, Leaving>, Row<Suspect, Restarted, Serving>,
                              Row<Suspect, Lost, Gone>, Row<Leaving, Restarted, Serving>, Row<Leaving, Lost, Gone>,
                              Row<Gone, Announced, Serving>, Row<Gone, Restarted, Serving>,
-                             Row<Gone, AnnouncedLeaving, Leaving>> {
+                             Row<Gone, AnnouncedLeaving, Leaving>>
+    {
     };
 
     template<typename Machine, typename Event>
@@ -55,7 +66,8 @@
 
 } // namespace
 
-struct TargetLifeCycle::Machine : msm::back::state_machine<LifeCycleTable> {
+struct TargetLifeCycle::Machine : msm::back::state_machine<LifeCycleTable>
+{
 };
 
 TargetLifeCycle::TargetLifeCycle()
--- a/lib/Targets/TargetRegistry.cpp
+++ b/lib/Targets/TargetRegistry.cpp
@@ -46,7 +46,7 @@
         target.index = ++m_lastIndex;
         m_byIndex[target.index] = announcement.id;
         target.life.apply(event);
-        seeAnnouncedAdapters(target, now);
+        checkAnnouncedAdapters(target, now);
         m_changes.gone.erase(announcement.id);
         m_changes.replaced.insert(announcement.id);
         return Outcome::Joined;
@@ -66,7 +66,7 @@
         target.adapters.clear();
         target.life.apply(TargetEvent::Restarted);
         target.life.apply(event);
-        seeAnnouncedAdapters(target, now);
+        checkAnnouncedAdapters(target, now);
         m_changes.replaced.insert(announcement.id);
         return Outcome::Restarted;
     }
@@ -76,10 +76,14 @@
     if (!sameApartFromLoad(comparable, target.announced)) {
         m_changes.replaced.insert(announcement.id);
     }
+    auto adapters = std::move(target.announced.adapters);
     target.announced = announcement;
+    if (!target.announced.adapters) {
+        target.announced.adapters = std::move(adapters);
+    }
     target.announcedAt = now;
     noteEvent(target, event);
-    seeAnnouncedAdapters(target, now);
+    checkAnnouncedAdapters(target, now);
     return Outcome::Updated;
 }
 
@@ -90,28 +94,31 @@
     }
 }
 
-void TargetRegistry::seeAnnouncedAdapters(Target &target, TimePoint now)
+void TargetRegistry::checkAnnouncedAdapters(const Target &target, TimePoint now)
 {
-    for (const auto &adapter : target.announced.adapters) {
-        const auto held = target.adapters.find(adapter);
-        const bool justUnloaded = held != target.adapters.end() && held->second.stage() == ResidencyStage::Absent
-            && now - held->second.since() < m_options.reportLag;
-        if (!justUnloaded) {
-            applyTo(target, adapter, ResidencyEvent::SeenResident, now);
-        }
-    }
-    std::vector<AdapterRef> absent;
-    for (const auto &[adapter, residency] : target.adapters) {
-        if (residency.stage() == ResidencyStage::Resident && !target.announced.adapters.contains(adapter)
-            && now - residency.since() > m_options.reportLag) {
-            absent.push_back(adapter);
-        }
+    if (!target.announced.adapters) {
+        return;
     }
-    for (const auto &adapter : absent) {
-        applyTo(target, adapter, ResidencyEvent::SeenAbsent, now);
+    const auto &listed = *target.announced.adapters;
+    const bool unknownListed = std::any_of(listed.begin(), listed.end(), [&](const AdapterRef &adapter) {
+        const auto held = target.adapters.find(adapter);
+        return held == target.adapters.end()
+            || (held->second.stage() == ResidencyStage::Absent && now - held->second.since() > m_options.reportLag);
+    });
+    const bool knownMissing = std::any_of(target.adapters.begin(), target.adapters.end(), [&](const auto &held) {
+        return held.second.stage() == ResidencyStage::Resident && !listed.contains(held.first)
+            && now - held.second.since() > m_options.reportLag;
+    });
+    if (unknownListed || knownMissing) {
+        m_contradicted.insert(target.announced.id);
     }
 }
 
+std::set<TargetId> TargetRegistry::takeContradicted()
+{
+    return std::exchange(m_contradicted, {});
+}
+
 void TargetRegistry::refresh(const TargetId &target, int running, int waiting, TimePoint now)
 {
     const auto found = m_targets.find(target);
@@ -121,9 +128,8 @@
     found->second.announced.running = running;
     found->second.announced.waiting = waiting;
     found->second.announcedAt = now;
-    noteEvent(found->second,
-              found->second.announced.leaving ? TargetEvent::AnnouncedLeaving : TargetEvent::Announced);
-    seeAnnouncedAdapters(found->second, now);
+    noteEvent(found->second, found->second.announced.leaving ? TargetEvent::AnnouncedLeaving : TargetEvent::Announced);
+    checkAnnouncedAdapters(found->second, now);
 }
 
 void TargetRegistry::tick(TimePoint now)
@@ -170,7 +176,7 @@
     const auto after = toState(held->second.stage());
     if (after != before) {
         m_changes.residency.push_back(
-            ResidencyChange {.target = target.announced.id, .adapter = adapter, .state = after});
+            ResidencyChange{.target = target.announced.id, .adapter = adapter, .state = after});
     }
     return true;
 }
@@ -181,16 +187,16 @@
     return found != m_targets.end() && applyTo(found->second, adapter, event, now);
 }
 
-void TargetRegistry::setHeld(const TargetId &target, const std::set<AdapterRef> &adapters, TimePoint now)
+void TargetRegistry::setHeld(const TargetId &target, const std::set<AdapterRef> &adapters, TimePoint askedAt,
+                             TimePoint now)
 {
     const auto found = m_targets.find(target);
     if (found == m_targets.end()) {
         return;
     }
-    found->second.announced.adapters = adapters;
     std::vector<AdapterRef> absent;
     for (const auto &[adapter, residency] : found->second.adapters) {
-        if (!adapters.contains(adapter)) {
+        if (!adapters.contains(adapter) && residency.since() < askedAt) {
             absent.push_back(adapter);
         }
     }
@@ -198,7 +204,10 @@
         applyTo(found->second, adapter, ResidencyEvent::SeenAbsent, now);
     }
     for (const auto &adapter : adapters) {
-        applyTo(found->second, adapter, ResidencyEvent::SeenResident, now);
+        const auto held = found->second.adapters.find(adapter);
+        if (held == found->second.adapters.end() || held->second.since() < askedAt) {
+            applyTo(found->second, adapter, ResidencyEvent::SeenResident, now);
+        }
     }
 }
 
--- /dev/null
+++ b/unittests/Entry/ZoneFixture.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "tamarackcove/Entry/ZoneMember.h"
+#include "tamarackcove/Http/HttpResponder.h"
+#include "tamarackcove/Http/HttpServer.h"
+#include "tamarackcove/Requests/PinTable.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Targets/ZoneView.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tamarackcove {
+
+/// An engine as far as the coordinator sees it.
+class StubEngine
+{
+public:
+    StubEngine(Supervisor &supervisor, std::string id, int slots)
+        : m_id(std::move(id))
+        , m_slots(slots)
+        , m_connections(supervisor.executor(), m_id)
+        , m_server(m_connections, {},
+                   [this](const HttpRequest &request, HttpResponder &responder) { return handle(request, responder); })
+    {
+        (void)m_server.listen({.host = "127.0.0.1", .port = 0});
+        supervisor.start(m_id, [this] { return m_server.run(); });
+    }
+
+    [[nodiscard]] HttpRequest announcement(bool leaving = false) const
+    {
+        const nlohmann::json body
+            = {{"id", m_id},          {"incarnation", 1},        {"zone", "a"},          {"kind", "engine"},
+               {"host", "127.0.0.1"}, {"port", m_server.port()}, {"base_model", "base"}, {"adapter_slots", m_slots},
+               {"max_batch", 8},      {"fencing", "refuses"},    {"leaving", leaving},   {"running", 1},
+               {"waiting", 0},        {"adapters", adapters}};
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/targets/announce";
+        request.body = body.dump();
+        return request;
+    }
+
+    std::set<std::string> adapters;
+    int loads = 0;
+    int unloads = 0;
+    std::uint64_t fencing = 0;
+    /// Loads to refuse.
+    int failures = 0;
+    std::function<void()> onUnload;
+
+private:
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder)
+    {
+        if (request.target == "/v1/state") {
+            nlohmann::json held = nlohmann::json::array();
+            for (const auto &adapter : adapters) {
+                held.push_back({{"name", adapter}, {"state", "resident"}, {"running", 0}});
+            }
+            const nlohmann::json state
+                = {{"id", m_id}, {"incarnation", 1}, {"fencing_number", fencing}, {"adapters", held}};
+            (void)co_await responder.send(jsonResponse(200, state.dump()));
+            co_return;
+        }
+        const auto adapter = nlohmann::json::parse(request.body).at("lora_name").get<std::string>();
+        fencing = std::stoull(std::string(*request.headers.find("x-fencing-number")));
+        if (request.target == "/v1/load_lora_adapter") {
+            ++loads;
+            if (failures > 0) {
+                --failures;
+                (void)co_await responder.send(jsonResponse(502, "{}"));
+                co_return;
+            }
+            adapters.insert(adapter);
+        } else {
+            ++unloads;
+            if (onUnload) {
+                onUnload();
+            }
+            adapters.erase(adapter);
+        }
+        (void)co_await responder.send(jsonResponse(200, "{}"));
+    }
+
+    std::string m_id;
+    int m_slots;
+    Supervisor m_connections;
+    HttpServer m_server;
+};
+
+/// One entry of a zone with its request path reduced to pins and demand.
+struct ZoneEntry
+{
+    explicit ZoneEntry(ZoneOptions options, ZoneHooks hooks = {})
+        : zone(std::move(options), std::move(hooks), pins)
+        , access(zone.access())
+    {
+    }
+
+    PinTable pins;
+    ZoneMember zone;
+    ZoneAccess access;
+};
+
+/// Runs a test body on its own io_context and stops everything after it.
+inline void runZoneTest(const std::function<boost::asio::awaitable<void>(Supervisor &root)> &body)
+{
+    boost::asio::io_context io;
+    Supervisor root(io.get_executor(), "test");
+    std::exception_ptr failure;
+    boost::asio::co_spawn(
+        io,
+        [&]() -> boost::asio::awaitable<void> {
+            try {
+                co_await body(root);
+            } catch (...) {
+                failure = std::current_exception();
+            }
+            co_await root.stop();
+            io.stop();
+        },
+        boost::asio::detached);
+    io.run();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+/// Waits until the condition holds. Returns false when it does not within the time.
+inline boost::asio::awaitable<bool> eventually(std::function<bool()> condition, milliseconds within = seconds(5))
+{
+    const auto end = Clock::now() + within;
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    while (!condition()) {
+        if (Clock::now() >= end) {
+            co_return false;
+        }
+        timer.expires_after(milliseconds(5));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    co_return true;
+}
+
+/// Ports that nothing listens on now; entries must know each other's ports before they start.
+inline std::vector<std::uint16_t> freePorts(std::size_t count)
+{
+    boost::asio::io_context io;
+    std::vector<boost::asio::ip::tcp::acceptor> held;
+    std::vector<std::uint16_t> ports;
+    for (std::size_t i = 0; i < count; ++i) {
+        held.emplace_back(io, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        ports.push_back(held.back().local_endpoint().port());
+    }
+    return ports;
+}
+
+} // namespace tamarackcove
