Add the request decisions and the entry's request path with a static configuration

Cause: the entry needs its request path before zone and control are merged. Change: admission, retry budget, waiting room, request life cycle, crash ledger, stream assembler, caller front end, target connections, resume, administration port, entry process with static settings.

--- /dev/null
+++ b/include/tamarackcove/Entry/Admin/AdminApi.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <string>
+
+namespace tamarackcove {
+
+class HttpResponder;
+class Metrics;
+struct HttpRequest;
+
+/// `GET /metrics`, `/healthz` and `/readyz` on the administration port of an entry.
+///
+/// Thread safety: used on the thread of its server.
+class AdminApi
+{
+public:
+    struct Hooks
+    {
+        /// Adds the gauges of the parts before the figures are written.
+        std::function<void(Metrics &metrics)> collect;
+        /// Why this entry cannot serve now; empty when it can.
+        std::function<std::string()> notReady;
+    };
+
+    /// Precondition: metrics outlives the object.
+    AdminApi(Metrics &metrics, Hooks hooks);
+
+    boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
+
+private:
+    Metrics &m_metrics;
+    Hooks m_hooks;
+};
+
+} // namespace tamarackcove
--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -45,6 +45,9 @@
     [[nodiscard]] bool reusable() const;
     /// When the peer last sent a byte; a connection that was silent for long may be dead without a sign.
     [[nodiscard]] TimePoint lastHeard() const;
+    /// Whether the peer has closed its side or sent something unasked; checked without waiting.
+    /// Precondition: no exchange is in progress.
+    [[nodiscard]] bool peerClosed() const;
     void close();
 
 private:
--- a/include/tamarackcove/Http/HttpError.h
+++ b/include/tamarackcove/Http/HttpError.h
@@ -6,6 +6,8 @@
 
 enum class HttpErrorCode {
     ConnectFailed,
+    /// The host answered that nobody listens there.
+    ConnectRefused,
     Closed,
     TimedOut,
     TooLarge,
--- /dev/null
+++ b/lib/Entry/Targets/EventScanner.cpp
@@ -0,0 +1,73 @@
+#include "tamarackcove/Entry/Targets/EventScanner.h"
+
+#include <charconv>
+
+namespace tamarackcove {
+
+// An event holds one token with its metadata; anything larger is not a completion stream.
+static constexpr std::size_t MaxEventBytes = 256 * 1024;
+static constexpr std::string_view EventEnd = "\n\n";
+
+static std::string_view afterKey(std::string_view event, std::string_view quotedKey)
+{
+    const auto at = event.find(quotedKey);
+    if (at == std::string_view::npos) {
+        return {};
+    }
+    auto rest = event.substr(at + quotedKey.size());
+    rest.remove_prefix(std::min(rest.size(), rest.find_first_not_of(' ')));
+    return rest;
+}
+
+StreamEvent EventScanner::read(std::string_view raw)
+{
+    StreamEvent event;
+    event.raw = raw;
+    if (raw.starts_with("data: [DONE]") || raw.starts_with("data:[DONE]")) {
+        event.done = true;
+        return event;
+    }
+    // A quote inside a JSON string is escaped, so generated text cannot contain these quoted keys.
+    const auto number = afterKey(raw, "\"offset\":");
+    std::uint64_t offset = 0;
+    if (std::from_chars(number.data(), number.data() + number.size(), offset).ec == std::errc()) {
+        event.offset = offset;
+        event.last = afterKey(raw, "\"finish_reason\":").starts_with('"');
+        return event;
+    }
+    event.error = afterKey(raw, "\"error\":").starts_with('{');
+    return event;
+}
+
+bool EventScanner::feed(std::string_view bytes, const std::function<bool(const StreamEvent &)> &onEvent)
+{
+    if (!m_partial.empty()) {
+        m_partial += bytes;
+        bytes = m_partial;
+    }
+    std::size_t start = 0;
+    while (true) {
+        const auto end = bytes.find(EventEnd, start);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        const auto next = end + EventEnd.size();
+        if (!onEvent(read(bytes.substr(start, next - start)))) {
+            return false;
+        }
+        start = next;
+    }
+    if (m_partial.empty()) {
+        m_partial = bytes.substr(start);
+    } else {
+        m_partial.erase(0, start);
+    }
+    return m_partial.size() <= MaxEventBytes;
+}
+
+void EventScanner::reset()
+{
+    m_partial.clear();
+}
+
+} // namespace tamarackcove
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -60,7 +60,9 @@
     stream.expires_after(timeout);
     std::tie(error) = co_await stream.async_connect(address, UseTuple);
     if (error) {
-        co_return HttpError{HttpErrorCode::ConnectFailed, endpoint.toString() + ": " + error.message()};
+        const bool refused = error == asio::error::connection_refused;
+        co_return HttpError{refused ? HttpErrorCode::ConnectRefused : HttpErrorCode::ConnectFailed,
+                            endpoint.toString() + ": " + error.message()};
     }
     stream.socket().set_option(tcp::no_delay(true), error);
     co_return std::unique_ptr<HttpConnection>(new HttpConnection(std::make_unique<Impl>(std::move(stream))));
@@ -170,6 +172,13 @@
     return m_impl->lastHeard;
 }
 
+bool HttpConnection::peerClosed() const
+{
+    char byte = 0;
+    const auto received = ::recv(m_impl->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void HttpConnection::close()
 {
     m_impl->broken = true;
--- /dev/null
+++ b/lib/Requests/WaitingRoom.cpp
@@ -0,0 +1,143 @@
+#include "tamarackcove/Requests/WaitingRoom.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace tamarackcove {
+
+WaitingRoom::WaitingRoom(Options options)
+    : m_options(options)
+{
+}
+
+std::int64_t WaitingRoom::level(const Waiter &waiter, TimePoint now) const
+{
+    return static_cast<std::int64_t>(waiter.priority) + (now - waiter.since) / m_options.ageStep;
+}
+
+WaitingRoom::Entry WaitingRoom::enter(const Waiter &waiter, TimePoint now)
+{
+    Entry entry;
+    const auto own = m_queues.find(waiter.adapter);
+    const bool adapterFull
+        = own != m_queues.end() && std::cmp_greater_equal(own->second.size(), m_options.maxPerAdapter);
+    if (adapterFull || std::cmp_greater_equal(size(), m_options.maxWaiting)) {
+        entry.displaced = displaceFor(waiter, adapterFull, now);
+        if (!entry.displaced) {
+            return entry;
+        }
+    }
+    entry.first = !m_queues.contains(waiter.adapter);
+    entry.ticket = ++m_lastTicket;
+    m_queues[waiter.adapter].emplace(*entry.ticket, waiter);
+    m_adapterOf.emplace(*entry.ticket, waiter.adapter);
+    return entry;
+}
+
+std::optional<WaitingRoom::Ticket> WaitingRoom::displaceFor(const Waiter &waiter, bool sameAdapter, TimePoint now)
+{
+    std::optional<Ticket> lowest;
+    auto lowestLevel = level(waiter, now);
+    for (const auto &[adapter, queue] : m_queues) {
+        if (sameAdapter && adapter != waiter.adapter) {
+            continue;
+        }
+        for (const auto &[ticket, waiting] : queue) {
+            if (level(waiting, now) < lowestLevel) {
+                lowestLevel = level(waiting, now);
+                lowest = ticket;
+            }
+        }
+    }
+    if (lowest) {
+        leave(*lowest);
+    }
+    return lowest;
+}
+
+void WaitingRoom::leave(Ticket ticket)
+{
+    const auto found = m_adapterOf.find(ticket);
+    if (found == m_adapterOf.end()) {
+        return;
+    }
+    const auto queue = m_queues.find(found->second);
+    queue->second.erase(ticket);
+    if (queue->second.empty()) {
+        m_queues.erase(queue);
+    }
+    m_adapterOf.erase(found);
+}
+
+std::vector<WaitingRoom::Ticket> WaitingRoom::release(const AdapterRef &adapter, TimePoint now)
+{
+    const auto queue = m_queues.find(adapter);
+    if (queue == m_queues.end()) {
+        return {};
+    }
+    std::vector<std::tuple<std::int64_t, TimePoint, TimePoint, Ticket>> order;
+    for (const auto &[ticket, waiter] : queue->second) {
+        order.emplace_back(-level(waiter, now), waiter.deadline, waiter.since, ticket);
+        m_adapterOf.erase(ticket);
+    }
+    m_queues.erase(queue);
+    std::sort(order.begin(), order.end());
+    std::vector<Ticket> released;
+    released.reserve(order.size());
+    for (const auto &entry : order) {
+        released.push_back(std::get<Ticket>(entry));
+    }
+    return released;
+}
+
+std::vector<WaitingRoom::Ticket> WaitingRoom::expire(TimePoint now)
+{
+    std::vector<Ticket> expired;
+    for (const auto &[adapter, queue] : m_queues) {
+        for (const auto &[ticket, waiter] : queue) {
+            if (waiter.deadline <= now) {
+                expired.push_back(ticket);
+            }
+        }
+    }
+    for (const auto ticket : expired) {
+        leave(ticket);
+    }
+    return expired;
+}
+
+std::vector<LoadDemand> WaitingRoom::demand(TimePoint now) const
+{
+    std::vector<LoadDemand> demands;
+    demands.reserve(m_queues.size());
+    for (const auto &[adapter, queue] : m_queues) {
+        LoadDemand demand;
+        demand.adapter = adapter;
+        demand.highest = Priority::Low;
+        for (const auto &[ticket, waiter] : queue) {
+            ++demand.waiting;
+            demand.highest = std::max(demand.highest, waiter.priority);
+            demand.oldestWait = std::max(demand.oldestWait, duration_cast<milliseconds>(now - waiter.since));
+        }
+        demands.push_back(std::move(demand));
+    }
+    return demands;
+}
+
+std::vector<AdapterRef> WaitingRoom::adapters() const
+{
+    std::vector<AdapterRef> adapters;
+    adapters.reserve(m_queues.size());
+    for (const auto &[adapter, queue] : m_queues) {
+        adapters.push_back(adapter);
+    }
+    return adapters;
+}
+
+std::size_t WaitingRoom::size() const
+{
+    return m_adapterOf.size();
+}
+
+} // namespace tamarackcove
