--- a/include/tamarackcove/Http/HttpResponder.h
+++ b/include/tamarackcove/Http/HttpResponder.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Http/HttpResponse.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <string_view>
 
 namespace tamarackcove {
@@ -30,6 +31,11 @@
     [[nodiscard]] virtual bool started() const = 0;
     /// Whether the caller has closed its side; checked without waiting.
     [[nodiscard]] virtual bool callerGone() const = 0;
+    /// The number of the connection, in the order in which the server accepted them; 0 outside a server.
+    [[nodiscard]] virtual std::uint64_t connectionNumber() const
+    {
+        return 0;
+    }
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Http/HttpServer.h
+++ b/include/tamarackcove/Http/HttpServer.h
@@ -43,6 +43,8 @@
     /// The bound port. Precondition: listen() has succeeded.
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t openConnections() const;
+    /// The number of the connection that was accepted last.
+    [[nodiscard]] std::uint64_t acceptedConnections() const;
     /// Connections that are inside a request.
     [[nodiscard]] std::size_t busyConnections() const;
 
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -54,9 +54,10 @@
 class ServerConnection final : public HttpResponder
 {
 public:
-    ServerConnection(HttpServer::Impl &server, tcp::socket socket)
+    ServerConnection(HttpServer::Impl &server, tcp::socket socket, std::uint64_t number)
         : m_server(server)
         , m_stream(std::move(socket))
+        , m_number(number)
     {
         m_server.open.insert(this);
     }
@@ -79,6 +80,10 @@
         return m_started;
     }
     [[nodiscard]] bool callerGone() const override;
+    [[nodiscard]] std::uint64_t connectionNumber() const override
+    {
+        return m_number;
+    }
 
 private:
     asio::awaitable<bool> readRequest(HttpRequest &request);
@@ -89,6 +94,7 @@
 
     HttpServer::Impl &m_server;
     mutable beast::tcp_stream m_stream;
+    std::uint64_t m_number;
     beast::flat_buffer m_buffer;
     bool m_started = false;
     bool m_streaming = false;
@@ -309,9 +315,10 @@
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
         auto shared = std::make_shared<tcp::socket>(std::move(socket));
-        impl.connections.startTemporary(fmt::format("connection-{}", ++impl.accepted),
-                                        [&impl, shared]() -> asio::awaitable<void> {
-                                            ServerConnection connection(impl, std::move(*shared));
+        const auto number = ++impl.accepted;
+        impl.connections.startTemporary(fmt::format("connection-{}", number),
+                                        [&impl, shared, number]() -> asio::awaitable<void> {
+                                            ServerConnection connection(impl, std::move(*shared), number);
                                             co_await connection.run();
                                         });
     }
@@ -337,6 +344,11 @@
     return m_impl->open.size();
 }
 
+std::uint64_t HttpServer::acceptedConnections() const
+{
+    return m_impl->accepted;
+}
+
 std::size_t HttpServer::busyConnections() const
 {
     return m_impl->busy;
