Add the load generator

Cause: the promises can only be judged by a client that recomputes every token. Ruled out: closed-loop load, because it slows down with the system and hides stalls.

--- /dev/null
+++ b/include/tamarackcove/Load/AnswerChecker.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace tamarackcove {
+
+struct TracedRequest;
+
+enum class AnswerVerdict {
+    Right,
+    /// Tokens are missing, in the middle or at the end.
+    Cut,
+    /// A token came twice, or after the end.
+    Doubled,
+    WrongAdapter,
+    /// The answer belongs to another request.
+    Crossed,
+};
+
+[[nodiscard]] std::string_view toString(AnswerVerdict verdict);
+
+/// Compares an answer of a simulated engine with what the request asked. Thread safe.
+[[nodiscard]] AnswerVerdict checkAnswer(const TracedRequest &request, std::string_view text);
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Load/AnswerChecker.cpp
@@ -0,0 +1,55 @@
+#include "tamarackcove/Load/AnswerChecker.h"
+
+#include "tamarackcove/Engine/TokenFunction.h"
+#include "tamarackcove/Load/TraceGenerator.h"
+
+namespace tamarackcove {
+
+std::string_view toString(AnswerVerdict verdict)
+{
+    switch (verdict) {
+    case AnswerVerdict::Right:
+        return "right";
+    case AnswerVerdict::Cut:
+        return "cut";
+    case AnswerVerdict::Doubled:
+        return "doubled";
+    case AnswerVerdict::WrongAdapter:
+        return "wrong_adapter";
+    case AnswerVerdict::Crossed:
+        return "crossed";
+    }
+    return "right";
+}
+
+AnswerVerdict checkAnswer(const TracedRequest &request, std::string_view text)
+{
+    const TokenFunction expected(request.adapter, request.prompt);
+    std::size_t count = 0;
+    while (!text.empty()) {
+        const auto end = text.find(' ');
+        const auto token = TokenFunction::parse(text.substr(0, end));
+        if (!token || end == std::string_view::npos) {
+            return AnswerVerdict::Cut;
+        }
+        const auto wanted = expected.parts(count);
+        if (token->promptMark != wanted.promptMark) {
+            return AnswerVerdict::Crossed;
+        }
+        if (token->adapterMark != wanted.adapterMark) {
+            return AnswerVerdict::WrongAdapter;
+        }
+        if (token->offset != wanted.offset) {
+            return token->offset < wanted.offset ? AnswerVerdict::Doubled : AnswerVerdict::Cut;
+        }
+        ++count;
+        text.remove_prefix(end + 1);
+    }
+    const auto tokens = static_cast<std::size_t>(request.answerTokens);
+    if (count == tokens) {
+        return AnswerVerdict::Right;
+    }
+    return count < tokens ? AnswerVerdict::Cut : AnswerVerdict::Doubled;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Load/ConnectionPool.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "tamarackcove/Base/Endpoint.h"
+#include "tamarackcove/Http/HttpConnection.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace tamarackcove {
+
+/// Idle connections by endpoint.
+///
+/// Thread safety: used on one thread.
+class ConnectionPool
+{
+public:
+    /// An idle connection, or null.
+    std::unique_ptr<HttpConnection> take(const Endpoint &endpoint)
+    {
+        auto &idle = m_idle[endpoint];
+        if (idle.empty()) {
+            return nullptr;
+        }
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        return connection;
+    }
+    /// Keeps the connection when it can serve another request.
+    void give(const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection)
+    {
+        if (connection->reusable()) {
+            m_idle[endpoint].push_back(std::move(connection));
+        }
+    }
+
+private:
+    std::map<Endpoint, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
+};
+
+} // namespace tamarackcove
