--- a/tools/tamarackcove-entry/main.cpp
+++ b/tools/tamarackcove-entry/main.cpp
@@ -2,45 +2,33 @@
 #include "tamarackcove/Entry/EntrySettings.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Settings/SettingsFile.h"
+#include "tamarackcove/Settings/ToolCommandLine.h"
 
 #include <cstdio>
-#include <string>
-#include <tclap/CmdLine.h>
+#include <utility>
 
 using namespace tamarackcove;
 
 int main(int argc, char **argv)
 {
-    std::string path;
-    bool checkOnly = false;
-    try {
-        TCLAP::CmdLine command("Serves callers and dispatches their requests to the targets of its zone", ' ',
-                               TAMARACKCOVE_VERSION);
-        command.setExceptionHandling(false);
-        TCLAP::ValueArg<std::string> settingsArg("", "settings", "settings file (JSON)", true, "", "file", command);
-        TCLAP::SwitchArg checkArg("", "check", "check the settings and exit", command);
-        command.parse(argc, argv);
-        path = settingsArg.getValue();
-        checkOnly = checkArg.getValue();
-    } catch (const TCLAP::ExitException &exit) {
-        return exit.getExitStatus();
-    } catch (const TCLAP::ArgException &error) {
-        std::fprintf(stderr, "tamarackcove-entry: %s %s, see --help\n", error.error().c_str(), error.argId().c_str());
-        return ExitUsage;
+    int exitCode = 0;
+    const auto command = parseCommandLine(argc, argv, "serves callers and dispatches their requests to targets",
+                                          TAMARACKCOVE_VERSION, exitCode, {});
+    if (!command) {
+        return exitCode;
     }
-    auto settings = loadEntrySettings(path);
+    auto settings = loadEntrySettings(command->settingsPath);
     if (settings.has_error()) {
-        std::fprintf(stderr, "tamarackcove-entry: %s\n", settings.error().detail.c_str());
+        (void)std::fprintf(stderr, "tamarackcove-entry: %s\n", settings.error().detail.c_str());
         return ExitUsage;
     }
-    if (checkOnly) {
-        std::printf("settings are valid\n");
+    if (command->check) {
         return 0;
     }
     initLogging("tamarackcove-entry " + settings.value().name.value(), settings.value().logLevel);
     EntryProcess process(std::move(settings.value()));
     if (const auto listening = process.listen(); listening.has_error()) {
-        std::fprintf(stderr, "tamarackcove-entry: %s\n", listening.error().c_str());
+        (void)std::fprintf(stderr, "tamarackcove-entry: %s\n", listening.error().c_str());
         return ExitUsage;
     }
     return process.run();
