Cut the cost of HTTP reads and writes

Cause: an entry spent 29 to 30 us of processor time per relayed token, half of it outside the kernel. Ruled out: fewer writes per token; pieces that arrive together are already written together. Change: one timer per connection that follows its deadline instead of one per operation, writes that try the kernel first, and a body parser that takes all arrived chunks at once.

--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -1,15 +1,13 @@
 #include "tamarackcove/Http/HttpConnection.h"
 
 #include "HttpConversion.h"
+#include "TimedSocket.h"
 
-#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
 #include <fmt/format.h>
@@ -22,19 +20,18 @@
 namespace tamarackcove {
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-static constexpr std::size_t PieceBytes = 16 * 1024;
+static constexpr std::size_t ReadBytes = 8 * 1024;
 
 struct HttpConnection::Impl
 {
-    explicit Impl(beast::tcp_stream openStream)
-        : stream(std::move(openStream))
+    explicit Impl(tcp::socket openSocket)
+        : socket(std::move(openSocket))
     {
     }
 
-    beast::tcp_stream stream;
+    TimedSocket socket;
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::buffer_body>> parser;
-    std::array<char, PieceBytes> piece{};
     std::size_t requestBytesWritten = 0;
     TimePoint lastHeard = Clock::now();
     bool broken = false;
@@ -56,16 +53,19 @@
     if (error) {
         co_return HttpError{HttpErrorCode::ConnectFailed, endpoint.toString() + " is not an ip number and port"};
     }
-    beast::tcp_stream stream(co_await asio::this_coro::executor);
-    stream.expires_after(timeout);
-    std::tie(error) = co_await stream.async_connect(address, UseTuple);
+    auto impl = std::make_unique<Impl>(tcp::socket(co_await asio::this_coro::executor));
+    impl->socket.expireAfter(timeout);
+    std::tie(error) = co_await impl->socket.socket().async_connect(address, UseTuple);
+    error = impl->socket.cause(error);
+    impl->socket.expireNever();
     if (error) {
         const bool refused = error == asio::error::connection_refused;
         co_return HttpError{refused ? HttpErrorCode::ConnectRefused : HttpErrorCode::ConnectFailed,
                             endpoint.toString() + ": " + error.message()};
     }
-    stream.socket().set_option(tcp::no_delay(true), error);
-    co_return std::unique_ptr<HttpConnection>(new HttpConnection(std::make_unique<Impl>(std::move(stream))));
+    impl->socket.allowDirectWrites();
+    impl->socket.socket().set_option(tcp::no_delay(true), error);
+    co_return std::unique_ptr<HttpConnection>(new HttpConnection(std::move(impl)));
 }
 
 static std::string requestText(const HttpRequest &request)
@@ -90,9 +90,7 @@
     impl.parser.emplace();
     impl.parser->body_limit(boost::none);
     const auto text = requestText(request);
-    impl.stream.expires_after(timeout);
-    auto [error, written] = co_await asio::async_write(impl.stream, asio::buffer(text), UseTuple);
-    impl.requestBytesWritten = written;
+    const auto error = co_await impl.socket.writeAll(text, timeout, impl.requestBytesWritten);
     if (error) {
         impl.broken = true;
         co_return toHttpError(error);
@@ -108,12 +106,14 @@
 asio::awaitable<Result<HttpResponse, HttpError>> HttpConnection::readHead(milliseconds timeout)
 {
     auto &impl = *m_impl;
-    impl.stream.expires_after(timeout);
-    auto [error, bytes] = co_await http::async_read_header(impl.stream, impl.buffer, *impl.parser, UseTuple);
+    impl.socket.expireAfter(timeout);
+    auto [error, bytes] = co_await http::async_read_header(impl.socket.socket(), impl.buffer, *impl.parser, UseTuple);
     if (error) {
         impl.broken = true;
-        co_return toHttpError(error);
+        co_return toHttpError(impl.socket.cause(error));
     }
+    // The parser then takes all chunks that have arrived at once.
+    impl.parser->eager(true);
     impl.lastHeard = Clock::now();
     HttpResponse response;
     response.status = static_cast<int>(impl.parser->get().result_int());
@@ -121,24 +121,52 @@
     co_return response;
 }
 
+/// Takes the body bytes out of what has arrived. More are needed when the error says so.
+static std::string parseArrived(http::response_parser<http::buffer_body> &parser, beast::flat_buffer &buffer,
+                                beast::error_code &error)
+{
+    // The body is never longer than its encoding.
+    std::string piece(buffer.size(), '\0');
+    auto &body = parser.get().body();
+    body.data = piece.data();
+    body.size = piece.size();
+    body.more = true;
+    buffer.consume(parser.put(buffer.data(), error));
+    if (error == http::error::need_buffer) {
+        error = {};
+    }
+    piece.resize(piece.size() - body.size);
+    return piece;
+}
+
 asio::awaitable<Result<std::optional<std::string>, HttpError>> HttpConnection::readPiece(milliseconds timeout)
 {
     auto &impl = *m_impl;
     auto &parser = *impl.parser;
     while (!parser.is_done()) {
-        auto &body = parser.get().body();
-        body.data = impl.piece.data();
-        body.size = impl.piece.size();
-        impl.stream.expires_after(timeout);
-        auto [error, bytes] = co_await http::async_read_some(impl.stream, impl.buffer, parser, UseTuple);
-        if (error && error != http::error::need_buffer) {
-            impl.broken = true;
-            co_return toHttpError(error);
+        beast::error_code error;
+        if (impl.buffer.size() > 0) {
+            auto piece = parseArrived(parser, impl.buffer, error);
+            if (!piece.empty()) {
+                co_return std::optional<std::string>(std::move(piece));
+            }
+            if (!error) {
+                continue;
+            }
         }
-        impl.lastHeard = Clock::now();
-        const auto received = impl.piece.size() - body.size;
-        if (received > 0) {
-            co_return std::optional<std::string>(std::string(impl.piece.data(), received));
+        if (!error || error == http::error::need_more) {
+            std::size_t received = 0;
+            std::tie(error, received) = co_await impl.socket.readSome(impl.buffer.prepare(ReadBytes), timeout);
+            impl.buffer.commit(received);
+            impl.lastHeard = Clock::now();
+            if (error == asio::error::eof) {
+                error = {};
+                parser.put_eof(error);
+            }
+        }
+        if (error) {
+            impl.broken = true;
+            co_return toHttpError(impl.socket.cause(error));
         }
     }
     impl.inExchange = false;
@@ -164,7 +192,7 @@
 
 bool HttpConnection::reusable() const
 {
-    return !m_impl->broken && !m_impl->inExchange && m_impl->stream.socket().is_open();
+    return !m_impl->broken && !m_impl->inExchange && m_impl->socket.socket().is_open();
 }
 
 TimePoint HttpConnection::lastHeard() const
@@ -175,14 +203,15 @@
 bool HttpConnection::peerClosed() const
 {
     char byte = 0;
-    const auto received = ::recv(m_impl->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto received = ::recv(m_impl->socket.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 void HttpConnection::close()
 {
     m_impl->broken = true;
-    m_impl->stream.close();
+    beast::error_code ignored;
+    m_impl->socket.socket().close(ignored);
 }
 
 asio::awaitable<Result<HttpResponse, HttpError>> httpExchange(Endpoint endpoint, HttpRequest request,
--- a/lib/Http/HttpConversion.cpp
+++ b/lib/Http/HttpConversion.cpp
@@ -1,5 +1,6 @@
 #include "HttpConversion.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/fields.hpp>
@@ -11,7 +12,7 @@
 
 HttpError toHttpError(const boost::system::error_code &error)
 {
-    if (error == beast::error::timeout) {
+    if (error == beast::error::timeout || error == boost::asio::error::timed_out) {
         return HttpError{HttpErrorCode::TimedOut, "no progress before the deadline"};
     }
     if (error == http::error::body_limit || error == http::error::header_limit) {
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -1,22 +1,21 @@
 #include "tamarackcove/Http/HttpServer.h"
 
 #include "HttpConversion.h"
+#include "TimedSocket.h"
 #include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
 #include <fmt/format.h>
+#include <iterator>
 #include <set>
 
 namespace asio = boost::asio;
@@ -56,9 +55,10 @@
 public:
     ServerConnection(HttpServer::Impl &server, tcp::socket socket, std::uint64_t number)
         : m_server(server)
-        , m_stream(std::move(socket))
+        , m_socket(std::move(socket))
         , m_number(number)
     {
+        m_socket.allowDirectWrites();
         m_server.open.insert(this);
     }
     ~ServerConnection() override
@@ -93,7 +93,9 @@
     [[nodiscard]] std::string headText(const HttpResponse &response, std::string_view framing) const;
 
     HttpServer::Impl &m_server;
-    mutable beast::tcp_stream m_stream;
+    TimedSocket m_socket;
+    /// Reused for every piece.
+    std::string m_chunk;
     std::uint64_t m_number;
     beast::flat_buffer m_buffer;
     bool m_started = false;
@@ -117,7 +119,7 @@
         m_busy = false;
     }
     beast::error_code ignored;
-    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_socket.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
 asio::awaitable<bool> ServerConnection::readRequest(HttpRequest &request)
@@ -125,15 +127,16 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(m_server.limits.maxHeaderBytes));
     parser.body_limit(m_server.limits.maxBodyBytes);
-    m_stream.expires_after(m_server.limits.idleTimeout);
-    auto [error, headerBytes] = co_await http::async_read_header(m_stream, m_buffer, parser, UseTuple);
+    m_socket.expireAfter(m_server.limits.idleTimeout);
+    auto [error, headerBytes] = co_await http::async_read_header(m_socket.socket(), m_buffer, parser, UseTuple);
     if (!error) {
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             (void)co_await writeAll("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        m_stream.expires_after(m_server.limits.requestTimeout);
-        std::tie(error, headerBytes) = co_await http::async_read(m_stream, m_buffer, parser, UseTuple);
+        m_socket.expireAfter(m_server.limits.requestTimeout);
+        std::tie(error, headerBytes) = co_await http::async_read(m_socket.socket(), m_buffer, parser, UseTuple);
     }
+    m_socket.expireNever();
     if (error) {
         co_await rejectUnreadable(error);
         co_return false;
@@ -165,7 +168,6 @@
     m_started = false;
     m_streaming = false;
     m_ended = false;
-    m_stream.expires_never();
     try {
         co_await m_server.handler(request, *this);
     } catch (const boost::system::system_error &) {
@@ -204,9 +206,9 @@
 
 asio::awaitable<Result<void, HttpError>> ServerConnection::writeAll(std::string_view bytes)
 {
-    m_stream.expires_after(m_server.limits.writeTimeout);
-    auto [error, written] = co_await asio::async_write(m_stream, asio::buffer(bytes.data(), bytes.size()), UseTuple);
-    m_stream.expires_never();
+    std::size_t written = 0;
+    const auto error = co_await m_socket.writeAll(bytes, m_server.limits.writeTimeout, written);
+    m_socket.expireNever();
     if (error) {
         m_keepAlive = false;
         co_return toHttpError(error);
@@ -235,33 +237,35 @@
 asio::awaitable<Result<void, HttpError>> ServerConnection::writePiece(std::string_view piece)
 {
     assert(m_streaming && !m_ended && !piece.empty() && "pieces go between beginStream and endStream");
-    std::string chunk = fmt::format("{:x}\r\n", piece.size());
-    chunk += piece;
-    chunk += "\r\n";
-    co_return co_await writeAll(chunk);
+    m_chunk.clear();
+    fmt::format_to(std::back_inserter(m_chunk), "{:x}\r\n", piece.size());
+    m_chunk += piece;
+    m_chunk += "\r\n";
+    return writeAll(m_chunk);
 }
 
 asio::awaitable<Result<void, HttpError>> ServerConnection::endStream()
 {
     assert(m_streaming && !m_ended && "a stream ends once");
     m_ended = true;
-    co_return co_await writeAll("0\r\n\r\n");
+    return writeAll("0\r\n\r\n");
 }
 
 bool ServerConnection::callerGone() const
 {
-    if (!m_stream.socket().is_open()) {
+    if (!m_socket.socket().is_open()) {
         return true;
     }
     char byte = 0;
-    const auto received = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto received = ::recv(m_socket.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 void ServerConnection::closeIfIdle()
 {
     if (!m_busy) {
-        m_stream.cancel();
+        beast::error_code ignored;
+        m_socket.socket().cancel(ignored);
     }
 }
 
