--- a/include/tamarackcove/Load/AnswerChecker.h
+++ b/include/tamarackcove/Load/AnswerChecker.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <cstddef>
-#include <string>
 #include <string_view>
 
 namespace tamarackcove {
@@ -19,8 +17,6 @@
     Crossed,
 };
 
-[[nodiscard]] std::string_view toString(AnswerVerdict verdict);
-
 /// Compares an answer of a simulated engine with what the request asked. Thread safe.
 [[nodiscard]] AnswerVerdict checkAnswer(const TracedRequest &request, std::string_view text);
 
--- a/lib/Load/AnswerChecker.cpp
+++ b/lib/Load/AnswerChecker.cpp
@@ -5,23 +5,6 @@
 
 namespace tamarackcove {
 
-std::string_view toString(AnswerVerdict verdict)
-{
-    switch (verdict) {
-    case AnswerVerdict::Right:
-        return "right";
-    case AnswerVerdict::Cut:
-        return "cut";
-    case AnswerVerdict::Doubled:
-        return "doubled";
-    case AnswerVerdict::WrongAdapter:
-        return "wrong_adapter";
-    case AnswerVerdict::Crossed:
-        return "crossed";
-    }
-    return "right";
-}
-
 AnswerVerdict checkAnswer(const TracedRequest &request, std::string_view text)
 {
     const TokenFunction expected(request.adapter, request.prompt);
