--- /dev/null
+++ b/test/conftest.py
@@ -0,0 +1,22 @@
+import pathlib
+import sys
+
+import pytest
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+
+from harness import Harness  # noqa: E402
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item, call):
+    outcome = yield
+    setattr(item, f"report_{call.when}", outcome.get_result())
+
+
+@pytest.fixture
+def harness(request):
+    owner = Harness()
+    yield owner
+    report = getattr(request.node, "report_call", None)
+    owner.close(keep_logs=report is not None and report.failed)
--- /dev/null
+++ b/test/harness.py
@@ -0,0 +1,214 @@
+"""Starts the processes of tamarackcove with generated settings for integration tests and the demo.
+
+A process gets its ports from the kernel: the harness binds a socket to port 0 and keeps it bound without listening
+while the process binds the same port with SO_REUSEADDR, so that no other process can take the port in between.
+"""
+
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+
+import requests
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = pathlib.Path(os.environ.get("TAMARACKCOVE_BIN", ROOT / "build" / "release" / "bin"))
+READY_TIMEOUT = 20
+
+
+def wait_for(condition, timeout, what, interval=0.05):
+    """Returns the first true value of the condition; fails with `what` after the timeout."""
+    deadline = time.monotonic() + timeout
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise AssertionError(f"after {timeout} s: {what}")
+        time.sleep(interval)
+
+
+class Process:
+    """One process with its log in memory and in a file."""
+
+    def __init__(self, binary, settings, folder, name):
+        self.binary = binary
+        self.settings = settings
+        self.name = name
+        self.settings_path = folder / f"{name}.json"
+        self.log_path = folder / f"{name}.log"
+        self.lines = []
+        self.popen = None
+        self.reader = None
+
+    def start(self, wait=True):
+        assert self.popen is None or self.popen.poll() is not None, f"{self.name} runs already"
+        self.settings_path.write_text(json.dumps(self.settings, indent=1))
+        first_line = len(self.lines)
+        self.popen = subprocess.Popen(
+            [BIN / self.binary, "--settings", self.settings_path],
+            stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True,
+            errors="replace", start_new_session=True)
+        self.reader = threading.Thread(target=self._read, args=(self.popen.stderr,), daemon=True)
+        self.reader.start()
+        if wait:
+            self.wait_ready(first_line)
+        return self
+
+    def _read(self, stream):
+        with stream, open(self.log_path, "a") as log:
+            for line in stream:
+                self.lines.append(line.rstrip("\n"))
+                log.write(line)
+                log.flush()
+
+    def wait_ready(self, first_line=0, timeout=READY_TIMEOUT):
+        def ready():
+            if self.popen.poll() is not None:
+                raise AssertionError(f"{self.name} ended with {self.popen.returncode} before it was ready:\n{self.tail()}")
+            return any("event=ready" in line for line in self.lines[first_line:])
+        try:
+            wait_for(ready, timeout, f"{self.name} is not ready")
+        except AssertionError as error:
+            raise AssertionError(f"{error}\n{self.tail()}") from None
+
+    def tail(self, count=15):
+        return "\n".join(self.lines[-count:])
+
+    def grep(self, text):
+        return [line for line in self.lines if text in line]
+
+    def running(self):
+        return self.popen is not None and self.popen.poll() is None
+
+    def send(self, number):
+        """Sends a signal to this process only."""
+        if self.running():
+            self.popen.send_signal(number)
+
+    def freeze(self):
+        self.send(signal.SIGSTOP)
+
+    def thaw(self):
+        self.send(signal.SIGCONT)
+
+    def kill(self):
+        self.send(signal.SIGKILL)
+        if self.popen is not None:
+            self.popen.wait(10)
+            self.reader.join(5)
+
+    def terminate(self, timeout=30):
+        """Ends it with SIGTERM and returns the exit code."""
+        self.send(signal.SIGTERM)
+        code = self.popen.wait(timeout)
+        self.reader.join(5)
+        return code
+
+    def restart(self):
+        self.kill()
+        return self.start()
+
+
+class LoadRun:
+    """A load generator that runs in the background."""
+
+    def __init__(self, settings, folder, name, arguments=()):
+        self.json_path = folder / f"{name}.out.json"
+        self.csv_path = folder / f"{name}.csv"
+        settings_path = folder / f"{name}.json"
+        settings_path.write_text(json.dumps(settings, indent=1))
+        self.log = open(folder / f"{name}.log", "w")
+        self.popen = subprocess.Popen(
+            [BIN / "tamarackcove-loadgen", "--settings", settings_path, "--json", self.json_path, "--csv",
+             self.csv_path, *arguments],
+            stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log, start_new_session=True)
+
+    def finish(self, timeout=90):
+        code = self.popen.wait(timeout)
+        self.log.close()
+        summary = json.loads(self.json_path.read_text())
+        summary["exit_code"] = code
+        return summary
+
+    def bad_rows(self, limit=10):
+        rows = self.csv_path.read_text().splitlines()
+        return "\n".join([rows[0]] + [row for row in rows[1:] if ",ok," not in row][:limit])
+
+
+class Harness:
+    """Owns every process of one test; leaves none behind."""
+
+    def __init__(self):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="tamarackcove-"))
+        self.processes = []
+        self.loads = []
+        self.reserved = []
+        self.keep_logs = False
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, traceback):
+        self.close(keep_logs=kind is not None)
+
+    def reserve(self):
+        """An address that no other process can take."""
+        held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        self.reserved.append(held)
+        return f"127.0.0.1:{held.getsockname()[1]}"
+
+    def process(self, binary, settings, name):
+        process = Process(binary, settings, self.folder, name)
+        self.processes.append(process)
+        return process
+
+    def load(self, settings, name=None, arguments=()):
+        run = LoadRun(settings, self.folder, name or f"load-{len(self.loads)}", arguments)
+        self.loads.append(run)
+        return run
+
+    def close(self, keep_logs=False):
+        for load in self.loads:
+            if load.popen.poll() is None:
+                load.popen.kill()
+                load.popen.wait(10)
+        for process in reversed(self.processes):
+            if process.running():
+                process.popen.kill()
+        for process in self.processes:
+            if process.popen is not None:
+                process.popen.wait(10)
+                process.reader.join(5)
+        for held in self.reserved:
+            held.close()
+        if keep_logs or self.keep_logs:
+            print(f"logs are in {self.folder}")
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def post(address, path, body, timeout=10, **headers):
+    names = {name.replace("_", "-"): value for name, value in headers.items()}
+    return requests.post(f"http://{address}{path}", json=body, timeout=timeout, headers=names)
+
+
+def get(address, path, timeout=10):
+    return requests.get(f"http://{address}{path}", timeout=timeout)
+
+
+def metric(address, name, timeout=5):
+    """Sum of the metrics that begin with this name."""
+    total = 0.0
+    for line in get(address, "/metrics", timeout).text.splitlines():
+        if line.startswith(name):
+            total += float(line.rsplit(" ", 1)[1])
+    return total
