--- a/lib/Consensus/ReplicaMembership.cpp
+++ b/lib/Consensus/ReplicaMembership.cpp
@@ -130,7 +130,10 @@
 int Replica::lossesTolerated(TimePoint now) const
 {
     if (role() == ReplicaRole::Leader) {
-        return static_cast<int>(healthyVoters(m_log.group(), now)) - static_cast<int>(m_log.group().majority());
+        const int tolerated
+            = static_cast<int>(healthyVoters(m_log.group(), now)) - static_cast<int>(m_log.group().majority());
+        // Without its lease the leader decides nothing, even while its peers do not yet count as unreachable.
+        return leaseValid(now) ? tolerated : std::min(tolerated, -1);
     }
     const bool leaderSilent = m_leader.empty() || now > m_lastLeaderContact + m_options.maxElectionTimeout;
     return leaderSilent ? -1 : m_leaderLossesTolerated;
--- a/lib/Control/Replica/PeerLinks.cpp
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -221,7 +221,8 @@
 asio::awaitable<bool> PeerLinks::greet(FramedConnection &connection, Peer &peer)
 {
     auto hello = toMessage(ownHello());
-    if ((co_await connection.write(std::move(hello), GreetingTimeout)).has_error()) {
+    const auto sent = co_await connection.write(std::move(hello), GreetingTimeout);
+    if (sent.has_error()) {
         co_return false;
     }
     const auto reply = co_await connection.read(GreetingTimeout);
@@ -267,7 +268,13 @@
 
 asio::awaitable<void> PeerLinks::readPongs(FramedConnection &connection)
 {
-    while ((co_await connection.read(PongTimeout)).has_value()) { }
+    // GCC 12 resumes the coroutine wrongly when this wait is the condition of a while loop.
+    for (;;) {
+        const auto pong = co_await connection.read(PongTimeout);
+        if (pong.has_error()) {
+            co_return;
+        }
+    }
 }
 
 asio::awaitable<void> PeerLinks::acceptPeers()
@@ -304,7 +311,8 @@
         co_return;
     }
     auto welcome = toMessage(ownHello());
-    if ((co_await connection->write(std::move(welcome), GreetingTimeout)).has_error()) {
+    const auto sent = co_await connection->write(std::move(welcome), GreetingTimeout);
+    if (sent.has_error()) {
         co_return;
     }
     const ReplicaId from(hello.value().identity);
@@ -315,7 +323,8 @@
         }
         if (message.value().type == "peer_ping") {
             Message pong{.type = "peer_pong", .body = nullptr};
-            if ((co_await connection->write(std::move(pong), WriteTimeout)).has_error()) {
+            const auto answered = co_await connection->write(std::move(pong), WriteTimeout);
+            if (answered.has_error()) {
                 co_return;
             }
             continue;
--- a/lib/Control/Replica/ReplicaDriver.cpp
+++ b/lib/Control/Replica/ReplicaDriver.cpp
@@ -246,7 +246,9 @@
             auto requests = std::make_shared<std::vector<PersistRequest>>(std::make_move_iterator(m_toPersist.begin()),
                                                                           std::make_move_iterator(m_toPersist.end()));
             m_toPersist.clear();
-            StorageWork work = [this, requests] { return m_folder->persist(*requests); };
+            StorageWork work = [this, requests] {
+                return m_folder->persist(*requests);
+            };
             const auto written = co_await onStorageThread(std::move(work));
             if (written.has_error()) {
                 failFatally(written.error());
@@ -263,7 +265,9 @@
         }
         if (m_toSnapshot) {
             const auto image = *m_toSnapshot;
-            StorageWork work = [this, image] { return m_folder->saveSnapshot(image); };
+            StorageWork work = [this, image] {
+                return m_folder->saveSnapshot(image);
+            };
             const auto saved = co_await onStorageThread(std::move(work));
             if (saved.has_error()) {
                 failFatally(saved.error());
@@ -289,8 +293,7 @@
     }
 }
 
-asio::awaitable<Result<void, StorageError>>
-ReplicaDriver::onStorageThread(StorageWork work)
+asio::awaitable<Result<void, StorageError>> ReplicaDriver::onStorageThread(StorageWork work)
 {
     auto initiate = [this, &work](auto handler) {
         // Keeps the io_context running while the work is on the other thread.
