--- a/unittests/Control/Replica/ReplicaGroupFixture.h
+++ b/unittests/Control/Replica/ReplicaGroupFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../../Storage/TemporaryFolder.h"
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
@@ -16,25 +17,6 @@
 
 namespace tamarackcove::test {
 
-/// A folder that is removed at the end of the test.
-struct TemporaryFolder
-{
-    TemporaryFolder()
-    {
-        std::string pattern = (std::filesystem::temp_directory_path() / "tamarackcove-XXXXXX").string();
-        path = mkdtemp(pattern.data());
-    }
-    ~TemporaryFolder()
-    {
-        std::error_code ignored;
-        std::filesystem::remove_all(path, ignored);
-    }
-    TemporaryFolder(const TemporaryFolder &) = delete;
-    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
-
-    std::filesystem::path path;
-};
-
 /// A state machine that keeps the commands it was fed.
 struct RecordingMachine
 {
--- /dev/null
+++ b/unittests/Storage/DataFolderTest.cpp
@@ -0,0 +1,240 @@
+#include "tamarackcove/Storage/DataFolder.h"
+
+#include "TemporaryFolder.h"
+#include "tamarackcove/Storage/WriteAheadLog.h"
+
+#include <cerrno>
+#include <doctest/doctest.h>
+#include <fstream>
+
+namespace fs = std::filesystem;
+using namespace tamarackcove;
+using namespace tamarackcove::test;
+
+static LogEntryPtr entry(LogIndex index, Term term, const std::string &command)
+{
+    return std::make_shared<const LogEntry>(
+        LogEntry{.index = index, .term = term, .kind = EntryKind::Command, .command = command});
+}
+
+static PersistRequest entries(LogIndex first, LogIndex last, Term term)
+{
+    PersistRequest request;
+    for (auto index = first; index <= last; ++index) {
+        request.entries.push_back(entry(index, term, "command " + std::to_string(index)));
+    }
+    return request;
+}
+
+static SnapshotImage snapshot(LogIndex index, Term term)
+{
+    return {.lastIndex = index,
+            .lastTerm = term,
+            .lastTime = {},
+            .group = {.groupId = "g", .members = {{.id = ReplicaId("r1"), .name = "c1", .voter = true}}},
+            .bytes = std::make_shared<const std::string>("state at " + std::to_string(index))};
+}
+
+/// Opens the folder, writes the requests, and closes it.
+static void write(const fs::path &path, const std::vector<PersistRequest> &requests)
+{
+    RecoveredState recovered;
+    auto folder = DataFolder::open(path, FileHooks::system(), randomIdentity, recovered);
+    REQUIRE(folder.has_value());
+    for (const auto &request : requests) {
+        REQUIRE(folder.value().persist({&request, 1}).has_value());
+    }
+}
+
+static Result<RecoveredState, StorageError> reopen(const fs::path &path)
+{
+    RecoveredState recovered;
+    auto folder = DataFolder::open(path, FileHooks::system(), randomIdentity, recovered);
+    if (folder.has_error()) {
+        return folder.error();
+    }
+    return recovered;
+}
+
+static fs::path onlySegment(const fs::path &path)
+{
+    fs::path found;
+    for (const auto &item : fs::directory_iterator(path)) {
+        found = item.path().extension() == ".wal" ? item.path() : found;
+    }
+    return found;
+}
+
+static void flipByte(const fs::path &path, std::uintmax_t offset)
+{
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekg(static_cast<std::streamoff>(offset));
+    const auto byte = static_cast<char>(file.get());
+    file.seekp(static_cast<std::streamoff>(offset));
+    file.put(static_cast<char>(byte ^ 0x40));
+}
+
+TEST_CASE("a restart finds the identity, the vote and the entries, and replaced entries stay replaced")
+{
+    const TemporaryFolder folder;
+    auto vote = entries(1, 5, 1);
+    vote.hardState = HardState{.term = 3, .votedFor = ReplicaId("r2")};
+    write(folder.path, {vote, entries(4, 6, 2)});
+    const auto first = reopen(folder.path);
+    REQUIRE(first.has_value());
+    CHECK(first.value().hardState == *vote.hardState);
+    REQUIRE(first.value().entries.size() == 6);
+    CHECK(first.value().entries[2]->term == 1);
+    CHECK(first.value().entries[3]->term == 2);
+    CHECK(first.value().entries[5]->command == "command 6");
+    CHECK(reopen(folder.path).value().self == first.value().self);
+}
+
+TEST_CASE("an emptied folder gets another identity, and a folder is used by one process only")
+{
+    const TemporaryFolder folder;
+    const auto before = reopen(folder.path).value().self;
+    for (const auto &item : fs::directory_iterator(folder.path)) {
+        fs::remove(item.path());
+    }
+    CHECK(reopen(folder.path).value().self != before);
+
+    RecoveredState recovered;
+    const auto open = DataFolder::open(folder.path, FileHooks::system(), randomIdentity, recovered);
+    REQUIRE(open.has_value());
+    CHECK(reopen(folder.path).error().code == StorageErrorCode::Locked);
+}
+
+TEST_CASE("a folder that lost only a part of its files is refused, because it may have voted")
+{
+    for (const std::string lost : {"log", "identity"}) {
+        const TemporaryFolder folder;
+        write(folder.path, {entries(1, 3, 1)});
+        fs::remove(lost == "log" ? onlySegment(folder.path) : folder.path / "identity");
+        const auto opened = reopen(folder.path);
+        REQUIRE(opened.has_error());
+        CHECK(opened.error().code == StorageErrorCode::Damaged);
+    }
+}
+
+TEST_CASE("a last record that was cut at any byte is dropped and the ones before it are kept")
+{
+    const TemporaryFolder whole;
+    write(whole.path, {entries(1, 3, 1)});
+    const auto acknowledged = fs::file_size(onlySegment(whole.path));
+    write(whole.path, {entries(4, 4, 1)});
+    const auto full = fs::file_size(onlySegment(whole.path));
+    for (auto size = acknowledged; size < full; ++size) {
+        const TemporaryFolder torn;
+        fs::copy(whole.path, torn.path, fs::copy_options::recursive | fs::copy_options::overwrite_existing);
+        fs::resize_file(onlySegment(torn.path), size);
+        const auto opened = reopen(torn.path);
+        REQUIRE(opened.has_value());
+        REQUIRE(opened.value().entries.size() == 3);
+        // What is written after the cut must be found again.
+        write(torn.path, {entries(4, 5, 2)});
+        REQUIRE(reopen(torn.path).value().entries.size() == 5);
+    }
+}
+
+TEST_CASE("a damaged record before others is an error that names the file, wherever the damage lies")
+{
+    const TemporaryFolder whole;
+    write(whole.path, {entries(1, 2, 1)});
+    const auto first = fs::file_size(onlySegment(whole.path));
+    write(whole.path, {entries(3, 4, 1)});
+    for (std::uintmax_t offset = 0; offset < first; ++offset) {
+        const TemporaryFolder damaged;
+        fs::copy(whole.path, damaged.path, fs::copy_options::recursive | fs::copy_options::overwrite_existing);
+        flipByte(onlySegment(damaged.path), offset);
+        const auto opened = reopen(damaged.path);
+        REQUIRE(opened.has_error());
+        REQUIRE(opened.error().code == StorageErrorCode::Damaged);
+        REQUIRE(opened.error().detail.find(".wal") != std::string::npos);
+    }
+}
+
+TEST_CASE("after a failed sync or write nothing more is written and every call fails")
+{
+    for (const bool failSync : {true, false}) {
+        const TemporaryFolder folder;
+        bool failing = false;
+        int calls = 0;
+        auto hooks = FileHooks::system();
+        const auto system = hooks;
+        hooks.sync = [&](int file) {
+            calls += failing ? 1 : 0;
+            errno = EIO;
+            return failing && failSync ? -1 : system.sync(file);
+        };
+        hooks.write = [&](int file, const void *bytes, std::size_t size) -> ssize_t {
+            calls += failing ? 1 : 0;
+            errno = ENOSPC;
+            // A torn write: a part reaches the file before the error.
+            return failing && !failSync ? (size > 1 ? system.write(file, bytes, size / 2) : -1)
+                                        : system.write(file, bytes, size);
+        };
+        RecoveredState recovered;
+        auto opened = DataFolder::open(folder.path, hooks, randomIdentity, recovered);
+        REQUIRE(opened.has_value());
+        REQUIRE(opened.value().persist(std::vector{entries(1, 1, 1)}).has_value());
+        failing = true;
+        const auto failed = opened.value().persist(std::vector{entries(2, 2, 1)});
+        REQUIRE(failed.has_error());
+        CHECK(failed.error().code == (failSync ? StorageErrorCode::SyncFailed : StorageErrorCode::WriteFailed));
+        failing = false;
+        calls = 0;
+        CHECK(opened.value().persist(std::vector{entries(2, 2, 1)}).has_error());
+        CHECK(opened.value().saveSnapshot(snapshot(1, 1)).has_error());
+        CHECK(calls == 0);
+    }
+}
+
+TEST_CASE("a snapshot drops old segments and the log goes on behind it")
+{
+    const TemporaryFolder folder;
+    write(folder.path, {entries(1, 10, 1)});
+    {
+        RecoveredState recovered;
+        auto opened = DataFolder::open(folder.path, FileHooks::system(), randomIdentity, recovered);
+        REQUIRE(opened.value().saveSnapshot(snapshot(10, 1)).has_value());
+        REQUIRE(opened.value().persist(std::vector{entries(11, 12, 1)}).has_value());
+    }
+    const auto recovered = reopen(folder.path);
+    REQUIRE(recovered.has_value());
+    CHECK(*recovered.value().snapshot->bytes == "state at 10");
+    CHECK(recovered.value().snapshot->group.isVoter(ReplicaId("r1")));
+    CHECK(recovered.value().entries.size() == 2);
+    CHECK(std::distance(fs::directory_iterator(folder.path), fs::directory_iterator()) == 4);
+
+    flipByte(folder.path / "00000000000000000010.snapshot", 40);
+    CHECK(reopen(folder.path).error().code == StorageErrorCode::Damaged);
+}
+
+TEST_CASE("a snapshot from the leader replaces a log that differs, even when the process ends between the two files")
+{
+    for (const bool interrupted : {false, true}) {
+        const TemporaryFolder folder;
+        write(folder.path, {entries(1, 20, 1)});
+        bool failing = false;
+        auto hooks = FileHooks::system();
+        hooks.write = [&, system = hooks.write](int file, const void *bytes, std::size_t size) {
+            // The snapshot is the first write; the log is the second.
+            return failing && std::string_view(static_cast<const char *>(bytes), 4) == "TCWL"
+                ? ssize_t{-1}
+                : system(file, bytes, size);
+        };
+        {
+            RecoveredState recovered;
+            auto opened = DataFolder::open(folder.path, hooks, randomIdentity, recovered);
+            failing = interrupted;
+            auto request = entries(16, 17, 3);
+            request.snapshot = snapshot(15, 3);
+            CHECK(opened.value().persist(std::vector{request}).has_value() != interrupted);
+        }
+        const auto recovered = reopen(folder.path);
+        REQUIRE(recovered.has_value());
+        CHECK(recovered.value().snapshot->lastIndex == 15);
+        CHECK(recovered.value().entries.size() == (interrupted ? 0 : 2));
+    }
+}
