Test the request path with real processes and fixed targets

Ruled out: counting a closed idle connection as a broken request; clients reconnect, so it has its own figure.

--- a/lib/Load/RequestTask.cpp
+++ b/lib/Load/RequestTask.cpp
@@ -100,7 +100,7 @@
 {
     m_record.outcome = RequestOutcome::Lost;
     m_record.detail = error.detail;
-    m_hooks.onError(error.code == HttpErrorCode::TimedOut ? "timed_out" : "connection_broken");
+    m_brokenBy = error.code == HttpErrorCode::TimedOut ? "timed_out" : "connection_broken";
     return mayResend() ? Next::RetryLater : Next::Finish;
 }
 
@@ -228,8 +228,12 @@
     if (m_record.outcome == RequestOutcome::Lost && reused && connection->lastHeard() == heardBefore
         && Clock::now() - sentAt < IdleCloseWindow) {
         // The server closed an idle connection while the request was on its way; any client connects anew.
+        m_hooks.onError("idle_connection_closed");
         co_return Next::RetryNow;
     }
+    if (m_record.outcome == RequestOutcome::Lost) {
+        m_hooks.onError(m_brokenBy);
+    }
     if (m_settings.keepAlive) {
         m_pool.give(endpoint, std::move(connection));
     }
--- a/lib/Load/RequestTask.h
+++ b/lib/Load/RequestTask.h
@@ -52,6 +52,7 @@
     RequestRecord m_record;
     TimePoint m_planned;
     milliseconds m_retryAfter{0};
+    std::string m_brokenBy;
 };
 
 } // namespace tamarackcove
--- a/test/parts.py
+++ b/test/parts.py
@@ -48,3 +48,31 @@
         from harness import post
         reply = post(self.control, "/faults", changes)
         assert reply.status_code == 200, reply.text
+
+
+class StaticEntry:
+    """An entry without zone and control group: its targets and adapters stand in its settings."""
+
+    def __init__(self, harness, name, adapters, engines=(), services=(), **settings):
+        self.address = harness.reserve()
+        self.admin = harness.reserve()
+        body = {"name": name, "zone": "a", "listen": self.address, "admin_listen": self.admin,
+                "static": {
+                    "adapters": [{"name": adapter.split("@")[0], "version": adapter.split("@")[1],
+                                  "base_model": "base", "current": True} for adapter in adapters],
+                    "services": [{"name": service.process.settings["service"], "repeatable": False}
+                                 for service in services][:1],
+                    "targets": [{"id": engine.name, "endpoint": getattr(engine, "through", engine.address),
+                                 "base_model": "base", "max_batch": engine.process.settings["max_batch"],
+                                 "adapters": list(adapters)} for engine in engines]
+                    + [{"id": service.name, "endpoint": getattr(service, "through", service.address),
+                        "service": service.process.settings["service"]} for service in services]},
+                **settings}
+        self.process = harness.process("tamarackcove-entry", body, name)
+
+
+def load_adapters(engine, adapters):
+    from harness import post
+    for adapter in adapters:
+        reply = post(engine.address, "/v1/load_lora_adapter", {"lora_name": adapter})
+        assert reply.status_code == 200, reply.text
