Test the control group with real processes

Cause: promise P8 has to hold under killed, frozen, isolated and emptied control hosts and racing or repeated commands.

--- /dev/null
+++ b/test/cluster.py
@@ -0,0 +1,188 @@
+"""A whole system: control hosts, entries in zones, engines, services and a store, with or without a fault proxy."""
+
+import itertools
+import time
+
+import requests
+
+from harness import get, post, wait_for
+from parts import Engine, Proxy, Service, Store
+
+
+class Control:
+    def __init__(self, cluster, name):
+        harness = cluster.harness
+        self.name = name
+        self.address = harness.reserve()
+        self.peer = harness.reserve()
+        self.replica = harness.reserve()
+        self.folder = harness.folder / f"data-{name}"
+        self.process = None
+
+
+class Entry:
+    def __init__(self, cluster, name, zone):
+        harness = cluster.harness
+        self.name = name
+        self.zone = zone
+        self.address = harness.reserve()
+        self.admin = harness.reserve()
+        self.peer = harness.reserve()
+        self.process = None
+
+
+class Cluster:
+    """`zones` maps a zone to its number of entries; `proxied` puts a fault proxy on every link between two processes
+    except those of callers, operators and the store. Groups of the proxy: the name of either host, `A-B` for a pair of
+    hosts, `border:ZONE` for links that leave a zone, and `control:ZONE` for links of a zone to the control hosts."""
+
+    def __init__(self, harness, zones, controls=3, engines=1, services=0, proxied=False, entry=None, engine=None,
+                 store=None):
+        self.harness = harness
+        self.commands = itertools.count()
+        self.proxy = Proxy(harness) if proxied else None
+        self.store = Store(harness, **(store or {}))
+        self.controls = [Control(self, f"c{number}") for number in range(controls)]
+        self.entries = [Entry(self, f"{zone}{number}", zone) for zone, count in zones.items()
+                        for number in range(count)]
+        self.zones = list(zones)
+        for control in self.controls:
+            control.process = harness.process("tamarackcove-control", self._control_settings(control), control.name)
+        for one in self.entries:
+            one.process = harness.process("tamarackcove-entry", {**self._entry_settings(one), **(entry or {})}, one.name)
+        self.engines = []
+        self.services = []
+        for zone in self.zones:
+            announce_to = [one.address for one in self.entries if one.zone == zone]
+            for number in range(engines):
+                self.engines.append(self._target(Engine, f"e-{zone}{number}", zone, announce_to, self.store,
+                                                 **(engine or {})))
+            for number in range(services):
+                self.services.append(self._target(Service, f"s-{zone}{number}", zone, announce_to, "billing"))
+
+    def _target(self, kind, name, zone, announce_to, *arguments, **settings):
+        target = kind(self.harness, name, zone, announce_to, *arguments, **settings)
+        if self.proxy:
+            target.process.settings["announce_as"] = self.proxy.pair(f"to-{name}", target.address, name, "targets",
+                                                                     f"targets:{zone}")
+        return target
+
+    def _link(self, source, source_zone, target, target_zone, address):
+        if not self.proxy:
+            return address
+        groups = [source, target, f"{source}-{target}", f"{target}-{source}"]
+        for zone in {source_zone, target_zone} - {None}:
+            if source_zone != target_zone:
+                groups.append(f"border:{zone}")
+            if None in (source_zone, target_zone):
+                groups.append(f"control:{zone}")
+        return self.proxy.pair(f"{source}>{target}:{len(self.proxy.pairs)}", address, *groups)
+
+    def _control_settings(self, control):
+        return {"name": control.name, "listen": control.address, "peer_listen": control.peer,
+                "replica_listen": control.replica, "data_folder": str(control.folder), "zones": self.zones,
+                "peers": [{"name": other.name, "replica": self._link(control.name, None, other.name, None, other.replica)}
+                          for other in self.controls if other is not control]}
+
+    def _entry_settings(self, entry):
+        return {"name": entry.name, "zone": entry.zone, "listen": entry.address, "admin_listen": entry.admin,
+                "peer_listen": entry.peer,
+                "control": [self._link(entry.name, entry.zone, control.name, None, control.peer)
+                            for control in self.controls],
+                "peers": [{"name": other.name, "zone": other.zone,
+                           "peer": self._link(entry.name, entry.zone, other.name, other.zone, other.peer),
+                           "http": self._link(entry.name, entry.zone, other.name, other.zone, other.address)}
+                          for other in self.entries if other is not entry]}
+
+    def start(self):
+        self.store.process.start(wait=False)
+        if self.proxy:
+            self.proxy.process.start()
+        self.start_control()
+        for target in [*self.entries, *self.engines, *self.services]:
+            target.process.start(wait=False)
+        for process in [self.store, *self.engines, *self.services]:
+            process.process.wait_ready()
+        return self
+
+    def start_control(self):
+        for control in self.controls:
+            control.process.start(wait=False)
+        self.leader()
+        return self
+
+    def wait_entries(self, timeout=20):
+        for entry in self.entries:
+            wait_for(lambda one=entry: ready(one), timeout, f"{entry.name} is not ready:\n{entry.process.tail()}")
+        return self
+
+    # Operators
+
+    def status(self, control, timeout=2):
+        try:
+            return get(control.address, "/v1/status", timeout).json()
+        except (requests.RequestException, ValueError):
+            return None
+
+    def leader(self, timeout=10, among=None):
+        def find():
+            for control in among or self.controls:
+                if control.process.running():
+                    try:
+                        reply = get(control.address, "/v1/status?local", 1).json()
+                    except (requests.RequestException, ValueError):
+                        continue
+                    if role_of(reply) == "leader":
+                        return control
+            return None
+        return wait_for(find, timeout, "no control host leads")
+
+    def command(self, path, body, timeout=15, command_id=None, among=None):
+        """Sends a command until a control host takes it, each time with the same command id."""
+        body = {**body, "command_id": command_id or f"command-{next(self.commands)}-{time.time_ns()}"}
+        deadline = time.monotonic() + timeout
+        hosts = itertools.cycle(among or self.controls)
+        while True:
+            try:
+                reply = post(next(hosts).address, path, body, 3)
+                if reply.status_code not in (503, 504):
+                    return reply
+            except requests.RequestException:
+                reply = None
+            if time.monotonic() > deadline:
+                raise AssertionError(f"{path} was not taken in {timeout} s: {reply.text if reply is not None else None}")
+            time.sleep(0.1)
+
+    def configure(self, intent, timeout=15):
+        """Creates an intent and confirms its plan; returns the revision."""
+        plan = self.command("/v1/intents", intent, timeout)
+        assert plan.status_code == 200, plan.text
+        body = plan.json()
+        reply = self.command(f"/v1/plans/{plan_id(body)}/confirm", {"base_revision": body["base_revision"]}, timeout)
+        assert reply.status_code == 200, reply.text
+        return reply.json()["revision"]
+
+    def serve(self, adapters, prefix="adapter-", **extra):
+        """Makes adapters of the load generator servable."""
+        return self.configure({"name": f"intent-{prefix}", "service": "drafting", "priority": "normal",
+                               "adapters": adapter_list(adapters, prefix), **extra})
+
+
+def plan_id(body):
+    return body.get("plan") or body["id"]
+
+
+def role_of(status):
+    return status.get("role") or status.get("control", {}).get("role")
+
+
+def adapter_list(count, prefix="adapter-", version="1"):
+    return [{"name": f"{prefix}{number:05}", "version": version, "base_model": "base", "current": True}
+            for number in range(count)]
+
+
+def ready(entry):
+    try:
+        return get(entry.admin, "/readyz", 1).status_code == 200
+    except requests.RequestException:
+        return False
