--- a/lib/Control/State/IntentJson.cpp
+++ b/lib/Control/State/IntentJson.cpp
@@ -89,8 +89,7 @@
     }
     Intent intent;
     try {
-        refuseUnknown(body,
-                      {"command_id", "name", "service", "priority", "adapters", "route", "store", "weights"}, "");
+        refuseUnknown(body, {"command_id", "name", "service", "priority", "adapters", "route", "store", "weights"}, "");
         intent.name = IntentName(field<std::string>(body, "name", ""));
         intent.service = ServiceName(field<std::string>(body, "service", ""));
         const auto priorityText = field<std::string>(body, "priority", "normal");
@@ -120,9 +119,8 @@
 
 static json routeToJson(const ServiceRoute &route)
 {
-    return {{"repeatable", route.repeatable},
-            {"timeout_ms", route.timeout.count()},
-            {"share_percent", route.sharePercent}};
+    return {
+        {"repeatable", route.repeatable}, {"timeout_ms", route.timeout.count()}, {"share_percent", route.sharePercent}};
 }
 
 static json storeToJson(const StoreLimits &store)
--- a/lib/Control/State/SnapshotCodec.cpp
+++ b/lib/Control/State/SnapshotCodec.cpp
@@ -13,7 +13,7 @@
     Refused,
 };
 
-static void writeAnswer(ByteWriter &out, const PlanAnswer &answer, const ConfigurationState::Contents &contents)
+static void writeAnswer(SnapshotWriter &out, const PlanAnswer &answer, const ConfigurationState::Contents &contents)
 {
     out.number(static_cast<std::uint64_t>(AnswerKind::Plan));
     // A pending plan is written once, among the pending ones.
@@ -25,14 +25,16 @@
     }
 }
 
-static void writeAnswer(ByteWriter &out, const ConfirmedAnswer &answer, const ConfigurationState::Contents & /*unused*/)
+static void writeAnswer(SnapshotWriter &out, const ConfirmedAnswer &answer,
+                        const ConfigurationState::Contents & /*unused*/)
 {
     out.number(static_cast<std::uint64_t>(AnswerKind::Confirmed));
     out.text(answer.plan.value());
     out.number(answer.revision.value());
 }
 
-static void writeAnswer(ByteWriter &out, const RefusedAnswer &answer, const ConfigurationState::Contents & /*unused*/)
+static void writeAnswer(SnapshotWriter &out, const RefusedAnswer &answer,
+                        const ConfigurationState::Contents & /*unused*/)
 {
     out.number(static_cast<std::uint64_t>(AnswerKind::Refused));
     out.number(static_cast<std::uint64_t>(answer.error.code));
@@ -41,7 +43,7 @@
     out.text(answer.lastConfirmedPlan.value());
 }
 
-static OperatorAnswer readAnswer(ByteReader &in, const ConfigurationState::Contents &contents)
+static OperatorAnswer readAnswer(SnapshotReader &in, const ConfigurationState::Contents &contents)
 {
     switch (static_cast<AnswerKind>(in.number())) {
     case AnswerKind::Plan: {
@@ -77,7 +79,7 @@
     throw std::runtime_error("an answer is of an unknown kind");
 }
 
-static void writeContents(ByteWriter &out, const ConfigurationState::Contents &contents)
+static void writeContents(SnapshotWriter &out, const ConfigurationState::Contents &contents)
 {
     writeDelta(out, fullDelta(contents.serving));
     out.number(contents.operatorRevision.value());
@@ -101,7 +103,7 @@
     });
 }
 
-static ConfigurationState::Contents readContents(ByteReader &in)
+static ConfigurationState::Contents readContents(SnapshotReader &in)
 {
     ConfigurationState::Contents contents;
     applyDelta(contents.serving, readDelta(in));
@@ -141,7 +143,7 @@
 
 std::string encodeSnapshot(const ConfigurationState &state)
 {
-    ByteWriter out;
+    SnapshotWriter out;
     out.number(SnapshotVersion);
     writeContents(out, state.contents());
     writeCalls(out, state.calls().contents());
@@ -152,7 +154,7 @@
 Result<void, WireError> decodeSnapshot(std::string_view bytes, ConfigurationState &state)
 {
     try {
-        ByteReader in(bytes);
+        SnapshotReader in(bytes);
         if (in.number() != SnapshotVersion) {
             return WireError{WireErrorCode::OtherVersion, "the snapshot is of another version"};
         }
--- a/lib/Control/State/SnapshotParts.cpp
+++ b/lib/Control/State/SnapshotParts.cpp
@@ -2,20 +2,20 @@
 
 namespace tamarackcove {
 
-static void writeAdapter(ByteWriter &out, const AdapterRef &adapter)
+static void writeAdapter(SnapshotWriter &out, const AdapterRef &adapter)
 {
     out.text(adapter.name());
     out.text(adapter.version());
 }
 
-static AdapterRef readAdapter(ByteReader &in)
+static AdapterRef readAdapter(SnapshotReader &in)
 {
     auto name = in.text();
     auto version = in.text();
     return {std::move(name), std::move(version)};
 }
 
-static Priority readPriority(ByteReader &in)
+static Priority readPriority(SnapshotReader &in)
 {
     const auto value = in.number();
     if (value > static_cast<std::uint64_t>(Priority::High)) {
@@ -24,14 +24,14 @@
     return static_cast<Priority>(value);
 }
 
-static void writeRoute(ByteWriter &out, const ServiceRoute &route)
+static void writeRoute(SnapshotWriter &out, const ServiceRoute &route)
 {
     out.flag(route.repeatable);
     out.number(static_cast<std::uint64_t>(route.timeout.count()));
     out.number(static_cast<std::uint64_t>(route.sharePercent));
 }
 
-static ServiceRoute readRoute(ByteReader &in)
+static ServiceRoute readRoute(SnapshotReader &in)
 {
     ServiceRoute route;
     route.repeatable = in.flag();
@@ -40,7 +40,7 @@
     return route;
 }
 
-static void writeLimits(ByteWriter &out, const std::optional<StoreLimits> &store,
+static void writeLimits(SnapshotWriter &out, const std::optional<StoreLimits> &store,
                         const std::optional<PolicyWeights> &weights)
 {
     out.flag(store.has_value());
@@ -55,7 +55,7 @@
     }
 }
 
-static void readLimits(ByteReader &in, std::optional<StoreLimits> &store, std::optional<PolicyWeights> &weights)
+static void readLimits(SnapshotReader &in, std::optional<StoreLimits> &store, std::optional<PolicyWeights> &weights)
 {
     if (in.flag()) {
         store.emplace();
@@ -69,7 +69,7 @@
     }
 }
 
-void writeIntent(ByteWriter &out, const Intent &intent)
+void writeIntent(SnapshotWriter &out, const Intent &intent)
 {
     out.text(intent.name.value());
     out.text(intent.service.value());
@@ -86,7 +86,7 @@
     writeLimits(out, intent.store, intent.weights);
 }
 
-Intent readIntent(ByteReader &in)
+Intent readIntent(SnapshotReader &in)
 {
     Intent intent;
     intent.name = IntentName(in.text());
@@ -106,7 +106,7 @@
     return intent;
 }
 
-void writeDelta(ByteWriter &out, const ConfigurationDelta &delta)
+void writeDelta(SnapshotWriter &out, const ConfigurationDelta &delta)
 {
     out.flag(delta.full);
     out.number(delta.from.value());
@@ -129,7 +129,7 @@
     writeLimits(out, delta.store, delta.weights);
 }
 
-ConfigurationDelta readDelta(ByteReader &in)
+ConfigurationDelta readDelta(SnapshotReader &in)
 {
     ConfigurationDelta delta;
     delta.full = in.flag();
@@ -156,7 +156,7 @@
     return delta;
 }
 
-void writePlan(ByteWriter &out, const Plan &plan)
+void writePlan(SnapshotWriter &out, const Plan &plan)
 {
     out.text(plan.id.value());
     out.number(plan.base.value());
@@ -170,7 +170,7 @@
     });
 }
 
-Plan readPlan(ByteReader &in)
+Plan readPlan(SnapshotReader &in)
 {
     Plan plan;
     plan.id = PlanId(in.text());
@@ -188,7 +188,7 @@
     return plan;
 }
 
-void writeCalls(ByteWriter &out, const CallLedger::Contents &calls)
+void writeCalls(SnapshotWriter &out, const CallLedger::Contents &calls)
 {
     writeAll(out, calls.records, [&](const auto &entry) {
         const auto &[key, record] = entry;
@@ -211,7 +211,7 @@
     out.number(calls.answerBytes);
 }
 
-CallLedger::Contents readCalls(ByteReader &in)
+CallLedger::Contents readCalls(SnapshotReader &in)
 {
     CallLedger::Contents calls;
     readAll(in, [&] {
@@ -243,19 +243,19 @@
     return calls;
 }
 
-static void writeCrashId(ByteWriter &out, const QuarantineLedger::CrashId &crash)
+static void writeCrashId(SnapshotWriter &out, const QuarantineLedger::CrashId &crash)
 {
     out.text(crash.target.value());
     out.number(crash.incarnation.value());
 }
 
-static QuarantineLedger::CrashId readCrashId(ByteReader &in)
+static QuarantineLedger::CrashId readCrashId(SnapshotReader &in)
 {
     TargetId target(in.text());
     return {.target = std::move(target), .incarnation = Incarnation(in.number())};
 }
 
-void writeQuarantine(ByteWriter &out, const QuarantineLedger::Contents &quarantine)
+void writeQuarantine(SnapshotWriter &out, const QuarantineLedger::Contents &quarantine)
 {
     writeAll(out, quarantine.crashes, [&](const auto &entry) {
         writeCrashId(out, entry.first);
@@ -275,7 +275,7 @@
     writeAll(out, quarantine.quarantineOrder, [&](std::uint64_t fingerprint) { out.number(fingerprint); });
 }
 
-QuarantineLedger::Contents readQuarantine(ByteReader &in)
+QuarantineLedger::Contents readQuarantine(SnapshotReader &in)
 {
     QuarantineLedger::Contents quarantine;
     readAll(in, [&] {
--- a/lib/Control/State/SnapshotParts.h
+++ b/lib/Control/State/SnapshotParts.h
@@ -1,23 +1,23 @@
 #pragma once
 
-#include "ByteStream.h"
+#include "SnapshotStream.h"
 #include "tamarackcove/Configuration/ConfigurationState.h"
 
 namespace tamarackcove {
 
-void writeIntent(ByteWriter &out, const Intent &intent);
-Intent readIntent(ByteReader &in);
-void writeDelta(ByteWriter &out, const ConfigurationDelta &delta);
-ConfigurationDelta readDelta(ByteReader &in);
-void writePlan(ByteWriter &out, const Plan &plan);
-Plan readPlan(ByteReader &in);
-void writeCalls(ByteWriter &out, const CallLedger::Contents &calls);
-CallLedger::Contents readCalls(ByteReader &in);
-void writeQuarantine(ByteWriter &out, const QuarantineLedger::Contents &quarantine);
-QuarantineLedger::Contents readQuarantine(ByteReader &in);
+void writeIntent(SnapshotWriter &out, const Intent &intent);
+Intent readIntent(SnapshotReader &in);
+void writeDelta(SnapshotWriter &out, const ConfigurationDelta &delta);
+ConfigurationDelta readDelta(SnapshotReader &in);
+void writePlan(SnapshotWriter &out, const Plan &plan);
+Plan readPlan(SnapshotReader &in);
+void writeCalls(SnapshotWriter &out, const CallLedger::Contents &calls);
+CallLedger::Contents readCalls(SnapshotReader &in);
+void writeQuarantine(SnapshotWriter &out, const QuarantineLedger::Contents &quarantine);
+QuarantineLedger::Contents readQuarantine(SnapshotReader &in);
 
 template<typename Container, typename Write>
-void writeAll(ByteWriter &out, const Container &container, Write write)
+void writeAll(SnapshotWriter &out, const Container &container, Write write)
 {
     out.number(container.size());
     for (const auto &one : container) {
@@ -26,7 +26,7 @@
 }
 
 template<typename Read>
-void readAll(ByteReader &in, Read read)
+void readAll(SnapshotReader &in, Read read)
 {
     for (auto left = in.number(); left > 0; --left) {
         read();
--- a/lib/Control/State/ByteStream.h
+++ b/lib/Control/State/SnapshotStream.h
@@ -9,7 +9,7 @@
 namespace tamarackcove {
 
 /// Appends plain values to a buffer: numbers with seven bits a byte, strings with their length before them.
-class ByteWriter
+class SnapshotWriter
 {
 public:
     void number(std::uint64_t value)
@@ -46,11 +46,11 @@
     std::string m_bytes;
 };
 
-/// Reads what a ByteWriter wrote. Every method throws std::runtime_error at the end of the bytes.
-class ByteReader
+/// Reads what a SnapshotWriter wrote. Every method throws std::runtime_error at the end of the bytes.
+class SnapshotReader
 {
 public:
-    explicit ByteReader(std::string_view bytes)
+    explicit SnapshotReader(std::string_view bytes)
         : m_bytes(bytes)
     {
     }
--- /dev/null
+++ b/unittests/Configuration/ConfigurationStateTest.cpp
@@ -0,0 +1,188 @@
+#include "tamarackcove/Configuration/ConfigurationState.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace tamarackcove;
+
+namespace {
+
+const LeaderTime Start{std::chrono::hours(1000)};
+
+IntentAdapter adapter(const std::string &name, const std::string &version, bool current = false)
+{
+    return {.adapter = AdapterRef(name, version), .baseModel = BaseModel("base"), .current = current};
+}
+
+CreateIntent create(const std::string &id, const std::string &name, std::vector<IntentAdapter> adapters)
+{
+    Intent intent;
+    intent.name = IntentName(name);
+    intent.service = ServiceName("drafting");
+    intent.adapters = std::move(adapters);
+    intent.normalise();
+    return {.id = CommandId(id), .intent = std::make_shared<const Intent>(std::move(intent)), .digest = 1};
+}
+
+ConfirmPlan confirm(const std::string &id, const Plan &plan)
+{
+    return {.id = CommandId(id), .plan = plan.id, .base = plan.base, .digest = 2};
+}
+
+template<typename T>
+T answered(const CommandAnswer &answer)
+{
+    const auto &one = std::get<OperatorAnswer>(answer);
+    REQUIRE(std::holds_alternative<T>(one));
+    return std::get<T>(one);
+}
+
+std::shared_ptr<const Plan> planned(ConfigurationState &state, const CreateIntent &command, LeaderTime now = Start)
+{
+    return answered<PlanAnswer>(state.apply(now, Command(command))).plan;
+}
+
+/// Creates and confirms; returns the new revision.
+Revision put(ConfigurationState &state, const CreateIntent &command, LeaderTime now = Start)
+{
+    const auto plan = planned(state, command, now);
+    return answered<ConfirmedAnswer>(state.apply(now, Command(confirm(command.id.value() + "-c", *plan)))).revision;
+}
+
+bool sameServing(const ServingConfiguration &left, const ServingConfiguration &right)
+{
+    const auto one = fullDelta(left);
+    const auto two = fullDelta(right);
+    const auto sameAdapter = [](const AdapterPut &a, const AdapterPut &b) {
+        return a.adapter == b.adapter && a.record.baseModel == b.record.baseModel
+            && a.record.service == b.record.service && a.record.priority == b.record.priority
+            && a.record.current == b.record.current;
+    };
+    return one.to == two.to && std::equal(one.put.begin(), one.put.end(), two.put.begin(), two.put.end(), sameAdapter)
+        && one.services == two.services && one.quarantined == two.quarantined && one.store == two.store
+        && one.weights == two.weights;
+}
+
+} // namespace
+
+TEST_CASE("of two plans for the same revision one is confirmed, and the loser sees what is in effect")
+{
+    ConfigurationState state;
+    const auto first = planned(state, create("1", "a", {adapter("x", "1", true)}));
+    const auto second = planned(state, create("2", "b", {adapter("y", "1", true)}));
+    CHECK(answered<ConfirmedAnswer>(state.apply(Start, Command(confirm("3", *first)))).revision == Revision(1));
+    const auto refused = answered<RefusedAnswer>(state.apply(Start, Command(confirm("4", *second))));
+    CHECK(refused.error.code == ConfigurationErrorCode::Conflict);
+    CHECK(refused.inForce == Revision(1));
+    CHECK(refused.lastConfirmedPlan == first->id);
+    CHECK_FALSE(state.serving().adapters.find(AdapterRef("y", "1")));
+}
+
+TEST_CASE("a plan shows what is added, removed, changed and made current, and an unconfirmed one changes nothing")
+{
+    ConfigurationState state;
+    put(state, create("1", "a", {adapter("x", "1", true), adapter("y", "1")}));
+    auto wanted = create("2", "a", {adapter("x", "1"), adapter("x", "2", true), adapter("z", "1")});
+    const auto plan = planned(state, wanted);
+    CHECK(plan->added == std::vector<AdapterRef>{AdapterRef("x", "2"), AdapterRef("z", "1")});
+    CHECK(plan->changes.removed == std::vector<AdapterRef>{AdapterRef("y", "1")});
+    CHECK(plan->changes.put.size() == 3);
+    REQUIRE(plan->currentChanges.size() == 1);
+    CHECK(plan->currentChanges[0].from == "1");
+    CHECK(plan->currentChanges[0].to == "2");
+    CHECK(state.serving().revision == Revision(1));
+    CHECK(state.serving().adapters.find(AdapterRef("y", "1")));
+}
+
+TEST_CASE("intents that contradict themselves or each other are refused")
+{
+    ConfigurationState state;
+    put(state, create("1", "a", {adapter("x", "1")}));
+    const auto code = [&](const CreateIntent &command) {
+        return answered<RefusedAnswer>(state.apply(Start, Command(command))).error.code;
+    };
+    CHECK(code(create("2", "b", {adapter("x", "1")})) == ConfigurationErrorCode::AdapterOwned);
+    CHECK(code(create("3", "b", {adapter("y", "1", true), adapter("y", "2", true)}))
+          == ConfigurationErrorCode::InvalidIntent);
+    CHECK(code(create("4", "b", {adapter("y", "1"), adapter("y", "1")})) == ConfigurationErrorCode::InvalidIntent);
+    CHECK(code(create("5", "b", {adapter("no spaces", "1")})) == ConfigurationErrorCode::InvalidIntent);
+    CHECK(code(create("6", "", {})) == ConfigurationErrorCode::InvalidIntent);
+}
+
+TEST_CASE("a resent command gets its first answer and has no second effect; its id is refused for another command")
+{
+    ConfigurationState state;
+    const auto command = create("1", "a", {adapter("x", "1")});
+    const auto plan = planned(state, command);
+    CHECK(planned(state, command)->id == plan->id);
+    CHECK(state.contents().pending.size() == 1);
+    const auto confirmation = confirm("2", *plan);
+    CHECK(answered<ConfirmedAnswer>(state.apply(Start, Command(confirmation))).revision == Revision(1));
+    put(state, create("3", "b", {adapter("y", "1")}));
+    CHECK(answered<ConfirmedAnswer>(state.apply(Start, Command(confirmation))).revision == Revision(1));
+    CHECK(state.serving().revision == Revision(2));
+    auto other = create("1", "a", {adapter("x", "2")});
+    other.digest = 99;
+    CHECK(answered<RefusedAnswer>(state.apply(Start, Command(other))).error.code
+          == ConfigurationErrorCode::CommandReused);
+}
+
+TEST_CASE("a quarantined request does not invalidate the plans of operators")
+{
+    ConfigurationState state;
+    const auto plan = planned(state, create("1", "a", {adapter("x", "1")}));
+    for (const auto *target : {"t1", "t2"}) {
+        state.apply(
+            Start,
+            Command(ReportCrash{.target = TargetId(target), .incarnation = Incarnation(1), .fingerprints = {7}}));
+    }
+    CHECK(state.serving().revision == Revision(1));
+    CHECK(state.serving().quarantined.contains(7));
+    CHECK(answered<ConfirmedAnswer>(state.apply(Start, Command(confirm("2", *plan)))).revision == Revision(2));
+}
+
+TEST_CASE("changes since any revision lead an entry to the same configuration, also from beyond the history")
+{
+    ConfigurationState::Limits limits;
+    limits.maxHistoryRevisions = 20;
+    ConfigurationState state(limits);
+    std::mt19937 random(7);
+    std::vector<ServingConfiguration> entries(1);
+    for (int round = 0; round < 200; ++round) {
+        std::vector<IntentAdapter> adapters;
+        const auto intent = std::to_string(random() % 3);
+        for (int i = 0; i < 5; ++i) {
+            auto one = adapter(intent + "-" + std::to_string(i), std::to_string(random() % 3), random() % 2 == 0);
+            one.baseModel = BaseModel("base-" + std::to_string(random() % 2));
+            adapters.push_back(std::move(one));
+        }
+        put(state, create(std::to_string(round), intent, std::move(adapters)));
+        // One entry follows often, others fall behind and are dropped when they have caught up.
+        if (random() % 4 == 0) {
+            entries.push_back(entries[random() % entries.size()]);
+        }
+        auto &entry = entries[random() % entries.size()];
+        const auto delta = state.changesSince(entry.revision);
+        CHECK(delta.full == (state.serving().revision.value() - entry.revision.value() > 20));
+        applyDelta(entry, delta);
+        REQUIRE(sameServing(entry, state.serving()));
+    }
+}
+
+TEST_CASE("recorded answers and call reservations expire by the leader's time and not before")
+{
+    using std::chrono::hours;
+    ConfigurationState state;
+    const auto command = create("1", "a", {adapter("x", "1")});
+    const auto plan = planned(state, command);
+    const ReserveCall call{.key = "k", .digest = 1, .entry = EntryId("e"), .attempt = RequestId("r")};
+    const auto decision = [&](LeaderTime now) {
+        return std::get<ReservationAnswer>(state.apply(now, Command(call))).decision;
+    };
+    CHECK(decision(Start) == CallDecision::Granted);
+    state.apply(Start, Command(CompleteCall{.key = "k", .entry = EntryId("e"), .status = 200}));
+    CHECK(decision(Start + hours(23)) == CallDecision::Completed);
+    CHECK(planned(state, command, Start + hours(23))->id == plan->id);
+    CHECK(decision(Start + hours(25)) == CallDecision::Granted);
+    CHECK(planned(state, command, Start + hours(25))->id != plan->id);
+}
