Test tamarackcovectl against a control node

Cause: exit codes and resending are what scripts rely on. Conclusion: conflicts, lost answers and absent hosts end as documented.

--- /dev/null
+++ b/unittests/Operator/OperatorToolTest.cpp
@@ -0,0 +1,180 @@
+#include "tamarackcove/Operator/OperatorTool.h"
+
+#include "tamarackcove/Control/ControlNode.h"
+#include "tamarackcove/Http/HttpRequest.h"
+#include "tamarackcove/Http/HttpResponder.h"
+#include "tamarackcove/Http/HttpServer.h"
+#include "tamarackcove/Settings/SettingsFile.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace asio = boost::asio;
+using namespace tamarackcove;
+
+namespace {
+
+struct Outcome
+{
+    int exitCode = 0;
+    std::string out;
+    std::string err;
+};
+
+/// Runs the tool as a shell would.
+Outcome ctl(const std::vector<std::string> &arguments)
+{
+    std::vector<const char *> argv{"tamarackcovectl"};
+    for (const auto &argument : arguments) {
+        argv.push_back(argument.c_str());
+    }
+    std::ostringstream out;
+    std::ostringstream err;
+    Outcome outcome;
+    const auto command
+        = parseOperatorCommand(static_cast<int>(argv.size()), argv.data(), "test", err, outcome.exitCode);
+    if (command) {
+        outcome.exitCode = runOperatorCommand(*command, out, err);
+    }
+    outcome.out = out.str();
+    outcome.err = err.str();
+    return outcome;
+}
+
+std::filesystem::path scratchFolder()
+{
+    auto folder = std::filesystem::temp_directory_path() / ("operator-tool-test-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    return folder;
+}
+
+/// A control node on its own thread; the tool blocks the thread of the test.
+class RunningNode
+{
+public:
+    RunningNode()
+        : m_folder(scratchFolder())
+    {
+        ControlSettings settings;
+        settings.name = "c1";
+        settings.listen = {"127.0.0.1", 0};
+        settings.peerListen = {"127.0.0.1", 0};
+        settings.dataFolder = m_folder / "data";
+        settings.zones = {Zone("a")};
+        m_node = std::make_unique<ControlNode>(m_io.get_executor(), settings, ControlNode::Hooks{});
+        REQUIRE(m_node->open().has_value());
+        m_endpoint = m_node->administration().toString();
+        m_node->start();
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+    ~RunningNode()
+    {
+        asio::co_spawn(m_io, m_node->shutDown(), asio::detached);
+        m_thread.join();
+        std::filesystem::remove_all(m_folder);
+    }
+    RunningNode(const RunningNode &) = delete;
+    RunningNode &operator=(const RunningNode &) = delete;
+
+    Outcome run(std::vector<std::string> arguments) const
+    {
+        arguments.insert(arguments.end(), {"--control", m_endpoint});
+        return ctl(arguments);
+    }
+    std::string intentFile(const std::string &name) const
+    {
+        const auto path = (m_folder / (name + ".json")).string();
+        std::ofstream(path) << R"({"service":"drafting","adapters":[{"name":")" << name
+                            << R"(","version":"1","base_model":"b","current":true}],"name":")" << name << "\"}";
+        return path;
+    }
+
+private:
+    std::filesystem::path m_folder;
+    asio::io_context m_io;
+    std::unique_ptr<ControlNode> m_node;
+    std::string m_endpoint;
+    std::thread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("wrong use ends with code 2 and says what is wrong, without a try to reach anything")
+{
+    CHECK(ctl({}).exitCode == ExitUsage);
+    CHECK(ctl({"status"}).exitCode == ExitUsage);
+    CHECK(ctl({"--control", "localhost:80", "status"}).err.find("localhost:80") != std::string::npos);
+    CHECK(ctl({"--control", "127.0.0.1:1", "plan", "confrm", "p"}).exitCode == ExitUsage);
+    CHECK(ctl({"--control", "127.0.0.1:1", "intent", "create"}).err.find("--file") != std::string::npos);
+    CHECK(ctl({"--control", "127.0.0.1:1", "intent", "create", "--file", "/nonexistent"}).exitCode == ExitUsage);
+}
+
+TEST_CASE("an intent is created, shown, confirmed and listed; a second confirmation is a conflict")
+{
+    const RunningNode node;
+    const auto created = node.run({"intent", "create", "--file", node.intentFile("rules")});
+    CHECK(created.exitCode == 0);
+    CHECK(created.out.find("+ rules@1 on b for drafting") != std::string::npos);
+    CHECK(node.run({"plan", "list"}).out.find("plan-1") != std::string::npos);
+    const auto rival = node.run({"intent", "create", "--file", node.intentFile("other"), "--command-id", "x"});
+    const auto again = node.run({"intent", "create", "--file", node.intentFile("other"), "--command-id", "x"});
+    CHECK(rival.out == again.out);
+    CHECK(node.run({"plan", "confirm", "plan-1"}).out.find("revision 1") != std::string::npos);
+    const auto conflict = node.run({"plan", "confirm", "plan-2"});
+    CHECK(conflict.exitCode == ExitRefused);
+    CHECK(conflict.err.find("in effect is revision 1, the last confirmed plan is plan-1") != std::string::npos);
+    CHECK(node.run({"plan", "confirm", "plan-9"}).exitCode == ExitRefused);
+    CHECK(node.run({"intent", "show", "rules"}).out.find("rules@1") != std::string::npos);
+    CHECK(node.run({"intent", "show", "nothing"}).exitCode == ExitRefused);
+    const auto status = node.run({"status", "--json"});
+    CHECK(status.exitCode == 0);
+    const auto page = nlohmann::json::parse(status.out);
+    CHECK(page.at("revision") == 1);
+    CHECK(page.at("plans_pending").at(0).at("confirmable") == false);
+    CHECK(node.run({"status"}).out.find("revision 1 with 1 adapters from 1 intents") != std::string::npos);
+}
+
+TEST_CASE("without a control host the tool ends with code 3 and says that nothing was accepted")
+{
+    const auto outcome = ctl({"--control", "127.0.0.1:1", "--timeout-ms", "300", "status"});
+    CHECK(outcome.exitCode == ExitUnreachable);
+    CHECK(outcome.err.find("no control host gave an answer") != std::string::npos);
+}
+
+TEST_CASE("after a lost answer the same command is sent again under the same id")
+{
+    asio::io_context io;
+    Supervisor supervisor(io.get_executor(), "test");
+    std::vector<std::string> ids;
+    HttpServer server(supervisor, {},
+                      [&](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+                          ids.push_back(nlohmann::json::parse(request.body).at("command_id").get<std::string>());
+                          if (ids.size() == 1) {
+                              // Ends the connection in the middle of the answer.
+                              (void)co_await responder.beginStream(streamHead("application/json"));
+                              co_return;
+                          }
+                          (void)co_await responder.send(jsonResponse(200, R"({"plan":"plan-1","revision":1})"));
+                      });
+    REQUIRE(server.listen({"127.0.0.1", 0}).has_value());
+    supervisor.start("accept", [&] { return server.run(); });
+    const auto endpoint = Endpoint{"127.0.0.1", server.port()}.toString();
+    std::thread thread([&] { io.run(); });
+    const auto outcome = ctl({"--control", endpoint, "plan", "confirm", "plan-1", "--base-revision", "0"});
+    asio::co_spawn(io, supervisor.stop(), asio::detached);
+    thread.join();
+    CHECK(outcome.exitCode == 0);
+    REQUIRE(ids.size() == 2);
+    CHECK(ids[0] == ids[1]);
+}
