--- a/include/tamarackcove/Entry/Control/ControlLink.h
+++ b/include/tamarackcove/Entry/Control/ControlLink.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Entry/Control/ControlOptions.h"
 #include "tamarackcove/Entry/ControlCalls.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -58,6 +59,9 @@
     /// The functions stay valid as long as this object.
     [[nodiscard]] ControlCalls calls();
 
+    /// Bytes of all watching connections so far, both ways.
+    [[nodiscard]] std::uint64_t watchBytes() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> m_impl;
--- a/lib/Configuration/ConfigurationState.cpp
+++ b/lib/Configuration/ConfigurationState.cpp
@@ -144,7 +144,7 @@
     if (found == m_contents.pending.end()) {
         if (findPlan(command.plan)) {
             return refuse(ConfigurationErrorCode::Conflict,
-                          "plan " + command.plan.value() + " is no longer pending; create the intent again");
+                          "plan " + command.plan.value() + " was confirmed, or replaced by a later one, before");
         }
         return refuse(ConfigurationErrorCode::UnknownPlan, "plan " + command.plan.value() + " is not known");
     }
--- a/lib/Control/ControlNode.cpp
+++ b/lib/Control/ControlNode.cpp
@@ -28,6 +28,9 @@
     replica.administration = settings.listen;
     replica.minElectionTimeout = settings.minElectionTimeout;
     replica.maxElectionTimeout = settings.maxElectionTimeout;
+    // A lease of a sixth less than the shortest election timeout covers clocks that run apart by that much.
+    replica.leaderLease = settings.minElectionTimeout * 5 / 6;
+    replica.heartbeatInterval = settings.minElectionTimeout / 3;
     return replica;
 }
 
--- a/lib/Control/Operators/OperatorApi.cpp
+++ b/lib/Control/Operators/OperatorApi.cpp
@@ -11,6 +11,10 @@
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
 
+#include <fstream>
+#include <sys/resource.h>
+#include <unistd.h>
+
 namespace asio = boost::asio;
 
 namespace tamarackcove {
@@ -264,6 +268,24 @@
     return jsonResponse(200, page.dump());
 }
 
+/// What this process has cost so far.
+static void addProcessFigures(Metrics &figures)
+{
+    rusage usage{};
+    ::getrusage(RUSAGE_SELF, &usage);
+    const auto inSeconds = [](const timeval &time) {
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * 1e-6;
+    };
+    figures.gauge("process_cpu_seconds", inSeconds(usage.ru_utime) + inSeconds(usage.ru_stime));
+    std::ifstream statm("/proc/self/statm");
+    std::uint64_t totalPages = 0;
+    std::uint64_t residentPages = 0;
+    if (statm >> totalPages >> residentPages) {
+        figures.gauge("process_resident_bytes",
+                      static_cast<double>(residentPages) * static_cast<double>(::sysconf(_SC_PAGESIZE)));
+    }
+}
+
 HttpResponse OperatorApi::metrics() const
 {
     const auto &state = m_parts.state.state();
@@ -278,6 +300,7 @@
     figures.gauge("plans_pending", static_cast<double>(state.contents().pending.size()));
     figures.gauge("call_reservations", static_cast<double>(state.calls().contents().records.size()));
     figures.gauge("quarantined", static_cast<double>(state.quarantine().contents().quarantined.size()));
+    addProcessFigures(figures);
     HttpResponse response;
     response.headers.set("content-type", "text/plain; version=0.0.4");
     response.body = figures.exposition();
--- a/lib/Control/Replica/PeerLinks.cpp
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -267,7 +267,12 @@
 
 asio::awaitable<void> PeerLinks::readPongs(FramedConnection &connection)
 {
-    while ((co_await connection.read(PongTimeout)).has_value()) { }
+    for (;;) {
+        const auto pong = co_await connection.read(PongTimeout);
+        if (pong.has_error()) {
+            co_return;
+        }
+    }
 }
 
 asio::awaitable<void> PeerLinks::acceptPeers()
--- a/lib/Control/State/SnapshotCodec.cpp
+++ b/lib/Control/State/SnapshotCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "SnapshotParts.h"
 
+#include <algorithm>
+
 namespace tamarackcove {
 
 static constexpr std::uint64_t SnapshotVersion = 1;
@@ -79,13 +81,49 @@
     throw std::runtime_error("an answer is of an unknown kind");
 }
 
+/// The serving configuration without its adapters: those follow from the intents.
+static ConfigurationDelta withoutAdapters(const ServingConfiguration &serving)
+{
+    ConfigurationDelta delta;
+    delta.full = true;
+    delta.to = serving.revision;
+    delta.services = serving.services;
+    delta.quarantined.assign(serving.quarantined.begin(), serving.quarantined.end());
+    std::sort(delta.quarantined.begin(), delta.quarantined.end());
+    delta.store = serving.store;
+    delta.weights = serving.weights;
+    return delta;
+}
+
+/// Which of the adapters of an intent are current now: a later intent may have made another version current.
+static void writeCurrentMarks(SnapshotWriter &out, const Intent &intent, const AdapterCatalog &adapters)
+{
+    for (const auto &entry : intent.adapters) {
+        const auto record = adapters.find(entry.adapter);
+        out.flag(record && record->current);
+    }
+}
+
+static void readAdapters(SnapshotReader &in, const Intent &intent, AdapterCatalog &adapters)
+{
+    for (const auto &entry : intent.adapters) {
+        const bool current = in.flag();
+        adapters.put(
+            entry.adapter,
+            {.baseModel = entry.baseModel, .service = intent.service, .priority = intent.priority, .current = current});
+    }
+}
+
 static void writeContents(SnapshotWriter &out, const ConfigurationState::Contents &contents)
 {
-    writeDelta(out, fullDelta(contents.serving));
+    writeDelta(out, withoutAdapters(contents.serving));
     out.number(contents.operatorRevision.value());
     out.text(contents.lastConfirmedPlan.value());
     out.number(contents.plansMade);
-    writeAll(out, contents.intents, [&](const auto &entry) { writeIntent(out, *entry.second); });
+    writeAll(out, contents.intents, [&](const auto &entry) {
+        writeIntent(out, *entry.second);
+        writeCurrentMarks(out, *entry.second, contents.serving.adapters);
+    });
     writeAll(out, contents.pending, [&](const auto &entry) { writePlan(out, *entry.second); });
     writeAll(out, contents.answerOrder, [&](const CommandId &id) {
         const auto &recorded = contents.answers.at(id);
@@ -112,6 +150,7 @@
     contents.plansMade = in.number();
     readAll(in, [&] {
         auto intent = std::make_shared<const Intent>(readIntent(in));
+        readAdapters(in, *intent, contents.serving.adapters);
         contents.intents.emplace(intent->name, intent);
     });
     readAll(in, [&] {
--- a/lib/Entry/Control/ControlLink.cpp
+++ b/lib/Entry/Control/ControlLink.cpp
@@ -59,6 +59,7 @@
 asio::awaitable<void> ControlLink::Impl::watch(std::size_t host, FramedConnection &connection)
 {
     constexpr milliseconds FirstPoll{100};
+    std::uint64_t counted = 0;
     struct FirstFetch
     {
         bool &fetching;
@@ -85,7 +86,11 @@
         message.wait = first ? milliseconds(0) : activating ? options.activationWait : options.watchWait;
         const auto timeout = message.wait + options.answerTimeout;
         const auto written = co_await connection.write(toMessage(message), WriteTimeout);
-        if (written.has_error() || !co_await readAnswer(host, connection, timeout)) {
+        const bool answered = written.has_value() && co_await readAnswer(host, connection, timeout);
+        const auto total = connection.bytesRead() + connection.bytesWritten();
+        watchBytes += total - counted;
+        counted = total;
+        if (!answered) {
             co_return;
         }
     }
@@ -202,6 +207,11 @@
     return m_impl->configuration.hasAny();
 }
 
+std::uint64_t ControlLink::watchBytes() const
+{
+    return m_impl->watchBytes;
+}
+
 std::optional<std::pair<Revision, std::string>> ControlLink::exportHeld() const
 {
     if (!m_impl->configuration.hasAny()) {
--- a/lib/Entry/Control/ControlLinkImpl.h
+++ b/lib/Entry/Control/ControlLinkImpl.h
@@ -62,6 +62,7 @@
     TimePoint permitUntil;
     StoreRights quota;
     FencingNumber highestVote;
+    std::uint64_t watchBytes = 0;
 };
 
 } // namespace tamarackcove
--- /dev/null
+++ b/tools/tamarackcove-controlbench/main.cpp
@@ -0,0 +1,67 @@
+#include "tamarackcove/ControlBench/ChangeBench.h"
+#include "tamarackcove/ControlBench/StateBench.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Settings/SettingsFile.h"
+
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+using namespace tamarackcove;
+
+static bool parseAll(const std::vector<std::string> &texts, std::vector<Endpoint> &endpoints)
+{
+    for (const auto &text : texts) {
+        const auto endpoint = Endpoint::parse(text);
+        if (!endpoint) {
+            std::cerr << "tamarackcove-controlbench: " << text << " is not an ip number and port\n";
+            return false;
+        }
+        endpoints.push_back(*endpoint);
+    }
+    return true;
+}
+
+int main(int argc, char **argv)
+{
+    initLogging("tamarackcove-controlbench", LogLevel::Error);
+    try {
+        TCLAP::CmdLine line("measures configuration changes and the replicated state", ' ', TAMARACKCOVE_VERSION);
+        line.setExceptionHandling(false);
+        TCLAP::MultiArg<std::string> control("", "control", "framed endpoint of a control host", false, "IP:PORT",
+                                             line);
+        TCLAP::MultiArg<std::string> admin("", "admin", "administration endpoint of a control host", false, "IP:PORT",
+                                           line);
+        TCLAP::ValueArg<int> watchers("", "watchers", "entry links", false, 7, "COUNT", line);
+        TCLAP::ValueArg<int> changes("", "changes", "measured changes", false, 50, "COUNT", line);
+        TCLAP::ValueArg<int> adapters("", "adapters", "adapters in the configuration", false, 3000, "COUNT", line);
+        TCLAP::ValueArg<int> idle("", "idle-ms", "time of the idle measurement", false, 10000, "MS", line);
+        TCLAP::SwitchArg state("", "state", "measure the replicated state alone, without control hosts", line);
+        line.parse(argc, argv);
+        if (state.getValue()) {
+            std::cout << runStateBench(adapters.getValue()).dump(2) << '\n';
+            return 0;
+        }
+        ChangeBenchOptions options;
+        if (!parseAll(control.getValue(), options.control) || !parseAll(admin.getValue(), options.administration)) {
+            return ExitUsage;
+        }
+        if (options.control.empty() || options.administration.empty()) {
+            std::cerr << "tamarackcove-controlbench: needs --control and --admin, or --state\n";
+            return ExitUsage;
+        }
+        options.watchers = watchers.getValue();
+        options.changes = changes.getValue();
+        options.adapters = adapters.getValue();
+        options.idle = milliseconds(idle.getValue());
+        std::cout << runChangeBench(options).dump(2) << '\n';
+        return 0;
+    } catch (const TCLAP::ArgException &error) {
+        std::cerr << "tamarackcove-controlbench: " << error.error() << ' ' << error.argId() << '\n';
+        return ExitUsage;
+    } catch (const TCLAP::ExitException &exit) {
+        return exit.getExitStatus();
+    } catch (const std::exception &error) {
+        std::cerr << "tamarackcove-controlbench: " << error.what() << '\n';
+        return 1;
+    }
+}
--- a/unittests/Control/StateCodecTest.cpp
+++ b/unittests/Control/StateCodecTest.cpp
@@ -103,6 +103,7 @@
                 ConfigurationState fresh;
                 REQUIRE(decodeSnapshot(snapshot, fresh).has_value());
                 REQUIRE(encodeSnapshot(fresh) == snapshot);
+                REQUIRE(encodeDelta(fullDelta(fresh.serving())) == encodeDelta(fullDelta(original.serving())));
                 restarted = std::move(fresh);
             }
         }
