--- a/lib/Control/State/SnapshotCodec.cpp
+++ b/lib/Control/State/SnapshotCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "SnapshotParts.h"
 
+#include <algorithm>
+
 namespace tamarackcove {
 
 static constexpr std::uint64_t SnapshotVersion = 1;
@@ -13,7 +15,7 @@
     Refused,
 };
 
-static void writeAnswer(ByteWriter &out, const PlanAnswer &answer, const ConfigurationState::Contents &contents)
+static void writeAnswer(SnapshotWriter &out, const PlanAnswer &answer, const ConfigurationState::Contents &contents)
 {
     out.number(static_cast<std::uint64_t>(AnswerKind::Plan));
     // A pending plan is written once, among the pending ones.
@@ -25,14 +27,16 @@
     }
 }
 
-static void writeAnswer(ByteWriter &out, const ConfirmedAnswer &answer, const ConfigurationState::Contents & /*unused*/)
+static void writeAnswer(SnapshotWriter &out, const ConfirmedAnswer &answer,
+                        const ConfigurationState::Contents & /*unused*/)
 {
     out.number(static_cast<std::uint64_t>(AnswerKind::Confirmed));
     out.text(answer.plan.value());
     out.number(answer.revision.value());
 }
 
-static void writeAnswer(ByteWriter &out, const RefusedAnswer &answer, const ConfigurationState::Contents & /*unused*/)
+static void writeAnswer(SnapshotWriter &out, const RefusedAnswer &answer,
+                        const ConfigurationState::Contents & /*unused*/)
 {
     out.number(static_cast<std::uint64_t>(AnswerKind::Refused));
     out.number(static_cast<std::uint64_t>(answer.error.code));
@@ -41,7 +45,7 @@
     out.text(answer.lastConfirmedPlan.value());
 }
 
-static OperatorAnswer readAnswer(ByteReader &in, const ConfigurationState::Contents &contents)
+static OperatorAnswer readAnswer(SnapshotReader &in, const ConfigurationState::Contents &contents)
 {
     switch (static_cast<AnswerKind>(in.number())) {
     case AnswerKind::Plan: {
@@ -77,13 +81,49 @@
     throw std::runtime_error("an answer is of an unknown kind");
 }
 
-static void writeContents(ByteWriter &out, const ConfigurationState::Contents &contents)
+/// The serving configuration without its adapters: those follow from the intents.
+static ConfigurationDelta withoutAdapters(const ServingConfiguration &serving)
+{
+    ConfigurationDelta delta;
+    delta.full = true;
+    delta.to = serving.revision;
+    delta.services = serving.services;
+    delta.quarantined.assign(serving.quarantined.begin(), serving.quarantined.end());
+    std::sort(delta.quarantined.begin(), delta.quarantined.end());
+    delta.store = serving.store;
+    delta.weights = serving.weights;
+    return delta;
+}
+
+/// Which of the adapters of an intent are current now: a later intent may have made another version current.
+static void writeCurrentMarks(SnapshotWriter &out, const Intent &intent, const AdapterCatalog &adapters)
 {
-    writeDelta(out, fullDelta(contents.serving));
+    for (const auto &entry : intent.adapters) {
+        const auto record = adapters.find(entry.adapter);
+        out.flag(record && record->current);
+    }
+}
+
+static void readAdapters(SnapshotReader &in, const Intent &intent, AdapterCatalog &adapters)
+{
+    for (const auto &entry : intent.adapters) {
+        const bool current = in.flag();
+        adapters.put(
+            entry.adapter,
+            {.baseModel = entry.baseModel, .service = intent.service, .priority = intent.priority, .current = current});
+    }
+}
+
+static void writeContents(SnapshotWriter &out, const ConfigurationState::Contents &contents)
+{
+    writeDelta(out, withoutAdapters(contents.serving));
     out.number(contents.operatorRevision.value());
     out.text(contents.lastConfirmedPlan.value());
     out.number(contents.plansMade);
-    writeAll(out, contents.intents, [&](const auto &entry) { writeIntent(out, *entry.second); });
+    writeAll(out, contents.intents, [&](const auto &entry) {
+        writeIntent(out, *entry.second);
+        writeCurrentMarks(out, *entry.second, contents.serving.adapters);
+    });
     writeAll(out, contents.pending, [&](const auto &entry) { writePlan(out, *entry.second); });
     writeAll(out, contents.answerOrder, [&](const CommandId &id) {
         const auto &recorded = contents.answers.at(id);
@@ -101,7 +141,7 @@
     });
 }
 
-static ConfigurationState::Contents readContents(ByteReader &in)
+static ConfigurationState::Contents readContents(SnapshotReader &in)
 {
     ConfigurationState::Contents contents;
     applyDelta(contents.serving, readDelta(in));
@@ -110,6 +150,7 @@
     contents.plansMade = in.number();
     readAll(in, [&] {
         auto intent = std::make_shared<const Intent>(readIntent(in));
+        readAdapters(in, *intent, contents.serving.adapters);
         contents.intents.emplace(intent->name, intent);
     });
     readAll(in, [&] {
@@ -141,7 +182,7 @@
 
 std::string encodeSnapshot(const ConfigurationState &state)
 {
-    ByteWriter out;
+    SnapshotWriter out;
     out.number(SnapshotVersion);
     writeContents(out, state.contents());
     writeCalls(out, state.calls().contents());
@@ -152,7 +193,7 @@
 Result<void, WireError> decodeSnapshot(std::string_view bytes, ConfigurationState &state)
 {
     try {
-        ByteReader in(bytes);
+        SnapshotReader in(bytes);
         if (in.number() != SnapshotVersion) {
             return WireError{WireErrorCode::OtherVersion, "the snapshot is of another version"};
         }
