Take the lowest fencing number from the wall clock at each campaign

Ruled out: a floor in restarted voters, which would end the term of a coordinator that lost nothing. Change: the lowest number is asked for at each campaign; the simulation reads the state before orders may be sent.

--- a/include/tamarackcove/Membership/ZoneElection.h
+++ b/include/tamarackcove/Membership/ZoneElection.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Membership/ZoneVote.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -41,8 +42,9 @@
         milliseconds maxCampaignDelay = milliseconds(300);
         std::uint64_t session = 1;
         std::uint64_t seed = 1;
-        /// From the wall clock at the start: numbers then grow over a restart of all voters and targets.
-        FencingNumber firstNumber;
+        /// Milliseconds of the wall clock, asked at each campaign: numbers then grow over a restart of all voters and
+        /// targets. Seconds would give an entry that restarts within one of them its old number again.
+        std::function<FencingNumber()> lowestNumber;
     };
 
     enum class RoundKind {
--- a/lib/Entry/ZoneMember.cpp
+++ b/lib/Entry/ZoneMember.cpp
@@ -56,9 +56,10 @@
     election.clockMargin = options.clockMargin;
     election.session = session;
     election.seed = session;
-    const auto wall = std::chrono::system_clock::now().time_since_epoch();
-    // Seconds would give an entry that restarts within one of them its old number again.
-    election.firstNumber = FencingNumber(static_cast<std::uint64_t>(duration_cast<milliseconds>(wall).count()));
+    election.lowestNumber = [] {
+        const auto wall = std::chrono::system_clock::now().time_since_epoch();
+        return FencingNumber(static_cast<std::uint64_t>(duration_cast<milliseconds>(wall).count()));
+    };
     return election;
 }
 
--- a/lib/Membership/ZoneElection.cpp
+++ b/lib/Membership/ZoneElection.cpp
@@ -18,7 +18,6 @@
 ZoneElection::ZoneElection(Options options, TimePoint now)
     : m_options(std::move(options))
     , m_random(m_options.seed)
-    , m_highest(m_options.firstNumber)
 {
     assert(m_options.voters.contains(m_options.self) && "a candidate votes too");
     m_nextCampaign = now;
@@ -93,7 +92,7 @@
         return std::nullopt;
     }
     m_stage = Stage::Campaigning;
-    m_number = m_highest.next();
+    m_number = std::max(m_highest, m_options.lowestNumber ? m_options.lowestNumber() : FencingNumber()).next();
     m_campaignEnd = now + m_options.campaignTimeout;
     m_nextRenewal = now + m_options.renewInterval;
     return startRound(now);
--- a/unittests/Entry/ZoneSimulation.cpp
+++ b/unittests/Entry/ZoneSimulation.cpp
@@ -112,7 +112,9 @@
     options.clockMargin = Margin;
     options.session = m_random();
     options.seed = m_random();
-    options.firstNumber = FencingNumber(1000 + static_cast<std::uint64_t>(duration_cast<milliseconds>(m_now).count()));
+    options.lowestNumber = [this] {
+        return FencingNumber(1000 + static_cast<std::uint64_t>(duration_cast<milliseconds>(m_now).count()));
+    };
     node.election = std::make_unique<ZoneElection>(options, now);
     node.follower
         = std::make_unique<ZoneFollower>(Zone("a"), node.pins, ReleaseMarks(now, ReleaseTimeout + OrderDeadline));
@@ -410,7 +412,15 @@
     auto &term = *node.term;
     const auto now = local(node);
     const auto ordersFrom = m_options.engineRefuses ? term.start : term.start + OrderDeadline;
-    if (!term.stateKnown && now >= ordersFrom) {
+    std::set<AdapterRef> held;
+    if (m_resident) {
+        held.insert(Adapter);
+    }
+    if (!term.stateKnown && !term.readEarly && chance(0.5)) {
+        term.readEarly = true;
+        term.registry.setHeld(Engine, held, now, now);
+    }
+    if (!term.stateKnown && now >= ordersFrom && chance(0.5)) {
         // The engine is fenced and its state is read at once; both take no time here.
         term.stateKnown = true;
         if (m_highest > term.number) {
@@ -419,10 +429,6 @@
         if (m_options.engineRefuses) {
             m_highest = std::max(m_highest, term.number);
         }
-        std::set<AdapterRef> held;
-        if (m_resident) {
-            held.insert(Adapter);
-        }
         term.registry.setHeld(Engine, held, now, now);
         term.publisher.republish(Engine);
     }
--- a/unittests/Entry/ZoneSimulation.h
+++ b/unittests/Entry/ZoneSimulation.h
@@ -63,6 +63,8 @@
         ViewPublisher publisher;
         std::map<EntryId, TimePoint> renewedAt;
         std::optional<Round> round;
+        /// The state was read before orders may be sent, when the adapter may still be evicted.
+        bool readEarly = false;
         bool stateKnown = false;
         bool ordering = false;
     };
