Wire the zone member and the control link into the entry process

Cause: the entry served only static targets. Change: EntryProcess owns ControlLink and ZoneMember; readiness, draining and metrics include them.

--- a/include/tamarackcove/Entry/Callers/CallerFrontEnd.h
+++ b/include/tamarackcove/Entry/Callers/CallerFrontEnd.h
@@ -28,6 +28,8 @@
     struct Hooks
     {
         std::function<const ServingConfiguration &()> configuration;
+        /// Whether there is a configuration; without one no adapter can be called unknown.
+        std::function<bool()> configured;
         /// Answers to other paths, by method and path: `POST /v1/targets/announce`.
         std::map<std::string, std::function<HttpResponse(const HttpRequest &)>> routes;
     };
--- a/include/tamarackcove/Entry/EntrySettings.h
+++ b/include/tamarackcove/Entry/EntrySettings.h
@@ -8,6 +8,7 @@
 #include "tamarackcove/Entry/Callers/RequestPath.h"
 #include "tamarackcove/Entry/Targets/DispatchContext.h"
 #include "tamarackcove/Entry/Targets/TargetConnections.h"
+#include "tamarackcove/Entry/ZoneOptions.h"
 #include "tamarackcove/Http/HttpLimits.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Settings/SettingsError.h"
@@ -19,15 +20,6 @@
 
 namespace tamarackcove {
 
-/// Another entry, of this zone or of another.
-struct EntryPeer
-{
-    EntryId name;
-    Zone zone;
-    Endpoint peer;
-    Endpoint http;
-};
-
 /// Settings of `tamarackcove-entry`; the defaults are those of the settings documentation.
 struct EntrySettings
 {
@@ -37,7 +29,9 @@
     Endpoint adminListen;
     Endpoint peerListen;
     std::vector<Endpoint> control;
-    std::vector<EntryPeer> peers;
+    std::vector<ZonePeer> peers;
+    /// One of policyNames().
+    std::string policy = "default";
     std::string traceFile;
     LogLevel logLevel = LogLevel::Info;
     /// How long a shutdown waits for requests in progress.
--- a/include/tamarackcove/Http/HttpError.h
+++ b/include/tamarackcove/Http/HttpError.h
@@ -6,8 +6,6 @@
 
 enum class HttpErrorCode {
     ConnectFailed,
-    /// The host answered that nobody listens there.
-    ConnectRefused,
     Closed,
     TimedOut,
     TooLarge,
@@ -19,6 +17,8 @@
 {
     HttpErrorCode code = HttpErrorCode::Closed;
     std::string detail;
+    /// With ConnectFailed: the host answered that nobody listens there.
+    bool refused = false;
 };
 
 } // namespace tamarackcove
--- a/lib/Entry/Callers/CallerFrontEnd.cpp
+++ b/lib/Entry/Callers/CallerFrontEnd.cpp
@@ -17,6 +17,7 @@
 
 /// Large catalogues are written in pieces of about this size instead of one body.
 static constexpr std::size_t ModelListPieceBytes = 32 * 1024;
+static constexpr milliseconds RetryAfter{1000};
 
 CallerFrontEnd::CallerFrontEnd(EntryId self, RequestPath &path, Tracer &tracer, Hooks hooks)
     : m_self(std::move(self))
@@ -37,6 +38,14 @@
     const auto path = request.path();
     const bool completion = path == "/v1/completions" || path == "/v1/chat/completions";
     if ((completion && request.method == "POST") || path.starts_with("/services/")) {
+        if (!m_hooks.configured()) {
+            Refusal refusal;
+            refusal.message = "this entry has no configuration yet, retry at another one";
+            refusal.retryAfter = RetryAfter;
+            auto refused = errorResponse(refusal);
+            (void)co_await responder.send(std::move(refused));
+            co_return;
+        }
         const auto now = Clock::now();
         auto parsed = completion ? parseModelCall(request, m_hooks.configuration(), now)
                                  : parseServiceCall(request, m_hooks.configuration(), now);
--- a/lib/Entry/EntryProcess.cpp
+++ b/lib/Entry/EntryProcess.cpp
@@ -3,8 +3,12 @@
 #include "tamarackcove/Entry/Admin/AdminApi.h"
 #include "tamarackcove/Entry/Callers/CallerFrontEnd.h"
 #include "tamarackcove/Entry/Callers/ErrorBody.h"
+#include "tamarackcove/Entry/Control/ControlLink.h"
 #include "tamarackcove/Entry/ControlCalls.h"
+#include "tamarackcove/Entry/Policy.h"
 #include "tamarackcove/Entry/ZoneAccess.h"
+#include "tamarackcove/Entry/ZoneMember.h"
+#include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Http/HttpServer.h"
 #include "tamarackcove/Observe/Metrics.h"
 #include "tamarackcove/Observe/Tracer.h"
@@ -20,6 +24,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <optional>
 #include <random>
 
 namespace asio = boost::asio;
@@ -27,24 +32,30 @@
 namespace tamarackcove {
 
 static constexpr milliseconds ConnectionSweepInterval{5000};
+static constexpr milliseconds ReadyCheckInterval{20};
 
 struct EntryProcess::Impl
 {
     explicit Impl(EntrySettings entrySettings);
 
     void useStaticConfiguration();
+    void useZoneAndControl();
+    [[nodiscard]] const ServingConfiguration &inForce() const;
+    [[nodiscard]] Policy policy();
     void startChildren();
-    asio::awaitable<void> runCallers();
     asio::awaitable<void> expireConnections();
+    asio::awaitable<void> announceReady();
     asio::awaitable<void> shutDownOnSignal();
     [[nodiscard]] std::string notReady() const;
+    [[nodiscard]] HttpResponse announce(const HttpRequest &request);
+    void collect(Metrics &figures) const;
 
     EntrySettings settings;
     asio::io_context io{1};
     Metrics metrics;
     Tracer tracer;
     PinTable pins;
-    ServingConfiguration configuration;
+    ServingConfiguration staticConfiguration;
     ZoneView staticView;
     ZoneAccess zone;
     ControlCalls control;
@@ -54,6 +65,8 @@
     /// The tasks of caller connections; drained before the rest stops.
     Supervisor callers;
     Supervisor adminConnections;
+    std::optional<ControlLink> link;
+    std::optional<ZoneMember> member;
     RequestPath path;
     CallerFrontEnd frontEnd;
     AdminApi admin;
@@ -63,14 +76,6 @@
     bool draining = false;
 };
 
-static Router::Options routerOptions(const EntrySettings &settings)
-{
-    Router::Options options;
-    options.zone = settings.zone;
-    options.seed = std::random_device()();
-    return options;
-}
-
 static RequestPath::Options pathOptions(const EntrySettings &settings)
 {
     auto options = settings.path;
@@ -82,7 +87,7 @@
 EntryProcess::Impl::Impl(EntrySettings entrySettings)
     : settings(std::move(entrySettings))
     , tracer("tamarackcove-entry " + settings.name.value(), settings.traceFile)
-    , router(routerOptions(settings))
+    , router(policy().routing)
     , connections(settings.connections)
     , root(io.get_executor(), "entry")
     , callers(io.get_executor(), "callers")
@@ -95,15 +100,19 @@
                               .connections = connections,
                               .metrics = metrics,
                               .configuration = [this]() -> const ServingConfiguration & {
-                                  return configuration;
+                                  return inForce();
                               }},
            DispatchContext::Rendering{.response = errorResponse, .event = errorEvent}, settings.dispatch,
            pathOptions(settings))
     , frontEnd(settings.name, path, tracer,
-               CallerFrontEnd::Hooks{
-                   .configuration = [this]() -> const ServingConfiguration & { return configuration; }, .routes = {}})
+               CallerFrontEnd::Hooks{.configuration = [this]() -> const ServingConfiguration & { return inForce(); },
+                                     .configured = [this] { return !link || link->hasConfiguration(); },
+                                     .routes = {{"POST /v1/targets/announce",
+                                                 [this](const HttpRequest &request) {
+                                                     return announce(request);
+                                                 }}}})
     , admin(metrics,
-            AdminApi::Hooks{.collect = [this](Metrics &figures) { path.writeMetrics(figures); },
+            AdminApi::Hooks{.collect = [this](Metrics &figures) { collect(figures); },
                             .notReady =
                                 [this] {
                                     return notReady();
@@ -118,15 +127,107 @@
 {
     if (settings.isStatic) {
         useStaticConfiguration();
+    } else {
+        useZoneAndControl();
+    }
+}
+
+const ServingConfiguration &EntryProcess::Impl::inForce() const
+{
+    return link ? link->inForce() : staticConfiguration;
+}
+
+Policy EntryProcess::Impl::policy()
+{
+    Policy base;
+    base.routing.zone = settings.zone;
+    base.routing.seed = std::random_device()();
+    base.residency.baseModel = [this](const AdapterRef &adapter) -> std::optional<BaseModel> {
+        const auto record = inForce().adapters.find(adapter);
+        return record ? std::optional(record->baseModel) : std::nullopt;
+    };
+    return policyByName(settings.policy, base).value_or(base);
+}
+
+void EntryProcess::Impl::useZoneAndControl()
+{
+    ControlOptions controlOptions;
+    controlOptions.self = settings.name;
+    controlOptions.zone = settings.zone;
+    controlOptions.hosts = settings.control;
+    controlOptions.seed = std::random_device()();
+    ControlLink::Hooks linkHooks;
+    linkHooks.onHeld = [this](Revision held) {
+        member->holdRevision(held);
+    };
+    linkHooks.onInForce = [](const ServingConfiguration &configuration) {
+        LogLine(LogLevel::Info, "configuration_in_force")
+            .add("revision", configuration.revision.value())
+            .add("adapters", static_cast<std::uint64_t>(configuration.adapters.size()));
+    };
+    link.emplace(root, std::move(controlOptions), std::move(linkHooks));
+
+    ZoneOptions zoneOptions;
+    zoneOptions.self = settings.name;
+    zoneOptions.zone = settings.zone;
+    zoneOptions.listen = settings.peerListen;
+    zoneOptions.peers = settings.peers;
+    zoneOptions.seed = std::random_device()();
+    ZoneHooks hooks;
+    hooks.control = link->calls();
+    hooks.makePlanner = [this] {
+        return makeResidencyPlanner(policy().residency);
+    };
+    hooks.onActivate = [this](Revision revision) {
+        link->activate(revision);
+    };
+    hooks.heldConfiguration = [this] {
+        return link->exportHeld();
+    };
+    hooks.onPeerConfiguration = [this](Revision revision, const std::string &bytes) {
+        if (!link->importFromPeer(bytes)) {
+            LogLine(LogLevel::Warning, "peer_configuration_refused").add("revision", revision.value());
+        }
+    };
+    hooks.onCrash = [this](const TargetId &, Incarnation, const std::vector<std::uint64_t> &fingerprints) {
+        path.noteSuspects(fingerprints);
+    };
+    member.emplace(std::move(zoneOptions), std::move(hooks), pins);
+    zone = member->access();
+    control = link->calls();
+    // The zone passes the report on to its entries and to the control group.
+    control.reportCrash
+        = [this](const TargetId &target, Incarnation incarnation, std::vector<std::uint64_t> fingerprints) {
+              member->reportCrash(target, incarnation, std::move(fingerprints));
+          };
+}
+
+HttpResponse EntryProcess::Impl::announce(const HttpRequest &request)
+{
+    if (member) {
+        return member->announce(request);
+    }
+    Refusal refusal;
+    refusal.code = RefusalCode::InvalidRequest;
+    refusal.message = "this entry has static targets and takes no announcements";
+    return errorResponse(refusal);
+}
+
+void EntryProcess::Impl::collect(Metrics &figures) const
+{
+    path.writeMetrics(figures);
+    if (member) {
+        member->writeMetrics(figures);
+        figures.gauge("configuration_revision", static_cast<double>(inForce().revision.value()));
     }
 }
 
 void EntryProcess::Impl::useStaticConfiguration()
 {
     for (const auto &[adapter, record] : settings.adapters) {
-        configuration.adapters.put(adapter, record);
+        staticConfiguration.adapters.put(adapter, record);
     }
-    configuration.services.insert(settings.services.begin(), settings.services.end());
+    staticConfiguration.services.insert(settings.services.begin(), settings.services.end());
     for (const auto &target : settings.targets) {
         staticView.putTarget(target);
     }
@@ -164,7 +265,26 @@
 
 std::string EntryProcess::Impl::notReady() const
 {
-    return draining ? "shutting down" : "";
+    if (draining) {
+        return "shutting down";
+    }
+    if (!member) {
+        return {};
+    }
+    if (!link->hasConfiguration() || !member->configurationReady()) {
+        return "no configuration from the control group or the zone yet";
+    }
+    return zone.mayDispatch(Clock::now()) ? "" : "no view lease of the zone coordinator";
+}
+
+asio::awaitable<void> EntryProcess::Impl::announceReady()
+{
+    asio::steady_timer timer(io);
+    while (!notReady().empty()) {
+        timer.expires_after(ReadyCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    LogLine(LogLevel::Info, "ready").add("zone", settings.zone.value());
 }
 
 asio::awaitable<void> EntryProcess::Impl::expireConnections()
@@ -179,10 +299,15 @@
 
 void EntryProcess::Impl::startChildren()
 {
+    if (member) {
+        link->start();
+        root.start("zone", [this] { return member->run(); });
+    }
     path.start(root);
     root.start("target-connections", [this] { return expireConnections(); });
     root.start("admin", [this] { return adminServer.run(); });
     root.start("callers", [this] { return callerServer.run(); });
+    root.start("ready", [this] { return announceReady(); });
 }
 
 asio::awaitable<void> EntryProcess::Impl::shutDownOnSignal()
@@ -197,6 +322,9 @@
     const bool finished = co_await callers.drained(Clock::now() + settings.drainTimeout);
     LogLine(finished ? LogLevel::Info : LogLevel::Warning, "drained").add("complete", finished ? "yes" : "no");
     co_await callers.stop();
+    if (member) {
+        co_await member->leave();
+    }
     co_await root.stop();
     co_await adminConnections.stop();
     io.stop();
@@ -218,9 +346,15 @@
     if (const auto listening = impl.adminServer.listen(impl.settings.adminListen); listening.has_error()) {
         return "key [admin_listen]: " + listening.error().detail;
     }
+    if (impl.member) {
+        if (const auto listening = impl.member->listen(impl.io.get_executor()); listening.has_error()) {
+            return "key [peer_listen]: " + listening.error();
+        }
+    }
     LogLine(LogLevel::Info, "listening")
         .add("port", impl.callerServer.port())
-        .add("admin_port", impl.adminServer.port());
+        .add("admin_port", impl.adminServer.port())
+        .add("peer_port", impl.member ? impl.member->port() : 0);
     return ok();
 }
 
@@ -229,7 +363,6 @@
     auto &impl = *m_impl;
     impl.startChildren();
     asio::co_spawn(impl.io, impl.shutDownOnSignal(), asio::detached);
-    LogLine(LogLevel::Info, "ready").add("zone", impl.settings.zone.value());
     impl.io.run();
     return 0;
 }
--- a/lib/Entry/EntrySettings.cpp
+++ b/lib/Entry/EntrySettings.cpp
@@ -1,7 +1,9 @@
 #include "tamarackcove/Entry/EntrySettings.h"
 
+#include "tamarackcove/Entry/Policy.h"
 #include "tamarackcove/Settings/SettingsFile.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace tamarackcove {
@@ -33,6 +35,7 @@
                 "http": {"type": "string"}
             }
         }},
+        "policy": {"type": "string"},
         "trace_file": {"type": "string"},
         "log_level": {"enum": ["debug", "info", "warning", "error"]},
         "drain_timeout_ms": {"$ref": "#/definitions/milliseconds"},
@@ -201,8 +204,8 @@
         settings.control.push_back(*endpoint);
     }
     for (const auto &entry : json.value("peers", nlohmann::json::array())) {
-        EntryPeer peer;
-        peer.name = EntryId(entry.at("name").get<std::string>());
+        ZonePeer peer;
+        peer.id = EntryId(entry.at("name").get<std::string>());
         peer.zone = Zone(entry.at("zone").get<std::string>());
         BOOST_OUTCOME_TRY(peer.peer, endpointAt(entry, "peer"));
         BOOST_OUTCOME_TRY(peer.http, endpointAt(entry, "http"));
@@ -222,6 +225,11 @@
     BOOST_OUTCOME_TRY(checkDistinct("listen", settings.listen, "admin_listen", settings.adminListen));
     settings.traceFile = json.value("trace_file", std::string());
     settings.logLevel = levelOf(json.value("log_level", std::string("info")));
+    settings.policy = json.value("policy", settings.policy);
+    const auto policies = policyNames();
+    if (std::find(policies.begin(), policies.end(), settings.policy) == policies.end()) {
+        return invalid("key [policy]: there is no policy " + settings.policy + ", use default");
+    }
     readLimits(json, settings);
     BOOST_OUTCOME_TRY(readPeers(json, settings));
     if (const auto fixed = json.find("static"); fixed != json.end()) {
--- a/lib/Entry/Targets/TargetCall.cpp
+++ b/lib/Entry/Targets/TargetCall.cpp
@@ -263,7 +263,7 @@
 {
     auto opened = co_await m_context.connections.open(m_destination.endpoint);
     if (opened.has_error()) {
-        if (opened.error().code == HttpErrorCode::ConnectRefused) {
+        if (opened.error().refused) {
             noteCrash();
         }
         co_return false;
@@ -463,7 +463,7 @@
     }
     auto connection = co_await m_context.connections.open(m_destination.endpoint);
     if (connection.has_error()) {
-        if (connection.error().code == HttpErrorCode::ConnectRefused) {
+        if (connection.error().refused) {
             noteCrash();
         }
         co_return;
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -59,9 +59,8 @@
     error = impl->socket.cause(error);
     impl->socket.expireNever();
     if (error) {
-        const bool refused = error == asio::error::connection_refused;
-        co_return HttpError{refused ? HttpErrorCode::ConnectRefused : HttpErrorCode::ConnectFailed,
-                            endpoint.toString() + ": " + error.message()};
+        co_return HttpError{HttpErrorCode::ConnectFailed, endpoint.toString() + ": " + error.message(),
+                            error == asio::error::connection_refused};
     }
     impl->socket.allowDirectWrites();
     impl->socket.socket().set_option(tcp::no_delay(true), error);
