--- a/include/tamarackcove/Membership/ZoneElection.h
+++ b/include/tamarackcove/Membership/ZoneElection.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Membership/ZoneVote.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -41,8 +42,9 @@
         milliseconds maxCampaignDelay = milliseconds(300);
         std::uint64_t session = 1;
         std::uint64_t seed = 1;
-        /// Wall clock seconds at the start: numbers then grow over a restart of all voters and targets.
-        FencingNumber firstNumber;
+        /// Milliseconds of the wall clock, asked at each campaign: numbers then grow over a restart of all voters and
+        /// targets. Seconds would give an entry that restarts within one of them its old number again.
+        std::function<FencingNumber()> lowestNumber;
     };
 
     enum class RoundKind {
@@ -66,6 +68,8 @@
     /// When poll() has work next, as far as is known now.
     [[nodiscard]] TimePoint nextPoll() const;
 
+    /// Whether a reply to this round can still count for the current number.
+    [[nodiscard]] bool awaits(std::uint64_t roundId) const;
     void onReply(std::uint64_t roundId, const EntryId &voter, const VoteReply &reply);
     /// A target showed this number. When it is above the own one, poll() starts over with a higher one.
     void noteNumber(FencingNumber number);
