--- a/test/cluster.py
+++ b/test/cluster.py
@@ -36,6 +36,7 @@
     except those of callers, operators and the store. Groups of the proxy: the name of either host, `A-B` for a pair of
     hosts, `border:ZONE` for links that leave a zone, and `control:ZONE` for links of a zone to the control hosts."""
 
+    # `engines` is a number for each zone, or one number for all of them.
     def __init__(self, harness, zones, controls=3, engines=1, services=0, proxied=False, entry=None, engine=None,
                  store=None):
         self.harness = harness
@@ -54,7 +55,7 @@
         self.services = []
         for zone in self.zones:
             announce_to = [one.address for one in self.entries if one.zone == zone]
-            for number in range(engines):
+            for number in range(engines[zone] if isinstance(engines, dict) else engines):
                 self.engines.append(self._target(Engine, f"e-{zone}{number}", zone, announce_to, self.store,
                                                  **(engine or {})))
             for number in range(services):
