--- a/lib/Operator/ControlApi.cpp
+++ b/lib/Operator/ControlApi.cpp
@@ -46,6 +46,7 @@
     UnreachableError error;
     std::size_t next = 0;
     int redirects = 0;
+    bool answered = false;
     std::optional<Endpoint> leader;
     while (Clock::now() < deadline) {
         const auto host = leader ? *leader : m_options.hosts[next++ % m_options.hosts.size()];
@@ -53,14 +54,20 @@
         auto copy = request;
         auto response = co_await httpExchange(host, std::move(copy), m_options.tryTimeout);
         if (response.has_error()) {
-            error.maybeDone = error.maybeDone || response.error().code != HttpErrorCode::ConnectFailed;
-            error.detail = host.toString() + ": " + response.error().detail;
+            const bool connected = response.error().code != HttpErrorCode::ConnectFailed;
+            error.maybeDone = error.maybeDone || connected;
+            // What a control host said tells more than that another one is down.
+            if (connected || !answered) {
+                answered = answered || connected;
+                error.detail = host.toString() + ": " + response.error().detail;
+            }
         } else if (auto target = redirectTarget(response.value())) {
             leader = std::move(target);
             error.detail = host.toString() + ": redirects without end";
         } else if (response.value().status == 503 || response.value().status == 504) {
             error.maybeDone = error.maybeDone || response.value().status == 504;
             error.detail = errorMessage(response.value());
+            answered = true;
         } else {
             co_return std::move(response).value();
         }
--- /dev/null
+++ b/test/test_control.py
@@ -0,0 +1,121 @@
+"""The control group with real processes: confirmations, resent commands, failures of hosts."""
+
+import concurrent.futures
+import json
+import signal
+import time
+
+import pytest
+import requests
+
+from control_hosts import ControlGroup
+from harness import wait_for
+
+
+@pytest.fixture
+def group(harness):
+    control = ControlGroup(harness, ["a", "b"])
+    control.start()
+    control.wait_for_leader()
+    return control
+
+
+def test_one_of_many_racing_confirmations_wins_and_the_losers_see_what_is_in_effect(group):
+    leader = group.wait_for_leader()
+    plans = [group.post(leader, "/v1/intents", group.intent(f"rival-{number}")).json() for number in range(12)]
+    assert len({plan["base_revision"] for plan in plans}) == 1
+
+    def confirm(pair):
+        number, plan = pair
+        # Any replica takes it: the followers redirect.
+        host = group.hosts[number % len(group.hosts)]
+        return group.post(host, f"/v1/plans/{plan['plan']}/confirm",
+                          {"command_id": f"confirm-{number}", "base_revision": plan["base_revision"]})
+
+    with concurrent.futures.ThreadPoolExecutor(len(plans)) as pool:
+        answers = list(pool.map(confirm, enumerate(plans)))
+    won = [answer for answer in answers if answer.status_code == 200]
+    lost = [answer for answer in answers if answer.status_code == 409]
+    assert len(won) == 1 and len(lost) == len(plans) - 1
+    for answer in lost:
+        assert answer.json()["in_effect"] == {"revision": won[0].json()["revision"],
+                                              "last_confirmed_plan": won[0].json()["plan"]}
+
+
+def test_a_command_resent_after_the_leader_was_killed_and_all_were_restarted_gets_its_first_answer(group):
+    leader = group.wait_for_leader()
+    intent = group.intent("rules")
+    plan = group.post(leader, "/v1/intents", intent).json()
+    confirm = {"command_id": "confirm-rules", "base_revision": plan["base_revision"]}
+    first = group.post(leader, f"/v1/plans/{plan['plan']}/confirm", confirm).json()
+    group.put("other")
+
+    leader.kill()
+    successor = group.wait_for_leader()
+    assert group.post(successor, f"/v1/plans/{plan['plan']}/confirm", confirm).json() == first
+    assert group.post(successor, "/v1/intents", intent).json() == plan
+
+    for host in group.hosts:
+        host.kill()
+    group.start()
+    successor = group.wait_for_leader()
+    assert group.post(successor, f"/v1/plans/{plan['plan']}/confirm", confirm).json() == first
+    assert group.post(successor, "/v1/intents", intent).json() == plan
+    assert group.status(successor)["revision"] == 2
+
+
+def test_without_a_majority_nothing_is_accepted_and_the_error_says_so(group):
+    group.put("rules")
+    leader = group.wait_for_leader()
+    followers = [host for host in group.hosts if host is not leader]
+    for host in followers:
+        host.kill()
+    wait_for(lambda: group.leader() is None, 10, "a leader without a majority goes on deciding")
+    answer = group.post(leader, "/v1/intents", group.intent("late"), timeout=10)
+    assert answer.status_code == 503
+    assert "not accepted" in answer.json()["error"]["message"]
+    code, _, error = group.ctl("--timeout-ms", "1500", "plan", "confirm", "plan-1", "--base-revision", "0")
+    assert code == 3 and "majority" in error
+    status = group.status(leader)
+    assert status["current"] is False and status["revision"] == 1
+    assert status["losses_tolerated"] < 0
+    followers[0].start()
+    group.wait_for_leader()
+    assert group.put("late") == 2
+
+
+def test_a_stopped_leader_hands_over_and_ends_with_code_0(group):
+    leader = group.wait_for_leader()
+    began = time.monotonic()
+    leader.send(signal.SIGTERM)
+    group.wait_for_leader(timeout=5)
+    assert leader.popen.wait(10) == 0
+    assert time.monotonic() - began < 5
+    assert leader.grep("event=leadership_transfer done=yes")
+    assert group.put("rules") == 1
+
+
+def test_a_frozen_leader_does_not_hold_up_operators_and_cannot_undo_what_they_did(group):
+    leader = group.wait_for_leader()
+    group.put("rules", "1")
+    leader.freeze()
+    began = time.monotonic()
+    assert group.put("rules", "2") == 2
+    assert time.monotonic() - began < 10
+    leader.thaw()
+    wait_for(lambda: group.status(leader)["revision"] == 2, 10, "the old leader does not catch up")
+    answer = requests.get(group.url(leader, "/v1/intents"), timeout=2, allow_redirects=False)
+    assert answer.status_code == 307, "it answers on its own instead of redirecting to the new leader"
+
+
+def test_status_and_wrong_settings(group, harness):
+    code, out, _ = group.ctl("--json", "status")
+    assert code == 0
+    page = json.loads(out)
+    assert page["losses_tolerated"] == 1 and len(page["replicas"]) == 3
+    assert [zone["zone"] for zone in page["store"]["permits"]] == ["a", "b"]
+    bad = harness.process("tamarackcove-control", {**group.hosts[0].settings, "lissten": "x"}, "bad")
+    bad.start(wait=False)
+    assert bad.popen.wait(10) == 2
+    wait_for(lambda: bad.lines, 5, "no error line")
+    assert len(bad.lines) == 1 and "lissten" in bad.lines[0]
