--- a/lib/Consensus/ReplicaMembership.cpp
+++ b/lib/Consensus/ReplicaMembership.cpp
@@ -72,7 +72,7 @@
             // decide than the group with it. Twice the timeout excludes a host of the same name that still works.
             const auto progress = m_progress.find(old->id);
             if (progress == m_progress.end()
-                || now < std::max(m_leadingSince, progress->second.lastReply) + 2 * m_options.maxElectionTimeout) {
+                || now < std::max(m_leadingSince, progress->second.contact) + 2 * m_options.maxElectionTimeout) {
                 continue;
             }
             std::erase_if(changed.members, [id = old->id](const auto &member) { return member.id == id; });
@@ -98,8 +98,8 @@
         return id == m_leader && now <= m_lastLeaderContact + m_options.maxElectionTimeout;
     }
     const auto progress = m_progress.find(id);
-    return progress != m_progress.end() && progress->second.lastReply != TimePoint{}
-    && now <= progress->second.lastReply + m_options.maxElectionTimeout;
+    return progress != m_progress.end() && progress->second.contact != TimePoint{}
+    && now <= progress->second.contact + m_options.maxElectionTimeout;
 }
 
 bool Replica::healthy(const ReplicaId &id, TimePoint now) const
@@ -130,7 +130,10 @@
 int Replica::lossesTolerated(TimePoint now) const
 {
     if (role() == ReplicaRole::Leader) {
-        return static_cast<int>(healthyVoters(m_log.group(), now)) - static_cast<int>(m_log.group().majority());
+        const int tolerated
+            = static_cast<int>(healthyVoters(m_log.group(), now)) - static_cast<int>(m_log.group().majority());
+        // Without its lease the leader decides nothing, even while its peers do not yet count as unreachable.
+        return leaseValid(now) ? tolerated : std::min(tolerated, -1);
     }
     const bool leaderSilent = m_leader.empty() || now > m_lastLeaderContact + m_options.maxElectionTimeout;
     return leaderSilent ? -1 : m_leaderLossesTolerated;
