--- a/include/tamarackcove/Entry/Peers/PeerNetwork.h
+++ b/include/tamarackcove/Entry/Peers/PeerNetwork.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Base/Time.h"
 #include "tamarackcove/Entry/Peers/PeerLink.h"
 #include "tamarackcove/Entry/Peers/PeerMessages.h"
+#include "tamarackcove/Entry/Peers/PeerTraffic.h"
 #include "tamarackcove/Entry/ZoneOptions.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -43,15 +44,6 @@
         std::function<void(PeerLink &link)> onForeignDown;
     };
 
-    /// Traffic of all links, closed ones included.
-    struct Traffic
-    {
-        std::uint64_t bytesRead = 0;
-        std::uint64_t bytesWritten = 0;
-        std::uint64_t messagesRead = 0;
-        std::uint64_t messagesWritten = 0;
-    };
-
     /// Precondition: the options outlive the object.
     PeerNetwork(const ZoneOptions &options, Hooks hooks);
     ~PeerNetwork();
@@ -66,7 +58,8 @@
     void broadcast(const Message &message);
     [[nodiscard]] PeerLink *link(const EntryId &peer) const;
     [[nodiscard]] std::vector<PeerLink *> links() const;
-    [[nodiscard]] Traffic traffic() const;
+    /// Traffic of all links, closed ones included.
+    [[nodiscard]] PeerTraffic traffic() const;
 
     /// Connects to another entry, here of another zone, and exchanges hellos.
     boost::asio::awaitable<Result<std::pair<HelloMessage, std::unique_ptr<FramedConnection>>, std::string>>
@@ -89,7 +82,7 @@
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
     Links m_links;
     std::vector<PeerLink *> m_foreign;
-    Traffic m_closedTraffic;
+    PeerTraffic m_closedTraffic;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Entry/ZoneMember.h
+++ b/include/tamarackcove/Entry/ZoneMember.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Base/Result.h"
 #include "tamarackcove/Base/Time.h"
 #include "tamarackcove/Entry/ControlCalls.h"
+#include "tamarackcove/Entry/Peers/PeerTraffic.h"
 #include "tamarackcove/Entry/ZoneAccess.h"
 #include "tamarackcove/Entry/ZoneOptions.h"
 #include "tamarackcove/Http/HttpRequest.h"
@@ -72,6 +73,7 @@
     /// of enough peers of the zone.
     [[nodiscard]] bool configurationReady() const;
     [[nodiscard]] bool isCoordinator() const;
+    [[nodiscard]] PeerTraffic traffic() const;
     /// Adds what this part knows to the figures of the process.
     void writeMetrics(Metrics &metrics) const;
 
--- a/include/tamarackcove/Entry/ZoneOptions.h
+++ b/include/tamarackcove/Entry/ZoneOptions.h
@@ -43,6 +43,8 @@
     /// To and from the coordinator; it also renews the view lease.
     milliseconds coordinatorHeartbeatInterval = milliseconds(500);
     /// A link without a message for this long is silent.
+    /// One timer for the heartbeats of all links, instead of one for each link.
+    bool sharedBeatTimer = false;
     milliseconds linkSilence = milliseconds(2500);
     milliseconds viewInterval = milliseconds(200);
     /// An entry dispatches for this long after the heartbeat that the coordinator acknowledged last.
--- a/lib/Entry/Peers/PeerLink.cpp
+++ b/lib/Entry/Peers/PeerLink.cpp
@@ -2,9 +2,12 @@
 
 #include "tamarackcove/Wire/FramedConnection.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/multiple_exceptions.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -30,7 +33,12 @@
 asio::awaitable<std::string> PeerLink::run()
 {
     using namespace asio::experimental::awaitable_operators;
-    co_await (readLoop() || writeLoop());
+    try {
+        co_await (readLoop() || writeLoop());
+    } catch (const asio::multiple_exceptions &) {
+        // Both loops were cancelled; a stop is not a failure.
+        throw boost::system::system_error(asio::error::operation_aborted);
+    }
     close();
     co_return m_reason;
 }
--- a/lib/Entry/Peers/PeerNetwork.cpp
+++ b/lib/Entry/Peers/PeerNetwork.cpp
@@ -289,7 +289,7 @@
     m_closedTraffic.messagesWritten += link.messagesWritten();
 }
 
-PeerNetwork::Traffic PeerNetwork::traffic() const
+PeerTraffic PeerNetwork::traffic() const
 {
     auto all = m_closedTraffic;
     const auto add = [&all](const PeerLink &link) {
--- a/lib/Entry/ZoneMember.cpp
+++ b/lib/Entry/ZoneMember.cpp
@@ -139,6 +139,9 @@
     impl.network.start(*impl.supervisor);
     impl.supervisor->start("housekeeping", [&impl] { return impl.housekeepingTask(); });
     impl.supervisor->start("demand", [&impl] { return impl.demandTask(); });
+    if (impl.options.sharedBeatTimer) {
+        impl.supervisor->start("beats", [&impl] { return impl.beatTask(); });
+    }
     impl.supervisor->start("election", [&impl] { return impl.electionTask(); });
     co_await waitUntilCancelled();
     co_await impl.supervisor->stop();
@@ -192,6 +195,21 @@
     (void)network.send(*peer, toMessage(ConfigFetchMessage()));
 }
 
+/// Paces the heartbeats of all links with one timer.
+asio::awaitable<void> ZoneMember::Impl::beatTask()
+{
+    const auto every = std::max<milliseconds::rep>(1, options.heartbeatInterval / options.coordinatorHeartbeatInterval);
+    for (milliseconds::rep tick = 0;; ++tick) {
+        for (auto *link : network.links()) {
+            const bool isShort = coordinator || link->peer() == follower.coordinator();
+            if (isShort || tick % every == 0) {
+                link->beatNow();
+            }
+        }
+        co_await pause(options.coordinatorHeartbeatInterval);
+    }
+}
+
 asio::awaitable<void> ZoneMember::Impl::demandTask()
 {
     while (true) {
@@ -365,6 +383,11 @@
     return m_impl->coordinator != nullptr && m_impl->holdsLease(Clock::now());
 }
 
+PeerTraffic ZoneMember::traffic() const
+{
+    return m_impl->network.traffic();
+}
+
 void ZoneMember::writeMetrics(Metrics &metrics) const
 {
     const auto &impl = *m_impl;
--- a/lib/Entry/ZoneMessages.cpp
+++ b/lib/Entry/ZoneMessages.cpp
@@ -58,6 +58,9 @@
 
 milliseconds ZoneMember::Impl::beatInterval(const PeerLink &link) const
 {
+    if (options.sharedBeatTimer) {
+        return milliseconds::max();
+    }
     return coordinator || link.peer() == follower.coordinator() ? options.coordinatorHeartbeatInterval
                                                                 : options.heartbeatInterval;
 }
