--- /dev/null
+++ b/unittests/Membership/ZoneElectionTest.cpp
@@ -0,0 +1,110 @@
+#include "tamarackcove/Membership/ZoneElection.h"
+#include "tamarackcove/Membership/ZoneVoter.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarackcove;
+
+static const TimePoint Start = TimePoint(seconds(1000));
+
+static VoteRequest request(const std::string &candidate, std::uint64_t number)
+{
+    return VoteRequest{
+        .candidate = EntryId(candidate), .session = 1, .number = FencingNumber(number), .lease = seconds(2)};
+}
+
+TEST_CASE("a voter promises the lease to one candidate at a time")
+{
+    ZoneVoter voter(Start);
+    CHECK(voter.request(request("a", 5), Start).granted);
+    CHECK_FALSE(voter.request(request("b", 6), Start + seconds(1)).granted);
+    CHECK(voter.request(request("a", 5), Start + seconds(1)).granted);
+    CHECK_FALSE(voter.request(request("b", 6), Start + milliseconds(2900)).granted);
+    CHECK(voter.request(request("b", 6), Start + seconds(3)).granted);
+    // The promise to the first candidate has ended, and its number is too low now.
+    CHECK_FALSE(voter.request(request("a", 5), Start + seconds(9)).granted);
+}
+
+TEST_CASE("a restarted voter grants nothing before the longest lease that it may have promised has ended")
+{
+    ZoneVoter voter(Start + seconds(2));
+    CHECK_FALSE(voter.request(request("a", 5), Start + milliseconds(1999)).granted);
+    CHECK(voter.request(request("a", 5), Start + seconds(2)).granted);
+}
+
+TEST_CASE("a late release does not end a later promise")
+{
+    ZoneVoter voter(Start);
+    CHECK(voter.request(request("a", 5), Start).granted);
+    voter.release(request("a", 4));
+    CHECK(voter.promised(Start + seconds(1)).has_value());
+    voter.release(request("a", 5));
+    CHECK_FALSE(voter.promised(Start + seconds(1)).has_value());
+    CHECK(voter.request(request("b", 6), Start + seconds(1)).granted);
+}
+
+TEST_CASE("another process of the same candidate is another candidate")
+{
+    ZoneVoter voter(Start);
+    CHECK(voter.request(request("a", 5), Start).granted);
+    auto restarted = request("a", 5);
+    restarted.session = 2;
+    CHECK_FALSE(voter.request(restarted, Start + seconds(1)).granted);
+}
+
+static ZoneElection election(std::set<EntryId> voters)
+{
+    ZoneElection::Options options;
+    options.self = EntryId("a");
+    options.voters = std::move(voters);
+    return ZoneElection(options, Start);
+}
+
+TEST_CASE("the lease ends a margin before the promise of any voter, and at once when the entry resigns")
+{
+    auto candidate = election({EntryId("a"), EntryId("b"), EntryId("c")});
+    const auto now = candidate.nextPoll();
+    const auto round = candidate.poll(now, std::nullopt);
+    REQUIRE(round.has_value());
+    candidate.onReply(round->id, EntryId("a"), {.granted = true, .highest = round->request.number});
+    CHECK_FALSE(candidate.holdsLease(now));
+    // A reply that comes twice counts once, and a stranger has no vote.
+    candidate.onReply(round->id, EntryId("a"), {.granted = true, .highest = round->request.number});
+    candidate.onReply(round->id, EntryId("x"), {.granted = true, .highest = round->request.number});
+    CHECK_FALSE(candidate.holdsLease(now));
+    candidate.onReply(round->id, EntryId("b"), {.granted = true, .highest = round->request.number});
+    CHECK(candidate.holdsLease(now + milliseconds(1899)));
+    CHECK_FALSE(candidate.holdsLease(now + milliseconds(1900)));
+    const auto released = candidate.resign();
+    REQUIRE(released.has_value());
+    CHECK(released->kind == ZoneElection::RoundKind::Release);
+    CHECK_FALSE(candidate.holdsLease(now));
+    CHECK_FALSE(candidate.poll(now + seconds(60), std::nullopt).has_value());
+}
+
+TEST_CASE("a coordinator that meets a higher number at a target starts over above it")
+{
+    auto candidate = election({EntryId("a")});
+    const auto first = candidate.poll(Start, std::nullopt);
+    REQUIRE(first.has_value());
+    candidate.onReply(first->id, EntryId("a"), {.granted = true, .highest = first->request.number});
+    CHECK(candidate.holdsLease(Start));
+    candidate.noteNumber(FencingNumber(500));
+    CHECK(candidate.poll(Start + milliseconds(1), std::nullopt)->kind == ZoneElection::RoundKind::Release);
+    const auto second = candidate.poll(Start + milliseconds(2), std::nullopt);
+    REQUIRE(second.has_value());
+    CHECK(second->request.number == FencingNumber(501));
+}
+
+TEST_CASE("the control group votes where half of the entries would be no majority")
+{
+    CHECK(controlGroupVotes(2));
+    CHECK_FALSE(controlGroupVotes(3));
+    auto candidate = election({EntryId("a"), EntryId("b"), controlGroupVoter()});
+    const auto now = candidate.nextPoll();
+    const auto round = candidate.poll(now, std::nullopt);
+    REQUIRE(round.has_value());
+    candidate.onReply(round->id, EntryId("a"), {.granted = true, .highest = round->request.number});
+    candidate.onReply(round->id, controlGroupVoter(), {.granted = true, .highest = FencingNumber()});
+    CHECK(candidate.holdsLease(now));
+}
