--- a/include/tamarackcove/Control/Replica/ReplicaTask.h
+++ b/include/tamarackcove/Control/Replica/ReplicaTask.h
@@ -33,6 +33,9 @@
         std::function<void(StorageError)> onFatal;
         /// Called on this thread whenever this replica begins or ceases to lead with a valid lease.
         std::function<void(bool leads)> onLeadership;
+        /// Whether frames from and to this peer pass; by default all do. Others are dropped without an error, as on a
+        /// connection that has become silent. For measurements and tests.
+        std::function<bool(const std::string &peer)> passes;
     };
 
     /// Precondition: the supervisor outlives this object, and is stopped before it is destroyed.
--- a/lib/Control/Replica/PeerLinks.cpp
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -45,10 +45,12 @@
     asio::steady_timer wake;
 };
 
-PeerLinks::PeerLinks(Supervisor &supervisor, ReplicaDriver &driver, const ReplicaSettings &settings)
+PeerLinks::PeerLinks(Supervisor &supervisor, ReplicaDriver &driver, const ReplicaSettings &settings,
+                     std::function<bool(const std::string &peer)> passes)
     : m_supervisor(supervisor)
     , m_driver(driver)
     , m_settings(settings)
+    , m_passes(std::move(passes))
 {
     for (const auto &peer : settings.peers) {
         m_peers[peer.name] = std::make_unique<Peer>(peer, supervisor.executor());
@@ -138,6 +140,11 @@
     return m_bytesSent;
 }
 
+bool PeerLinks::passes(const std::string &peer) const
+{
+    return !m_passes || m_passes(peer);
+}
+
 PeerHello PeerLinks::ownHello() const
 {
     PeerHello hello;
@@ -221,6 +228,9 @@
 asio::awaitable<bool> PeerLinks::greet(FramedConnection &connection, Peer &peer)
 {
     auto hello = toMessage(ownHello());
+    if (!passes(peer.settings.name)) {
+        co_return false;
+    }
     const auto sent = co_await connection.write(std::move(hello), GreetingTimeout);
     if (sent.has_error()) {
         co_return false;
@@ -257,6 +267,9 @@
         } else {
             nextPing = Clock::now() + PingInterval;
         }
+        if (!passes(peer.settings.name)) {
+            continue;
+        }
         const auto written = co_await connection.write(std::move(message), WriteTimeout);
         if (written.has_error()) {
             co_return;
@@ -321,6 +334,9 @@
         if (message.has_error()) {
             co_return;
         }
+        if (!passes(hello.value().name)) {
+            continue;
+        }
         if (message.value().type == "peer_ping") {
             Message pong{.type = "peer_pong", .body = nullptr};
             const auto answered = co_await connection->write(std::move(pong), WriteTimeout);
--- a/lib/Control/Replica/PeerLinks.h
+++ b/lib/Control/Replica/PeerLinks.h
@@ -21,7 +21,8 @@
 {
 public:
     /// Precondition: the driver and the supervisor outlive this object.
-    PeerLinks(Supervisor &supervisor, ReplicaDriver &driver, const ReplicaSettings &settings);
+    PeerLinks(Supervisor &supervisor, ReplicaDriver &driver, const ReplicaSettings &settings,
+              std::function<bool(const std::string &peer)> passes = {});
     ~PeerLinks();
     PeerLinks(const PeerLinks &) = delete;
     PeerLinks &operator=(const PeerLinks &) = delete;
@@ -47,6 +48,7 @@
     boost::asio::awaitable<void> readPongs(FramedConnection &connection);
     boost::asio::awaitable<void> acceptPeers();
     boost::asio::awaitable<void> serveIncoming(std::shared_ptr<FramedConnection> connection);
+    [[nodiscard]] bool passes(const std::string &peer) const;
     [[nodiscard]] PeerHello ownHello() const;
     [[nodiscard]] bool learnIdentity(Peer &peer, const PeerHello &hello);
     void formGroupIfAllAreEmpty();
@@ -54,6 +56,7 @@
     Supervisor &m_supervisor;
     ReplicaDriver &m_driver;
     ReplicaSettings m_settings;
+    std::function<bool(const std::string &peer)> m_passes;
     std::map<std::string, std::unique_ptr<Peer>> m_peers;
     std::optional<boost::asio::ip::tcp::acceptor> m_acceptor;
     std::uint64_t m_bytesSent = 0;
--- a/lib/Control/Replica/ReplicaTask.cpp
+++ b/lib/Control/Replica/ReplicaTask.cpp
@@ -21,7 +21,7 @@
                   .administration = [this](const ReplicaId &id) { return links.administrationOf(id); },
                   .onFatal = std::move(hooks.onFatal),
                   .onLeadership = std::move(hooks.onLeadership)})
-        , links(owner, driver, settings)
+        , links(owner, driver, settings, std::move(hooks.passes))
     {
     }
 
