--- a/include/tamarackcove/Http/HttpError.h
+++ b/include/tamarackcove/Http/HttpError.h
@@ -17,6 +17,8 @@
 {
     HttpErrorCode code = HttpErrorCode::Closed;
     std::string detail;
+    /// With ConnectFailed: the host answered that nobody listens there.
+    bool refused = false;
 };
 
 } // namespace tamarackcove
