--- a/lib/Entry/ZoneMember.cpp
+++ b/lib/Entry/ZoneMember.cpp
@@ -85,7 +85,8 @@
 ZoneMember::Impl::Impl(ZoneOptions zoneOptions, ZoneHooks zoneHooks, const PinTable &pins)
     : options(withoutSelf(std::move(zoneOptions)))
     , hooks(std::move(zoneHooks))
-    , session(std::random_device()() ^ options.seed)
+    // 32 bits: it travels in every vote.
+    , session((std::random_device{}() ^ options.seed) & 0xffffffffU)
     , voter(votesFrom(options))
     , election(electionOptions(options, session), Clock::now())
     , detector(FailureDetector::Options{.silentAfter = options.linkSilence})
@@ -94,7 +95,6 @@
     , network(options,
               {.hello = [this] { return hello(); },
                .onUp = [this](PeerLink &link) { onUp(link); },
-               .onDown = [this](PeerLink &link) { onDown(link); },
                .onMessage = [this](PeerLink &link, const Message &message) { onMessage(link, message); },
                .makeBeat = [this](PeerLink &link) { return makeBeat(link); },
                .beatInterval = [this](const PeerLink &link) { return beatInterval(link); },
@@ -139,9 +139,6 @@
     impl.network.start(*impl.supervisor);
     impl.supervisor->start("housekeeping", [&impl] { return impl.housekeepingTask(); });
     impl.supervisor->start("demand", [&impl] { return impl.demandTask(); });
-    if (impl.options.sharedBeatTimer) {
-        impl.supervisor->start("beats", [&impl] { return impl.beatTask(); });
-    }
     impl.supervisor->start("election", [&impl] { return impl.electionTask(); });
     co_await waitUntilCancelled();
     co_await impl.supervisor->stop();
@@ -195,21 +192,6 @@
     (void)network.send(*peer, toMessage(ConfigFetchMessage()));
 }
 
-/// Paces the heartbeats of all links with one timer.
-asio::awaitable<void> ZoneMember::Impl::beatTask()
-{
-    const auto every = std::max<milliseconds::rep>(1, options.heartbeatInterval / options.coordinatorHeartbeatInterval);
-    for (milliseconds::rep tick = 0;; ++tick) {
-        for (auto *link : network.links()) {
-            const bool isShort = coordinator || link->peer() == follower.coordinator();
-            if (isShort || tick % every == 0) {
-                link->beatNow();
-            }
-        }
-        co_await pause(options.coordinatorHeartbeatInterval);
-    }
-}
-
 asio::awaitable<void> ZoneMember::Impl::demandTask()
 {
     while (true) {
@@ -336,15 +318,14 @@
         return refusal(valid.error());
     }
     const auto now = Clock::now();
-    const bool changed = impl.relay.accept(announcement, now);
+    const bool changed = impl.relay.accept(announcement, impl.follower.view().find(announcement.id), now);
     if (impl.coordinator) {
         impl.coordinator->announce(announcement);
     } else if (changed) {
         AnnounceMessage message;
         message.announcement = writeAnnouncement(announcement);
-        if (!impl.network.send(impl.follower.coordinator(), toMessage(message))) {
-            impl.relay.resetForwarded();
-        }
+        // Lost without a link to the coordinator; the target announces itself again in a second.
+        (void)impl.network.send(impl.follower.coordinator(), toMessage(message));
     }
     impl.follower.setLoad(announcement.id, announcement.running, announcement.waiting, now);
     return jsonResponse(200, "{}");
--- a/lib/Entry/ZoneMemberImpl.h
+++ b/lib/Entry/ZoneMemberImpl.h
@@ -40,7 +40,6 @@
     // ZoneMessages.cpp
     [[nodiscard]] HelloMessage hello() const;
     void onUp(PeerLink &link);
-    void onDown(PeerLink &link);
     void onMessage(PeerLink &link, const Message &message);
     [[nodiscard]] Message makeBeat(PeerLink &link);
     [[nodiscard]] milliseconds beatInterval(const PeerLink &link) const;
@@ -56,7 +55,6 @@
 
     // ZoneMember.cpp
     boost::asio::awaitable<void> housekeepingTask();
-    boost::asio::awaitable<void> beatTask();
     boost::asio::awaitable<void> demandTask();
     void flushDemand();
     void followConfiguration();
@@ -83,6 +81,8 @@
     /// Parts of the configuration that is being fetched from a peer.
     std::map<std::uint32_t, std::string> configurationParts;
     TimePoint fetchedAt = TimePoint::min();
+    /// The last coordinator that gave its lease back; its view lease keeps nobody from becoming the next one.
+    FencingNumber resignedNumber;
 };
 
 } // namespace tamarackcove
--- a/lib/Entry/ZoneMessages.cpp
+++ b/lib/Entry/ZoneMessages.cpp
@@ -30,9 +30,6 @@
     if (coordinator) {
         coordinator->sendView(link);
     }
-    if (link.peer() == follower.coordinator()) {
-        relay.resetForwarded();
-    }
     if (configuration.held() > Revision()) {
         ConfigHoldMessage message;
         message.revision = configuration.held().value();
@@ -40,13 +37,6 @@
     }
 }
 
-void ZoneMember::Impl::onDown(PeerLink &link)
-{
-    if (link.peer() == follower.coordinator()) {
-        relay.resetForwarded();
-    }
-}
-
 void ZoneMember::Impl::onForeignUp(PeerLink &link)
 {
     if (coordinator) {
@@ -58,11 +48,7 @@
 
 milliseconds ZoneMember::Impl::beatInterval(const PeerLink &link) const
 {
-    if (options.sharedBeatTimer) {
-        return milliseconds::max();
-    }
-    return coordinator || link.peer() == follower.coordinator() ? options.coordinatorHeartbeatInterval
-                                                                : options.heartbeatInterval;
+    return link.peer() == follower.coordinator() ? options.coordinatorHeartbeatInterval : options.heartbeatInterval;
 }
 
 Message ZoneMember::Impl::makeBeat(PeerLink &link)
@@ -157,6 +143,10 @@
     detector.report(link.peer(), std::move(silent), now);
     configuration.peerHolds(link.peer(), Revision(beat.heldRevision));
     const FencingNumber number(beat.number);
+    if (coordinator) {
+        // The sooner the echo, the longer the rest of the view lease that it brings.
+        link.beatNow();
+    }
     if (beat.renewsView && link.peer() == follower.coordinator()) {
         // The lease counts from when the echoed heartbeat left this entry: the coordinator knows it to be later.
         if (const auto sentAt = link.beatSentAt(beat.echo)) {
@@ -187,7 +177,6 @@
         LogLine(LogLevel::Info, "zone_coordinator")
             .add("entry", link.peer().value())
             .add("number", parsed.value().number);
-        relay.resetForwarded();
         // The echo of this heartbeat brings the view lease.
         link.beatNow();
     }
