Test the whole system under faults

Cause: promises P1 to P8 have to be shown with real processes under each fault of the failure model. Ruled out: judging by logs alone; engines, services and store count what ran, what was evicted in use and what was loaded. Change: 22 tests of the whole system.

--- /dev/null
+++ b/test/test_system.py
@@ -0,0 +1,363 @@
+"""The whole system under faults, with real processes: promises P1 to P8 of docs/design.md, section 1.1."""
+
+import re
+import threading
+import time
+
+import pytest
+import requests
+
+from cluster import Cluster, adapter_list, ready
+from harness import get, post, wait_for
+
+STORE = {"loads_per_second": 20, "concurrent_loads": 6}
+ADAPTERS = 10
+CLIENT = {"adapters": ADAPTERS, "requests_per_second": 40, "length_ms": 5000, "seed": 11, "stream_share": 0.7,
+          "max_attempts": 8, "resend_broken": True, "timeout_ms": 20000}
+
+
+def start(harness, zones=None, proxied=False, adapters=ADAPTERS, services=0, **settings):
+    """A ready system in which every adapter was asked for once, so that a fault meets a warm one."""
+    cluster = Cluster(harness, zones or {"a": 3, "b": 2}, engines=settings.pop("engines", 2), services=services,
+                      proxied=proxied, store={**STORE, "load_ms": 100}, **settings).start()
+    cluster.serve(adapters, store=STORE)
+    if services:
+        cluster.configure({"name": "billing", "service": "billing",
+                           "route": {"repeatable": False, "timeout_ms": 5000, "share_percent": 50}})
+    cluster.wait_entries()
+    return cluster
+
+
+def load(cluster, entries=None, **changes):
+    return cluster.harness.load({**CLIENT, "endpoints": [entry.address for entry in entries or cluster.entries],
+                                 **changes})
+
+
+def check(cluster, run, store=True, **expected):
+    """Every answer was right, no adapter in use was evicted, and the store limits held."""
+    result = run.finish()
+    assert result["exit_code"] == 0, f"{result}\n{run.bad_rows()}"
+    for name, value in {"failed": 0, "refused": 0, **expected}.items():
+        assert result[name] == value, f"{name} of {result}\n{run.bad_rows()}"
+    check_engines(cluster)
+    if store:
+        check_store(cluster)
+    return result
+
+
+def check_engines(cluster):
+    for engine in cluster.engines:
+        if engine.process.running():
+            state = get(engine.address, "/v1/state").json()
+            assert state["unloads_in_use"] == 0, f"{engine.name} {state}"
+        assert not engine.process.grep("event=unloaded_in_use"), engine.process.grep("event=unloaded_in_use")
+
+
+def check_store(cluster):
+    stats = get(cluster.store.address, "/stats").json()
+    assert stats["concurrency_violations"] == 0 and stats["rate_violations"] == 0, stats
+
+
+def coordinator(cluster, zone):
+    """The entry of the zone with the highest fencing number."""
+    numbers = {}
+    for entry in cluster.entries:
+        if entry.zone == zone:
+            for line in entry.process.grep("event=zone_lease_won"):
+                numbers[int(re.search(r"number=(\d+)", line)[1])] = entry
+    return numbers[max(numbers)]
+
+
+def in_force(cluster, revision, entries, timeout):
+    began = time.monotonic()
+
+    def everywhere():
+        return all(any(f"revision={number} " in line for number in range(revision, revision + 50)
+                       for line in entry.process.grep("event=configuration_in_force")) for entry in entries)
+    wait_for(everywhere, timeout, f"revision {revision} is not in force on every entry")
+    return time.monotonic() - began
+
+
+def test_evictions_under_load(harness):
+    """P1, P2: guards against evicting an adapter in use, and against sending to an engine that no longer has it."""
+    cluster = start(harness, zones={"a": 2}, adapters=30, engine={"adapter_slots": 4})
+    run = load(cluster, adapters=30, zipf_exponent=0.6, requests_per_second=30, answer_tokens=[30, 60])
+    check(cluster, run)
+    assert get(cluster.store.address, "/stats").json()["loads"] > 12
+
+
+def test_killed_coordinator(harness):
+    """P1, P2, P3: guards against a zone that stops, or evicts too much, when its coordinator dies."""
+    cluster = start(harness)
+    run = load(cluster)
+    time.sleep(1.5)
+    coordinator(cluster, "a").process.kill()
+    check(cluster, run)
+
+
+def test_frozen_coordinator(harness):
+    """P2: guards against orders of a coordinator that slept through its replacement; half the engines ignore fencing."""
+    cluster = start(harness, adapters=20, engine={"fencing": "ignores"})
+    frozen = coordinator(cluster, "a")
+    run = load(cluster, [entry for entry in cluster.entries if entry is not frozen], adapters=20, length_ms=8000)
+    time.sleep(1)
+    frozen.process.freeze()
+    time.sleep(4)
+    frozen.process.thaw()
+    check(cluster, run)
+
+
+def test_engine_restarts(harness):
+    """P1: guards against trusting what an engine held before its restart, cold or as a new process."""
+    cluster = start(harness)
+    run = load(cluster)
+    time.sleep(1)
+    post(cluster.engines[0].address, "/faults", {"cold_restart": True})
+    time.sleep(1)
+    cluster.engines[1].process.restart()
+    check(cluster, run)
+
+
+def test_failing_loads(harness):
+    """Guards against a load that fails and is repeated at once, or never again."""
+    cluster = start(harness)
+    for engine in cluster.engines:
+        post(engine.address, "/faults", {"load_fail_probability": 0.4})
+    check(cluster, load(cluster))
+
+
+def test_late_reports(harness):
+    """P1, P2: guards against decisions that take announced load and adapters as the present ones."""
+    cluster = start(harness, adapters=20)
+    for engine in cluster.engines:
+        post(engine.address, "/faults", {"load_report_lag_ms": 4000, "adapter_list_lag_ms": 4000,
+                                         "adapter_list_gap": 0.3})
+    check(cluster, load(cluster, adapters=20))
+
+
+def test_leaving_engine_gets_no_new_work(harness):
+    """P6, P7: guards against new work on a target that leaves, and against cutting what it still runs."""
+    cluster = start(harness)
+    run = load(cluster, length_ms=6000, max_attempts=1, resend_broken=False)
+    time.sleep(1.5)
+    assert cluster.engines[0].process.terminate() == 0
+    check(cluster, run)
+
+
+def test_leaving_target_is_left_within_seconds(harness):
+    """P6: guards against a target that says it leaves and still gets work after three seconds."""
+    cluster = start(harness, zones={"a": 2}, services=2)
+    leaving = cluster.services[0]
+    run = load(cluster, length_ms=8000, service_share=1, service="billing", max_attempts=1, resend_broken=False)
+    time.sleep(2)
+    leaving.process.settings["service_time_ms"] = 0
+    stop = threading.Thread(target=leaving.process.terminate)
+    stop.start()
+    stop.join(20)
+    assert leaving.process.popen.returncode == 0
+    check(cluster, run)
+
+
+def test_rolling_restart_of_entries(harness):
+    """P7: guards against a shutdown that cuts a request, on any entry of a zone."""
+    cluster = start(harness, zones={"a": 3}, engine={"step_base_us": 6000})
+    run = load(cluster, length_ms=13000, max_attempts=20)
+    for entry in cluster.entries:
+        time.sleep(1)
+        assert entry.process.terminate() == 0
+        entry.process.start(wait=False)
+        wait_for(lambda one=entry: ready(one), 15, f"{entry.name} is not ready again\n{entry.process.tail()}")
+    result = check(cluster, run)
+    assert result["errors_by_code"].get("connection_broken", 0) == 0, result
+
+
+def test_change_is_in_force_everywhere_in_time(harness):
+    """P8: guards against entries that learn of a change late, or go back, while a control leader dies."""
+    cluster = start(harness)
+    for killed in (False, True):
+        if killed:
+            cluster.leader().process.kill()
+        revision = cluster.serve(20 + killed)
+        assert in_force(cluster, revision, cluster.entries, 4) < 4
+    for entry in cluster.entries:
+        numbers = [int(re.search(r"revision=(\d+)", line)[1])
+                   for line in entry.process.grep("event=configuration_in_force")]
+        assert numbers == sorted(numbers), f"{entry.name} went back: {numbers}"
+    check(cluster, load(cluster, adapters=20, length_ms=2000))
+
+
+def test_entry_restarts_while_control_is_out_of_reach(harness):
+    """P8: guards against an entry that starts with an older configuration than its zone has."""
+    cluster = start(harness, zones={"a": 3}, proxied=True)
+    cluster.proxy.faults(group="control:a", hold="both")
+    entry = cluster.entries[0]
+    entry.process.kill()
+    entry.process.start(wait=False)
+    wait_for(lambda: ready(entry), 15, f"{entry.name} is not ready:\n{entry.process.tail()}")
+    check(cluster, load(cluster, length_ms=2000))
+
+
+def test_isolated_zone_goes_on_and_catches_up(harness):
+    """P8: guards against a zone that stops in a partition, loads beyond the store limits, or keeps an old
+    configuration after it."""
+    cluster = start(harness, proxied=True)
+    cluster.proxy.faults(group="border:b", hold="both")
+    cluster.proxy.faults(group="control:b", hold="both")
+    run = load(cluster, length_ms=6000, seed=12)
+    time.sleep(1)
+    revision = cluster.serve(ADAPTERS + 2, store=STORE)
+    in_force(cluster, revision, [entry for entry in cluster.entries if entry.zone == "a"], 4)
+    check(cluster, run)
+    cluster.proxy.faults(reset=True)
+    in_force(cluster, revision, cluster.entries, 4)
+
+
+def test_silent_connections_everywhere(harness):
+    """P3, P8: guards against established connections that stay silent while new ones work."""
+    cluster = start(harness, proxied=True)
+    run = load(cluster, length_ms=9000)
+    time.sleep(1.5)
+    cluster.proxy.faults(silence=True)
+    time.sleep(1)
+    revision = cluster.serve(ADAPTERS + 1, store=STORE)
+    assert in_force(cluster, revision, cluster.entries, 4) < 4
+    check(cluster, run)
+
+
+def test_coordinator_that_hears_nobody(harness):
+    """P2: guards against a coordinator whose own messages still arrive while it hears no other entry."""
+    cluster = start(harness, proxied=True, adapters=20)
+    deaf = coordinator(cluster, "a")
+    run = load(cluster, [entry for entry in cluster.entries if entry is not deaf], adapters=20, length_ms=7000)
+    time.sleep(1)
+    for entry in cluster.entries:
+        if entry.zone == "a" and entry is not deaf:
+            for pair in cluster.proxy.pairs:
+                if pair["name"].startswith(f"{entry.name}>{deaf.name}:"):
+                    cluster.proxy.faults(pair=pair["name"], hold="to_target")
+                if pair["name"].startswith(f"{deaf.name}>{entry.name}:"):
+                    cluster.proxy.faults(pair=pair["name"], hold="to_caller")
+    check(cluster, run)
+
+
+def call_service(entry, key, body="pay", timeout=10):
+    return requests.post(f"http://{entry.address}/services/billing/run", data=body, timeout=timeout,
+                         headers={"idempotency-key": key, "x-tamarackcove-repeatable": "false"})
+
+
+def executions(cluster):
+    keys = {}
+    for service in cluster.services:
+        for key, runs in get(service.address, "/executions").json()["keys"].items():
+            keys[key] = keys.get(key, 0) + runs
+    return keys
+
+
+def test_not_repeatable_calls_run_at_most_once(harness):
+    """P5: guards against a second run when callers resend to other entries while entries and the control leader die."""
+    cluster = start(harness, zones={"a": 3}, services=2)
+    run = load(cluster, length_ms=6000, service_share=1, service="billing", not_repeatable_share=1, timeout_ms=4000)
+    time.sleep(1)
+    cluster.entries[0].process.kill()
+    time.sleep(1)
+    cluster.leader().process.kill()
+    time.sleep(1)
+    cluster.services[0].process.freeze()
+    time.sleep(0.5)
+    cluster.services[0].process.thaw()
+    result = run.finish()
+    repeated = {key: runs for key, runs in executions(cluster).items() if runs > 1}
+    assert not repeated, repeated
+    assert result["ok"] > result["sent"] * 0.9 and result["crossed"] == 0, f"{result}\n{run.bad_rows()}"
+
+
+def test_recorded_result_of_a_resent_call(harness):
+    """P5: guards against another answer, or another run, for a call that is sent again through another entry."""
+    cluster = start(harness, zones={"a": 2}, services=1)
+    first = call_service(cluster.entries[0], "call-1")
+    second = call_service(cluster.entries[1], "call-1")
+    other = call_service(cluster.entries[1], "call-1", body="pay more")
+    assert first.status_code == second.status_code == 200 and first.json() == second.json()
+    assert other.status_code == 409, other.text
+    assert executions(cluster) == {"call-1": 1}
+
+
+def test_call_without_control_is_rejected_as_not_run(harness):
+    """P4, P5: guards against a call that runs without a reservation, or that ran though it was rejected as not run."""
+    cluster = start(harness, zones={"a": 2}, services=1)
+    for control in cluster.controls:
+        control.process.kill()
+    reply = call_service(cluster.entries[0], "call-2", timeout=15)
+    assert reply.status_code == 503 and reply.json()["error"]["code"] == "not_run", reply.text
+    assert "call-2" not in executions(cluster)
+    check(cluster, load(cluster, length_ms=1500))
+
+
+def test_rejections_did_not_run(harness):
+    """P4: guards against a rejection as not run of a request that ran."""
+    cluster = start(harness, zones={"a": 2}, entry={"max_running": 6, "max_queued": 3})
+    for engine in cluster.engines:
+        post(engine.address, "/faults", {"slow_factor": 15})
+    run = load(cluster, requests_per_second=80, length_ms=2500, max_attempts=1, resend_broken=False)
+    result = run.finish()
+    assert result["exit_code"] == 0 and result["refused"] > 0, result
+    ran = set()
+    for engine in cluster.engines:
+        ran.update(get(engine.address, "/executions").json()["keys"])
+    rows = [row.split(",") for row in run.csv_path.read_text().split()[1:]]
+    refused = {row[0] for row in rows if row[4] == "refused"}
+    assert not refused & ran, sorted(refused & ran)
+
+
+def test_crashing_request_is_quarantined(harness):
+    """Guards against a request that crashes each target that runs it and is sent again until none is left."""
+    cluster = start(harness, zones={"a": 2}, engines=4, engine={"faults": {"crash_marker": "poison"}})
+    stop = threading.Event()
+
+    def restart_crashed():
+        while not stop.wait(0.3):
+            for engine in cluster.engines:
+                if not engine.process.running():
+                    engine.process.start()
+    restarter = threading.Thread(target=restart_crashed)
+    restarter.start()
+    run = load(cluster, length_ms=8000)
+    codes = []
+    try:
+        for attempt in range(12):
+            body = {"model": "adapter-00001@1", "prompt": "poison pill", "max_tokens": 4}
+            entry = cluster.entries[attempt % 2]
+            codes.append(post(entry.address, "/v1/completions", body, 20).status_code)
+            time.sleep(0.3)
+        result = run.finish()
+    finally:
+        stop.set()
+        restarter.join()
+    crashes = sum(len(engine.process.grep("event=crash")) for engine in cluster.engines)
+    assert crashes <= 2 and codes[-1] == 422, f"{crashes} crashes, {codes}"
+    assert result["exit_code"] == 0 and result["failed"] == 0, f"{result}\n{run.bad_rows()}"
+
+
+def test_version_named_is_version_served(harness):
+    """P1: guards against serving another version of an adapter, or the name alone with an old current version."""
+    cluster = start(harness, zones={"a": 2}, adapters=2)
+    adapters = adapter_list(2) + adapter_list(2, version="2")
+    for adapter in adapters[:2]:
+        adapter["current"] = False
+    revision = cluster.configure({"name": "intent-adapter-", "service": "drafting", "adapters": adapters,
+                                  "store": STORE})
+    in_force(cluster, revision, cluster.entries, 4)
+    for model, served in (("adapter-00000@1", "adapter-00000@1"), ("adapter-00000@2", "adapter-00000@2"),
+                          ("adapter-00000", "adapter-00000@2")):
+        reply = post(cluster.entries[0].address, "/v1/completions", {"model": model, "prompt": "x", "max_tokens": 3}, 15)
+        assert reply.status_code == 200 and reply.json()["model"] == served, reply.text
+    check(cluster, load(cluster, adapters=2, version="2", length_ms=1500))
+
+
+@pytest.mark.parametrize("killed", [1, 2])
+def test_control_hosts_down_while_serving(harness, killed):
+    """P8: guards against requests that depend on the control group, and against loads beyond the store limits."""
+    cluster = start(harness)
+    for control in cluster.controls[:killed]:
+        control.process.kill()
+    check(cluster, load(cluster))
