--- a/include/tamarackcove/Entry/Callers/RequestPath.h
+++ b/include/tamarackcove/Entry/Callers/RequestPath.h
@@ -6,6 +6,7 @@
 #include "tamarackcove/Entry/Callers/LoadWait.h"
 #include "tamarackcove/Entry/Targets/Destination.h"
 #include "tamarackcove/Entry/Targets/DispatchContext.h"
+#include "tamarackcove/Requests/BrokenTargets.h"
 #include "tamarackcove/Requests/CrashLedger.h"
 #include "tamarackcove/Requests/RetryBudget.h"
 
@@ -101,6 +102,7 @@
     Parts m_parts;
     Options m_options;
     CrashLedger m_crashes;
+    BrokenTargets m_broken;
     RetryBudget m_retries;
     CallerWatch m_watch;
     AdmissionGate m_gate;
--- a/include/tamarackcove/Entry/Targets/DispatchContext.h
+++ b/include/tamarackcove/Entry/Targets/DispatchContext.h
@@ -9,6 +9,7 @@
 
 namespace tamarackcove {
 
+class BrokenTargets;
 class CrashLedger;
 class Metrics;
 class TargetConnections;
@@ -44,6 +45,7 @@
 
     TargetConnections &connections;
     CrashLedger &crashes;
+    BrokenTargets &broken;
     Metrics &metrics;
     const ControlCalls &control;
     const ZoneAccess &zone;
--- a/lib/Entry/Callers/RequestPath.cpp
+++ b/lib/Entry/Callers/RequestPath.cpp
@@ -49,7 +49,7 @@
     int attempts = 0;
     /// Attempts that may have run, or that another entry refused.
     int costly = 0;
-    /// A target was passed over because another suspect runs there.
+    /// A target may have been passed over, because another suspect runs there or it could not be reached a moment ago.
     bool heldBack = false;
     bool hasWaited = false;
     /// The caller has a response, or has gone.
@@ -105,6 +105,7 @@
     , m_loads(executor, m_parts.zone, options.loads)
     , m_context{.connections = m_parts.connections,
                 .crashes = m_crashes,
+                .broken = m_broken,
                 .metrics = m_parts.metrics,
                 .control = m_parts.control,
                 .zone = m_parts.zone,
@@ -172,7 +173,8 @@
     const auto &call = progress.call;
     const auto &view = m_parts.zone.view();
     auto excluded = progress.excluded;
-    progress.heldBack = false;
+    m_broken.addTo(excluded, Clock::now());
+    progress.heldBack = excluded.size() > progress.excluded.size();
     while (true) {
         RouteChoice choice;
         if (!call.adapter) {
--- a/lib/Entry/Targets/TargetCall.cpp
+++ b/lib/Entry/Targets/TargetCall.cpp
@@ -9,6 +9,7 @@
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
+#include "tamarackcove/Requests/BrokenTargets.h"
 #include "tamarackcove/Requests/Call.h"
 #include "tamarackcove/Requests/CrashLedger.h"
 #include "tamarackcove/Requests/RequestLife.h"
@@ -129,11 +130,13 @@
     if (acquired.has_error()) {
         m_context.metrics.count("target_connect_failures_total");
         if (destination.kind != DestinationKind::Entry) {
+            m_context.broken.noteBroken(destination.target, Clock::now());
             m_context.zone.reportBroken(destination.target);
         }
         co_return notRun({RefusalCode::NotRun, "the target cannot be reached, retry later", NotRunRetryAfter});
     }
     m_connection = std::move(acquired.value());
+    m_context.broken.noteReached(destination.target);
     if (const auto end = co_await reserve()) {
         co_return *end;
     }
@@ -490,6 +493,7 @@
 void TargetCall::noteCrash()
 {
     m_crashed = true;
+    m_context.broken.noteBroken(m_destination.target, Clock::now());
     const auto crash = m_context.crashes.noteCrash(m_destination.target, m_destination.incarnation, Clock::now());
     if (crash.inFlight.empty()) {
         return;
