--- a/include/tamarackcove/Entry/Targets/DispatchContext.h
+++ b/include/tamarackcove/Entry/Targets/DispatchContext.h
@@ -28,6 +28,8 @@
         milliseconds cancelTimeout = milliseconds(500);
         /// Resume attempts in a row that get no answer before the target counts as lost.
         int maxResumeFailures = 4;
+        /// Told to the caller with an attempt that did not run.
+        milliseconds notRunRetryAfter = seconds(1);
         milliseconds resumePause = milliseconds(50);
         /// Larger responses of calls that may not be repeated are not recorded: a frame to the control group holds 1
         /// MiB.
--- a/include/tamarackcove/Entry/Targets/TargetCall.h
+++ b/include/tamarackcove/Entry/Targets/TargetCall.h
@@ -7,8 +7,10 @@
 #include "tamarackcove/Requests/Refusal.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace tamarackcove {
 
@@ -22,8 +24,9 @@
 
 /// One request on its way to a target and back: sends it, relays the response, resumes it when the connection breaks.
 ///
-/// run() makes one attempt; the owner decides by the phase of the request whether another follows.
-/// Thread safety: used on one thread, by one coroutine.
+/// TargetCall.cpp sends it and ends it, TargetCallResponse.cpp takes the response, and TargetCallRecovery.cpp resumes
+/// it and finds out what became of the target. run() makes one attempt; the owner decides by the phase of the request
+/// whether another follows. Thread safety: used on one thread, by one coroutine.
 class TargetCall
 {
 public:
@@ -76,6 +79,7 @@
     /// Finds out whether the target went down, and reports it.
     boost::asio::awaitable<void> examineTarget();
     boost::asio::awaitable<void> record(int status, std::string contentType, std::string body);
+    [[nodiscard]] std::string attemptId() const;
     [[nodiscard]] HttpRequest attemptRequest() const;
     [[nodiscard]] milliseconds answerTimeout() const;
     [[nodiscard]] bool saysNotRun(const HttpResponse &response);
@@ -93,6 +97,10 @@
     std::unique_ptr<StreamRelay> m_relay;
     Refusal m_reason;
     TimePoint m_lastProgress;
+    TimePoint m_resumedAt;
+    std::uint64_t m_resumedFrom = 0;
+    /// In a row, without a token or an answer.
+    int m_failedResumes = 0;
     int m_attempt = 0;
     bool m_crashed = false;
 };
--- a/lib/Entry/Callers/RequestPath.cpp
+++ b/lib/Entry/Callers/RequestPath.cpp
@@ -1,6 +1,7 @@
 #include "tamarackcove/Entry/Callers/RequestPath.h"
 
 #include "tamarackcove/Configuration/ServingConfiguration.h"
+#include "tamarackcove/Entry/Callers/LoadWaitResponder.h"
 #include "tamarackcove/Entry/ControlCalls.h"
 #include "tamarackcove/Entry/Targets/TargetCall.h"
 #include "tamarackcove/Entry/Targets/TargetConnections.h"
@@ -29,9 +30,10 @@
 /// What one request has come to.
 struct RequestPath::Progress
 {
-    Progress(const RequestPath &path, const Call &request, const HttpRequest &outgoing, HttpResponder &responder,
+    Progress(const RequestPath &path, const Call &request, const HttpRequest &outgoing, HttpResponder &callerResponder,
              CallerWatch::Watched &callerWatched)
         : call(request)
+        , responder(callerResponder)
         , life(request.repeatable)
         , watched(callerWatched)
         , target(path.m_context, request, outgoing, responder, life, callerWatched)
@@ -40,6 +42,7 @@
     }
 
     const Call &call;
+    LoadWaitResponder responder;
     RequestLife life;
     CallerWatch::Watched &watched;
     TargetCall target;
@@ -161,7 +164,11 @@
             refusal->retryAfter = {};
         }
         m_parts.metrics.count("requests_refused_total{code=\"" + std::string(toString(refusal->code)) + "\"}");
-        (void)co_await responder.send(m_context.rendering.response(*refusal));
+        (void)co_await progress.responder.send(m_context.rendering.response(*refusal));
+    }
+    if (progress.responder.waited() > Duration::zero()) {
+        m_parts.metrics.count("load_stalls_total");
+        m_parts.metrics.observe("load_stall_seconds", progress.responder.waited());
     }
     m_parts.metrics.count("requests_total");
     m_parts.metrics.count("tokens_relayed_total", progress.target.tokens());
@@ -255,6 +262,7 @@
         if (choice.kind == RouteKind::WaitForLoad && !holdersPassedOver) {
             progress.life.waitForLoad();
             const auto outcome = co_await m_loads.wait(call, progress.giveUpAt, progress.watched);
+            progress.responder.addWait(Clock::now() - now);
             progress.life.loadEnded();
             progress.hasWaited = true;
             if (outcome == LoadWait::Outcome::Refused) {
--- /dev/null
+++ b/unittests/Entry/LoadWaitResponderTest.cpp
@@ -0,0 +1,81 @@
+#include "tamarackcove/Entry/Callers/LoadWaitResponder.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <utility>
+
+using namespace tamarackcove;
+namespace asio = boost::asio;
+
+namespace {
+
+/// Keeps the response.
+class KeepingResponder : public HttpResponder
+{
+public:
+    asio::awaitable<Result<void, HttpError>> send(HttpResponse response) override
+    {
+        kept = std::move(response);
+        co_return ok();
+    }
+    asio::awaitable<Result<void, HttpError>> beginStream(HttpResponse head) override
+    {
+        return send(std::move(head));
+    }
+    asio::awaitable<Result<void, HttpError>> writePiece(std::string_view) override
+    {
+        co_return ok();
+    }
+    asio::awaitable<Result<void, HttpError>> endStream() override
+    {
+        co_return ok();
+    }
+    [[nodiscard]] bool started() const override
+    {
+        return false;
+    }
+    [[nodiscard]] bool callerGone() const override
+    {
+        return false;
+    }
+
+    HttpResponse kept;
+};
+
+} // namespace
+
+static std::string headerAfter(std::vector<milliseconds> waits, const std::string &reported, bool stream)
+{
+    asio::io_context context;
+    KeepingResponder caller;
+    LoadWaitResponder responder(caller);
+    for (const auto wait : waits) {
+        responder.addWait(wait);
+    }
+    HttpResponse response;
+    if (!reported.empty()) {
+        response.headers.set("x-tamarackcove-load-wait-ms", reported);
+    }
+    auto written = stream ? responder.beginStream(std::move(response)) : responder.send(std::move(response));
+    asio::co_spawn(context, std::move(written), asio::detached);
+    context.run();
+    return std::string(caller.kept.headers.find("x-tamarackcove-load-wait-ms").value_or("missing"));
+}
+
+TEST_CASE("every response says how long its request waited for loads")
+{
+    // Guards against stalls that a load test cannot see because the header is missing or holds only the last wait.
+    for (const bool stream : {false, true}) {
+        CHECK(headerAfter({}, "", stream) == "0");
+        CHECK(headerAfter({milliseconds(200), milliseconds(50)}, "", stream) == "250");
+    }
+}
+
+TEST_CASE("waits at the entry of another zone are added")
+{
+    // Guards against a forwarding entry that overwrites the wait of the entry that served the request.
+    CHECK(headerAfter({milliseconds(20)}, "300", true) == "320");
+    CHECK(headerAfter({milliseconds(20)}, "unreadable", false) == "20");
+}
--- /dev/null
+++ b/unittests/Requests/BrokenTargetsTest.cpp
@@ -0,0 +1,45 @@
+#include "tamarackcove/Requests/BrokenTargets.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarackcove;
+
+static const TimePoint Start{seconds(100)};
+
+static std::set<TargetId> avoided(BrokenTargets &broken, TimePoint now)
+{
+    std::set<TargetId> result;
+    broken.addTo(result, now);
+    return result;
+}
+
+TEST_CASE("a target that could not be reached is avoided for a while")
+{
+    // Guards against every request trying a target first that is down, until the view of the zone shows its loss.
+    BrokenTargets broken(milliseconds(500));
+    broken.noteBroken(TargetId("t1"), Start);
+    CHECK(avoided(broken, Start + milliseconds(499)) == std::set<TargetId>{TargetId("t1")});
+    // Guards against a target that is avoided for ever after one failure.
+    CHECK(avoided(broken, Start + milliseconds(500)).empty());
+}
+
+TEST_CASE("a target that answers is used at once")
+{
+    // Guards against a restarted target that stays idle while the others carry its load.
+    BrokenTargets broken;
+    broken.noteBroken(TargetId("t1"), Start);
+    broken.noteBroken(TargetId("t2"), Start);
+    broken.noteReached(TargetId("t1"));
+    CHECK(avoided(broken, Start) == std::set<TargetId>{TargetId("t2")});
+}
+
+TEST_CASE("a second failure extends the time, and other exclusions stay")
+{
+    // Guards against the first failure's end cutting the second one short, and against losing the caller's exclusions.
+    BrokenTargets broken(milliseconds(500));
+    broken.noteBroken(TargetId("t1"), Start);
+    broken.noteBroken(TargetId("t1"), Start + milliseconds(400));
+    std::set<TargetId> excluded{TargetId("t3")};
+    broken.addTo(excluded, Start + milliseconds(600));
+    CHECK(excluded == std::set<TargetId>{TargetId("t1"), TargetId("t3")});
+}
