--- a/unittests/Entry/LoadWaitResponderTest.cpp
+++ b/unittests/Entry/LoadWaitResponderTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 #include <utility>
+#include <vector>
 
 using namespace tamarackcove;
 namespace asio = boost::asio;
@@ -46,7 +47,7 @@
 
 } // namespace
 
-static std::string headerAfter(std::vector<milliseconds> waits, const std::string &reported, bool stream)
+static std::string headerAfter(const std::vector<milliseconds> &waits, const std::string &reported, bool stream)
 {
     asio::io_context context;
     KeepingResponder caller;
@@ -58,8 +59,14 @@
     if (!reported.empty()) {
         response.headers.set("x-tamarackcove-load-wait-ms", reported);
     }
-    auto written = stream ? responder.beginStream(std::move(response)) : responder.send(std::move(response));
-    asio::co_spawn(context, std::move(written), asio::detached);
+    const auto write = [&]() -> asio::awaitable<void> {
+        if (stream) {
+            (void)co_await responder.beginStream(std::move(response));
+        } else {
+            (void)co_await responder.send(std::move(response));
+        }
+    };
+    asio::co_spawn(context, write, asio::detached);
     context.run();
     return std::string(caller.kept.headers.find("x-tamarackcove-load-wait-ms").value_or("missing"));
 }
