--- a/lib/Consensus/ReplicaMembership.cpp
+++ b/lib/Consensus/ReplicaMembership.cpp
@@ -47,7 +47,9 @@
 
 bool Replica::joinLearner()
 {
-    for (const auto &[name, id] : m_seenPeers) {
+    for (const auto &seen : m_seenPeers) {
+        const auto &name = seen.first;
+        const auto &id = seen.second;
         if (m_log.group().find(id) != nullptr) {
             continue;
         }
--- a/lib/Consensus/ReplicaRole.cpp
+++ b/lib/Consensus/ReplicaRole.cpp
@@ -45,6 +45,7 @@
     using Row = msm::front::Row<From, Event, To, none, none>;
 
     // clang-format off
+    // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM prescribes the name.
     struct transition_table : boost::mpl::vector<
         //  from          event             to
         Row<Learner,      BecameVoter,      Follower>,
