--- a/unittests/Entry/ZoneSimulation.h
+++ b/unittests/Entry/ZoneSimulation.h
@@ -21,6 +21,17 @@
 
 namespace tamarackcove {
 
+namespace simulation {
+inline const TargetId Engine("t1");
+inline const AdapterRef Adapter("rules", "1");
+inline constexpr seconds Lease{2};
+inline constexpr seconds ViewLease{2};
+inline constexpr milliseconds Margin{100};
+inline constexpr seconds OrderDeadline{10};
+inline constexpr seconds ReleaseTimeout{6};
+
+} // namespace simulation
+
 /// A zone in virtual time: entries with their votes, views and pins, and one engine with one adapter. Links are lost,
 /// held up and restored, entries restart without memory, clocks run at different rates, and orders take up to their
 /// deadline. Everything follows from the seed.
--- /dev/null
+++ b/unittests/Entry/ZoneSimulationTerm.cpp
@@ -0,0 +1,266 @@
+#include "ZoneSimulation.h"
+
+#include "tamarackcove/Entry/Peers/PeerMessages.h"
+
+#include <algorithm>
+
+using namespace tamarackcove::simulation;
+
+namespace tamarackcove {
+
+static std::string text(const FencingNumber &number)
+{
+    return std::to_string(number.value());
+}
+
+void ZoneSimulation::startTerm(std::size_t index)
+{
+    auto &node = m_nodes[index];
+    ++terms;
+    const auto number = node.election->number();
+    if (number <= m_lastNumber) {
+        fail("fencing number " + text(number) + " after " + text(m_lastNumber));
+    }
+    m_lastNumber = std::max(m_lastNumber, number);
+    const auto now = local(node);
+    node.term = std::make_unique<Term>(number, now, node.knowledge, m_nodes.size());
+    Announcement announcement;
+    announcement.id = Engine;
+    announcement.incarnation = Incarnation(1);
+    announcement.zone = Zone("a");
+    announcement.adapterSlots = 1;
+    node.term->registry.announce(announcement, now);
+    const auto *known = node.follower->view().find(Engine);
+    if (known != nullptr && known->adapters.contains(Adapter)
+        && known->adapters.at(Adapter) == ResidencyState::Resident) {
+        node.term->registry.apply(Engine, Adapter, ResidencyEvent::SeenResident, now);
+    }
+    (void)node.term->registry.takeChanges();
+    for (const auto &message : node.term->publisher.full()) {
+        (void)node.follower->applyView(node.id, message, now);
+        for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+            send(index, to, [this, index, to, message] {
+                (void)m_nodes[to].follower->applyView(m_nodes[index].id, message, local(m_nodes[to]));
+            });
+        }
+    }
+    node.nextBeat = Duration(0);
+}
+
+void ZoneSimulation::publish(std::size_t index)
+{
+    auto &node = m_nodes[index];
+    const auto message = node.term->publisher.takeChanges();
+    if (message.empty()) {
+        return;
+    }
+    (void)node.follower->applyView(node.id, message, local(node));
+    for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+        send(index, to, [this, index, to, message] {
+            (void)m_nodes[to].follower->applyView(m_nodes[index].id, message, local(m_nodes[to]));
+        });
+    }
+}
+
+void ZoneSimulation::beat(std::size_t index)
+{
+    auto &node = m_nodes[index];
+    if (m_now < node.nextBeat) {
+        return;
+    }
+    node.nextBeat = m_now + milliseconds(500);
+    const auto now = local(node);
+    for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+        if (to == index || !m_links[{index, to}].up) {
+            continue;
+        }
+        auto &link = m_links[{index, to}];
+        link.beatSentAt[++link.beat] = now;
+        bool renews = false;
+        if (holdsLease(node)) {
+            auto &term = *node.term;
+            renews = !term.round || !term.round->round.silentEntries(now).contains(m_nodes[to].id);
+            if (renews) {
+                term.renewedAt[m_nodes[to].id] = now;
+            }
+        }
+        send(index, to,
+             [this, index, to, number = link.beat, echo = link.peerBeat, renews, term = node.follower->number()] {
+                 auto &peer = m_nodes[to];
+                 auto &back = m_links[{to, index}];
+                 back.peerBeat = number;
+                 const auto sent = back.beatSentAt.find(echo);
+                 if (renews && peer.follower->coordinator() == m_nodes[index].id && sent != back.beatSentAt.end()) {
+                     peer.follower->extendLease(term, sent->second + ViewLease - Margin);
+                 }
+             });
+    }
+}
+
+void ZoneSimulation::coordinate(std::size_t index)
+{
+    auto &node = m_nodes[index];
+    auto &term = *node.term;
+    const auto now = local(node);
+    const auto ordersFrom = m_options.engineRefuses ? term.start : term.start + OrderDeadline;
+    std::set<AdapterRef> held;
+    if (m_resident) {
+        held.insert(Adapter);
+    }
+    if (!term.stateKnown && !term.readEarly && chance(0.5)) {
+        term.readEarly = true;
+        term.registry.setHeld(Engine, held, now, now);
+    }
+    if (!term.stateKnown && now >= ordersFrom && chance(0.5)) {
+        // The engine is fenced and its state is read at once; both take no time here.
+        term.stateKnown = true;
+        if (m_highest > term.number) {
+            node.election->noteNumber(m_highest);
+        }
+        if (m_options.engineRefuses) {
+            m_highest = std::max(m_highest, term.number);
+        }
+        term.registry.setHeld(Engine, held, now, now);
+        term.publisher.republish(Engine);
+    }
+    publish(index);
+    if (term.round) {
+        stepRound(index);
+        return;
+    }
+    if (!term.stateKnown || term.ordering || !chance(0.3)) {
+        return;
+    }
+    const auto stage = term.registry.stage(Engine, Adapter);
+    if (stage == ResidencyStage::Absent) {
+        term.registry.apply(Engine, Adapter, ResidencyEvent::LoadOrdered, now);
+        order(index, true);
+    } else if (stage == ResidencyStage::Resident) {
+        term.registry.apply(Engine, Adapter, ResidencyEvent::RetireStarted, now);
+        ReleaseRound::Options options;
+        for (const auto &entry : m_nodes) {
+            options.entries.insert(entry.id);
+        }
+        options.minAnswers = releaseQuorum(m_nodes.size());
+        options.roundTimeout = ReleaseTimeout;
+        const auto id = ++m_rounds;
+        term.round.emplace(Round{.id = id, .round = ReleaseRound(options, now)});
+        term.round->round.onAnswer(node.id, node.follower->release(Engine, Adapter, term.number, now));
+        for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+            send(index, to, [this, index, to, id, number = term.number] {
+                auto &peer = m_nodes[to];
+                const bool released = peer.follower->release(Engine, Adapter, number, local(peer));
+                send(to, index, [this, index, to, id, released] {
+                    auto &coordinator = m_nodes[index];
+                    if (coordinator.term && coordinator.term->round && coordinator.term->round->id == id) {
+                        coordinator.term->round->round.onAnswer(m_nodes[to].id, released);
+                    }
+                });
+            });
+        }
+    }
+}
+
+void ZoneSimulation::stepRound(std::size_t index)
+{
+    auto &node = m_nodes[index];
+    auto &term = *node.term;
+    const auto now = local(node);
+    auto &round = term.round->round;
+    for (const auto &entry : m_nodes) {
+        const auto renewed = term.renewedAt.find(entry.id);
+        round.noteViewLeaseEnd(entry.id,
+                               (renewed == term.renewedAt.end() ? term.start : std::max(term.start, renewed->second))
+                                   + ViewLease);
+    }
+    switch (round.state(now)) {
+    case ReleaseState::Waiting:
+        return;
+    case ReleaseState::NeedsEngineState: {
+        int running = 0;
+        for (const auto &entry : m_nodes) {
+            running += entry.alive ? entry.pins.pins(Engine, Adapter) : 0;
+        }
+        round.noteEngineState(now, running);
+        return;
+    }
+    case ReleaseState::Refused:
+        term.round.reset();
+        term.registry.apply(Engine, Adapter, ResidencyEvent::RetireRefused, now);
+        return;
+    case ReleaseState::MayEvict:
+        term.round.reset();
+        order(index, false);
+        return;
+    }
+}
+
+void ZoneSimulation::order(std::size_t index, bool load)
+{
+    auto &node = m_nodes[index];
+    if (!holdsLease(node)) {
+        return;
+    }
+    const auto number = node.term->number;
+    const auto process = node.process;
+    node.term->ordering = true;
+    const auto delay = chance(0.15) ? between(milliseconds(10), OrderDeadline - milliseconds(200))
+                                    : between(milliseconds(5), milliseconds(300));
+    after(delay, [this, index, process, number, load] {
+        const bool before = m_resident;
+        onEngineOrder(number, load);
+        auto &sender = m_nodes[index];
+        if (sender.process != process || !sender.term || sender.term->number != number) {
+            return;
+        }
+        sender.term->ordering = false;
+        const bool refused = m_options.engineRefuses && number < m_highest;
+        const auto now = local(sender);
+        if (load) {
+            sender.term->registry.apply(Engine, Adapter, refused ? ResidencyEvent::LoadFailed : ResidencyEvent::Loaded,
+                                        now);
+        } else {
+            sender.term->registry.apply(
+                Engine, Adapter, refused && before ? ResidencyEvent::RetireRefused : ResidencyEvent::Unloaded, now);
+        }
+    });
+}
+
+void ZoneSimulation::onEngineOrder(FencingNumber number, bool load)
+{
+    if (m_options.engineRefuses && number < m_highest) {
+        return;
+    }
+    if (!m_options.engineRefuses && number < m_highest) {
+        fail("an order of term " + text(number) + " took effect after one of term " + text(m_highest));
+    }
+    m_highest = std::max(m_highest, number);
+    if (!load && m_resident) {
+        ++unloads;
+        for (const auto &node : m_nodes) {
+            if (node.alive && node.pins.pins(Engine, Adapter) > 0) {
+                fail("evicted while " + node.id.value() + " uses it");
+            }
+        }
+    }
+    m_resident = load;
+}
+
+void ZoneSimulation::dispatch(std::size_t index)
+{
+    auto &node = m_nodes[index];
+    if (!mayDispatch(node) || node.follower->view().holders(Adapter).empty() || !chance(0.3)) {
+        return;
+    }
+    ++dispatches;
+    node.pins.pin(Engine, Adapter);
+    const auto process = node.process;
+    after(chance(0.1) ? between(seconds(1), seconds(8)) : between(milliseconds(5), milliseconds(400)),
+          [this, index, process] {
+              if (m_nodes[index].process == process && m_nodes[index].alive) {
+                  m_nodes[index].pins.unpin(Engine, Adapter);
+              }
+          });
+}
+
+} // namespace tamarackcove
