--- /dev/null
+++ b/unittests/Entry/AnnouncementRelayTest.cpp
@@ -0,0 +1,55 @@
+#include "tamarackcove/Entry/Targets/AnnouncementRelay.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarackcove;
+
+static const TimePoint Start = TimePoint(seconds(1000));
+static const AdapterRef Rules("rules", "1");
+
+TEST_CASE("an announcement that the view shows already costs the coordinator no message")
+{
+    AnnouncementRelay relay;
+    Announcement announcement;
+    announcement.id = TargetId("t1");
+    announcement.incarnation = Incarnation(1);
+    announcement.running = 3;
+    CHECK(relay.accept(announcement, nullptr, Start));
+    TargetView viewed;
+    viewed.id = announcement.id;
+    viewed.incarnation = Incarnation(1);
+    CHECK_FALSE(relay.accept(announcement, &viewed, Start));
+    announcement.adapters = {Rules};
+    CHECK(relay.accept(announcement, &viewed, Start));
+    viewed.adapters[Rules] = ResidencyState::Resident;
+    CHECK_FALSE(relay.accept(announcement, &viewed, Start));
+    announcement.adapters.emplace();
+    CHECK(relay.accept(announcement, &viewed, Start));
+    announcement.adapters.reset();
+    announcement.leaving = true;
+    CHECK(relay.accept(announcement, &viewed, Start));
+    viewed.health = TargetHealth::Leaving;
+    CHECK_FALSE(relay.accept(announcement, &viewed, Start));
+    announcement.incarnation = Incarnation(2);
+    CHECK(relay.accept(announcement, &viewed, Start));
+}
+
+TEST_CASE("load figures go out once to each peer, and only for targets with an index")
+{
+    AnnouncementRelay relay;
+    Announcement announcement;
+    announcement.id = TargetId("t1");
+    announcement.running = 3;
+    announcement.waiting = 1;
+    (void)relay.accept(announcement, nullptr, Start);
+    const auto indexed = [](const TargetId &) {
+        return std::optional<std::uint32_t>(7);
+    };
+    const auto unknown = [](const TargetId &) {
+        return std::optional<std::uint32_t>();
+    };
+    CHECK(relay.loadsAfter(0, unknown).triples.empty());
+    const auto loads = relay.loadsAfter(0, indexed);
+    CHECK(loads.triples == std::vector<std::uint32_t>{7, 3, 1});
+    CHECK(relay.loadsAfter(loads.upTo, indexed).triples.empty());
+}
