--- a/lib/Entry/Coordinator/LeastLoadedPlanner.cpp
+++ b/lib/Entry/Coordinator/LeastLoadedPlanner.cpp
@@ -120,9 +120,10 @@
         auto oldest = TimePoint::max();
         for (const auto &[id, target] : view.targets()) {
             for (const auto &[adapter, state] : target.adapters) {
-                const bool isPlanned = std::any_of(actions.begin(), actions.end(), [&](const auto &action) {
-                    return action.target == id && action.adapter == adapter;
-                });
+                const bool isPlanned
+                    = std::any_of(actions.begin(), actions.end(), [&id = id, &adapter = adapter](const auto &action) {
+                          return action.target == id && action.adapter == adapter;
+                      });
                 if (state != ResidencyState::Resident || isPlanned || m_wanted.contains(adapter)) {
                     continue;
                 }
