--- a/lib/Entry/Coordinator/RemoteZones.cpp
+++ b/lib/Entry/Coordinator/RemoteZones.cpp
@@ -36,7 +36,7 @@
 void RemoteZones::start(Supervisor &supervisor)
 {
     for (const auto &[zone, peers] : m_zones) {
-        supervisor.start("zone_" + zone.value(), [this, zone] { return followZone(zone); });
+        supervisor.start("zone_" + zone.value(), [this, zone = zone] { return followZone(zone); });
     }
 }
 
