--- a/include/tamarackcove/Residency/StoreShare.h
+++ b/include/tamarackcove/Residency/StoreShare.h
@@ -16,7 +16,8 @@
     /// to a coordinator before is not known. `inFlight` is the number of loads in progress in the zone.
     StoreShare(PermitTiming timing, TimePoint now, int inFlight = 0);
 
-    /// Takes an answer to a request that was sent at `sentAt`. An answer with an older stamp than the newest is dropped.
+    /// Takes an answer to a request that was sent at `sentAt`. An answer with an older stamp than the newest is
+    /// dropped.
     void received(const PermitAnswer &answer, TimePoint sentAt, TimePoint now);
     /// The quota, learned from any message of the control group.
     void setQuota(StoreRights quota, TimePoint now);
--- a/lib/Residency/StoreBudget.cpp
+++ b/lib/Residency/StoreBudget.cpp
@@ -70,8 +70,8 @@
 
 bool StoreBudget::predecessorActive(TimePoint now) const
 {
-    const bool allKnown = std::all_of(m_accounts.begin(), m_accounts.end(),
-                                      [](const auto &entry) { return entry.second.known; });
+    const bool allKnown
+        = std::all_of(m_accounts.begin(), m_accounts.end(), [](const auto &entry) { return entry.second.known; });
     return now < m_begun + m_timing.lease + (allKnown ? milliseconds(0) : m_timing.longestLoad);
 }
 
@@ -118,9 +118,8 @@
             });
         }
     }
-    std::erase_if(account.grants, [&](const Grant &given) {
-        return now >= given.at + m_timing.lease + m_timing.longestLoad;
-    });
+    std::erase_if(account.grants,
+                  [&](const Grant &given) { return now >= given.at + m_timing.lease + m_timing.longestLoad; });
 }
 
 std::optional<PermitAnswer> StoreBudget::request(TimePoint now, const PermitRequest &request)
