Use the partition quota in the coordinator, and refuse before a configuration is in force

Cause: the coordinator counted loads with PermitGate, which knows no quota, so a zone that lost the control group before its first permit loaded nothing for as long as the cut lasted. A restarted entry parsed requests against an empty configuration between holding a revision and putting it in force, and answered 404.

--- a/lib/Entry/Coordinator/CoordinatorTask.cpp
+++ b/lib/Entry/Coordinator/CoordinatorTask.cpp
@@ -125,7 +125,7 @@
                     return !orders.ready(target)
                         && (!knowledge.complete(entries) || knowledge.released().contains({target, adapter}));
                 })
-    , permits(executor, options.zone, number, zoneHooks.control.requestPermit,
+    , permits(executor, options.zone, number, zoneHooks.control,
               [this] {
                   planUrgent = true;
                   planWake.cancel();
@@ -266,8 +266,8 @@
         publish();
         forgetMetDemand(now);
         plan(now);
-        if (const auto allowed = permits.gate().nextAllowed(now); allowed && !unmet.empty()) {
-            next = std::min(next, *allowed);
+        if (!unmet.empty()) {
+            next = std::min(next, permits.share().nextStart(now));
         }
         co_await pause(PlanSpacing);
     }
@@ -278,7 +278,7 @@
     std::erase_if(unmet, [&](const auto &wanted) {
         return now - wanted.second > DemandLifetime || !follower.view().holders(wanted.first).empty();
     });
-    permits.setWanted(static_cast<int>(unmet.size()) + permits.gate().underWay());
+    permits.setWanted(static_cast<int>(unmet.size()) + permits.share().inFlight());
 }
 
 bool CoordinatorTask::Impl::mayLoad(const TargetId &target, const AdapterRef &adapter) const
@@ -302,18 +302,17 @@
     if (!hooks.holdsLease(now)) {
         return;
     }
-    auto &gate = permits.gate();
+    auto &share = permits.share();
     const PlanInput input{.view = follower.view(),
                           .now = now,
-                          .loadsAllowed = gate.allowed(now),
+                          .loadsAllowed = share.nextStart(now) <= now ? 1 : 0,
                           .mayLoad = [this](const TargetId &target, const AdapterRef &adapter) {
                               return mayLoad(target, adapter);
                           }};
     for (const auto &action : planner.plan(input)) {
         if (action.kind == ResidencyActionKind::Load) {
-            if (gate.allowed(now) > 0 && mayLoad(action.target, action.adapter)) {
-                gate.start(now);
-                orders.load(action.target, action.adapter, [&gate] { gate.finish(); });
+            if (mayLoad(action.target, action.adapter) && share.tryStart(now)) {
+                orders.load(action.target, action.adapter, [&share] { share.finished(); });
             }
         } else if (orders.ready(action.target)
                    && registry.stage(action.target, action.adapter) == ResidencyStage::Resident) {
--- a/lib/Entry/Coordinator/StorePermits.cpp
+++ b/lib/Entry/Coordinator/StorePermits.cpp
@@ -20,20 +20,39 @@
 // Stands for no limit; far above what engines can load.
 static constexpr double UnlimitedRate = 10000;
 static constexpr int UnlimitedLoads = 10000;
+static constexpr std::chrono::hours UnlimitedValidity{24 * 365 * 100};
 
-StorePermits::StorePermits(const asio::any_io_executor &executor, Zone zone, FencingNumber number, Request request,
-                           std::function<void()> onPermit)
+StorePermits::StorePermits(const asio::any_io_executor &executor, Zone zone, FencingNumber number,
+                           const ControlCalls &control, std::function<void()> onPermit)
     : m_zone(std::move(zone))
     , m_number(number)
-    , m_request(std::move(request))
+    , m_request(control.requestPermit)
+    , m_quota(control.partitionQuota)
+    , m_share(PermitTiming{}, Clock::now())
     , m_onPermit(std::move(onPermit))
     , m_wake(executor)
 {
     if (!m_request) {
-        m_gate.setPermit(UnlimitedRate, UnlimitedLoads, TimePoint::max(), Clock::now());
+        StorePermit unlimited;
+        unlimited.loadsPerSecond = UnlimitedRate;
+        unlimited.concurrentLoads = UnlimitedLoads;
+        unlimited.validFor = UnlimitedValidity;
+        take(unlimited, Clock::now());
     }
 }
 
+void StorePermits::take(const StorePermit &permit, TimePoint sentAt)
+{
+    // The link to the control group drops answers that are older than one it has passed on.
+    ++m_received;
+    m_share.received(
+        {.rights = {.loadsPerSecond = permit.loadsPerSecond, .concurrentLoads = permit.concurrentLoads},
+         .validFor = permit.validFor,
+         .stamp = {.term = 0, .number = m_received},
+         .quota = {.loadsPerSecond = permit.quotaLoadsPerSecond, .concurrentLoads = permit.quotaConcurrentLoads}},
+        sentAt, Clock::now());
+}
+
 asio::awaitable<void> StorePermits::run()
 {
     bool granted = true;
@@ -42,13 +61,19 @@
         StorePermit wanted;
         wanted.concurrentLoads = std::max(1, m_wanted);
         wanted.loadsPerSecond = wanted.concurrentLoads * LoadsPerSlotAndSecond;
+        wanted.inFlight = m_share.inFlight();
         m_requested = wanted.concurrentLoads;
         const auto permit = co_await m_request(m_zone, m_number, wanted);
         auto next = RetryInterval;
         if (permit.has_value()) {
-            const auto &value = permit.value();
-            m_gate.setPermit(value.loadsPerSecond, value.concurrentLoads, sentAt + value.validFor, Clock::now());
-            next = std::clamp(value.validFor / 3, RetryInterval, RenewInterval);
+            take(permit.value(), sentAt);
+            next = std::clamp(permit.value().validFor / 3, RetryInterval, RenewInterval);
+        } else if (m_quota) {
+            // A coordinator that never got an answer knows the quota only from the configuration stream.
+            const auto quota = m_quota();
+            m_share.setQuota(
+                {.loadsPerSecond = quota.quotaLoadsPerSecond, .concurrentLoads = quota.quotaConcurrentLoads},
+                Clock::now());
         }
         if (permit.has_value() != granted) {
             granted = permit.has_value();
@@ -74,9 +99,9 @@
     }
 }
 
-PermitGate &StorePermits::gate()
+StoreShare &StorePermits::share()
 {
-    return m_gate;
+    return m_share;
 }
 
 } // namespace tamarackcove
--- a/lib/Entry/Coordinator/StorePermits.h
+++ b/lib/Entry/Coordinator/StorePermits.h
@@ -2,7 +2,7 @@
 
 #include "tamarackcove/Base/Ids.h"
 #include "tamarackcove/Entry/ControlCalls.h"
-#include "tamarackcove/Residency/PermitGate.h"
+#include "tamarackcove/Residency/StoreShare.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -11,29 +11,32 @@
 
 namespace tamarackcove {
 
-/// Keeps the zone's store permit valid while this entry is the coordinator.
+/// Keeps the zone's store permit valid while this entry is the coordinator; when the control group cannot be reached
+/// for long, the zone's partition quota takes its place.
 ///
 /// Thread safety: used on one thread.
 class StorePermits
 {
 public:
-    using Request = decltype(ControlCalls::requestPermit);
-
-    /// Without a request function there is no limit. `onPermit` is called after each change of the permit.
-    StorePermits(const boost::asio::any_io_executor &executor, Zone zone, FencingNumber number, Request request,
-                 std::function<void()> onPermit);
+    /// Without ControlCalls::requestPermit there is no limit. `onPermit` is called after each change of the permit.
+    StorePermits(const boost::asio::any_io_executor &executor, Zone zone, FencingNumber number,
+                 const ControlCalls &control, std::function<void()> onPermit);
 
     /// Renews the permit until cancelled.
     boost::asio::awaitable<void> run();
     /// How many loads could be used now. More than at the last request makes the next one due soon.
     void setWanted(int loads);
-    [[nodiscard]] PermitGate &gate();
+    [[nodiscard]] StoreShare &share();
 
 private:
+    void take(const StorePermit &permit, TimePoint sentAt);
+
     Zone m_zone;
     FencingNumber m_number;
-    Request m_request;
-    PermitGate m_gate;
+    decltype(ControlCalls::requestPermit) m_request;
+    decltype(ControlCalls::partitionQuota) m_quota;
+    StoreShare m_share;
+    std::uint64_t m_received = 0;
     std::function<void()> m_onPermit;
     boost::asio::steady_timer m_wake;
     int m_wanted = 1;
--- a/lib/Entry/EntryProcess.cpp
+++ b/lib/Entry/EntryProcess.cpp
@@ -46,6 +46,7 @@
     asio::awaitable<void> expireConnections();
     asio::awaitable<void> announceReady();
     asio::awaitable<void> shutDownOnSignal();
+    [[nodiscard]] bool configurationInForce() const;
     [[nodiscard]] std::string notReady() const;
     [[nodiscard]] HttpResponse announce(const HttpRequest &request);
     void collect(Metrics &figures) const;
@@ -106,7 +107,7 @@
            pathOptions(settings))
     , frontEnd(settings.name, path, tracer,
                CallerFrontEnd::Hooks{.configuration = [this]() -> const ServingConfiguration & { return inForce(); },
-                                     .configured = [this] { return !link || link->hasConfiguration(); },
+                                     .configured = [this] { return configurationInForce(); },
                                      .routes = {{"POST /v1/targets/announce",
                                                  [this](const HttpRequest &request) {
                                                      return announce(request);
@@ -263,6 +264,12 @@
     };
 }
 
+// A restarted entry holds a revision some time before it may serve by it; until then it knows no adapter.
+bool EntryProcess::Impl::configurationInForce() const
+{
+    return !link || link->inForce().revision > Revision();
+}
+
 std::string EntryProcess::Impl::notReady() const
 {
     if (draining) {
@@ -271,7 +278,7 @@
     if (!member) {
         return {};
     }
-    if (!link->hasConfiguration() || !member->configurationReady()) {
+    if (!configurationInForce() || !member->configurationReady()) {
         return "no configuration from the control group or the zone yet";
     }
     return zone.mayDispatch(Clock::now()) ? "" : "no view lease of the zone coordinator";
