--- a/include/tamarackcove/Entry/Policy.h
+++ b/include/tamarackcove/Entry/Policy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackcove/Configuration/ServingConfiguration.h"
 #include "tamarackcove/Residency/ResidencyPlanner.h"
 #include "tamarackcove/Routing/Router.h"
 
@@ -16,6 +17,11 @@
     ResidencyPlanner::Options residency;
 };
 
+/// Up to which share of its batch a target is filled before another one gets work. Equal weights give 0.75; a
+/// deployment that weighs batch efficiency more fills batches further, one that weighs load stalls more spreads work
+/// earlier.
+[[nodiscard]] double packThreshold(const PolicyWeights &weights);
+
 /// The names that policyByName() knows, the default first.
 [[nodiscard]] std::vector<std::string_view> policyNames();
 
--- a/lib/Control/State/IntentJson.cpp
+++ b/lib/Control/State/IntentJson.cpp
@@ -15,7 +15,7 @@
 {
     for (const auto &[key, value] : object.items()) {
         if (!known.contains(key)) {
-            throw std::invalid_argument("unknown field " + where + key);
+            throw std::invalid_argument(fmt::format("unknown field {}{}", where, key));
         }
     }
 }
--- a/lib/Entry/EntryProcess.cpp
+++ b/lib/Entry/EntryProcess.cpp
@@ -143,6 +143,13 @@
     Policy base;
     base.routing.zone = settings.zone;
     base.routing.seed = std::random_device()();
+    // The weights may change with each revision, so they are read for each choice.
+    base.routing.chooseTarget
+        = [this](const Router::Request &request, const std::vector<const TargetView *> &candidates,
+                 const Router::LoadOf &load, std::mt19937_64 &random) {
+              return Router::betterOfTwo(packThreshold(inForce().weights))(request, candidates, load, random);
+          };
+    base.residency.packThreshold = packThreshold(inForce().weights);
     base.residency.baseModel = [this](const AdapterRef &adapter) -> std::optional<BaseModel> {
         const auto record = inForce().adapters.find(adapter);
         return record ? std::optional(record->baseModel) : std::nullopt;
--- a/lib/Entry/Policy.cpp
+++ b/lib/Entry/Policy.cpp
@@ -2,6 +2,7 @@
 
 #include "tamarackcove/Residency/Baselines.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tamarackcove {
@@ -16,6 +17,17 @@
     return base;
 }
 
+double packThreshold(const PolicyWeights &weights)
+{
+    constexpr double AtEqualWeights = 0.75;
+    constexpr double Highest = 0.95;
+    const auto total = weights.loadStall + weights.batchEfficiency;
+    if (total <= 0) {
+        return AtEqualWeights;
+    }
+    return std::min(Highest, 2 * AtEqualWeights * weights.batchEfficiency / total);
+}
+
 std::vector<std::string_view> policyNames()
 {
     return {"default", "least_loaded_lru", "least_loaded_lfu", "bounded_rendezvous_lru"};
