--- a/lib/Control/State/IntentJson.cpp
+++ b/lib/Control/State/IntentJson.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Control/State/IntentJson.h"
 
+#include <fmt/format.h>
 #include <set>
 
 namespace tamarackcove {
--- /dev/null
+++ b/unittests/Requests/AdmissionTest.cpp
@@ -0,0 +1,100 @@
+#include "tamarackcove/Requests/Admission.h"
+
+#include "tamarackcove/Requests/RetryBudget.h"
+#include "tamarackcove/Requests/WaitingRoom.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarackcove;
+
+static const TimePoint Start = TimePoint(seconds(1000));
+static const ServiceName Busy("busy");
+static const ServiceName Quiet("quiet");
+
+static Admission::Offer offer(const ServiceName &service, Priority priority = Priority::Normal)
+{
+    return {.service = service, .priority = priority, .sharePercent = 50};
+}
+
+TEST_CASE("a busy customer leaves room for a quiet one")
+{
+    Admission admission({.maxRunning = 10, .maxQueued = 10, .reservePercent = 20});
+    for (int i = 0; i < 100; ++i) {
+        (void)admission.offer(offer(Busy), Start);
+    }
+    CHECK(admission.running() < 10);
+    CHECK(admission.offer(offer(Quiet), Start).verdict == Admission::Verdict::Admitted);
+}
+
+TEST_CASE("a full queue refuses early with a time to come again, and a request of high priority displaces a low one")
+{
+    Admission admission({.maxRunning = 1, .maxQueued = 2, .reservePercent = 0});
+    CHECK(admission.offer(offer(Busy), Start).verdict == Admission::Verdict::Admitted);
+    (void)admission.offer(offer(Busy, Priority::Low), Start);
+    (void)admission.offer(offer(Busy, Priority::Low), Start);
+    const auto refused = admission.offer(offer(Busy, Priority::Low), Start);
+    CHECK(refused.verdict == Admission::Verdict::Refused);
+    CHECK(refused.retryAfter >= seconds(1));
+    const auto urgent = admission.offer(offer(Busy, Priority::High), Start);
+    CHECK(urgent.verdict == Admission::Verdict::Queued);
+    CHECK(urgent.displaced);
+}
+
+TEST_CASE("a request of low priority is not passed over for ever")
+{
+    Admission admission({.maxRunning = 1, .maxQueued = 100, .reservePercent = 0});
+    const auto running = admission.offer(offer(Busy), Start);
+    const auto low = admission.offer(offer(Busy, Priority::Low), Start);
+    const auto later = Start + seconds(10);
+    (void)admission.offer(offer(Busy, Priority::High), later);
+    admission.finish(running.ticket, later);
+    CHECK(admission.admitNext(later) == std::vector{low.ticket});
+}
+
+TEST_CASE("retries stay within a tenth of the requests, so that they cannot feed an overload")
+{
+    RetryBudget budget({.ratio = 0.1, .reserve = 5});
+    int taken = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.noteRequest();
+        taken += budget.take() ? 1 : 0;
+    }
+    CHECK(taken <= 105);
+    CHECK(taken >= 95);
+    for (int retry = 1; retry < 20; ++retry) {
+        CHECK(budget.backoff(retry) <= milliseconds(500));
+        CHECK(budget.backoff(retry).count() >= 5);
+    }
+}
+
+TEST_CASE("requests for one adapter share one load, leave by urgency, and expire at their deadline")
+{
+    WaitingRoom room({});
+    const AdapterRef adapter("rules", "1");
+    const auto enter = [&](Priority priority, milliseconds deadline) {
+        return room.enter({.adapter = adapter, .priority = priority, .since = Start, .deadline = Start + deadline},
+                          Start);
+    };
+    const auto first = enter(Priority::Low, seconds(60));
+    const auto second = enter(Priority::High, seconds(60));
+    const auto brief = enter(Priority::Normal, seconds(1));
+    CHECK(first.first);
+    CHECK_FALSE(second.first);
+    REQUIRE(room.demand(Start).size() == 1);
+    CHECK(room.demand(Start).front().waiting == 3);
+    CHECK(room.expire(Start + seconds(2)) == std::vector{*brief.ticket});
+    CHECK(room.release(adapter, Start + seconds(2)) == std::vector{*second.ticket, *first.ticket});
+    CHECK(room.size() == 0);
+}
+
+TEST_CASE("one popular adapter cannot take every place of the waiting room")
+{
+    WaitingRoom room({.maxWaiting = 10, .maxPerAdapter = 3});
+    const WaitingRoom::Waiter hot{.adapter = AdapterRef("hot", "1"), .since = Start};
+    int entered = 0;
+    for (int i = 0; i < 10; ++i) {
+        entered += room.enter(hot, Start).ticket ? 1 : 0;
+    }
+    CHECK(entered == 3);
+    CHECK(room.enter({.adapter = AdapterRef("rare", "1"), .since = Start}, Start).ticket);
+}
