Let zones give up store slots at once, and ask only for what waits

Cause: each coordinator always asked for at least one load at once and kept its share for a lease of 5 s. With 3 slots and 4 zones one zone had none while the others' slots lay idle: 224 of 532 requests stalled for 8.4 s each (steady, 25 requests/s, after a warm-up of 45 s), though the store allows 7 loads/s. Ruled out: a shorter lease (more messages, and the time to move a slot is still one lease). Change: a request for a permit gives up what is not wanted any more; the leader takes that at once when the request answers the newest permit; idle zones get no slots; loads in progress are reported.

--- a/include/tamarackcove/Residency/StoreShare.h
+++ b/include/tamarackcove/Residency/StoreShare.h
@@ -22,6 +22,10 @@
     /// The quota, learned from any message of the control group.
     void setQuota(StoreRights quota, TimePoint now);
 
+    /// Gives up what a permit allows beyond `wanted`, so that another zone can have it at once. The request that
+    /// follows must tell the leader; see StoreBudget::request().
+    void relinquish(StoreRights wanted, TimePoint now);
+
     /// Starts a load if the rights allow it now.
     /// Precondition: this coordinator's zone lease is valid.
     [[nodiscard]] bool tryStart(TimePoint now);
@@ -36,9 +40,8 @@
     [[nodiscard]] TimePoint nextStart(TimePoint now) const;
     [[nodiscard]] int inFlight() const;
 
-    /// The request to send next.
-    [[nodiscard]] PermitRequest request(const Zone &zone, FencingNumber fencing, StoreRights wanted,
-                                        TimePoint now) const;
+    /// The request to send next; gives up what is not wanted.
+    [[nodiscard]] PermitRequest request(const Zone &zone, FencingNumber fencing, StoreRights wanted, TimePoint now);
 
 private:
     [[nodiscard]] TimePoint quotaFrom() const;
--- a/lib/Engine/Announcer.cpp
+++ b/lib/Engine/Announcer.cpp
@@ -83,7 +83,8 @@
                 accepted = co_await announceTo(entries[next++ % entries.size()], announcement(state, port, now));
             }
             if (accepted != heard) {
-                LogLine(LogLevel::Warning, accepted ? "announcement_accepted" : "announcement_unheard");
+                LogLine(LogLevel::Warning, accepted ? "announcement_accepted" : "announcement_unheard")
+                    .add("target", state.settings.name);
                 heard = accepted;
             }
         }
--- a/lib/Entry/Control/ControlLinkCalls.cpp
+++ b/lib/Entry/Control/ControlLinkCalls.cpp
@@ -112,6 +112,9 @@
         permitStamp = {};
         permitHeld = {};
     }
+    // The coordinator has given up what it does not ask for any more.
+    permitHeld.loadsPerSecond = std::min(permitHeld.loadsPerSecond, wanted.loadsPerSecond);
+    permitHeld.concurrentLoads = std::min(permitHeld.concurrentLoads, wanted.concurrentLoads);
     const auto held = sentAt < permitUntil ? permitHeld : StoreRights{};
     PermitRequestMessage message;
     message.zone = zone.value();
--- a/lib/Entry/Coordinator/CoordinatorTask.cpp
+++ b/lib/Entry/Coordinator/CoordinatorTask.cpp
@@ -278,7 +278,8 @@
     std::erase_if(unmet, [&](const auto &wanted) {
         return now - wanted.second > DemandLifetime || !follower.view().holders(wanted.first).empty();
     });
-    permits.setWanted(static_cast<int>(unmet.size()) + permits.share().inFlight());
+    // Adapters that are being loaded are among the unmet ones; copies of hot adapters are not.
+    permits.setWanted(std::max(static_cast<int>(unmet.size()), permits.share().inFlight()));
 }
 
 bool CoordinatorTask::Impl::mayLoad(const TargetId &target, const AdapterRef &adapter) const
--- a/lib/Entry/Coordinator/StorePermits.cpp
+++ b/lib/Entry/Coordinator/StorePermits.cpp
@@ -59,9 +59,11 @@
     while (m_request) {
         const auto sentAt = Clock::now();
         StorePermit wanted;
-        wanted.concurrentLoads = std::max(1, m_wanted);
+        wanted.concurrentLoads = m_wanted;
         wanted.loadsPerSecond = wanted.concurrentLoads * LoadsPerSlotAndSecond;
         wanted.inFlight = m_share.inFlight();
+        m_share.relinquish({.loadsPerSecond = wanted.loadsPerSecond, .concurrentLoads = wanted.concurrentLoads},
+                           sentAt);
         m_requested = wanted.concurrentLoads;
         const auto permit = co_await m_request(m_zone, m_number, wanted);
         auto next = RetryInterval;
@@ -83,7 +85,7 @@
         m_onPermit();
         // Keeps a burst of new demand from asking again for each request of it.
         co_await pause(MinInterval);
-        if (m_wanted <= m_requested) {
+        if (m_wanted == m_requested) {
             m_wake.expires_after(next - MinInterval);
             boost::system::error_code ignored;
             co_await m_wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -94,7 +96,7 @@
 void StorePermits::setWanted(int loads)
 {
     m_wanted = loads;
-    if (m_wanted > m_requested) {
+    if (m_wanted != m_requested) {
         m_wake.cancel();
     }
 }
--- a/lib/Entry/Coordinator/StorePermits.h
+++ b/lib/Entry/Coordinator/StorePermits.h
@@ -24,7 +24,8 @@
 
     /// Renews the permit until cancelled.
     boost::asio::awaitable<void> run();
-    /// How many loads could be used now. More than at the last request makes the next one due soon.
+    /// How many loads could be used now. Another number than at the last request makes the next one due soon, so that
+    /// idle slots go to other zones.
     void setWanted(int loads);
     [[nodiscard]] StoreShare &share();
 
@@ -39,8 +40,8 @@
     std::uint64_t m_received = 0;
     std::function<void()> m_onPermit;
     boost::asio::steady_timer m_wake;
-    int m_wanted = 1;
-    int m_requested = 1;
+    int m_wanted = 0;
+    int m_requested = 0;
 };
 
 } // namespace tamarackcove
--- a/lib/Residency/StoreBudget.cpp
+++ b/lib/Residency/StoreBudget.cpp
@@ -108,6 +108,10 @@
                                         [received](const Grant &given) { return given.number == received; });
         if (grant != account.grants.end() && grant->fencing == request.fencing) {
             account.known = true;
+            if (grant->number == account.grants.back().number) {
+                // The zone works by this permit and no newer one, and has given up what it no longer holds of it.
+                grant->rights = smaller(grant->rights, request.held);
+            }
             account.lastReceived = std::max(account.lastReceived, grant->at);
             if (received >= account.quotaKnownFrom) {
                 account.quota = quotaOf(request.zone);
@@ -177,18 +181,17 @@
 {
     const auto turn = static_cast<std::size_t>(now.time_since_epoch() / TurnLength);
     std::map<Zone, int> given;
-    // First up to what each wants, then evenly, so that a zone need not ask before its first load.
-    for (const bool beyondWanted : {false, true}) {
-        bool progress = true;
-        while (capacity > 0 && progress) {
-            progress = false;
-            for (std::size_t i = 0; i < zones.size() && capacity > 0; ++i) {
-                const auto &one = zones[(turn + i) % zones.size()];
-                if (beyondWanted || given[one] < m_accounts.at(one).wanted.concurrentLoads) {
-                    ++given[one];
-                    --capacity;
-                    progress = true;
-                }
+    // A slot that lies idle in one zone is missing in another for as long as it takes to move it, so each gets only
+    // what it wants.
+    bool progress = true;
+    while (capacity > 0 && progress) {
+        progress = false;
+        for (std::size_t i = 0; i < zones.size() && capacity > 0; ++i) {
+            const auto &one = zones[(turn + i) % zones.size()];
+            if (given[one] < m_accounts.at(one).wanted.concurrentLoads) {
+                ++given[one];
+                --capacity;
+                progress = true;
             }
         }
     }
--- a/lib/Residency/StoreShare.cpp
+++ b/lib/Residency/StoreShare.cpp
@@ -28,6 +28,14 @@
     m_lastAnswer = now;
 }
 
+void StoreShare::relinquish(StoreRights wanted, TimePoint now)
+{
+    m_credit = credit(now);
+    m_creditAt = now;
+    m_granted.loadsPerSecond = std::min(m_granted.loadsPerSecond, wanted.loadsPerSecond);
+    m_granted.concurrentLoads = std::min(m_granted.concurrentLoads, wanted.concurrentLoads);
+}
+
 void StoreShare::setQuota(StoreRights quota, TimePoint now)
 {
     m_credit = credit(now);
@@ -104,8 +112,9 @@
     return m_inFlight;
 }
 
-PermitRequest StoreShare::request(const Zone &zone, FencingNumber fencing, StoreRights wanted, TimePoint now) const
+PermitRequest StoreShare::request(const Zone &zone, FencingNumber fencing, StoreRights wanted, TimePoint now)
 {
+    relinquish(wanted, now);
     return {.zone = zone,
             .fencing = fencing,
             .wanted = wanted,
--- a/scripts/compare_policies.py
+++ b/scripts/compare_policies.py
@@ -1,4 +1,4 @@
-#!/usr/bin/env python3
+#!/usr/bin/python3
 """Compares the policies of the entries on the same traces with real processes; prints a table and writes CSV and a plot.
 
 Each run starts a whole deployment (--deployment dodo or vestland, at reduced rates) with one policy, configures it, sends
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,4 +1,4 @@
-#!/usr/bin/env python3
+#!/usr/bin/python3
 """Runs a small deployment on this machine and checks every response.
 
 7 entries in 4 zones, 3 control hosts, 18 engines, 4 services and a weight store; an operator creates an intent and
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -1,4 +1,4 @@
-#!/usr/bin/env python3
+#!/usr/bin/python3
 """Measures configuration changes against three control hosts on loopback and prints one JSON object.
 
 Each line of watchers gets fresh control hosts, so that one measurement leaves nothing to the next.
--- a/scripts/measure_path.py
+++ b/scripts/measure_path.py
@@ -1,4 +1,4 @@
-#!/usr/bin/env python3
+#!/usr/bin/python3
 """Measures what the request path of the entries costs, and prints and writes it as CSV.
 
 added:  time per request through 7 entries against direct to the same engines, in the same run; answers of one token.
