--- a/lib/Requests/RequestLife.cpp
+++ b/lib/Requests/RequestLife.cpp
@@ -142,6 +142,7 @@
 
     // Of several rows with the same state and event, the last one whose guard holds is taken.
     // clang-format off
+        // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM prescribes the name.
         struct transition_table : mpl::vector<
             Row<Received,       Admit,       Admitted>,
             Row<Received,       Refuse,      RefusedNotRun>,
--- a/scripts/compare_policies.py
+++ b/scripts/compare_policies.py
@@ -27,7 +27,8 @@
 POLICIES = ["default", "least_loaded_lru", "least_loaded_lfu", "bounded_rendezvous_lru"]
 SCENARIOS = ["steady", "shift", "burst", "cold_restart", "zone_cut"]
 ENGINE = {"adapter_slots": 8, "max_batch": 8, "step_base_us": 15000, "step_per_sequence_us": 500}
-ADAPTERS = 3000
+# Fewer than the deployments have: with 3,000 the first use of each adapter alone keeps the store busy for minutes.
+ADAPTERS = 600
 FIELDS = ["deployment", "scenario", "policy", "sent", "ok", "refused", "failed", "wrong", "load_stall_s", "stalled",
           "batch_efficiency", "first_token_p50_ms", "first_token_p95_ms", "loads", "loads_in_one_second",
           "loads_at_once"]
--- a/unittests/Entry/ZoneSimulation.cpp
+++ b/unittests/Entry/ZoneSimulation.cpp
@@ -148,7 +148,10 @@
     if (!up) {
         return;
     }
-    for (const auto &[from, to] : {std::make_pair(a, b), std::make_pair(b, a)}) {
+    for (const auto &pair : {std::make_pair(a, b), std::make_pair(b, a)}) {
+        // Clang 14 does not capture structured bindings.
+        const auto from = pair.first;
+        const auto to = pair.second;
         if (holdsLease(m_nodes[from])) {
             for (const auto &message : m_nodes[from].term->publisher.full()) {
                 send(from, to, [this, from, to, message] {
