Read settings that may be absent, and log levels, in one place

Cause: three settings readers each had their own template for an optional key, and two their own names of log levels. Change: Settings/ReadIfPresent.h and Observe/LogLevelName.h.

--- a/lib/Control/ControlSettings.cpp
+++ b/lib/Control/ControlSettings.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Control/ControlSettings.h"
 
+#include "tamarackcove/Observe/LogLevelName.h"
 #include "tamarackcove/Settings/SettingsFile.h"
 
 #include <nlohmann/json.hpp>
@@ -39,18 +40,6 @@
     return SettingsError{SettingsErrorCode::Invalid, std::move(detail)};
 }
 
-static LogLevel logLevelAt(const nlohmann::json &settings)
-{
-    const auto text = settings.value("log_level", std::string("info"));
-    if (text == "debug") {
-        return LogLevel::Debug;
-    }
-    if (text == "warning") {
-        return LogLevel::Warning;
-    }
-    return text == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
 static Result<void, SettingsError> readPeers(const nlohmann::json &json, ControlSettings &settings)
 {
     std::set<std::string> names{settings.name};
@@ -88,7 +77,7 @@
     for (const auto &zone : json.at("zones")) {
         settings.zones.emplace_back(zone.get<std::string>());
     }
-    settings.logLevel = logLevelAt(json);
+    settings.logLevel = logLevelOf(json.value("log_level", std::string("info")));
     settings.drainTimeout = millisecondsAt(json, "drain_timeout_ms", settings.drainTimeout);
     settings.minElectionTimeout = millisecondsAt(json, "min_election_timeout_ms", settings.minElectionTimeout);
     settings.maxElectionTimeout = millisecondsAt(json, "max_election_timeout_ms", settings.maxElectionTimeout);
--- a/lib/Engine/EngineSettings.cpp
+++ b/lib/Engine/EngineSettings.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Engine/EngineSettings.h"
 
+#include "tamarackcove/Settings/ReadIfPresent.h"
 #include "tamarackcove/Settings/SettingsFile.h"
 
 #include <nlohmann/json.hpp>
@@ -56,44 +57,30 @@
     }
 })";
 
-template<typename Value>
-static void read(const nlohmann::json &json, const char *key, Value &value)
-{
-    const auto found = json.find(key);
-    if (found != json.end()) {
-        value = found->get<Value>();
-    }
-}
-
-static void readTime(const nlohmann::json &json, std::string_view key, milliseconds &value)
-{
-    value = millisecondsAt(json, key, value);
-}
-
 Result<void, SettingsError> changeFaults(EngineFaults &faults, const nlohmann::json &changes)
 {
     BOOST_OUTCOME_TRY(const auto checked, checkSettings(changes.dump(), FaultSchema));
-    readTime(checked, "load_report_lag_ms", faults.loadReportLag);
-    readTime(checked, "adapter_list_lag_ms", faults.adapterListLag);
-    read(checked, "adapter_list_gap", faults.adapterListGap);
-    read(checked, "mute_announcements", faults.muteAnnouncements);
-    read(checked, "load_fail_probability", faults.loadFailProbability);
-    read(checked, "fail_next_loads", faults.failNextLoads);
-    read(checked, "silence_open_connections", faults.silenceOpenConnections);
-    read(checked, "crash_marker", faults.crashMarker);
-    read(checked, "slow_factor", faults.slowFactor);
-    readTime(checked, "piece_delay_ms", faults.pieceDelay);
-    read(checked, "repeat_pieces", faults.repeatPieces);
-    read(checked, "reorder_pieces", faults.reorderPieces);
-    read(checked, "break_next_streams", faults.breakNextStreams);
-    read(checked, "stall_next_streams", faults.stallNextStreams);
+    readIfPresent(checked, "load_report_lag_ms", faults.loadReportLag);
+    readIfPresent(checked, "adapter_list_lag_ms", faults.adapterListLag);
+    readIfPresent(checked, "adapter_list_gap", faults.adapterListGap);
+    readIfPresent(checked, "mute_announcements", faults.muteAnnouncements);
+    readIfPresent(checked, "load_fail_probability", faults.loadFailProbability);
+    readIfPresent(checked, "fail_next_loads", faults.failNextLoads);
+    readIfPresent(checked, "silence_open_connections", faults.silenceOpenConnections);
+    readIfPresent(checked, "crash_marker", faults.crashMarker);
+    readIfPresent(checked, "slow_factor", faults.slowFactor);
+    readIfPresent(checked, "piece_delay_ms", faults.pieceDelay);
+    readIfPresent(checked, "repeat_pieces", faults.repeatPieces);
+    readIfPresent(checked, "reorder_pieces", faults.reorderPieces);
+    readIfPresent(checked, "break_next_streams", faults.breakNextStreams);
+    readIfPresent(checked, "stall_next_streams", faults.stallNextStreams);
     return ok();
 }
 
 static Duration microsecondsAt(const nlohmann::json &json, const char *key)
 {
     std::int64_t value = 0;
-    read(json, key, value);
+    readIfPresent(json, key, value);
     return microseconds(value);
 }
 
@@ -101,8 +88,8 @@
 {
     BOOST_OUTCOME_TRY(const auto json, loadSettings(path, Schema));
     EngineSettings settings;
-    read(json, "name", settings.name);
-    read(json, "zone", settings.zone);
+    readIfPresent(json, "name", settings.name);
+    readIfPresent(json, "zone", settings.zone);
     BOOST_OUTCOME_TRY(settings.listen, endpointAt(json, "listen"));
     if (json.contains("announce_as")) {
         BOOST_OUTCOME_TRY(settings.announceAs, endpointAt(json, "announce_as"));
@@ -111,10 +98,10 @@
         BOOST_OUTCOME_TRY(settings.store, endpointAt(json, "store"));
     }
     settings.service = json.value("kind", "engine") == "service";
-    read(json, "service", settings.serviceName);
-    read(json, "base_model", settings.baseModel);
-    read(json, "adapter_slots", settings.adapterSlots);
-    read(json, "max_batch", settings.costs.maxBatch);
+    readIfPresent(json, "service", settings.serviceName);
+    readIfPresent(json, "base_model", settings.baseModel);
+    readIfPresent(json, "adapter_slots", settings.adapterSlots);
+    readIfPresent(json, "max_batch", settings.costs.maxBatch);
     settings.costs.stepBase = microsecondsAt(json, "step_base_us");
     settings.costs.stepPerSequence = microsecondsAt(json, "step_per_sequence_us");
     settings.costs.prefillPerToken = microsecondsAt(json, "prefill_per_token_us");
@@ -122,10 +109,10 @@
     for (const auto &text : json.value("announce_to", std::vector<std::string>())) {
         BOOST_OUTCOME_TRY(settings.announceTo.emplace_back(), endpointAt({{"announce_to", text}}, "announce_to"));
     }
-    readTime(json, "announce_interval_ms", settings.announceInterval);
-    readTime(json, "load_timeout_ms", settings.loadTimeout);
-    read(json, "prefix_cache_blocks", settings.prefixCacheBlocks);
-    readTime(json, "service_time_ms", settings.serviceTime);
+    readIfPresent(json, "announce_interval_ms", settings.announceInterval);
+    readIfPresent(json, "load_timeout_ms", settings.loadTimeout);
+    readIfPresent(json, "prefix_cache_blocks", settings.prefixCacheBlocks);
+    readIfPresent(json, "service_time_ms", settings.serviceTime);
     if (json.contains("faults")) {
         BOOST_OUTCOME_TRY(changeFaults(settings.faults, json["faults"]));
     }
--- a/lib/Entry/EntrySettings.cpp
+++ b/lib/Entry/EntrySettings.cpp
@@ -1,6 +1,8 @@
 #include "tamarackcove/Entry/EntrySettings.h"
 
 #include "tamarackcove/Entry/Policy.h"
+#include "tamarackcove/Observe/LogLevelName.h"
+#include "tamarackcove/Settings/ReadIfPresent.h"
 #include "tamarackcove/Settings/SettingsFile.h"
 
 #include <algorithm>
@@ -104,49 +106,24 @@
     return SettingsError{SettingsErrorCode::Invalid, std::move(detail)};
 }
 
-template<typename Number>
-static void readCount(const nlohmann::json &json, const char *key, Number &value)
-{
-    const auto found = json.find(key);
-    if (found != json.end()) {
-        value = found->get<Number>();
-    }
-}
-
-static void readTime(const nlohmann::json &json, std::string_view key, milliseconds &value)
-{
-    value = millisecondsAt(json, key, value);
-}
-
-static LogLevel levelOf(const std::string &name)
-{
-    if (name == "debug") {
-        return LogLevel::Debug;
-    }
-    if (name == "warning") {
-        return LogLevel::Warning;
-    }
-    return name == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
 static void readLimits(const nlohmann::json &json, EntrySettings &settings)
 {
-    readTime(json, "drain_timeout_ms", settings.drainTimeout);
-    readCount(json, "max_body_bytes", settings.limits.maxBodyBytes);
-    readCount(json, "max_header_bytes", settings.limits.maxHeaderBytes);
-    readCount(json, "max_connections", settings.limits.maxConnections);
-    readTime(json, "idle_timeout_ms", settings.limits.idleTimeout);
-    readTime(json, "request_timeout_ms", settings.limits.requestTimeout);
-    readTime(json, "write_timeout_ms", settings.limits.writeTimeout);
-    readCount(json, "max_running", settings.path.admission.maxRunning);
-    readCount(json, "max_queued", settings.path.admission.maxQueued);
-    readCount(json, "max_waiting_for_load", settings.path.loads.room.maxWaiting);
-    readCount(json, "max_waiting_per_adapter", settings.path.loads.room.maxPerAdapter);
-    readTime(json, "max_wait_ms", settings.path.maxWait);
-    readTime(json, "progress_timeout_ms", settings.dispatch.progressTimeout);
-    readTime(json, "connect_timeout_ms", settings.connections.connectTimeout);
-    readCount(json, "max_idle_connections_per_target", settings.connections.maxIdlePerTarget);
-    readTime(json, "target_idle_limit_ms", settings.connections.idleLimit);
+    readIfPresent(json, "drain_timeout_ms", settings.drainTimeout);
+    readIfPresent(json, "max_body_bytes", settings.limits.maxBodyBytes);
+    readIfPresent(json, "max_header_bytes", settings.limits.maxHeaderBytes);
+    readIfPresent(json, "max_connections", settings.limits.maxConnections);
+    readIfPresent(json, "idle_timeout_ms", settings.limits.idleTimeout);
+    readIfPresent(json, "request_timeout_ms", settings.limits.requestTimeout);
+    readIfPresent(json, "write_timeout_ms", settings.limits.writeTimeout);
+    readIfPresent(json, "max_running", settings.path.admission.maxRunning);
+    readIfPresent(json, "max_queued", settings.path.admission.maxQueued);
+    readIfPresent(json, "max_waiting_for_load", settings.path.loads.room.maxWaiting);
+    readIfPresent(json, "max_waiting_per_adapter", settings.path.loads.room.maxPerAdapter);
+    readIfPresent(json, "max_wait_ms", settings.path.maxWait);
+    readIfPresent(json, "progress_timeout_ms", settings.dispatch.progressTimeout);
+    readIfPresent(json, "connect_timeout_ms", settings.connections.connectTimeout);
+    readIfPresent(json, "max_idle_connections_per_target", settings.connections.maxIdlePerTarget);
+    readIfPresent(json, "target_idle_limit_ms", settings.connections.idleLimit);
 }
 
 static Result<TargetView, SettingsError> readTarget(const nlohmann::json &json, const Zone &zone)
@@ -224,7 +201,7 @@
     BOOST_OUTCOME_TRY(settings.adminListen, endpointAt(json, "admin_listen"));
     BOOST_OUTCOME_TRY(checkDistinct("listen", settings.listen, "admin_listen", settings.adminListen));
     settings.traceFile = json.value("trace_file", std::string());
-    settings.logLevel = levelOf(json.value("log_level", std::string("info")));
+    settings.logLevel = logLevelOf(json.value("log_level", std::string("info")));
     settings.policy = json.value("policy", settings.policy);
     const auto policies = policyNames();
     if (std::find(policies.begin(), policies.end(), settings.policy) == policies.end()) {
--- a/lib/Load/LoadSettings.cpp
+++ b/lib/Load/LoadSettings.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Load/LoadSettings.h"
 
+#include "tamarackcove/Settings/ReadIfPresent.h"
 #include "tamarackcove/Settings/SettingsFile.h"
 
 #include <nlohmann/json.hpp>
@@ -44,15 +45,6 @@
     }
 })";
 
-template<typename Value>
-static void read(const nlohmann::json &json, const char *key, Value &value)
-{
-    const auto found = json.find(key);
-    if (found != json.end()) {
-        value = found->get<Value>();
-    }
-}
-
 static Result<std::vector<Endpoint>, SettingsError> endpointsAt(const nlohmann::json &json, const std::string &key)
 {
     std::vector<Endpoint> endpoints;
@@ -77,26 +69,26 @@
 
 static Result<void, SettingsError> readTrace(const nlohmann::json &json, TraceSettings &trace)
 {
-    read(json, "seed", trace.seed);
+    readIfPresent(json, "seed", trace.seed);
     trace.length = millisecondsAt(json, "length_ms", trace.length);
-    read(json, "requests_per_second", trace.requestsPerSecond);
-    read(json, "adapters", trace.adapters);
-    read(json, "adapter_prefix", trace.adapterPrefix);
-    read(json, "version", trace.version);
-    read(json, "zipf_exponent", trace.zipfExponent);
+    readIfPresent(json, "requests_per_second", trace.requestsPerSecond);
+    readIfPresent(json, "adapters", trace.adapters);
+    readIfPresent(json, "adapter_prefix", trace.adapterPrefix);
+    readIfPresent(json, "version", trace.version);
+    readIfPresent(json, "zipf_exponent", trace.zipfExponent);
     trace.shiftAt = millisecondsAt(json, "shift_at_ms", trace.shiftAt);
     trace.burstEvery = millisecondsAt(json, "burst_every_ms", trace.burstEvery);
     trace.burstLength = millisecondsAt(json, "burst_length_ms", trace.burstLength);
-    read(json, "burst_factor", trace.burstFactor);
+    readIfPresent(json, "burst_factor", trace.burstFactor);
     BOOST_OUTCOME_TRY(readRange(json, "prompt_words", trace.minPromptWords, trace.maxPromptWords));
     BOOST_OUTCOME_TRY(readRange(json, "answer_tokens", trace.minAnswerTokens, trace.maxAnswerTokens));
-    read(json, "stream_share", trace.streamShare);
-    read(json, "chat_share", trace.chatShare);
-    read(json, "high_share", trace.highShare);
-    read(json, "low_share", trace.lowShare);
-    read(json, "not_repeatable_share", trace.notRepeatableShare);
-    read(json, "service_share", trace.serviceShare);
-    read(json, "service", trace.service);
+    readIfPresent(json, "stream_share", trace.streamShare);
+    readIfPresent(json, "chat_share", trace.chatShare);
+    readIfPresent(json, "high_share", trace.highShare);
+    readIfPresent(json, "low_share", trace.lowShare);
+    readIfPresent(json, "not_repeatable_share", trace.notRepeatableShare);
+    readIfPresent(json, "service_share", trace.serviceShare);
+    readIfPresent(json, "service", trace.service);
     return ok();
 }
 
@@ -106,14 +98,14 @@
     LoadSettings settings;
     BOOST_OUTCOME_TRY(settings.endpoints, endpointsAt(json, "endpoints"));
     BOOST_OUTCOME_TRY(settings.direct, endpointsAt(json, "direct"));
-    read(json, "direct_share", settings.directShare);
-    read(json, "preload_direct", settings.preloadDirect);
+    readIfPresent(json, "direct_share", settings.directShare);
+    readIfPresent(json, "preload_direct", settings.preloadDirect);
     settings.timeout = millisecondsAt(json, "timeout_ms", settings.timeout);
     settings.deadline = millisecondsAt(json, "deadline_ms", settings.deadline);
-    read(json, "max_attempts", settings.maxAttempts);
-    read(json, "resend_broken", settings.resendBroken);
+    readIfPresent(json, "max_attempts", settings.maxAttempts);
+    readIfPresent(json, "resend_broken", settings.resendBroken);
     settings.maxRetryWait = millisecondsAt(json, "max_retry_wait_ms", settings.maxRetryWait);
-    read(json, "keep_alive", settings.keepAlive);
+    readIfPresent(json, "keep_alive", settings.keepAlive);
     BOOST_OUTCOME_TRY(readTrace(json, settings.trace));
     return settings;
 }
