--- a/scripts/compare_policies.py
+++ b/scripts/compare_policies.py
@@ -104,7 +104,8 @@
     data += [f"{scenario} " + " ".join(str(stalls.get((scenario, policy), 0)) for policy in policies)
              for scenario in scenarios]
     commands = f"""
-set terminal png size 1000,500
+set terminal png noenhanced size 1000,500
+set yrange [0:*]
 set output '{path}'
 set style data histograms
 set style fill solid 0.8
