Remove a count of the planner that nothing reads

Cause: ResidencyPlanner::waitingAdapters() had no caller. Change: the method is gone; no change of behaviour.

--- a/include/tamarackcove/Residency/ResidencyPlanner.h
+++ b/include/tamarackcove/Residency/ResidencyPlanner.h
@@ -79,8 +79,6 @@
     [[nodiscard]] std::vector<ResidencyAction> plan(const PlanInput &input);
 
     [[nodiscard]] const Popularity &popularity() const;
-    /// Adapters for which requests wait now.
-    [[nodiscard]] std::size_t waitingAdapters(TimePoint now) const;
 
 private:
     struct Waiting
--- a/lib/Residency/ResidencyPlanner.cpp
+++ b/lib/Residency/ResidencyPlanner.cpp
@@ -332,15 +332,6 @@
     return m_popularity;
 }
 
-std::size_t ResidencyPlanner::waitingAdapters(TimePoint now) const
-{
-    return static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), [this, now](const auto &entry) {
-        return std::any_of(entry.second.begin(), entry.second.end(), [this, now](const auto &waits) {
-            return waits.second.reportedAt + m_options.demandLifetime > now;
-        });
-    }));
-}
-
 PlannerHooks makeResidencyPlanner(ResidencyPlanner::Options options)
 {
     auto planner = std::make_shared<ResidencyPlanner>(std::move(options));
