--- a/include/tamarackcove/Consensus/Replica.h
+++ b/include/tamarackcove/Consensus/Replica.h
@@ -161,6 +161,9 @@
     void reconcileGroup(TimePoint now);
     [[nodiscard]] bool joinLearner();
     void replaceOrPromote(TimePoint now);
+    [[nodiscard]] bool mayPromote(const ReplicaGroup &group, TimePoint now) const;
+    [[nodiscard]] bool demoteSurplusVoter(TimePoint now);
+    [[nodiscard]] bool lost(const ReplicaId &id, TimePoint now) const;
     [[nodiscard]] std::size_t healthyVoters(const ReplicaGroup &group, TimePoint now) const;
     [[nodiscard]] bool healthy(const ReplicaId &id, TimePoint now) const;
     void continueTransfer(TimePoint now);
--- /dev/null
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "tamarackcove/Base/Endpoint.h"
+#include "tamarackcove/Base/Result.h"
+#include "tamarackcove/Fleet/AdapterPlanner.h"
+#include "tamarackcove/Fleet/FleetState.h"
+#include "tamarackcove/Fleet/ServerRegistry.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Wire/FleetMessages.h"
+#include "tamarackcove/Wire/WireError.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace tamarackcove {
+
+class FramedConnection;
+
+/// Connections of entries to the control host that leads: tells each of them the configuration, the servers and what
+/// they hold as these change, and takes their reports. A host that does not lead only says who does.
+///
+/// Thread safety: used on the thread of the executor.
+class EntryLinks
+{
+public:
+    struct Hooks
+    {
+        std::function<bool()> leads;
+        /// Name of the host that leads, empty when it is not known.
+        std::function<std::string()> leader;
+        /// Whether every server that is alive has had the time to announce itself to this host.
+        std::function<bool()> settled;
+        std::function<void(const FleetReportMessage &)> onReport;
+    };
+
+    /// Precondition: state, registry and planner outlive this object; the supervisor is stopped before it is destroyed.
+    EntryLinks(Supervisor &connections, const FleetState &state, const ServerRegistry &registry,
+               const AdapterPlanner &planner, Hooks hooks);
+    ~EntryLinks();
+    EntryLinks(const EntryLinks &) = delete;
+    EntryLinks &operator=(const EntryLinks &) = delete;
+
+    Result<void, WireError> listen(const Endpoint &endpoint);
+    /// Accepts until cancelled. Precondition: listen() has succeeded.
+    boost::asio::awaitable<void> run();
+
+    /// The configuration or the versions of weights have changed.
+    void stateChanged();
+    void serversChanged(const std::set<TargetId> &ids);
+    void holdingsChanged(const std::vector<AdapterPlanner::HoldingChange> &changes);
+    /// Tells all entries that this host no longer leads.
+    void leadershipChanged();
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    struct Link;
+
+    boost::asio::awaitable<void> serve(std::shared_ptr<Link> link);
+    boost::asio::awaitable<void> readReports(Link &link);
+    boost::asio::awaitable<void> writeUpdates(Link &link);
+    [[nodiscard]] FleetUpdateMessage compose(Link &link) const;
+    [[nodiscard]] ServerMessage describe(const TargetId &id) const;
+
+    Supervisor &m_connections;
+    const FleetState &m_state;
+    const ServerRegistry &m_registry;
+    const AdapterPlanner &m_planner;
+    Hooks m_hooks;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<Link *> m_links;
+    std::uint64_t m_accepted = 0;
+};
+
+} // namespace tamarackcove
--- /dev/null
+++ b/include/tamarackcove/Control/Fleet/FleetNode.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "tamarackcove/Control/Fleet/EngineDialect.h"
+#include "tamarackcove/Control/Fleet/FleetControl.h"
+#include "tamarackcove/Control/Fleet/FleetControlSettings.h"
+#include "tamarackcove/Http/HttpServer.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace tamarackcove {
+
+/// The supervisor tree of one control host of a deployment whose servers announce themselves: the replica of the log,
+/// the calls of operators and servers, the links of entries, and the orders to servers while it leads.
+///
+/// Thread safety: used on the thread of the executor.
+class FleetNode
+{
+public:
+    struct Hooks
+    {
+        FleetControl::ReadConfiguration readConfiguration;
+        EngineDialect dialect;
+        /// Makes the handler of the calls of operators and servers.
+        std::function<HttpServer::Handler(FleetControl &control)> frontEnd;
+        /// Called when the node cannot go on; the process must then stop without acknowledging anything more.
+        std::function<void(std::string_view what, std::string_view detail)> onFatal;
+    };
+
+    FleetNode(boost::asio::any_io_executor executor, FleetControlSettings settings, Hooks hooks);
+    /// Precondition: shutDown() has completed, or the executor no longer runs.
+    ~FleetNode();
+    FleetNode(const FleetNode &) = delete;
+    FleetNode &operator=(const FleetNode &) = delete;
+
+    /// Binds the ports and reads the data folder (blocking). The error is one line for the operator.
+    [[nodiscard]] Result<void, std::string> open();
+    /// Starts the tasks. Precondition: open() has succeeded.
+    void start();
+    /// Hands over leadership, finishes the calls in progress and ends the tasks.
+    boost::asio::awaitable<void> shutDown();
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace tamarackcove
--- a/include/tamarackcove/Control/Replica/ReplicaCodec.h
+++ b/include/tamarackcove/Control/Replica/ReplicaCodec.h
@@ -18,8 +18,10 @@
     std::string group;
     /// Endpoint of the administration API.
     std::string administration;
+    /// Names of the control processes that the sender is connected with.
+    std::vector<std::string> connected;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PeerHello, name, identity, group, administration)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PeerHello, name, identity, group, administration, connected)
 
 /// Encodes everything but sender and receiver. Thread safe.
 [[nodiscard]] Message encodeReplicaMessage(const ReplicaMessage &message);
--- a/include/tamarackcove/Entry/Callers/AdmissionGate.h
+++ b/include/tamarackcove/Entry/Callers/AdmissionGate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "tamarackcove/Base/Result.h"
-#include "tamarackcove/Entry/Callers/CallerWatch.h"
+#include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Requests/Admission.h"
 #include "tamarackcove/Requests/Call.h"
 #include "tamarackcove/Requests/Refusal.h"
--- a/include/tamarackcove/Entry/Callers/LoadWait.h
+++ b/include/tamarackcove/Entry/Callers/LoadWait.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "tamarackcove/Base/Time.h"
-#include "tamarackcove/Entry/Callers/CallerWatch.h"
+#include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Requests/Call.h"
 #include "tamarackcove/Requests/WaitingRoom.h"
 
--- a/include/tamarackcove/Entry/Callers/RequestPath.h
+++ b/include/tamarackcove/Entry/Callers/RequestPath.h
@@ -2,7 +2,7 @@
 
 #include "tamarackcove/Base/Time.h"
 #include "tamarackcove/Entry/Callers/AdmissionGate.h"
-#include "tamarackcove/Entry/Callers/CallerWatch.h"
+#include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Entry/Callers/LoadWait.h"
 #include "tamarackcove/Entry/Targets/Destination.h"
 #include "tamarackcove/Entry/Targets/DispatchContext.h"
--- a/include/tamarackcove/Entry/Targets/TargetCall.h
+++ b/include/tamarackcove/Entry/Targets/TargetCall.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "tamarackcove/Base/Time.h"
-#include "tamarackcove/Entry/Callers/CallerWatch.h"
+#include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Entry/Targets/Destination.h"
 #include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Requests/Refusal.h"
--- /dev/null
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "tamarackcove/Fleet/ServerOrder.h"
+#include "tamarackcove/Fleet/ServerRecord.h"
+#include "tamarackcove/Fleet/ServiceProfile.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarackcove {
+
+/// Decides which server loads and unloads which weights. Used by the control host that has the duty to order servers.
+///
+/// A server's places and memory are never exceeded: a place counts as taken from the moment of the order until the server
+/// itself has said that it is free. Orders to one server are given one after the other, each with the number of orders
+/// that the server must have accepted before.
+/// Thread safety: used on one thread.
+class AdapterPlanner
+{
+public:
+    struct Options
+    {
+        /// How long a server takes to load an adapter from the store and from its own memory. The server does not say
+        /// when a load has ended, so requests are sent after this time and repeated while the load is still in progress.
+        milliseconds storeLoad{255};
+        milliseconds memoryLoad{30};
+        /// Adapters that may be on their way to one server (a limit of the engines).
+        int maxInTransitPerServer = 4;
+        /// Adapters that may be on their way from the store per server, over all servers; beyond about this number each
+        /// load takes longer in proportion.
+        double storeLoadsInTransitPerServer = 1.25;
+        /// An adapter in use within this time is not evicted.
+        milliseconds minIdle{300};
+        /// Half-life of the estimate of an adapter's request rate.
+        milliseconds rateHalfLife{3000};
+        /// Requests per second and slot that one copy of an adapter takes before another copy is loaded.
+        double requestsPerSlotAndCopy = 0.5;
+        /// An order without an answer is followed by a reading of the server's state after this time.
+        milliseconds retryAfterUnknown{250};
+        /// State that a server reports is this old at most.
+        milliseconds reportAge{400};
+    };
+
+    /// What the task of a server does next.
+    struct Step
+    {
+        enum class Kind {
+            Wait,
+            ReadState,
+            Order,
+        };
+        Kind kind = Kind::Wait;
+        /// For Wait: when to ask again without a change.
+        TimePoint until = TimePoint::max();
+        /// For Order; holder and fence are filled in by the caller.
+        ServerOrder order{};
+    };
+
+    /// A change in what a server holds, as entries need it.
+    struct HoldingChange
+    {
+        TargetId server;
+        AdapterKey adapter;
+        /// 0 when the server no longer holds it.
+        std::uint64_t version = 0;
+        /// When requests may use it.
+        TimePoint readyAt;
+    };
+
+    explicit AdapterPlanner(Options options);
+
+    /// Forgets everything: another control host may have given orders meanwhile.
+    void reset();
+    /// A server that is offered, with the profile of its service. Servers without an engine are passed over.
+    void serverSeen(const ServerHeartbeat &server, bool draining, const EngineProfile &profile, TimePoint now);
+    void serverGone(const TargetId &id);
+    /// The state that a server has reported; `asked` is when it was asked.
+    void reported(const ServerIdentity &server, const ServerReport &report, TimePoint asked, TimePoint now);
+    void readFailed(const ServerIdentity &server, TimePoint now);
+    void orderEnded(const ServerOrder &order, OrderOutcome outcome, TimePoint now);
+    /// Requests wait for an adapter in a zone. Returns the server that was told to load it.
+    std::optional<TargetId> demand(const AdapterKey &adapter, std::uint64_t version, const Zone &zone, TimePoint now);
+    /// Requests were sent to a server.
+    void used(const TargetId &server, const AdapterKey &adapter, double requests, TimePoint now);
+    /// A server has said that it does not hold an adapter that this planner believes it to hold.
+    void missing(const TargetId &server, const AdapterKey &adapter, TimePoint now);
+    /// A version of an adapter has been named; servers that hold an older one load it.
+    void versionNamed(const AdapterKey &adapter, std::uint64_t version);
+
+    [[nodiscard]] Step next(const TargetId &server, TimePoint now);
+    /// Servers whose next step may have changed since the last call.
+    [[nodiscard]] std::vector<TargetId> takeWakeups();
+    [[nodiscard]] std::vector<HoldingChange> takeChanges();
+    /// All holdings, as changes from nothing.
+    [[nodiscard]] std::vector<HoldingChange> holdings() const;
+    [[nodiscard]] std::size_t storeLoadsInTransit(TimePoint now) const;
+
+private:
+    struct Held
+    {
+        std::uint64_t version = 0;
+        TimePoint readyAt;
+        TimePoint lastUse;
+        /// Requests per second, at the time of the last use.
+        double rate = 0;
+        bool unloading = false;
+        bool fromStore = false;
+    };
+    struct Wanted
+    {
+        AdapterKey adapter;
+        std::uint64_t version = 0;
+        TimePoint since;
+    };
+    struct Server
+    {
+        ServerIdentity identity;
+        Endpoint endpoint;
+        Zone zone;
+        EngineProfile profile;
+        bool draining = false;
+        /// Whether its state was read since this planner began or an order stayed unanswered.
+        bool known = false;
+        TimePoint readAt;
+        std::uint64_t ordersAccepted = 0;
+        bool busy = false;
+        std::map<BaseModel, std::uint64_t> models;
+        std::map<BaseModel, TimePoint> modelsLoading;
+        std::map<AdapterKey, Held> adapters;
+        std::deque<AdapterKey> cached;
+        std::deque<Wanted> wanted;
+        /// Whether an order or a reading is in progress.
+        bool engaged = false;
+    };
+
+    [[nodiscard]] double rateNow(const Held &held, TimePoint now) const;
+    [[nodiscard]] int inTransit(const Server &server, TimePoint now) const;
+    [[nodiscard]] bool hasRoom(const Server &server, const BaseModel &model) const;
+    [[nodiscard]] std::optional<AdapterKey> victim(const Server &server, TimePoint now) const;
+    [[nodiscard]] double cost(const Server &server, const AdapterKey &adapter, const Zone &zone, TimePoint now) const;
+    [[nodiscard]] static bool cachedAt(const Server &server, const AdapterKey &adapter);
+    [[nodiscard]] Step modelStep(Server &server, TimePoint now);
+    [[nodiscard]] Step adapterStep(Server &server, TimePoint now);
+    [[nodiscard]] static Step orderStep(const Server &server, ServerOrder::Action action, AdapterKey weights,
+                                        std::uint64_t version);
+    void setHeld(Server &server, const AdapterKey &adapter, Held held);
+    void drop(Server &server, const AdapterKey &adapter);
+    void noteCached(Server &server, const AdapterKey &adapter);
+    void wake(const TargetId &id);
+
+    Options m_options;
+    std::map<TargetId, Server> m_servers;
+    std::map<AdapterKey, std::uint64_t> m_versions;
+    std::vector<TargetId> m_wakeups;
+    std::vector<HoldingChange> m_changes;
+    /// Recent loads of models from the store, to stay below its rate.
+    std::deque<TimePoint> m_modelLoads;
+};
+
+} // namespace tamarackcove
--- /dev/null
+++ b/include/tamarackcove/Fleet/RouteTable.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "tamarackcove/Fleet/DeploymentConfiguration.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarackcove {
+
+/// Finds the route of a request in one configuration.
+///
+/// Thread safety: immutable; may be used from several threads.
+class RouteTable
+{
+public:
+    explicit RouteTable(std::shared_ptr<const DeploymentConfiguration> configuration);
+
+    /// The route with the longest prefix of the path among those of the host; null when there is none.
+    [[nodiscard]] const RouteRule *find(std::string_view host, std::string_view path) const;
+    [[nodiscard]] const DeploymentConfiguration &configuration() const;
+
+    /// The service that takes a request; the draw is uniform over [0, 1).
+    [[nodiscard]] static const ServiceName &chooseService(const RouteRule &route, double draw);
+
+private:
+    std::shared_ptr<const DeploymentConfiguration> m_configuration;
+    /// Routes of each host, the longest prefix first.
+    std::unordered_map<std::string, std::vector<const RouteRule *>> m_byHost;
+};
+
+} // namespace tamarackcove
--- /dev/null
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "tamarackcove/Fleet/RetryWindow.h"
+#include "tamarackcove/Fleet/RouteTable.h"
+#include "tamarackcove/Fleet/ServerDirectory.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace tamarackcove {
+
+struct FleetUpdateMessage;
+struct FleetReportMessage;
+struct GatewaySettings;
+struct CallerDialect;
+
+/// What an entry knows of its deployment, and what it has to tell the control host: the configuration in force, servers
+/// and what they hold, versions of weights, requests that wait for adapters.
+///
+/// Thread safety: used on the thread of the executor.
+class FleetView
+{
+public:
+    FleetView(boost::asio::any_io_executor executor, const GatewaySettings &settings, const CallerDialect &dialect);
+
+    /// Takes over what the control host says. A configuration that is older than the one in force changes nothing.
+    void apply(const FleetUpdateMessage &update, TimePoint now);
+    /// Takes what there is to report since the last call.
+    [[nodiscard]] FleetReportMessage takeReport();
+
+    /// Null before the first configuration.
+    [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
+    [[nodiscard]] ServerDirectory &servers();
+    [[nodiscard]] RetryWindow &retries(const ServiceName &service);
+    /// The version below which requests for an adapter must not run; 0 when none has been named.
+    [[nodiscard]] std::uint64_t requiredVersion(const AdapterKey &adapter, TimePoint now) const;
+    [[nodiscard]] std::uint64_t namedVersion(const AdapterKey &adapter) const;
+
+    /// Waits until servers or what they hold have changed, or the deadline. The request counts as waiting for the
+    /// adapter meanwhile. The timer is that of the request, which may be cancelled from outside.
+    boost::asio::awaitable<void> waitForAdapter(AdapterKey adapter, std::uint64_t version, bool demands,
+                                                boost::asio::steady_timer &timer, TimePoint until);
+    void noteUse(const TargetId &server, const AdapterKey &adapter);
+    void noteMissing(const TargetId &server, const AdapterKey &adapter);
+    /// Called when a request begins to wait for an adapter that nobody has been asked for yet.
+    std::function<void()> onDemand;
+
+private:
+    struct Demand
+    {
+        int waiting = 0;
+        std::uint64_t version = 0;
+    };
+    struct Named
+    {
+        std::uint64_t version = 0;
+        TimePoint since;
+    };
+
+    void wakeAll();
+
+    boost::asio::any_io_executor m_executor;
+    const GatewaySettings &m_settings;
+    const CallerDialect &m_dialect;
+    std::shared_ptr<const RouteTable> m_routes;
+    ServerDirectory m_servers;
+    std::unordered_map<AdapterKey, Named> m_versions;
+    std::map<ServiceName, RetryWindow> m_retries;
+    std::size_t m_entries = 1;
+    std::map<AdapterKey, Demand> m_demands;
+    std::map<std::pair<TargetId, AdapterKey>, int> m_uses;
+    std::set<std::pair<TargetId, AdapterKey>> m_missing;
+    std::set<boost::asio::steady_timer *> m_waiters;
+};
+
+} // namespace tamarackcove
--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -43,6 +43,8 @@
 
     /// Whether another exchange may use this connection.
     [[nodiscard]] bool reusable() const;
+    /// How long the peer keeps the connection without a request, if the last response said so.
+    [[nodiscard]] std::optional<seconds> idleLimit() const;
     /// When the peer last sent a byte; a connection that was silent for long may be dead without a sign.
     [[nodiscard]] TimePoint lastHeard() const;
     /// Whether the peer has closed its side or sent something unasked; checked without waiting.
--- a/include/tamarackcove/Http/HttpServer.h
+++ b/include/tamarackcove/Http/HttpServer.h
@@ -37,6 +37,10 @@
     /// Accepts until cancelled. Precondition: listen() has succeeded.
     boost::asio::awaitable<void> run();
 
+    /// Limits of the connections that are accepted, and of the requests that are read, from now on.
+    void setLimits(HttpLimits limits);
+    /// From now on each response says `connection: close`; connections are still accepted.
+    void beginClosing();
     /// Stops accepting, and ends each connection after the request it is in: its response says `connection: close`.
     void beginDrain();
 
--- /dev/null
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarackcove {
+
+/// Messages between entries and the control host that leads. An entry opens the connection; then either side sends on
+/// its own: the entry reports, the control host updates. Times are durations from the moment of sending, in milliseconds.
+
+/// A server as entries need it.
+struct ServerMessage
+{
+    std::string id;
+    std::uint64_t startedAt = 0;
+    std::string service;
+    std::string endpoint;
+    std::string zone;
+    int slots = 0;
+    bool draining = false;
+    std::vector<std::string> models;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServerMessage, id, startedAt, service, endpoint, zone, slots, draining, models)
+
+/// What a server holds of one adapter; version 0 when it no longer does.
+struct HoldingMessage
+{
+    std::string server;
+    std::string model;
+    std::string adapter;
+    std::uint64_t version = 0;
+    /// Until requests may use it; negative when they already may.
+    std::int64_t readyInMs = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HoldingMessage, server, model, adapter, version, readyInMs)
+
+struct WeightVersionMessage
+{
+    std::string model;
+    std::string adapter;
+    std::uint64_t version = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WeightVersionMessage, model, adapter, version)
+
+struct FleetUpdateMessage
+{
+    static constexpr std::string_view Type = "fleet_update";
+    /// False when the sender does not lead; then only `leader` is set, if it is known.
+    bool leads = false;
+    std::string leader;
+    std::uint64_t configurationVersion = 0;
+    /// The configuration as the operator sent it; empty when the entry has it.
+    std::string document;
+    std::vector<WeightVersionMessage> versions;
+    std::vector<ServerMessage> servers;
+    std::vector<std::string> removed;
+    std::vector<HoldingMessage> holdings;
+    /// With `complete`: every server there is; others are gone.
+    bool complete = false;
+    std::vector<std::string> all;
+    /// Entries that are connected, which share the retry budget.
+    std::uint64_t entries = 1;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, leads, leader, configurationVersion, document, versions, servers,
+                                   removed, holdings, complete, all, entries)
+
+/// Requests that wait for an adapter.
+struct DemandMessage
+{
+    std::string model;
+    std::string adapter;
+    std::uint64_t version = 0;
+    int waiting = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandMessage, model, adapter, version, waiting)
+
+/// Requests that were sent to a server for an adapter.
+struct UseMessage
+{
+    std::string server;
+    std::string model;
+    std::string adapter;
+    int requests = 0;
+    /// The server has answered that it does not hold the adapter.
+    bool missing = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UseMessage, server, model, adapter, requests, missing)
+
+struct FleetReportMessage
+{
+    static constexpr std::string_view Type = "fleet_report";
+    std::string entry;
+    std::string zone;
+    std::uint64_t configurationVersion = 0;
+    std::vector<DemandMessage> demands;
+    std::vector<UseMessage> uses;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses)
+
+} // namespace tamarackcove
--- a/lib/Consensus/ReplicaMembership.cpp
+++ b/lib/Consensus/ReplicaMembership.cpp
@@ -40,11 +40,55 @@
     if (!leads(now) || m_log.groupIndex() > m_commitIndex || m_transfer) {
         return;
     }
-    if (!joinLearner()) {
+    if (!joinLearner() && !demoteSurplusVoter(now)) {
         replaceOrPromote(now);
     }
 }
 
+bool Replica::lost(const ReplicaId &id, TimePoint now) const
+{
+    const auto progress = m_progress.find(id);
+    return progress != m_progress.end()
+        && now >= std::max(m_leadingSince, progress->second.contact) + m_options.replaceVoterAfter;
+}
+
+bool Replica::mayPromote(const ReplicaGroup &group, TimePoint now) const
+{
+    if (m_options.maxVoters == 0 || group.voterCount() < m_options.maxVoters) {
+        return true;
+    }
+    // The learner votes before the lost voter is removed: the group never depends on fewer disks than before.
+    return group.voterCount() == m_options.maxVoters
+        && std::any_of(group.members.begin(), group.members.end(),
+                       [&](const auto &member) { return member.voter && lost(member.id, now); });
+}
+
+bool Replica::demoteSurplusVoter(TimePoint now)
+{
+    const auto &group = m_log.group();
+    if (m_options.maxVoters == 0 || group.voterCount() <= m_options.maxVoters) {
+        return false;
+    }
+    const GroupMember *surplus = nullptr;
+    for (const auto &member : group.members) {
+        if (!member.voter || member.id == m_self) {
+            continue;
+        }
+        if (surplus == nullptr || (!healthy(member.id, now) && healthy(surplus->id, now))) {
+            surplus = &member;
+        }
+    }
+    auto changed = group;
+    const auto found = std::find_if(changed.members.begin(), changed.members.end(),
+                                    [&](const auto &member) { return member.id == surplus->id; });
+    found->voter = false;
+    if (healthyVoters(changed, now) < changed.majority()) {
+        return false;
+    }
+    changeGroup(std::move(changed));
+    return true;
+}
+
 bool Replica::joinLearner()
 {
     for (const auto &seen : m_seenPeers) {
@@ -78,6 +122,8 @@
                 continue;
             }
             std::erase_if(changed.members, [id = old->id](const auto &member) { return member.id == id; });
+        } else if (!mayPromote(changed, now)) {
+            continue;
         } else {
             std::find_if(changed.members.begin(), changed.members.end(),
                          [&](const auto &member) { return member.id == learner.id; })
--- /dev/null
+++ b/lib/Control/Fleet/FleetCodec.cpp
@@ -0,0 +1,128 @@
+#include "tamarackcove/Control/Fleet/FleetCodec.h"
+
+#include <nlohmann/json.hpp>
+
+using nlohmann::json;
+
+namespace tamarackcove {
+
+static std::string pack(const json &value)
+{
+    std::string bytes;
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+static json identityJson(const ServerIdentity &server)
+{
+    return json::array({server.id.value(), server.startedAt.value()});
+}
+
+static ServerIdentity identityFrom(const json &value)
+{
+    return {.id = TargetId(value.at(0).get<std::string>()), .startedAt = Incarnation(value.at(1).get<std::uint64_t>())};
+}
+
+std::string encodeFleetCommand(const FleetCommand &command)
+{
+    if (const auto *put = std::get_if<PutConfiguration>(&command)) {
+        return pack({{"t", "configuration"}, {"version", put->version}, {"document", put->document}});
+    }
+    if (const auto *weights = std::get_if<PutWeightVersion>(&command)) {
+        return pack({{"t", "weights"},
+                     {"model", weights->key.model.value()},
+                     {"adapter", weights->key.adapter},
+                     {"version", weights->version}});
+    }
+    if (const auto *departure = std::get_if<NoteDeparture>(&command)) {
+        return pack({{"t", "departure"},
+                     {"server", identityJson(departure->server)},
+                     {"service", departure->service.value()},
+                     {"gone", departure->gone}});
+    }
+    return pack({{"t", "duty"}, {"holder", std::get<TakeOrderDuty>(command).holder}});
+}
+
+static FleetCommand commandFrom(const json &value)
+{
+    const auto type = value.at("t").get<std::string>();
+    if (type == "configuration") {
+        return PutConfiguration{.version = value.at("version").get<std::uint64_t>(),
+                                .document = value.at("document").get<std::string>()};
+    }
+    if (type == "weights") {
+        return PutWeightVersion{.key = {.model = BaseModel(value.at("model").get<std::string>()),
+                                        .adapter = value.at("adapter").get<std::string>()},
+                                .version = value.at("version").get<std::uint64_t>()};
+    }
+    if (type == "departure") {
+        return NoteDeparture{.server = identityFrom(value.at("server")),
+                             .service = ServiceName(value.at("service").get<std::string>()),
+                             .gone = value.at("gone").get<bool>()};
+    }
+    return TakeOrderDuty{.holder = value.at("holder").get<std::string>()};
+}
+
+Result<FleetCommand, WireError> decodeFleetCommand(std::string_view bytes)
+{
+    try {
+        return commandFrom(json::from_msgpack(bytes));
+    } catch (const json::exception &error) {
+        return WireError{WireErrorCode::BadFrame, std::string("fleet command: ") + error.what()};
+    }
+}
+
+std::string encodeFleetImage(const FleetState::Image &image)
+{
+    auto versions = json::array();
+    for (const auto &[key, version] : image.weightVersions) {
+        versions.push_back(json::array({key.model.value(), key.adapter, version}));
+    }
+    auto departures = json::array();
+    for (const auto &[server, departure] : image.departures) {
+        const auto at = std::chrono::duration_cast<milliseconds>(departure.at.time_since_epoch());
+        departures.push_back(
+            json::array({identityJson(server), departure.service.value(), departure.gone, at.count()}));
+    }
+    return pack({{"revision", image.revision.value()},
+                 {"version", image.configurationVersion},
+                 {"document", image.document ? json(*image.document) : json(nullptr)},
+                 {"weights", std::move(versions)},
+                 {"departures", std::move(departures)},
+                 {"holder", image.duty.holder},
+                 {"fence", image.duty.fence.value()}});
+}
+
+static FleetState::Image imageFrom(const json &value)
+{
+    FleetState::Image image;
+    image.revision = Revision(value.at("revision").get<std::uint64_t>());
+    image.configurationVersion = value.at("version").get<std::uint64_t>();
+    if (!value.at("document").is_null()) {
+        image.document = std::make_shared<const std::string>(value.at("document").get<std::string>());
+    }
+    for (const auto &item : value.at("weights")) {
+        image.weightVersions[{BaseModel(item.at(0).get<std::string>()), item.at(1).get<std::string>()}]
+            = item.at(2).get<std::uint64_t>();
+    }
+    for (const auto &item : value.at("departures")) {
+        image.departures[identityFrom(item.at(0))]
+            = {.service = ServiceName(item.at(1).get<std::string>()),
+               .gone = item.at(2).get<bool>(),
+               .at = std::chrono::system_clock::time_point(milliseconds(item.at(3).get<std::int64_t>()))};
+    }
+    image.duty = {.holder = value.at("holder").get<std::string>(),
+                  .fence = FencingNumber(value.at("fence").get<std::uint64_t>())};
+    return image;
+}
+
+Result<FleetState::Image, WireError> decodeFleetImage(std::string_view bytes)
+{
+    try {
+        return imageFrom(json::from_msgpack(bytes));
+    } catch (const json::exception &error) {
+        return WireError{WireErrorCode::BadFrame, std::string("fleet snapshot: ") + error.what()};
+    }
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Control/Fleet/FleetControl.cpp
@@ -0,0 +1,167 @@
+#include "tamarackcove/Control/Fleet/FleetControl.h"
+
+#include "tamarackcove/Control/Fleet/FleetCodec.h"
+#include "tamarackcove/Control/LogStatus.h"
+#include "tamarackcove/Observe/LogLine.h"
+
+#include <fmt/format.h>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+FleetControl::FleetControl(LogClient log, const FleetState &state, ServerRegistry &registry, Hooks hooks)
+    : m_log(std::move(log))
+    , m_state(state)
+    , m_registry(registry)
+    , m_hooks(std::move(hooks))
+{
+}
+
+FleetControl::Refusal FleetControl::refusal(const LogError &error)
+{
+    Refusal refusal{.detail = error.detail, .leader = error.leader};
+    switch (error.code) {
+    case LogErrorCode::NotLeader:
+        refusal.code = error.leader ? RefusalCode::NotLeader : RefusalCode::Unavailable;
+        break;
+    case LogErrorCode::Unavailable:
+        refusal.code = RefusalCode::Unavailable;
+        break;
+    case LogErrorCode::OutcomeUnknown:
+        refusal.code = RefusalCode::OutcomeUnknown;
+        break;
+    }
+    return refusal;
+}
+
+asio::awaitable<Result<void, FleetControl::Refusal>> FleetControl::propose(FleetCommand command)
+{
+    auto bytes = encodeFleetCommand(command);
+    const auto answer = co_await m_log.propose(std::move(bytes));
+    if (answer.has_error()) {
+        co_return refusal(answer.error());
+    }
+    co_return ok();
+}
+
+Result<void, FleetControl::Refusal> FleetControl::requireLeader() const
+{
+    const auto status = m_log.status();
+    if (status.role == "leader") {
+        return ok();
+    }
+    if (!status.leader) {
+        return Refusal{.code = RefusalCode::Unavailable, .detail = "no leader is known", .leader = std::nullopt};
+    }
+    return Refusal{.code = RefusalCode::NotLeader, .detail = "another host leads", .leader = status.leader};
+}
+
+asio::awaitable<Result<void, FleetControl::Refusal>> FleetControl::putConfiguration(std::string document)
+{
+    const auto read = m_hooks.readConfiguration(document);
+    std::optional<std::string> fault;
+    if (read.has_error()) {
+        fault = read.error();
+    } else {
+        fault = read.value().fault();
+    }
+    if (fault) {
+        LogLine(LogLevel::Warning, "configuration_refused").add("reason", *fault);
+        co_return Refusal{.code = RefusalCode::Invalid, .detail = *fault, .leader = std::nullopt};
+    }
+    const auto version = read.value().version;
+    // Also a version that is in force already goes through the log: only then is it certain that it is on a majority.
+    if (version <= m_state.configurationVersion()) {
+        const auto barrier = co_await m_log.readBarrier();
+        if (barrier.has_error()) {
+            co_return refusal(barrier.error());
+        }
+        if (version <= m_state.configurationVersion()) {
+            LogLine(LogLevel::Info, "configuration_overtaken")
+                .add("version", version)
+                .add("in_force", m_state.configurationVersion());
+            co_return ok();
+        }
+    }
+    FleetCommand command = PutConfiguration{.version = version, .document = std::move(document)};
+    auto accepted = co_await propose(std::move(command));
+    if (accepted.has_value()) {
+        LogLine(LogLevel::Info, "configuration_accepted").add("version", version);
+    }
+    co_return accepted;
+}
+
+asio::awaitable<Result<std::string, FleetControl::Refusal>> FleetControl::readConfiguration()
+{
+    const auto barrier = co_await m_log.readBarrier();
+    if (barrier.has_error()) {
+        co_return refusal(barrier.error());
+    }
+    if (!m_state.document()) {
+        co_return Refusal{.code = RefusalCode::Unavailable,
+                          .detail = "there is no configuration yet",
+                          .leader = std::nullopt};
+    }
+    co_return *m_state.document();
+}
+
+asio::awaitable<Result<void, FleetControl::Refusal>> FleetControl::putWeightVersion(PutWeightVersion version)
+{
+    if (version.key.model.empty() || version.version == 0) {
+        co_return Refusal{.code = RefusalCode::Invalid,
+                          .detail = "name a model and a version of at least 1",
+                          .leader = std::nullopt};
+    }
+    LogLine(LogLevel::Info, "weight_version_named")
+        .add("model", version.key.model.value())
+        .add("adapter", version.key.adapter)
+        .add("version", version.version);
+    FleetCommand command = std::move(version);
+    co_return co_await propose(std::move(command));
+}
+
+asio::awaitable<Result<void, FleetControl::Refusal>> FleetControl::heartbeat(ServerHeartbeat heartbeat)
+{
+    BOOST_OUTCOME_CO_TRY(requireLeader());
+    const auto verdict = m_registry.heartbeat(heartbeat, Clock::now());
+    const auto identity = heartbeat.identity;
+    if (verdict == ServerRegistry::Verdict::Changed) {
+        LogLine(LogLevel::Info, "server_changed")
+            .add("server", identity.id.value())
+            .add("started_at", identity.startedAt.value())
+            .add("service", heartbeat.service.value())
+            .add("endpoint", heartbeat.endpoint.toString())
+            .add("zone", heartbeat.zone.value())
+            .add("sequence", heartbeat.sequence);
+    }
+    if (verdict != ServerRegistry::Verdict::Outdated) {
+        m_hooks.onHeartbeat(heartbeat);
+        m_hooks.onServers();
+    }
+    if (verdict != ServerRegistry::Verdict::Leaves) {
+        co_return ok();
+    }
+    LogLine(LogLevel::Info, "server_draining")
+        .add("server", identity.id.value())
+        .add("remaining_ms", heartbeat.remaining.value_or(milliseconds(-1)));
+    FleetCommand command = NoteDeparture{.server = identity, .service = heartbeat.service, .gone = false};
+    co_return co_await propose(std::move(command));
+}
+
+asio::awaitable<Result<void, FleetControl::Refusal>> FleetControl::leave(TargetId id)
+{
+    BOOST_OUTCOME_CO_TRY(requireLeader());
+    const auto *server = m_registry.find(id);
+    if (server == nullptr) {
+        co_return ok();
+    }
+    LogLine(LogLevel::Info, "server_leaves").add("server", id.value());
+    const auto identity = server->said.identity;
+    FleetCommand command = NoteDeparture{.server = identity, .service = server->said.service, .gone = true};
+    m_registry.departed(identity, true);
+    m_hooks.onServers();
+    co_return co_await propose(std::move(command));
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -0,0 +1,343 @@
+#include "tamarackcove/Control/Fleet/FleetNode.h"
+
+#include "tamarackcove/Control/Fleet/EntryLinks.h"
+#include "tamarackcove/Control/Fleet/FleetCodec.h"
+#include "tamarackcove/Control/Fleet/FleetLog.h"
+#include "tamarackcove/Control/Fleet/OrderDuty.h"
+#include "tamarackcove/Control/LogStatus.h"
+#include "tamarackcove/Control/Replica/ReplicaTask.h"
+#include "tamarackcove/Fleet/AdapterPlanner.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+static constexpr milliseconds TransferTimeout{1500};
+static constexpr milliseconds ExpiryInterval{500};
+/// Pause before the duty is asked for again when the log did not take the command.
+static constexpr milliseconds DutyRetry{50};
+/// Beyond the lease of orders, for orders that are still on their way.
+static constexpr milliseconds LeaseMargin{150};
+
+static ReplicaSettings replicaSettings(const FleetControlSettings &settings)
+{
+    ReplicaSettings replica;
+    replica.name = settings.host;
+    const auto port = settings.replicaPort;
+    replica.locate = [port](const std::string &name) {
+        return std::optional(Endpoint{.host = name, .port = port});
+    };
+    for (const auto &seed : settings.seeds) {
+        if (seed != settings.host) {
+            replica.peers.push_back({.name = seed, .endpoint = {.host = seed, .port = port}});
+        }
+    }
+    replica.mayFormGroup = settings.firstStart
+        && std::find(settings.seeds.begin(), settings.seeds.end(), settings.host) != settings.seeds.end();
+    replica.maxVoters = settings.maxVoters;
+    replica.dataFolder = settings.dataFolder;
+    replica.listen = {.host = settings.host, .port = port};
+    replica.administration = settings.listen;
+    return replica;
+}
+
+struct FleetNode::Impl
+{
+    Impl(const asio::any_io_executor &executor, FleetControlSettings nodeSettings, Hooks nodeHooks)
+        : settings(std::move(nodeSettings))
+        , hooks(std::move(nodeHooks))
+        , root(executor, "control",
+               {.onEscalate =
+                    [this](std::string_view child) {
+                        fatal("a task of the control process gave up", child);
+                    }})
+        , callConnections(executor, "calls")
+        , entryConnections(executor, "entries")
+        , orderTasks(executor, "orders")
+        , log([this] { stateChanged(); })
+        , replica(root, replicaSettings(settings), log.hooks(),
+                  {.onFatal = [this](const StorageError &error) { fatal("the data folder failed", error.detail); },
+                   .onLeadership =
+                       [this](bool leads) {
+                           leadershipChanged(leads);
+                       }})
+        , registry({.silence = settings.heartbeatInterval * 9 / 2})
+        , planner({})
+        , duty(orderTasks, planner, hooks.dialect,
+               {.holdsDuty = [this] { return replica.leads(); }, .onChange = [this] { publishHoldings(); }})
+        , control(replica.client(), log.state(), registry,
+                  {.readConfiguration = hooks.readConfiguration,
+                   .onServers = [this] { publishServers(); },
+                   .onHeartbeat =
+                       [this](const ServerHeartbeat &heartbeat) {
+                           plan(heartbeat);
+                       }})
+        , http(callConnections, limits(), hooks.frontEnd(control))
+        , links(entryConnections, log.state(), registry, planner,
+                {.leads = [this] { return replica.leads(); },
+                 .leader = [this] { return leaderName(); },
+                 .settled = [this] { return Clock::now() > leadsSince + settings.heartbeatInterval * 3; },
+                 .onReport =
+                     [this](const FleetReportMessage &report) {
+                         take(report);
+                     }})
+    {
+    }
+
+    static HttpLimits limits()
+    {
+        HttpLimits limits;
+        limits.idleTimeout = seconds(30);
+        limits.requestTimeout = seconds(10);
+        return limits;
+    }
+
+    void fatal(std::string_view what, std::string_view detail) const
+    {
+        LogLine(LogLevel::Error, "control_fatal").add("reason", what).add("detail", detail);
+        hooks.onFatal(what, detail);
+    }
+
+    [[nodiscard]] std::string leaderName()
+    {
+        const auto leader = replica.client().status().leader;
+        return leader ? leader->host : std::string();
+    }
+
+    void stateChanged();
+    void leadershipChanged(bool leads);
+    void publishServers();
+    void publishHoldings();
+    void plan(const ServerHeartbeat &heartbeat);
+    void take(const FleetReportMessage &report);
+    asio::awaitable<void> takeDuty(std::uint64_t term, bool formerLeaderRuns);
+    asio::awaitable<void> expireServers();
+
+    FleetControlSettings settings;
+    Hooks hooks;
+    Supervisor root;
+    Supervisor callConnections;
+    Supervisor entryConnections;
+    Supervisor orderTasks;
+    FleetLog log;
+    ReplicaTask replica;
+    ServerRegistry registry;
+    AdapterPlanner planner;
+    OrderDuty duty;
+    FleetControl control;
+    HttpServer http;
+    EntryLinks links;
+    std::shared_ptr<const DeploymentConfiguration> configuration;
+    bool leading = false;
+    TimePoint leadsSince;
+    std::uint64_t leaderships = 0;
+};
+
+void FleetNode::Impl::stateChanged()
+{
+    const auto &state = log.state();
+    if (state.document() && (!configuration || configuration->version < state.configurationVersion())) {
+        auto read = hooks.readConfiguration(*state.document());
+        if (read.has_error()) {
+            // It was readable when it was accepted.
+            LogLine(LogLevel::Error, "configuration_unreadable").add("reason", read.error());
+        } else {
+            configuration = std::make_shared<const DeploymentConfiguration>(std::move(read).value());
+            LogLine(LogLevel::Info, "configuration_in_force").add("version", configuration->version);
+        }
+    }
+    for (const auto &[server, departure] : state.departures()) {
+        registry.departed(server, departure.gone);
+    }
+    for (const auto &[key, version] : state.weightVersions()) {
+        planner.versionNamed(key, version);
+    }
+    if (leading) {
+        for (const auto &[id, server] : registry.servers()) {
+            plan(server.said);
+        }
+        publishServers();
+        duty.wake();
+        links.stateChanged();
+    }
+}
+
+void FleetNode::Impl::leadershipChanged(bool leads)
+{
+    leading = leads;
+    ++leaderships;
+    duty.end();
+    planner.reset();
+    registry.clear();
+    if (!leads) {
+        links.leadershipChanged();
+        return;
+    }
+    leadsSince = Clock::now();
+    stateChanged();
+    const auto &former = log.state().duty().holder;
+    const auto status = replica.client().status();
+    const bool formerRuns = !former.empty() && former != settings.host
+        && std::any_of(status.replicas.begin(), status.replicas.end(), [&](const auto &member) {
+               return member.reachable && member.id.value().starts_with(former + "@");
+           });
+    root.startTemporary("duty-" + std::to_string(leaderships),
+                        [this, formerRuns, term = leaderships] { return takeDuty(term, formerRuns); });
+}
+
+asio::awaitable<void> FleetNode::Impl::takeDuty(std::uint64_t term, bool formerLeaderRuns)
+{
+    const auto host = settings.host;
+    asio::steady_timer timer(root.executor());
+    if (formerLeaderRuns) {
+        // Its last order may be as young as this leadership.
+        timer.expires_after(settings.orderLease + LeaseMargin);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    while (leading && leaderships == term) {
+        auto command = encodeFleetCommand(TakeOrderDuty{.holder = host});
+        const auto taken = co_await replica.client().propose(std::move(command));
+        if (taken.has_value() && leading && leaderships == term && log.state().duty().holder == host) {
+            duty.begin(host, log.state().duty().fence);
+            for (const auto &[id, server] : registry.servers()) {
+                plan(server.said);
+            }
+            co_return;
+        }
+        timer.expires_after(DutyRetry);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+void FleetNode::Impl::plan(const ServerHeartbeat &heartbeat)
+{
+    if (!configuration || !duty.active()) {
+        return;
+    }
+    const auto *server = registry.find(heartbeat.identity.id);
+    const auto *service = configuration->find(heartbeat.service);
+    if (server == nullptr || service == nullptr || !service->engine) {
+        return;
+    }
+    planner.serverSeen(heartbeat, server->draining, *service->engine, Clock::now());
+    duty.serverSeen(heartbeat);
+    duty.wake();
+}
+
+void FleetNode::Impl::publishServers()
+{
+    const auto changes = registry.takeChanges();
+    if (changes.empty()) {
+        return;
+    }
+    for (const auto &id : changes) {
+        if (registry.find(id) == nullptr) {
+            planner.serverGone(id);
+            duty.serverGone(id);
+        }
+    }
+    links.serversChanged(changes);
+    publishHoldings();
+}
+
+void FleetNode::Impl::publishHoldings()
+{
+    const auto changes = planner.takeChanges();
+    if (!changes.empty()) {
+        links.holdingsChanged(changes);
+    }
+    duty.wake();
+}
+
+void FleetNode::Impl::take(const FleetReportMessage &report)
+{
+    if (!duty.active()) {
+        return;
+    }
+    const auto now = Clock::now();
+    for (const auto &use : report.uses) {
+        const AdapterKey adapter{BaseModel(use.model), use.adapter};
+        if (use.missing) {
+            planner.missing(TargetId(use.server), adapter, now);
+        } else {
+            planner.used(TargetId(use.server), adapter, use.requests, now);
+        }
+    }
+    for (const auto &demand : report.demands) {
+        (void)planner.demand({BaseModel(demand.model), demand.adapter}, demand.version, Zone(report.zone), now);
+    }
+    publishHoldings();
+}
+
+asio::awaitable<void> FleetNode::Impl::expireServers()
+{
+    asio::steady_timer timer(root.executor());
+    for (;;) {
+        timer.expires_after(ExpiryInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        registry.expire(Clock::now());
+        publishServers();
+    }
+}
+
+FleetNode::FleetNode(asio::any_io_executor executor, FleetControlSettings settings, Hooks hooks)
+    : m_impl(std::make_unique<Impl>(executor, std::move(settings), std::move(hooks)))
+{
+}
+
+FleetNode::~FleetNode() = default;
+
+Result<void, std::string> FleetNode::open()
+{
+    auto &impl = *m_impl;
+    if (const auto listening = impl.http.listen(impl.settings.listen); listening.has_error()) {
+        return "key [listen]: " + listening.error().detail;
+    }
+    const Endpoint entries{.host = impl.settings.host, .port = impl.settings.entryPort};
+    if (const auto listening = impl.links.listen(entries); listening.has_error()) {
+        return "key [entry_port]: " + listening.error().detail;
+    }
+    if (const auto opened = impl.replica.open(); opened.has_error()) {
+        return "key [data_folder]: " + opened.error().detail;
+    }
+    LogLine(LogLevel::Info, "listening")
+        .add("listen", impl.settings.listen.toString())
+        .add("entries", entries.toString())
+        .add("replica_port", static_cast<int>(impl.replica.port()));
+    return ok();
+}
+
+void FleetNode::start()
+{
+    auto &impl = *m_impl;
+    impl.replica.start();
+    impl.root.start("entry-links", [&impl] { return impl.links.run(); });
+    impl.root.start("calls", [&impl] { return impl.http.run(); });
+    impl.root.start("expiry", [&impl] { return impl.expireServers(); });
+    LogLine(LogLevel::Info, "ready").add("name", impl.settings.name);
+}
+
+asio::awaitable<void> FleetNode::shutDown()
+{
+    auto &impl = *m_impl;
+    const auto deadline = Clock::now() + impl.settings.drainTimeout;
+    impl.duty.end();
+    if (impl.replica.leads()) {
+        const bool transferred = co_await impl.replica.transferLeadership(TransferTimeout);
+        LogLine(LogLevel::Info, "leadership_transfer").add("done", transferred ? "yes" : "no");
+    }
+    impl.http.beginDrain();
+    (void)co_await impl.callConnections.drained(deadline);
+    co_await impl.orderTasks.stop();
+    co_await impl.entryConnections.stop();
+    co_await impl.callConnections.stop();
+    co_await impl.root.stop();
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Control/Fleet/OrderDuty.cpp
@@ -0,0 +1,217 @@
+#include "tamarackcove/Control/Fleet/OrderDuty.h"
+
+#include "tamarackcove/Http/HttpConnection.h"
+#include "tamarackcove/Observe/LogLine.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+static constexpr milliseconds ConnectTimeout{500};
+/// A server answers an order at once; one that does not may still carry it out.
+static constexpr milliseconds ExchangeTimeout{800};
+/// Servers close idle connections after some seconds; an order is never sent on one that may be closing.
+static constexpr milliseconds MaxIdle{1500};
+
+struct OrderDuty::Target
+{
+    Target(ServerHeartbeat said, const asio::any_io_executor &executor)
+        : server(std::move(said))
+        , wake(executor)
+    {
+    }
+
+    ServerHeartbeat server;
+    asio::steady_timer wake;
+    std::unique_ptr<HttpConnection> connection;
+    bool gone = false;
+};
+
+static std::string_view toString(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::Done:
+        return "done";
+    case OrderOutcome::Conflict:
+        return "conflict";
+    case OrderOutcome::Fenced:
+        return "fenced";
+    case OrderOutcome::WrongServer:
+        return "wrong_server";
+    case OrderOutcome::Refused:
+        return "refused";
+    case OrderOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+OrderDuty::OrderDuty(Supervisor &tasks, AdapterPlanner &planner, EngineDialect dialect, Hooks hooks)
+    : m_tasks(tasks)
+    , m_planner(planner)
+    , m_dialect(std::move(dialect))
+    , m_hooks(std::move(hooks))
+{
+}
+
+void OrderDuty::begin(std::string holder, FencingNumber fence)
+{
+    end();
+    m_holder = std::move(holder);
+    m_fence = fence;
+    m_active = true;
+    LogLine(LogLevel::Info, "order_duty_begun").add("holder", m_holder).add("fence", m_fence.value());
+}
+
+void OrderDuty::end()
+{
+    if (!m_active) {
+        return;
+    }
+    m_active = false;
+    LogLine(LogLevel::Info, "order_duty_ended").add("fence", m_fence.value());
+    for (auto &[id, target] : m_targets) {
+        target->gone = true;
+        target->wake.cancel();
+    }
+    m_targets.clear();
+}
+
+bool OrderDuty::active() const
+{
+    return m_active;
+}
+
+void OrderDuty::serverSeen(const ServerHeartbeat &server)
+{
+    if (!m_active) {
+        return;
+    }
+    auto &target = m_targets[server.identity.id];
+    if (target && target->server.identity == server.identity) {
+        target->server = server;
+        return;
+    }
+    if (target) {
+        target->gone = true;
+        target->wake.cancel();
+    }
+    target = std::make_shared<Target>(server, m_tasks.executor());
+    m_tasks.startTemporary("orders-" + server.identity.id.value() + "-" + std::to_string(++m_started),
+                           [this, target, fence = m_fence] { return run(target, fence); });
+}
+
+void OrderDuty::serverGone(const TargetId &id)
+{
+    const auto found = m_targets.find(id);
+    if (found != m_targets.end()) {
+        found->second->gone = true;
+        found->second->wake.cancel();
+        m_targets.erase(found);
+    }
+}
+
+void OrderDuty::wake()
+{
+    for (const auto &id : m_planner.takeWakeups()) {
+        const auto found = m_targets.find(id);
+        if (found != m_targets.end()) {
+            found->second->wake.cancel();
+        }
+    }
+}
+
+asio::awaitable<void> OrderDuty::run(std::shared_ptr<Target> target, FencingNumber fence)
+{
+    const auto id = target->server.identity.id;
+    while (!target->gone && m_active && m_fence == fence) {
+        if (!m_hooks.holdsDuty()) {
+            break;
+        }
+        auto step = m_planner.next(id, Clock::now());
+        switch (step.kind) {
+        case AdapterPlanner::Step::Kind::Wait: {
+            target->wake.expires_at(step.until);
+            boost::system::error_code ignored;
+            co_await target->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            break;
+        }
+        case AdapterPlanner::Step::Kind::ReadState:
+            co_await readState(*target);
+            break;
+        case AdapterPlanner::Step::Kind::Order:
+            step.order.holder = m_holder;
+            step.order.fence = fence;
+            co_await giveOrder(*target, std::move(step.order));
+            break;
+        }
+        m_hooks.onChange();
+    }
+}
+
+asio::awaitable<std::optional<HttpResponse>> OrderDuty::exchange(Target &target, HttpRequest request)
+{
+    if (target.connection
+        && (!target.connection->reusable() || target.connection->lastHeard() + MaxIdle < Clock::now()
+            || target.connection->peerClosed())) {
+        target.connection.reset();
+    }
+    if (!target.connection) {
+        auto connected = co_await HttpConnection::connect(target.server.endpoint, ConnectTimeout);
+        if (connected.has_error()) {
+            co_return std::nullopt;
+        }
+        target.connection = std::move(connected).value();
+    }
+    auto response = co_await target.connection->exchange(std::move(request), ExchangeTimeout);
+    if (response.has_error()) {
+        target.connection.reset();
+        co_return std::nullopt;
+    }
+    co_return std::move(response).value();
+}
+
+asio::awaitable<void> OrderDuty::readState(Target &target)
+{
+    const auto asked = Clock::now();
+    const auto identity = target.server.identity;
+    auto request = m_dialect.stateRequest(identity);
+    const auto response = co_await exchange(target, std::move(request));
+    std::optional<ServerReport> report;
+    if (response) {
+        report = m_dialect.readReport(*response);
+    }
+    if (!report) {
+        LogLine(LogLevel::Info, "server_state_unread")
+            .add("server", identity.id.value())
+            .add("status", response ? response->status : 0);
+        m_planner.readFailed(identity, Clock::now());
+        co_return;
+    }
+    m_planner.reported(identity, *report, asked, Clock::now());
+}
+
+asio::awaitable<void> OrderDuty::giveOrder(Target &target, ServerOrder order)
+{
+    auto request = m_dialect.orderRequest(order);
+    const auto response = co_await exchange(target, std::move(request));
+    const auto outcome = response ? m_dialect.orderOutcome(order, *response) : OrderOutcome::Unknown;
+    const bool plain = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Done;
+    LogLine(plain ? LogLevel::Debug : LogLevel::Info, "order_answered")
+        .add("server", order.server.id.value())
+        .add("action", order.action == ServerOrder::Action::Load ? "load" : "unload")
+        .add("model", order.weights.model.value())
+        .add("adapter", order.weights.adapter)
+        .add("version", order.version)
+        .add("expected_orders", order.expectedOrders)
+        .add("fence", order.fence.value())
+        .add("outcome", toString(outcome));
+    m_planner.orderEnded(order, outcome, Clock::now());
+}
+
+} // namespace tamarackcove
--- a/lib/Control/Replica/PeerLinks.cpp
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -38,6 +38,8 @@
     /// What the peer said on the newest connection in either direction.
     ReplicaId identity;
     std::optional<Endpoint> administration;
+    /// Named in the settings: the group is formed with it.
+    bool founder = false;
     /// Whether the connection to it is open, and whether the peer belonged to no group when it was opened.
     bool connected = false;
     bool empty = false;
@@ -54,6 +56,7 @@
 {
     for (const auto &peer : settings.peers) {
         m_peers[peer.name] = std::make_unique<Peer>(peer, supervisor.executor());
+        m_peers[peer.name]->founder = true;
     }
 }
 
@@ -61,7 +64,7 @@
 
 Result<void, StorageError> PeerLinks::listen()
 {
-    if (m_peers.empty()) {
+    if (m_peers.empty() && !m_settings.locate) {
         return ok();
     }
     boost::system::error_code error;
@@ -95,13 +98,54 @@
     if (m_acceptor) {
         m_supervisor.start("replica-accept", [this] { return acceptPeers(); }, {.restart = Restart::Always});
     }
+    m_started = true;
     for (auto &[name, peer] : m_peers) {
-        m_supervisor.start("peer-" + name, [this, peer = peer.get()] { return runPeer(*peer); },
-                           {.restart = Restart::Always});
+        startPeer(name, *peer);
+    }
+    for (const auto &member : m_driver.replica().group().members) {
+        meet(member.name);
     }
     formGroupIfAllAreEmpty();
 }
 
+void PeerLinks::startPeer(const std::string &name, Peer &peer)
+{
+    m_supervisor.start("peer-" + name, [this, &peer] { return runPeer(peer); }, {.restart = Restart::Always});
+}
+
+PeerLinks::Peer *PeerLinks::meet(const std::string &name)
+{
+    const auto found = m_peers.find(name);
+    if (found != m_peers.end()) {
+        return found->second.get();
+    }
+    if (!m_settings.locate || name == m_settings.name) {
+        return nullptr;
+    }
+    const auto endpoint = m_settings.locate(name);
+    if (!endpoint) {
+        return nullptr;
+    }
+    LogLine(LogLevel::Info, "peer_met").add("peer", name);
+    auto &peer = m_peers[name];
+    peer = std::make_unique<Peer>(ControlPeer{.name = name, .endpoint = *endpoint}, m_supervisor.executor());
+    if (m_started) {
+        startPeer(name, *peer);
+    }
+    return peer.get();
+}
+
+std::vector<std::string> PeerLinks::connectedPeers() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer->connected) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void PeerLinks::advertise(Endpoint administration)
 {
     m_settings.administration = std::move(administration);
@@ -156,6 +200,7 @@
         hello.group = "joining";
     }
     hello.administration = m_settings.administration.toString();
+    hello.connected = connectedPeers();
     return hello;
 }
 
@@ -182,17 +227,22 @@
 {
     // Only when every peer says that it belongs to no group can none of them hold one that this host has lost. The
     // first name does it, so that no two replicas form a group at the same time.
-    const bool first = m_peers.empty() || m_settings.name < m_peers.begin()->first;
-    const bool allEmpty = std::all_of(m_peers.begin(), m_peers.end(),
-                                      [](const auto &item) { return item.second->connected && item.second->empty; });
-    if (!first || !allEmpty || !m_driver.empty()) {
+    const bool first = std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+        return !item.second->founder || m_settings.name < item.first;
+    });
+    const bool allEmpty = std::all_of(m_peers.begin(), m_peers.end(), [](const auto &item) {
+        return !item.second->founder || (item.second->connected && item.second->empty);
+    });
+    if (!m_settings.mayFormGroup || !first || !allEmpty || !m_driver.empty()) {
         return;
     }
     ReplicaGroup group;
     group.groupId = randomIdentity();
     group.members.push_back({.id = m_driver.replica().self(), .name = m_settings.name, .voter = true});
     for (const auto &[name, peer] : m_peers) {
-        group.members.push_back({.id = peer->identity, .name = name, .voter = true});
+        if (peer->founder) {
+            group.members.push_back({.id = peer->identity, .name = name, .voter = true});
+        }
     }
     LogLine(LogLevel::Info, "group_formed")
         .add("group", group.groupId)
@@ -247,6 +297,9 @@
         co_return false;
     }
     peer.empty = welcome.value().group.empty();
+    for (const auto &name : welcome.value().connected) {
+        (void)meet(name);
+    }
     co_return learnIdentity(peer, welcome.value());
 }
 
@@ -313,16 +366,19 @@
         co_return;
     }
     const auto hello = fromMessage<PeerHello>(first.value());
-    const auto found = hello.has_value() ? m_peers.find(hello.value().name) : m_peers.end();
-    if (found == m_peers.end()) {
+    auto *peer = hello.has_value() ? meet(hello.value().name) : nullptr;
+    if (peer == nullptr) {
         LogLine(LogLevel::Warning, "peer_refused")
             .add("peer", connection->peerName())
             .add("reason", "its name is not in the peers setting");
         co_return;
     }
-    if (!learnIdentity(*found->second, hello.value())) {
+    if (!learnIdentity(*peer, hello.value())) {
         co_return;
     }
+    for (const auto &name : hello.value().connected) {
+        (void)meet(name);
+    }
     auto welcome = toMessage(ownHello());
     const auto sent = co_await connection->write(std::move(welcome), GreetingTimeout);
     if (sent.has_error()) {
--- a/lib/Control/Replica/PeerLinks.h
+++ b/lib/Control/Replica/PeerLinks.h
@@ -50,6 +50,10 @@
     boost::asio::awaitable<void> serveIncoming(std::shared_ptr<FramedConnection> connection);
     [[nodiscard]] bool passes(const std::string &peer) const;
     [[nodiscard]] PeerHello ownHello() const;
+    void startPeer(const std::string &name, Peer &peer);
+    /// The peer of this name, which is added when it can be located; null when it cannot.
+    Peer *meet(const std::string &name);
+    [[nodiscard]] std::vector<std::string> connectedPeers() const;
     [[nodiscard]] bool learnIdentity(Peer &peer, const PeerHello &hello);
     void formGroupIfAllAreEmpty();
 
@@ -61,6 +65,7 @@
     std::optional<boost::asio::ip::tcp::acceptor> m_acceptor;
     std::uint64_t m_bytesSent = 0;
     std::uint64_t m_accepted = 0;
+    bool m_started = false;
 };
 
 } // namespace tamarackcove
--- a/lib/Control/Replica/ReplicaDriver.cpp
+++ b/lib/Control/Replica/ReplicaDriver.cpp
@@ -24,6 +24,7 @@
     options.minElectionTimeout = settings.minElectionTimeout;
     options.maxElectionTimeout = settings.maxElectionTimeout;
     options.leaderLease = settings.leaderLease;
+    options.maxVoters = settings.maxVoters;
     options.random = [generator = std::mt19937_64(std::random_device()())]() mutable {
         return generator();
     };
--- /dev/null
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -0,0 +1,595 @@
+#include "tamarackcove/Fleet/AdapterPlanner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+#include <utility>
+
+namespace tamarackcove {
+
+/// A model is loaded again this long after an order for it stayed without effect.
+static constexpr milliseconds ModelLoadMargin{1500};
+/// A demand that no server could take up is dropped; the entries repeat it while requests wait.
+static constexpr milliseconds DemandRetention{1000};
+/// Window over which loads of models from the store are limited.
+static constexpr seconds StoreWindow{5};
+
+AdapterPlanner::AdapterPlanner(Options options)
+    : m_options(options)
+{
+}
+
+void AdapterPlanner::reset()
+{
+    m_servers.clear();
+    m_changes.clear();
+    m_wakeups.clear();
+}
+
+void AdapterPlanner::serverSeen(const ServerHeartbeat &heartbeat, bool draining, const EngineProfile &profile,
+                                TimePoint now)
+{
+    auto &server = m_servers[heartbeat.identity.id];
+    if (server.identity != heartbeat.identity) {
+        server = Server{};
+        server.identity = heartbeat.identity;
+        server.readAt = now - m_options.retryAfterUnknown;
+    }
+    server.endpoint = heartbeat.endpoint;
+    server.zone = heartbeat.zone;
+    server.profile = profile;
+    server.draining = draining;
+    if (!heartbeat.cachedAdapters.empty()) {
+        server.cached.assign(heartbeat.cachedAdapters.begin(), heartbeat.cachedAdapters.end());
+    }
+    // A heartbeat tells of a model that has been loaded before any reading does.
+    for (const auto &model : heartbeat.models) {
+        if (server.known && server.modelsLoading.erase(model.name) > 0) {
+            server.models[model.name] = model.version;
+            server.busy = false;
+        }
+    }
+    wake(heartbeat.identity.id);
+}
+
+void AdapterPlanner::serverGone(const TargetId &id)
+{
+    m_servers.erase(id);
+}
+
+void AdapterPlanner::reported(const ServerIdentity &identity, const ServerReport &report, TimePoint asked,
+                              TimePoint now)
+{
+    const auto found = m_servers.find(identity.id);
+    if (found == m_servers.end() || found->second.identity != identity) {
+        return;
+    }
+    auto &server = found->second;
+    server.engaged = false;
+    server.readAt = now;
+    if (report.startedAt != identity.startedAt && report.startedAt != Incarnation()) {
+        return; // a new start that has not announced itself yet
+    }
+    const bool first = !server.known;
+    server.known = true;
+    server.ordersAccepted = report.ordersAccepted;
+    server.busy = report.busy;
+    std::map<AdapterKey, std::uint64_t> holds;
+    std::map<BaseModel, std::uint64_t> models;
+    for (const auto &model : report.models) {
+        models[model.name] = model.version;
+        for (const auto &adapter : model.adapters) {
+            holds[{model.name, adapter.adapter}] = adapter.version;
+        }
+    }
+    server.models = std::move(models);
+    std::erase_if(server.modelsLoading,
+                  [&](const auto &item) { return server.models.contains(item.first) || item.second < now; });
+    for (const auto &[adapter, version] : holds) {
+        const auto held = server.adapters.find(adapter);
+        if (held == server.adapters.end()) {
+            setHeld(server, adapter, {.version = version, .readyAt = first ? now : asked, .lastUse = now});
+        }
+    }
+    for (const auto &[adapter, version] : report.pending) {
+        if (!server.adapters.contains(adapter)) {
+            setHeld(server, adapter,
+                    {.version = version, .readyAt = now + m_options.storeLoad, .lastUse = now, .fromStore = true});
+        }
+    }
+    // What the server does not name has been unloaded, unless it was ordered after the state was taken.
+    std::vector<AdapterKey> gone;
+    for (const auto &[adapter, held] : server.adapters) {
+        const bool named = holds.contains(adapter)
+            || std::any_of(report.pending.begin(), report.pending.end(),
+                           [&key = adapter](const auto &item) { return item.first == key; });
+        if (!named && held.readyAt + m_options.reportAge < asked) {
+            gone.push_back(adapter);
+        }
+    }
+    for (const auto &adapter : gone) {
+        drop(server, adapter);
+    }
+    wake(identity.id);
+}
+
+void AdapterPlanner::readFailed(const ServerIdentity &identity, TimePoint now)
+{
+    const auto found = m_servers.find(identity.id);
+    if (found != m_servers.end() && found->second.identity == identity) {
+        found->second.engaged = false;
+        found->second.readAt = now;
+    }
+}
+
+void AdapterPlanner::orderEnded(const ServerOrder &order, OrderOutcome outcome, TimePoint now)
+{
+    const auto found = m_servers.find(order.server.id);
+    if (found == m_servers.end() || found->second.identity != order.server) {
+        return;
+    }
+    auto &server = found->second;
+    server.engaged = false;
+    const bool loads = order.action == ServerOrder::Action::Load;
+    const bool isModel = order.weights.adapter.empty();
+    if (outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Done) {
+        // An order whose aim holds already may or may not count; a wrong expectation is refused and read again.
+        ++server.ordersAccepted;
+        if (isModel) {
+            return;
+        }
+        if (loads) {
+            const bool warm = cachedAt(server, order.weights);
+            const auto takes = outcome == OrderOutcome::Done ? milliseconds(0)
+                : warm                                       ? m_options.memoryLoad
+                                                             : m_options.storeLoad;
+            setHeld(server, order.weights,
+                    {.version = order.version, .readyAt = now + takes, .lastUse = now, .fromStore = !warm});
+            noteCached(server, order.weights);
+        } else if (outcome == OrderOutcome::Done) {
+            drop(server, order.weights);
+        }
+        return;
+    }
+    if (isModel) {
+        server.modelsLoading.erase(order.weights.model);
+    } else if (loads) {
+        drop(server, order.weights);
+    } else if (const auto kept = server.adapters.find(order.weights); kept != server.adapters.end()) {
+        kept->second.unloading = false;
+        setHeld(server, order.weights, Held(kept->second));
+    }
+    // The state is read before the next order: what the server holds is not certain now.
+    server.known = false;
+    server.readAt = now;
+    if (outcome == OrderOutcome::Unknown && loads && !isModel) {
+        // It may still be loaded, so its place stays taken until the server says otherwise.
+        setHeld(server, order.weights,
+                {.version = order.version, .readyAt = now + m_options.storeLoad, .lastUse = now, .fromStore = true});
+    }
+}
+
+double AdapterPlanner::rateNow(const Held &held, TimePoint now) const
+{
+    const std::chrono::duration<double> idle = now - held.lastUse;
+    const std::chrono::duration<double> halfLife = m_options.rateHalfLife;
+    return held.rate * std::exp2(-idle / halfLife);
+}
+
+int AdapterPlanner::inTransit(const Server &server, TimePoint now) const
+{
+    return static_cast<int>(std::count_if(server.adapters.begin(), server.adapters.end(),
+                                          [&](const auto &item) { return item.second.readyAt > now; }));
+}
+
+std::size_t AdapterPlanner::storeLoadsInTransit(TimePoint now) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, server] : m_servers) {
+        count += static_cast<std::size_t>(
+            std::count_if(server.adapters.begin(), server.adapters.end(),
+                          [&](const auto &item) { return item.second.fromStore && item.second.readyAt > now; }));
+    }
+    return count;
+}
+
+bool AdapterPlanner::hasRoom(const Server &server, const BaseModel &model) const
+{
+    const auto *profile = server.profile.find(model);
+    if (profile == nullptr || static_cast<int>(server.adapters.size()) >= server.profile.adapterSlots) {
+        return false;
+    }
+    double used = 0;
+    for (const auto &[name, version] : server.models) {
+        const auto *held = server.profile.find(name);
+        used += held == nullptr ? 0 : held->weightsMb;
+    }
+    for (const auto &[adapter, held] : server.adapters) {
+        const auto *of = server.profile.find(adapter.model);
+        used += of == nullptr ? 0 : of->adapterMb;
+    }
+    return used + profile->adapterMb <= server.profile.weightsMb;
+}
+
+bool AdapterPlanner::cachedAt(const Server &server, const AdapterKey &adapter)
+{
+    return std::find(server.cached.begin(), server.cached.end(), adapter) != server.cached.end();
+}
+
+void AdapterPlanner::noteCached(Server &server, const AdapterKey &adapter)
+{
+    std::erase(server.cached, adapter);
+    server.cached.push_back(adapter);
+    const auto *model = server.profile.find(adapter.model);
+    // A tenth of the memory is left for what else the server keeps there.
+    const double room = model == nullptr || model->adapterMb <= 0
+        ? 0
+        : 0.9 * (server.profile.hostMemoryMb - model->weightsMb) / model->adapterMb;
+    const auto most = static_cast<std::size_t>(std::max(0.0, room));
+    while (server.cached.size() > most && !server.cached.empty()) {
+        server.cached.pop_front();
+    }
+}
+
+std::optional<AdapterKey> AdapterPlanner::victim(const Server &server, TimePoint now) const
+{
+    const AdapterKey *best = nullptr;
+    double lowest = 0;
+    for (const auto &[adapter, held] : server.adapters) {
+        if (held.unloading || held.readyAt > now || held.lastUse + m_options.minIdle > now) {
+            continue;
+        }
+        const bool awaited = std::any_of(server.wanted.begin(), server.wanted.end(),
+                                         [&key = adapter](const auto &wanted) { return wanted.adapter == key; });
+        if (awaited) {
+            continue;
+        }
+        const auto value = rateNow(held, now);
+        if (best == nullptr || value < lowest) {
+            best = &adapter;
+            lowest = value;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
+double AdapterPlanner::cost(const Server &server, const AdapterKey &adapter, const Zone &zone, TimePoint now) const
+{
+    // In milliseconds that requests would wait longer or that others lose.
+    constexpr double StoreCost = 225;
+    constexpr double QueueCost = 40;
+    constexpr double NoVictimCost = 400;
+    constexpr double LoadCost = 300;
+    constexpr double OtherZoneCost = 4;
+    constexpr double EvictionCost = 40;
+    double sum = cachedAt(server, adapter) ? 0 : StoreCost;
+    const auto queued = static_cast<double>(server.wanted.size()) + inTransit(server, now);
+    sum += QueueCost * queued;
+    if (queued >= m_options.maxInTransitPerServer) {
+        sum += StoreCost;
+    }
+    double rate = 0;
+    for (const auto &[held, state] : server.adapters) {
+        rate += rateNow(state, now);
+    }
+    sum += LoadCost * rate / std::max(1, server.profile.slots);
+    if (!hasRoom(server, adapter.model)) {
+        const auto evicted = victim(server, now);
+        sum += evicted ? EvictionCost * rateNow(server.adapters.at(*evicted), now) : NoVictimCost;
+    }
+    if (server.zone != zone) {
+        sum += OtherZoneCost;
+    }
+    return sum;
+}
+
+std::optional<TargetId> AdapterPlanner::demand(const AdapterKey &adapter, std::uint64_t version, const Zone &zone,
+                                               TimePoint now)
+{
+    const auto named = m_versions.find(adapter);
+    version = std::max(version, named == m_versions.end() ? 0 : named->second);
+    Server *best = nullptr;
+    double lowest = 0;
+    for (auto &[id, server] : m_servers) {
+        const auto held = server.adapters.find(adapter);
+        const bool holds = held != server.adapters.end() && !held->second.unloading && held->second.version >= version;
+        const bool awaits = std::any_of(server.wanted.begin(), server.wanted.end(),
+                                        [&](const auto &wanted) { return wanted.adapter == adapter; });
+        if (holds || awaits) {
+            if (!server.draining) {
+                return std::nullopt;
+            }
+            continue;
+        }
+        if (server.draining || !server.known || server.busy || !server.models.contains(adapter.model)) {
+            continue;
+        }
+        // A copy of an older version is replaced in its place.
+        const auto value = held != server.adapters.end() ? -1.0 : cost(server, adapter, zone, now);
+        if (best == nullptr || value < lowest) {
+            best = &server;
+            lowest = value;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    best->wanted.push_back({.adapter = adapter, .version = version, .since = now});
+    wake(best->identity.id);
+    return best->identity.id;
+}
+
+void AdapterPlanner::used(const TargetId &id, const AdapterKey &adapter, double requests, TimePoint now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    auto &server = found->second;
+    const auto held = server.adapters.find(adapter);
+    if (held == server.adapters.end()) {
+        return;
+    }
+    // Adding ln 2 / half-life for each request makes the decaying sum an estimate of requests per second.
+    const std::chrono::duration<double> halfLife = m_options.rateHalfLife;
+    held->second.rate = rateNow(held->second, now) + requests * std::numbers::ln2 / halfLife.count();
+    held->second.lastUse = now;
+    double total = 0;
+    std::size_t copies = 0;
+    for (const auto &[otherId, other] : m_servers) {
+        const auto copy = other.adapters.find(adapter);
+        if (copy != other.adapters.end() && !copy->second.unloading) {
+            total += rateNow(copy->second, now);
+            ++copies;
+        }
+        copies += static_cast<std::size_t>(
+            std::count_if(other.wanted.begin(), other.wanted.end(),
+                          [&](const auto &wanted) { return wanted.adapter == adapter; }));
+    }
+    const auto perCopy = m_options.requestsPerSlotAndCopy * std::max(1, server.profile.slots);
+    if (total <= perCopy * static_cast<double>(copies)) {
+        return;
+    }
+    Server *best = nullptr;
+    double lowest = 0;
+    for (auto &[otherId, other] : m_servers) {
+        if (other.adapters.contains(adapter) || other.draining || !other.known || other.busy
+            || !other.models.contains(adapter.model)) {
+            continue;
+        }
+        const auto value = cost(other, adapter, server.zone, now);
+        if (best == nullptr || value < lowest) {
+            best = &other;
+            lowest = value;
+        }
+    }
+    if (best != nullptr) {
+        best->wanted.push_back({.adapter = adapter, .version = held->second.version, .since = now});
+        wake(best->identity.id);
+    }
+}
+
+void AdapterPlanner::missing(const TargetId &id, const AdapterKey &adapter, TimePoint now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    auto &server = found->second;
+    const auto held = server.adapters.find(adapter);
+    if (held == server.adapters.end() || held->second.unloading || held->second.readyAt + m_options.reportAge > now) {
+        return;
+    }
+    server.known = false;
+    wake(id);
+}
+
+void AdapterPlanner::versionNamed(const AdapterKey &adapter, std::uint64_t version)
+{
+    auto &named = m_versions[adapter];
+    if (version <= named) {
+        return;
+    }
+    named = version;
+    for (auto &[id, server] : m_servers) {
+        const auto held = server.adapters.find(adapter);
+        if (held != server.adapters.end() && held->second.version < version && !server.draining) {
+            server.wanted.push_front({.adapter = adapter, .version = version, .since = TimePoint::max()});
+            wake(id);
+        }
+    }
+}
+
+AdapterPlanner::Step AdapterPlanner::next(const TargetId &id, TimePoint now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end() || found->second.engaged || found->second.draining) {
+        return {};
+    }
+    auto &server = found->second;
+    if (!server.known || (server.busy && server.modelsLoading.empty())) {
+        const auto due = server.readAt + m_options.retryAfterUnknown;
+        if (due > now) {
+            return {.kind = Step::Kind::Wait, .until = due};
+        }
+        server.engaged = true;
+        return {.kind = Step::Kind::ReadState};
+    }
+    auto step = modelStep(server, now);
+    if (step.kind == Step::Kind::Wait && step.until == TimePoint::max()) {
+        step = adapterStep(server, now);
+    }
+    server.engaged = step.kind != Step::Kind::Wait;
+    return step;
+}
+
+AdapterPlanner::Step AdapterPlanner::orderStep(const Server &server, ServerOrder::Action action, AdapterKey weights,
+                                               std::uint64_t version)
+{
+    Step step;
+    step.kind = Step::Kind::Order;
+    step.order.action = action;
+    step.order.server = server.identity;
+    step.order.endpoint = server.endpoint;
+    step.order.weights = std::move(weights);
+    step.order.version = version;
+    step.order.expectedOrders = server.ordersAccepted;
+    return step;
+}
+
+AdapterPlanner::Step AdapterPlanner::modelStep(Server &server, TimePoint now)
+{
+    if (!server.modelsLoading.empty()) {
+        const auto until = server.modelsLoading.begin()->second;
+        if (until > now) {
+            return {.kind = Step::Kind::Wait, .until = until};
+        }
+        server.modelsLoading.clear();
+        server.known = false;
+        server.readAt = now - m_options.retryAfterUnknown;
+        return {.kind = Step::Kind::Wait, .until = now};
+    }
+    if (!server.models.empty() || server.profile.models.empty()) {
+        return {};
+    }
+    // An empty server takes the model that the fewest servers hold.
+    const ModelProfile *best = nullptr;
+    std::size_t fewest = 0;
+    for (const auto &model : server.profile.models) {
+        if (model.weightsMb > server.profile.weightsMb) {
+            continue;
+        }
+        const auto copies = static_cast<std::size_t>(
+            std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &item) {
+                return item.second.models.contains(model.name) || item.second.modelsLoading.contains(model.name);
+            }));
+        if (best == nullptr || copies < fewest) {
+            best = &model;
+            fewest = copies;
+        }
+    }
+    if (best == nullptr) {
+        return {};
+    }
+    while (!m_modelLoads.empty() && m_modelLoads.front() + StoreWindow < now) {
+        m_modelLoads.pop_front();
+    }
+    const auto most = std::max(1.0, server.profile.storeLoadsPerSecond * seconds(StoreWindow).count());
+    if (static_cast<double>(m_modelLoads.size()) >= most) {
+        return {.kind = Step::Kind::Wait, .until = m_modelLoads.front() + StoreWindow};
+    }
+    m_modelLoads.push_back(now);
+    server.modelsLoading[best->name] = now + best->storeLoad + ModelLoadMargin;
+    return orderStep(server, ServerOrder::Action::Load, {.model = best->name, .adapter = {}}, 0);
+}
+
+AdapterPlanner::Step AdapterPlanner::adapterStep(Server &server, TimePoint now)
+{
+    std::erase_if(server.wanted, [&](const auto &wanted) {
+        const auto held = server.adapters.find(wanted.adapter);
+        const bool holds
+            = held != server.adapters.end() && !held->second.unloading && held->second.version >= wanted.version;
+        const bool late = wanted.since != TimePoint::max() && wanted.since + DemandRetention < now;
+        return holds || late || !server.models.contains(wanted.adapter.model);
+    });
+    if (server.wanted.empty()) {
+        return {};
+    }
+    const auto storeMost = m_options.storeLoadsInTransitPerServer * static_cast<double>(m_servers.size());
+    TimePoint soonest = now + m_options.memoryLoad;
+    for (const auto &[adapter, held] : server.adapters) {
+        if (held.readyAt > now) {
+            soonest = std::min(soonest, held.readyAt);
+        }
+    }
+    if (inTransit(server, now) >= m_options.maxInTransitPerServer) {
+        return {.kind = Step::Kind::Wait, .until = soonest};
+    }
+    auto first = server.wanted.begin();
+    if (static_cast<double>(storeLoadsInTransit(now)) >= storeMost) {
+        first = std::find_if(server.wanted.begin(), server.wanted.end(),
+                             [&](const auto &wanted) { return cachedAt(server, wanted.adapter); });
+        if (first == server.wanted.end()) {
+            return {.kind = Step::Kind::Wait, .until = soonest};
+        }
+    }
+    const auto wanted = *first;
+    const auto held = server.adapters.find(wanted.adapter);
+    if (held == server.adapters.end() && !hasRoom(server, wanted.adapter.model)) {
+        const auto evicted = victim(server, now);
+        if (!evicted) {
+            // All places are in use or on their way; what is being unloaded is seen by reading the state.
+            const bool unloading = std::any_of(server.adapters.begin(), server.adapters.end(),
+                                               [](const auto &item) { return item.second.unloading; });
+            if (unloading && server.readAt + m_options.reportAge < now) {
+                server.known = false;
+                server.readAt = now - m_options.retryAfterUnknown;
+            }
+            return {.kind = Step::Kind::Wait, .until = now + m_options.memoryLoad};
+        }
+        auto &evictedState = server.adapters.at(*evicted);
+        evictedState.unloading = true;
+        m_changes.push_back({.server = server.identity.id, .adapter = *evicted, .version = 0, .readyAt = now});
+        return orderStep(server, ServerOrder::Action::Unload, *evicted, 0);
+    }
+    server.wanted.erase(first);
+    if (held == server.adapters.end()) {
+        // Takes the place; entries learn of it once the server has accepted the order.
+        server.adapters[wanted.adapter] = {
+            .version = wanted.version, .readyAt = now + m_options.storeLoad, .lastUse = now, .fromStore = true};
+    }
+    return orderStep(server, ServerOrder::Action::Load, wanted.adapter, wanted.version);
+}
+
+void AdapterPlanner::setHeld(Server &server, const AdapterKey &adapter, Held held)
+{
+    const auto before = server.adapters.find(adapter);
+    if (before != server.adapters.end()) {
+        held.rate = before->second.rate;
+    }
+    server.adapters[adapter] = held;
+    m_changes.push_back({.server = server.identity.id,
+                         .adapter = adapter,
+                         .version = std::max<std::uint64_t>(held.version, 1),
+                         .readyAt = held.readyAt});
+}
+
+void AdapterPlanner::drop(Server &server, const AdapterKey &adapter)
+{
+    if (server.adapters.erase(adapter) > 0) {
+        m_changes.push_back({.server = server.identity.id, .adapter = adapter, .version = 0, .readyAt = {}});
+    }
+}
+
+void AdapterPlanner::wake(const TargetId &id)
+{
+    m_wakeups.push_back(id);
+}
+
+std::vector<TargetId> AdapterPlanner::takeWakeups()
+{
+    return std::exchange(m_wakeups, {});
+}
+
+std::vector<AdapterPlanner::HoldingChange> AdapterPlanner::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+std::vector<AdapterPlanner::HoldingChange> AdapterPlanner::holdings() const
+{
+    std::vector<HoldingChange> all;
+    for (const auto &[id, server] : m_servers) {
+        for (const auto &[adapter, held] : server.adapters) {
+            if (!held.unloading) {
+                all.push_back({.server = id,
+                               .adapter = adapter,
+                               .version = std::max<std::uint64_t>(held.version, 1),
+                               .readyAt = held.readyAt});
+            }
+        }
+    }
+    return all;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Fleet/DeploymentConfiguration.cpp
@@ -0,0 +1,72 @@
+#include "tamarackcove/Fleet/DeploymentConfiguration.h"
+
+#include <algorithm>
+#include <set>
+
+namespace tamarackcove {
+
+const ModelProfile *EngineProfile::find(const BaseModel &name) const
+{
+    const auto found = std::find_if(models.begin(), models.end(), [&](const auto &model) { return model.name == name; });
+    return found == models.end() ? nullptr : &*found;
+}
+
+const ServiceProfile *DeploymentConfiguration::find(const ServiceName &name) const
+{
+    const auto found
+        = std::find_if(services.begin(), services.end(), [&](const auto &service) { return service.name == name; });
+    return found == services.end() ? nullptr : &*found;
+}
+
+static std::optional<std::string> routeFault(const DeploymentConfiguration &configuration, const RouteRule &route)
+{
+    const auto named = "route \"" + route.name + "\": ";
+    if (route.host.empty()) {
+        return named + "the host is empty";
+    }
+    if (route.pathPrefix.empty() || route.pathPrefix.front() != '/' || route.pathPrefix.back() != '/') {
+        return named + "the path prefix must begin and end with a slash";
+    }
+    if (route.timeout <= milliseconds(0)) {
+        return named + "the timeout must be more than 0 ms";
+    }
+    if (route.maxServers < 1) {
+        return named + "at least one server must be allowed";
+    }
+    std::uint64_t weight = 0;
+    for (const auto &share : route.services) {
+        if (configuration.find(share.service) == nullptr) {
+            return named + "the service \"" + share.service.value() + "\" is not defined";
+        }
+        weight += share.weight;
+    }
+    if (weight == 0) {
+        return named + "the weights add up to 0";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> DeploymentConfiguration::fault() const
+{
+    if (version == 0) {
+        return "the version must be at least 1";
+    }
+    std::set<ServiceName> names;
+    for (const auto &service : services) {
+        if (service.name.empty() || !names.insert(service.name).second) {
+            return "service \"" + service.name.value() + "\": the name is empty or taken twice";
+        }
+    }
+    std::set<std::pair<std::string, std::string>> places;
+    for (const auto &route : routes) {
+        if (auto found = routeFault(*this, route)) {
+            return found;
+        }
+        if (!places.emplace(route.host, route.pathPrefix).second) {
+            return "route \"" + route.name + "\": another route has the same host and path prefix";
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Fleet/FleetState.cpp
@@ -0,0 +1,73 @@
+#include "tamarackcove/Fleet/FleetState.h"
+
+#include <algorithm>
+
+namespace tamarackcove {
+
+void FleetState::apply(std::uint64_t index, std::chrono::system_clock::time_point time, const FleetCommand &command)
+{
+    if (const auto *put = std::get_if<PutConfiguration>(&command)) {
+        if (put->version <= m_image.configurationVersion) {
+            return;
+        }
+        m_image.configurationVersion = put->version;
+        m_image.document = std::make_shared<const std::string>(put->document);
+    } else if (const auto *versions = std::get_if<PutWeightVersion>(&command)) {
+        auto &version = m_image.weightVersions[versions->key];
+        if (versions->version <= version) {
+            return;
+        }
+        version = versions->version;
+    } else if (const auto *departure = std::get_if<NoteDeparture>(&command)) {
+        std::erase_if(m_image.departures, [&](const auto &item) { return item.second.at + DepartureRetention < time; });
+        auto &noted = m_image.departures[departure->server];
+        noted.service = departure->service;
+        noted.gone = noted.gone || departure->gone;
+        noted.at = time;
+    } else if (const auto *duty = std::get_if<TakeOrderDuty>(&command)) {
+        m_image.duty = {.holder = duty->holder, .fence = FencingNumber(index)};
+    }
+    m_image.revision = Revision(index);
+}
+
+Revision FleetState::revision() const
+{
+    return m_image.revision;
+}
+
+std::uint64_t FleetState::configurationVersion() const
+{
+    return m_image.configurationVersion;
+}
+
+const std::shared_ptr<const std::string> &FleetState::document() const
+{
+    return m_image.document;
+}
+
+const std::map<AdapterKey, std::uint64_t> &FleetState::weightVersions() const
+{
+    return m_image.weightVersions;
+}
+
+const std::map<ServerIdentity, FleetState::Departure> &FleetState::departures() const
+{
+    return m_image.departures;
+}
+
+const FleetState::OrderDuty &FleetState::duty() const
+{
+    return m_image.duty;
+}
+
+const FleetState::Image &FleetState::image() const
+{
+    return m_image;
+}
+
+void FleetState::restore(Image image)
+{
+    m_image = std::move(image);
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Fleet/RetryWindow.cpp
@@ -0,0 +1,61 @@
+#include "tamarackcove/Fleet/RetryWindow.h"
+
+#include <cassert>
+
+namespace tamarackcove {
+
+/// Entries start and leave unnoticed for a moment, and buckets are coarser than any window.
+static constexpr double SafetyShare = 0.8;
+
+RetryWindow::RetryWindow(Options options)
+    : m_options(options)
+{
+}
+
+void RetryWindow::setEntries(std::size_t entries)
+{
+    assert(entries > 0 && "this entry shares the budget too");
+    m_entries = entries;
+}
+
+RetryWindow::Bucket &RetryWindow::bucket(TimePoint now)
+{
+    const auto width = m_options.window / static_cast<std::int64_t>(Buckets);
+    const auto number = now.time_since_epoch() / width;
+    auto &current = m_buckets[static_cast<std::size_t>(number) % Buckets];
+    if (current.number != number) {
+        current = {.number = number};
+    }
+    return current;
+}
+
+void RetryWindow::noteRequest(TimePoint now)
+{
+    bucket(now).requests += 1;
+}
+
+double RetryWindow::left(TimePoint now)
+{
+    const auto newest = bucket(now).number;
+    double requests = 0;
+    double retries = 0;
+    for (const auto &each : m_buckets) {
+        if (each.number > newest - static_cast<std::int64_t>(Buckets)) {
+            requests += each.requests;
+            retries += each.retries;
+        }
+    }
+    const auto slack = m_options.slack / static_cast<double>(m_entries);
+    return SafetyShare * (m_options.ratio * requests + slack) - retries;
+}
+
+bool RetryWindow::take(TimePoint now)
+{
+    if (left(now) < 1.0) {
+        return false;
+    }
+    bucket(now).retries += 1;
+    return true;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -0,0 +1,167 @@
+#include "tamarackcove/Fleet/ServerDirectory.h"
+
+#include <algorithm>
+
+namespace tamarackcove {
+
+ServerDirectory::ServerDirectory(Options options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+}
+
+void ServerDirectory::put(OfferedServer offered)
+{
+    auto &server = m_servers[offered.identity.id];
+    if (server.offered.identity != offered.identity) {
+        // Nothing of an earlier start holds, apart from requests that have not ended yet.
+        const auto inFlight = server.inFlight;
+        server = Server{};
+        server.inFlight = inFlight;
+    }
+    server.offered = std::move(offered);
+}
+
+void ServerDirectory::remove(const TargetId &id)
+{
+    m_servers.erase(id);
+}
+
+void ServerDirectory::keepOnly(const std::set<TargetId> &ids)
+{
+    std::erase_if(m_servers, [&](const auto &item) { return !ids.contains(item.first); });
+}
+
+void ServerDirectory::setHolding(const TargetId &id, const AdapterKey &adapter, std::uint64_t version,
+                                 TimePoint readyAt)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    if (version == 0) {
+        found->second.holdings.erase(adapter);
+        return;
+    }
+    found->second.holdings[adapter] = {.version = version, .readyAt = readyAt};
+}
+
+double ServerDirectory::load(const Server &server) const
+{
+    const double local = server.offered.zone == m_options.zone ? 0 : m_options.otherZonePenalty;
+    return (server.inFlight + local) / std::max(1, server.offered.slots);
+}
+
+std::optional<ServerDirectory::Choice> ServerDirectory::choose(const Wish &wish, TimePoint now)
+{
+    struct Candidate
+    {
+        const Server *server = nullptr;
+        const Holding *holding = nullptr;
+        /// Avoided servers and loads in progress come after the others.
+        int rank = 0;
+        double load = 0;
+    };
+    std::optional<Candidate> best;
+    std::uniform_real_distribution<double> tie(0, 0.01);
+    for (const auto &[id, server] : m_servers) {
+        if (server.offered.service != wish.service || server.offered.draining || wish.excluded.contains(id)) {
+            continue;
+        }
+        if (wish.model
+            && std::find(server.offered.models.begin(), server.offered.models.end(), *wish.model)
+                == server.offered.models.end()) {
+            continue;
+        }
+        Candidate candidate{.server = &server};
+        if (wish.adapter) {
+            const auto held = server.holdings.find(*wish.adapter);
+            if (held == server.holdings.end() || held->second.version < wish.minVersion) {
+                continue;
+            }
+            candidate.holding = &held->second;
+            candidate.rank += held->second.readyAt > now ? 1 : 0;
+        }
+        candidate.rank += server.avoidUntil > now ? 2 : 0;
+        candidate.load = load(server) + tie(m_random);
+        if (!best || std::pair(candidate.rank, candidate.load) < std::pair(best->rank, best->load)) {
+            best = candidate;
+        }
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    const auto &offered = best->server->offered;
+    Choice choice{.server = offered.identity, .endpoint = offered.endpoint, .zone = offered.zone};
+    if (best->holding != nullptr) {
+        choice.version = best->holding->version;
+        choice.readyAt = best->holding->readyAt;
+    }
+    return choice;
+}
+
+bool ServerDirectory::offers(const ServiceName &service, const std::optional<BaseModel> &model) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &item) {
+        const auto &offered = item.second.offered;
+        return offered.service == service && !offered.draining
+            && (!model || std::find(offered.models.begin(), offered.models.end(), *model) != offered.models.end());
+    });
+}
+
+void ServerDirectory::began(const TargetId &id)
+{
+    const auto found = m_servers.find(id);
+    if (found != m_servers.end()) {
+        ++found->second.inFlight;
+    }
+}
+
+void ServerDirectory::ended(const TargetId &id, ServerOutcome outcome, TimePoint now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    auto &server = found->second;
+    server.inFlight = std::max(0, server.inFlight - 1);
+    switch (outcome) {
+    case ServerOutcome::Served:
+        server.failures = 0;
+        server.avoidUntil = {};
+        return;
+    case ServerOutcome::Full:
+        server.avoidUntil = std::max(server.avoidUntil, now + m_options.firstAvoidance / 4);
+        return;
+    case ServerOutcome::Broken:
+    case ServerOutcome::Silent: {
+        const auto pause = m_options.firstAvoidance * (1 << std::min(server.failures, 4));
+        server.avoidUntil = std::max(server.avoidUntil, now + std::min(pause, m_options.maxAvoidance));
+        ++server.failures;
+        return;
+    }
+    case ServerOutcome::WrongServer:
+    case ServerOutcome::Failed:
+    case ServerOutcome::Unrelated:
+        return;
+    }
+}
+
+bool ServerDirectory::usable(const ServerIdentity &identity) const
+{
+    const auto found = m_servers.find(identity.id);
+    return found != m_servers.end() && found->second.offered.identity == identity && !found->second.offered.draining;
+}
+
+std::size_t ServerDirectory::size() const
+{
+    return m_servers.size();
+}
+
+int ServerDirectory::inFlight(const TargetId &id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? 0 : found->second.inFlight;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Fleet/ServerRegistry.cpp
@@ -0,0 +1,126 @@
+#include "tamarackcove/Fleet/ServerRegistry.h"
+
+#include <utility>
+
+namespace tamarackcove {
+
+ServerRegistry::ServerRegistry(Options options)
+    : m_options(options)
+{
+}
+
+static bool sameHoldings(const ServerHeartbeat &a, const ServerHeartbeat &b)
+{
+    if (a.models.size() != b.models.size()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < a.models.size(); ++i) {
+        if (a.models[i].name != b.models[i].name || a.models[i].version != b.models[i].version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+ServerRegistry::Verdict ServerRegistry::heartbeat(const ServerHeartbeat &heartbeat, TimePoint now)
+{
+    const auto &id = heartbeat.identity.id;
+    const auto departure = m_departures.find(heartbeat.identity);
+    if (departure != m_departures.end() && departure->second) {
+        return Verdict::Outdated;
+    }
+    const auto known = m_servers.find(id);
+    if (known != m_servers.end()) {
+        const auto &before = known->second.said;
+        if (heartbeat.identity.startedAt < before.identity.startedAt
+            || (heartbeat.identity == before.identity && heartbeat.sequence <= before.sequence)) {
+            return Verdict::Outdated;
+        }
+    }
+    const auto at = m_atAddress.find(heartbeat.endpoint);
+    if (at != m_atAddress.end() && at->second.id != id) {
+        if (at->second.startedAt > heartbeat.identity.startedAt) {
+            return Verdict::Outdated;
+        }
+        remove(at->second.id);
+    }
+    m_atAddress[heartbeat.endpoint] = heartbeat.identity;
+    const bool leaving = heartbeat.draining || departure != m_departures.end();
+    const bool fresh = known == m_servers.end() || known->second.said.identity != heartbeat.identity;
+    const bool changed = fresh || known->second.draining != leaving || !sameHoldings(known->second.said, heartbeat)
+        || known->second.said.service != heartbeat.service || known->second.said.endpoint != heartbeat.endpoint;
+    auto &server = m_servers[id];
+    server.said = heartbeat;
+    server.lastHeard = now;
+    server.draining = leaving;
+    if (changed) {
+        m_changes.insert(id);
+    }
+    if (heartbeat.draining && departure == m_departures.end()) {
+        return Verdict::Leaves;
+    }
+    return changed ? Verdict::Changed : Verdict::Unchanged;
+}
+
+std::optional<ServerIdentity> ServerRegistry::identityOf(const TargetId &id) const
+{
+    const auto *server = find(id);
+    return server == nullptr ? std::nullopt : std::optional(server->said.identity);
+}
+
+const ServerRegistry::Server *ServerRegistry::find(const TargetId &id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+void ServerRegistry::departed(const ServerIdentity &server, bool gone)
+{
+    auto &noted = m_departures[server];
+    noted = noted || gone;
+    const auto found = m_servers.find(server.id);
+    if (found == m_servers.end() || found->second.said.identity != server) {
+        return;
+    }
+    if (!found->second.draining) {
+        found->second.draining = true;
+        m_changes.insert(server.id);
+    }
+}
+
+void ServerRegistry::expire(TimePoint now)
+{
+    for (auto it = m_servers.begin(); it != m_servers.end();) {
+        const auto current = it++;
+        if (current->second.lastHeard + m_options.silence < now) {
+            remove(TargetId(current->first));
+        }
+    }
+}
+
+void ServerRegistry::remove(const TargetId &id)
+{
+    if (m_servers.erase(id) > 0) {
+        m_changes.insert(id);
+    }
+}
+
+const std::map<TargetId, ServerRegistry::Server> &ServerRegistry::servers() const
+{
+    return m_servers;
+}
+
+std::set<TargetId> ServerRegistry::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+void ServerRegistry::clear()
+{
+    m_servers.clear();
+    m_atAddress.clear();
+    m_departures.clear();
+    m_changes.clear();
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Gateway/FleetView.cpp
@@ -0,0 +1,222 @@
+#include "tamarackcove/Gateway/FleetView.h"
+
+#include "tamarackcove/Gateway/CallerDialect.h"
+#include "tamarackcove/Gateway/GatewaySettings.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Wire/FleetMessages.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+/// After a version has been named, servers need about this long to load it; until then requests may run on the one
+/// before. Deployments allow several times as much.
+static constexpr milliseconds VersionGrace{1500};
+/// Entries that share the retry budget while the control host has not said how many there are.
+static constexpr std::size_t AssumedEntries = 8;
+
+FleetView::FleetView(asio::any_io_executor executor, const GatewaySettings &settings, const CallerDialect &dialect)
+    : m_executor(std::move(executor))
+    , m_settings(settings)
+    , m_dialect(dialect)
+    , m_servers({.zone = settings.zone, .seed = std::random_device()()})
+    , m_entries(AssumedEntries)
+{
+}
+
+static std::optional<OfferedServer> offeredFrom(const ServerMessage &message)
+{
+    const auto endpoint = Endpoint::parse(message.endpoint);
+    if (!endpoint) {
+        LogLine(LogLevel::Warning, "server_passed_over")
+            .add("server", message.id)
+            .add("reason", "its endpoint is not an ip number and port")
+            .add("endpoint", message.endpoint);
+        return std::nullopt;
+    }
+    OfferedServer offered;
+    offered.identity = {.id = TargetId(message.id), .startedAt = Incarnation(message.startedAt)};
+    offered.service = ServiceName(message.service);
+    offered.endpoint = *endpoint;
+    offered.zone = Zone(message.zone);
+    offered.slots = message.slots;
+    offered.draining = message.draining;
+    for (const auto &model : message.models) {
+        offered.models.emplace_back(model);
+    }
+    return offered;
+}
+
+void FleetView::apply(const FleetUpdateMessage &update, TimePoint now)
+{
+    const auto held = m_routes ? m_routes->configuration().version : 0;
+    if (!update.document.empty() && update.configurationVersion > held) {
+        auto read = m_dialect.readConfiguration(update.document);
+        if (read.has_error()) {
+            LogLine(LogLevel::Error, "configuration_unreadable").add("reason", read.error());
+        } else {
+            m_routes = std::make_shared<const RouteTable>(
+                std::make_shared<const DeploymentConfiguration>(std::move(read).value()));
+            LogLine(LogLevel::Info, "configuration_in_force").add("version", update.configurationVersion);
+        }
+    }
+    for (const auto &named : update.versions) {
+        auto &version = m_versions[{BaseModel(named.model), named.adapter}];
+        if (named.version > version.version) {
+            version = {.version = named.version, .since = now};
+        }
+    }
+    for (const auto &server : update.servers) {
+        if (auto offered = offeredFrom(server)) {
+            m_servers.put(std::move(*offered));
+        }
+    }
+    for (const auto &id : update.removed) {
+        m_servers.remove(TargetId(id));
+    }
+    if (update.complete) {
+        std::set<TargetId> all;
+        for (const auto &id : update.all) {
+            all.insert(TargetId(id));
+        }
+        m_servers.keepOnly(all);
+    }
+    for (const auto &holding : update.holdings) {
+        m_servers.setHolding(TargetId(holding.server), {BaseModel(holding.model), holding.adapter}, holding.version,
+                             now + milliseconds(holding.readyInMs));
+    }
+    if (update.entries != m_entries && update.entries > 0) {
+        m_entries = update.entries;
+        for (auto &[service, window] : m_retries) {
+            window.setEntries(m_entries);
+        }
+    }
+    if (!update.holdings.empty() || !update.servers.empty() || !update.removed.empty()) {
+        wakeAll();
+    }
+}
+
+void FleetView::wakeAll()
+{
+    for (auto *timer : m_waiters) {
+        timer->cancel();
+    }
+}
+
+FleetReportMessage FleetView::takeReport()
+{
+    FleetReportMessage report;
+    report.entry = m_settings.name;
+    report.zone = m_settings.zone.value();
+    report.configurationVersion = m_routes ? m_routes->configuration().version : 0;
+    for (const auto &[adapter, demand] : m_demands) {
+        report.demands.push_back({.model = adapter.model.value(),
+                                  .adapter = adapter.adapter,
+                                  .version = demand.version,
+                                  .waiting = demand.waiting});
+    }
+    for (const auto &[key, requests] : m_uses) {
+        report.uses.push_back({.server = key.first.value(),
+                               .model = key.second.model.value(),
+                               .adapter = key.second.adapter,
+                               .requests = requests,
+                               .missing = false});
+    }
+    for (const auto &[server, adapter] : m_missing) {
+        report.uses.push_back({.server = server.value(),
+                               .model = adapter.model.value(),
+                               .adapter = adapter.adapter,
+                               .requests = 0,
+                               .missing = true});
+    }
+    m_uses.clear();
+    m_missing.clear();
+    return report;
+}
+
+std::shared_ptr<const RouteTable> FleetView::routes() const
+{
+    return m_routes;
+}
+
+ServerDirectory &FleetView::servers()
+{
+    return m_servers;
+}
+
+RetryWindow &FleetView::retries(const ServiceName &service)
+{
+    const auto found = m_retries.find(service);
+    if (found != m_retries.end()) {
+        return found->second;
+    }
+    const RetryWindow::Options options{
+        .ratio = m_settings.retryRatio, .slack = m_settings.retrySlack, .window = m_settings.retryWindow};
+    auto &window = m_retries.emplace(service, RetryWindow(options)).first->second;
+    window.setEntries(m_entries);
+    return window;
+}
+
+std::uint64_t FleetView::namedVersion(const AdapterKey &adapter) const
+{
+    const auto found = m_versions.find(adapter);
+    return found == m_versions.end() ? 0 : found->second.version;
+}
+
+std::uint64_t FleetView::requiredVersion(const AdapterKey &adapter, TimePoint now) const
+{
+    const auto found = m_versions.find(adapter);
+    return found == m_versions.end() || now < found->second.since + VersionGrace ? 0 : found->second.version;
+}
+
+asio::awaitable<void> FleetView::waitForAdapter(AdapterKey adapter, std::uint64_t version, bool demands,
+                                                asio::steady_timer &timer, TimePoint until)
+{
+    // Leaves the sets also when the coroutine is destroyed while it waits.
+    struct Registration
+    {
+        FleetView &view;
+        const AdapterKey &adapter;
+        asio::steady_timer *timer;
+        bool demands;
+        ~Registration()
+        {
+            view.m_waiters.erase(timer);
+            if (!demands) {
+                return;
+            }
+            const auto found = view.m_demands.find(adapter);
+            if (found != view.m_demands.end() && --found->second.waiting <= 0) {
+                view.m_demands.erase(found);
+            }
+        }
+    };
+    m_waiters.insert(&timer);
+    const Registration registration{*this, adapter, &timer, demands};
+    if (demands) {
+        auto &demand = m_demands[adapter];
+        demand.version = std::max(demand.version, version);
+        if (++demand.waiting == 1 && onDemand) {
+            onDemand();
+        }
+    }
+    timer.expires_at(until);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void FleetView::noteUse(const TargetId &server, const AdapterKey &adapter)
+{
+    ++m_uses[{server, adapter}];
+}
+
+void FleetView::noteMissing(const TargetId &server, const AdapterKey &adapter)
+{
+    m_missing.emplace(server, adapter);
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Gateway/GatewayNode.cpp
@@ -0,0 +1,166 @@
+#include "tamarackcove/Gateway/GatewayNode.h"
+
+#include "tamarackcove/Gateway/FleetLink.h"
+#include "tamarackcove/Gateway/FleetView.h"
+#include "tamarackcove/Gateway/RequestRelay.h"
+#include "tamarackcove/Gateway/ServerConnections.h"
+#include "tamarackcove/Http/CallerWatch.h"
+#include "tamarackcove/Http/HttpResponder.h"
+#include "tamarackcove/Http/HttpServer.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Observe/Metrics.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+/// The balancer asks every second and stops sending new connections after two misses.
+static constexpr milliseconds NoticeTime{2300};
+static constexpr milliseconds HousekeepingInterval{500};
+/// Callers may keep a connection idle for most of the limit that the configuration sets; ends a little after it.
+static constexpr milliseconds IdleMargin{1000};
+
+struct GatewayNode::Impl
+{
+    Impl(const asio::any_io_executor &executor, GatewaySettings nodeSettings, CallerDialect nodeDialect)
+        : settings(std::move(nodeSettings))
+        , dialect(std::move(nodeDialect))
+        , root(executor, "entry")
+        , callerConnections(executor, "callers")
+        , readyConnections(executor, "ready")
+        , view(executor, settings, dialect)
+        , link(executor, settings, view)
+        , watch(executor)
+        , relay({.view = view, .connections = connections, .watch = watch, .metrics = metrics, .dialect = dialect})
+        , callers(callerConnections, {},
+                  [this](const HttpRequest &request, HttpResponder &responder) { return relay.serve(request, responder); })
+        , ready(readyConnections, {}, [this](const HttpRequest &request, HttpResponder &responder) {
+            return answerReady(request, responder);
+        })
+    {
+        view.onDemand = [this] {
+            link.reportSoon();
+        };
+    }
+
+    asio::awaitable<void> answerReady(const HttpRequest &request, HttpResponder &responder);
+    asio::awaitable<void> keepHouse();
+
+    GatewaySettings settings;
+    CallerDialect dialect;
+    Supervisor root;
+    Supervisor callerConnections;
+    Supervisor readyConnections;
+    Metrics metrics;
+    FleetView view;
+    FleetLink link;
+    ServerConnections connections;
+    CallerWatch watch;
+    RequestRelay relay;
+    HttpServer callers;
+    HttpServer ready;
+    std::uint64_t limitsOf = 0;
+    bool stopping = false;
+};
+
+asio::awaitable<void> GatewayNode::Impl::answerReady(const HttpRequest &request, HttpResponder &responder)
+{
+    HttpResponse response;
+    if (request.path() == dialect.readyPath) {
+        response.status = !stopping && view.routes() ? 200 : 503;
+    } else if (request.path() == "/metrics") {
+        metrics.gauge("servers", static_cast<double>(view.servers().size()));
+        metrics.gauge("requests_in_progress", static_cast<double>(watch.size()));
+        metrics.gauge("control_connected", link.connected() ? 1 : 0);
+        metrics.gauge("server_connections_opened", static_cast<double>(connections.opened()));
+        response.headers.set("content-type", "text/plain; version=0.0.4");
+        response.body = metrics.exposition();
+    } else {
+        response.status = 404;
+    }
+    (void)co_await responder.send(std::move(response));
+}
+
+asio::awaitable<void> GatewayNode::Impl::keepHouse()
+{
+    asio::steady_timer timer(root.executor());
+    for (;;) {
+        timer.expires_after(HousekeepingInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        connections.closeIdle(Clock::now());
+        const auto routes = view.routes();
+        if (!routes || routes->configuration().version == limitsOf) {
+            continue;
+        }
+        limitsOf = routes->configuration().version;
+        const auto &caller = routes->configuration().limits;
+        HttpLimits limits;
+        limits.maxHeaderBytes = caller.maxHeaderBytes;
+        limits.maxBodyBytes = caller.maxBodyBytes;
+        limits.idleTimeout = caller.idleTimeout + IdleMargin;
+        callers.setLimits(limits);
+    }
+}
+
+GatewayNode::GatewayNode(asio::any_io_executor executor, GatewaySettings settings, CallerDialect dialect)
+    : m_impl(std::make_unique<Impl>(executor, std::move(settings), std::move(dialect)))
+{
+}
+
+GatewayNode::~GatewayNode() = default;
+
+Result<void, std::string> GatewayNode::open()
+{
+    auto &impl = *m_impl;
+    if (const auto listening = impl.callers.listen(impl.settings.listen); listening.has_error()) {
+        return "key [listen]: " + listening.error().detail;
+    }
+    if (const auto listening = impl.ready.listen(impl.settings.readyListen); listening.has_error()) {
+        return "key [ready_listen]: " + listening.error().detail;
+    }
+    LogLine(LogLevel::Info, "listening")
+        .add("listen", impl.settings.listen.toString())
+        .add("ready", impl.settings.readyListen.toString());
+    return ok();
+}
+
+void GatewayNode::start()
+{
+    auto &impl = *m_impl;
+    impl.root.start("caller-watch", [&impl] { return impl.watch.run(); });
+    impl.root.start("control-link", [&impl] { return impl.link.run(); }, {.restart = Restart::Always});
+    impl.root.start("housekeeping", [&impl] { return impl.keepHouse(); });
+    impl.root.start("ready", [&impl] { return impl.ready.run(); });
+    impl.root.start("callers", [&impl] { return impl.callers.run(); });
+    LogLine(LogLevel::Info, "started").add("name", impl.settings.name).add("zone", impl.settings.zone.value());
+}
+
+void GatewayNode::setSeeds(std::vector<std::string> seeds)
+{
+    m_impl->settings.seeds = std::move(seeds);
+}
+
+asio::awaitable<void> GatewayNode::shutDown()
+{
+    auto &impl = *m_impl;
+    const auto begun = Clock::now();
+    const auto deadline = begun + impl.settings.drainTimeout;
+    impl.stopping = true;
+    impl.callers.beginClosing();
+    asio::steady_timer timer(impl.root.executor(), NoticeTime);
+    co_await timer.async_wait(asio::use_awaitable);
+    impl.callers.beginDrain();
+    const bool finished = co_await impl.callerConnections.drained(deadline);
+    LogLine(LogLevel::Info, "drained")
+        .add("finished", finished ? "yes" : "no")
+        .add("after_ms", duration_cast<milliseconds>(Clock::now() - begun));
+    co_await impl.callerConnections.stop();
+    co_await impl.readyConnections.stop();
+    co_await impl.root.stop();
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -0,0 +1,56 @@
+#include "tamarackcove/Gateway/GatewaySettings.h"
+
+#include "tamarackcove/Observe/LogLevelName.h"
+#include "tamarackcove/Settings/ReadIfPresent.h"
+#include "tamarackcove/Settings/SettingsFile.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tamarackcove {
+
+static constexpr std::string_view Schema = R"({
+    "type": "object",
+    "additionalProperties": false,
+    "required": ["name", "zone", "listen", "ready_listen", "internal_ports", "seeds"],
+    "properties": {
+        "name": {"type": "string", "minLength": 1, "maxLength": 128},
+        "zone": {"type": "string", "minLength": 1, "maxLength": 128},
+        "listen": {"type": "string"},
+        "ready_listen": {"type": "string"},
+        "internal_ports": {"type": "array", "minItems": 2, "maxItems": 2,
+                           "items": {"type": "integer", "minimum": 1, "maximum": 65535}},
+        "seeds": {"type": "array", "minItems": 1, "items": {"type": "string"}},
+        "retry_ratio": {"type": "number", "minimum": 0},
+        "retry_slack": {"type": "number", "minimum": 0},
+        "retry_window_ms": {"type": "integer", "minimum": 1000, "maximum": 86400000},
+        "drain_timeout_ms": {"type": "integer", "minimum": 1, "maximum": 86400000},
+        "log_level": {"enum": ["debug", "info", "warning", "error"]}
+    }
+})";
+
+Result<GatewaySettings, SettingsError> loadGatewaySettings(const std::string &path)
+{
+    BOOST_OUTCOME_TRY(const auto json, loadSettings(path, Schema));
+    GatewaySettings settings;
+    settings.name = json.at("name").get<std::string>();
+    settings.zone = Zone(json.at("zone").get<std::string>());
+    BOOST_OUTCOME_TRY(settings.listen, endpointAt(json, "listen"));
+    BOOST_OUTCOME_TRY(settings.readyListen, endpointAt(json, "ready_listen"));
+    // The first port is that between control hosts.
+    settings.controlPort = static_cast<std::uint16_t>(json.at("internal_ports").at(0).get<int>() + 1);
+    for (const auto &seed : json.at("seeds")) {
+        const auto endpoint = Endpoint::parse(seed.get<std::string>());
+        if (!endpoint) {
+            return SettingsError{SettingsErrorCode::Invalid, "key [seeds]: each must be ip:port"};
+        }
+        settings.seeds.push_back(endpoint->host);
+    }
+    readIfPresent(json, "retry_ratio", settings.retryRatio);
+    readIfPresent(json, "retry_slack", settings.retrySlack);
+    readIfPresent(json, "retry_window_ms", settings.retryWindow);
+    readIfPresent(json, "drain_timeout_ms", settings.drainTimeout);
+    settings.logLevel = logLevelOf(json.value("log_level", std::string("info")));
+    return settings;
+}
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Gateway/RequestRelay.cpp
@@ -0,0 +1,466 @@
+#include "tamarackcove/Gateway/RequestRelay.h"
+
+#include "tamarackcove/Fleet/RouteTable.h"
+#include "tamarackcove/Gateway/EventCutter.h"
+#include "tamarackcove/Gateway/FleetView.h"
+#include "tamarackcove/Gateway/ServerConnections.h"
+#include "tamarackcove/Http/CallerWatch.h"
+#include "tamarackcove/Http/HttpConnection.h"
+#include "tamarackcove/Http/HttpResponder.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Observe/Metrics.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+/// Time that is left for the answer to reach the caller.
+static constexpr milliseconds AnswerMargin{25};
+/// A request waits for an adapter at most this long; loads take a quarter of a second, and callers that are told early
+/// can come back in time.
+static constexpr milliseconds MaxAdapterWait{2500};
+/// A waiting request looks again at least this often.
+static constexpr milliseconds WaitStep{100};
+/// A server refuses requests for an adapter while it loads it; the request is sent again after this time.
+static constexpr milliseconds LoadRetry{35};
+/// How long after the expected end of a load a refusal is taken to mean that it is still in progress.
+static constexpr milliseconds LoadOverrun{1500};
+static constexpr milliseconds WriteTimeout{1000};
+/// For reading the short body of a refusal, so that the connection can be used again.
+static constexpr milliseconds RefusalTimeout{100};
+static constexpr milliseconds RefusalRetryAfter{300};
+/// Refusals by servers that one request tolerates before it is refused itself.
+static constexpr int MaxRefusals = 6;
+
+struct RequestRelay::Exchange
+{
+    Exchange(const HttpRequest &httpRequest, HttpResponder &httpResponder, CallerWatch &watch)
+        : request(httpRequest)
+        , responder(httpResponder)
+        , watched(watch, httpResponder)
+    {
+    }
+
+    const HttpRequest &request;
+    HttpResponder &responder;
+    CallerWatch::Watched watched;
+    CallerRequest caller;
+    std::shared_ptr<const RouteTable> routes;
+    const RouteRule *route = nullptr;
+    ServiceName service;
+    TimePoint arrived;
+    TimePoint deadline;
+    std::set<TargetId> excluded;
+    /// Arrivals at servers so far.
+    int sent = 0;
+    /// Servers at which it may have run.
+    int ran = 0;
+    int refusals = 0;
+    milliseconds loadWait{0};
+    EventCutter events;
+    bool streaming = false;
+    /// A failure that a server has answered with, kept while another server is tried.
+    std::optional<HttpResponse> failure;
+
+    [[nodiscard]] milliseconds left(TimePoint now) const
+    {
+        return duration_cast<milliseconds>(deadline - now);
+    }
+};
+
+RequestRelay::RequestRelay(Parts parts)
+    : m_parts(parts)
+    , m_random(std::random_device()())
+{
+}
+
+asio::awaitable<void> RequestRelay::serve(const HttpRequest &request, HttpResponder &responder)
+{
+    Exchange exchange(request, responder, m_parts.watch);
+    exchange.arrived = Clock::now();
+    exchange.caller = m_parts.dialect.readRequest(request);
+    exchange.routes = m_parts.view.routes();
+    if (!exchange.routes) {
+        co_await refuse(exchange, EntryRefusal::NotReady, RefusalRetryAfter);
+        co_return;
+    }
+    exchange.route = exchange.routes->find(request.headers.find("host").value_or(""), request.path());
+    if (exchange.route == nullptr) {
+        co_await refuse(exchange, EntryRefusal::NoRoute, milliseconds(0));
+        co_return;
+    }
+    const auto &route = *exchange.route;
+    std::uniform_real_distribution<double> draw(0, 1);
+    exchange.service = RouteTable::chooseService(route, draw(m_random));
+    exchange.deadline = exchange.arrived + std::min(route.timeout, exchange.caller.patience.value_or(route.timeout))
+        - AnswerMargin;
+    m_parts.view.retries(exchange.service).noteRequest(exchange.arrived);
+    co_await run(exchange);
+    m_parts.metrics.observe("request_seconds", Clock::now() - exchange.arrived);
+}
+
+asio::awaitable<void> RequestRelay::run(Exchange &exchange)
+{
+    while (!exchange.watched.gone()) {
+        if (exchange.sent > 0 && !m_parts.view.retries(exchange.service).take(Clock::now())) {
+            LogLine(LogLevel::Info, "retry_refused")
+                .add("request", exchange.caller.attemptId)
+                .add("sent", exchange.sent)
+                .add("reason", "the retry budget is used up");
+            break;
+        }
+        auto choice = co_await awaitServer(exchange);
+        if (!choice) {
+            break;
+        }
+        const auto step = co_await attempt(exchange, std::move(*choice));
+        if (step == Step::Finished) {
+            co_return;
+        }
+        if (step == Step::Again && !maySendAgain(exchange)) {
+            break;
+        }
+        if (step == Step::NotRun && ++exchange.refusals >= MaxRefusals) {
+            break;
+        }
+    }
+    co_await answerUnserved(exchange);
+}
+
+bool RequestRelay::maySendAgain(const Exchange &exchange) const
+{
+    return exchange.route->repeatable() && exchange.ran < exchange.route->maxServers
+        && exchange.left(Clock::now()) > AnswerMargin;
+}
+
+asio::awaitable<std::optional<ServerDirectory::Choice>> RequestRelay::awaitServer(Exchange &exchange)
+{
+    auto &view = m_parts.view;
+    ServerDirectory::Wish wish{.service = exchange.service,
+                               .model = exchange.caller.model,
+                               .adapter = exchange.caller.adapter,
+                               .excluded = exchange.excluded};
+    const auto begun = Clock::now();
+    const auto giveUp = std::min(exchange.deadline - AnswerMargin, begun + MaxAdapterWait);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (;;) {
+        const auto now = Clock::now();
+        if (exchange.watched.gone() || now >= giveUp) {
+            co_return std::nullopt;
+        }
+        if (wish.adapter) {
+            wish.minVersion = view.requiredVersion(*wish.adapter, now);
+        }
+        const auto choice = view.servers().choose(wish, now);
+        if (choice && choice->readyAt <= now) {
+            exchange.loadWait += duration_cast<milliseconds>(now - begun);
+            co_return choice;
+        }
+        if (!wish.adapter || !view.servers().offers(exchange.service, wish.model)) {
+            co_return std::nullopt;
+        }
+        auto until = std::min(giveUp, now + WaitStep);
+        if (choice) {
+            until = std::min(until, choice->readyAt);
+        }
+        const auto version = view.namedVersion(*wish.adapter);
+        exchange.watched.timer = &timer;
+        co_await view.waitForAdapter(*wish.adapter, version, !choice, timer, until);
+        exchange.watched.timer = nullptr;
+    }
+}
+
+asio::awaitable<RequestRelay::Step> RequestRelay::attempt(Exchange &exchange, ServerDirectory::Choice choice)
+{
+    auto &servers = m_parts.view.servers();
+    const auto &route = *exchange.route;
+    auto acquired = co_await m_parts.connections.acquire(choice.server, choice.endpoint, route.repeatable());
+    if (acquired.has_error()) {
+        servers.began(choice.server.id);
+        servers.ended(choice.server.id, ServerOutcome::Broken, Clock::now());
+        LogLine(LogLevel::Info, "server_unreachable")
+            .add("request", exchange.caller.attemptId)
+            .add("server", choice.server.id.value())
+            .add("reason", acquired.error().detail);
+        exchange.excluded.insert(choice.server.id);
+        co_return Step::NotRun;
+    }
+    auto connection = std::move(acquired).value();
+    if (exchange.watched.gone()) {
+        m_parts.connections.release(choice.server, std::move(connection));
+        co_return Step::Finished;
+    }
+    const auto begun = Clock::now();
+    Dispatch dispatch;
+    dispatch.server = choice.server;
+    dispatch.timeLeft = exchange.left(begun);
+    if (exchange.caller.adapter) {
+        const auto required = m_parts.view.requiredVersion(*exchange.caller.adapter, begun);
+        if (required > 0) {
+            dispatch.minVersion = required;
+        }
+        m_parts.view.noteUse(choice.server.id, *exchange.caller.adapter);
+    }
+    if (exchange.streaming) {
+        dispatch.lastEvent = exchange.events.lastId();
+    }
+    auto request = m_parts.dialect.serverRequest(exchange.request, dispatch);
+    ++exchange.sent;
+    servers.began(choice.server.id);
+    exchange.watched.connection = connection.get();
+    const auto written = co_await connection->writeRequest(std::move(request), WriteTimeout);
+    if (written.has_error()) {
+        exchange.watched.connection = nullptr;
+        if (connection->requestBytesWritten() > 0) {
+            co_return broken(exchange, choice, ServerOutcome::Broken, written.error().detail);
+        }
+        servers.ended(choice.server.id, ServerOutcome::Broken, Clock::now());
+        exchange.excluded.insert(choice.server.id);
+        co_return Step::NotRun;
+    }
+    // A server that says nothing for much longer than the goal is given up while another one may still be in time.
+    auto patience = exchange.left(Clock::now());
+    const bool mayMove = route.repeatable() && exchange.ran + 1 < route.maxServers;
+    if (mayMove && route.goal > milliseconds(0)) {
+        patience = std::min(patience, route.kind == RequestKind::Stream ? route.goal * 3 / 2 : route.goal * 2);
+    }
+    const auto head = co_await connection->readHead(std::max(patience, milliseconds(1)));
+    if (exchange.watched.gone()) {
+        exchange.watched.connection = nullptr;
+        servers.ended(choice.server.id, ServerOutcome::Unrelated, Clock::now());
+        co_return Step::Finished;
+    }
+    if (head.has_error()) {
+        exchange.watched.connection = nullptr;
+        const bool silent = head.error().code == HttpErrorCode::TimedOut;
+        co_return broken(exchange, choice, silent ? ServerOutcome::Silent : ServerOutcome::Broken, head.error().detail);
+    }
+    auto step = co_await relay(exchange, choice, std::move(connection), head.value());
+    exchange.watched.connection = nullptr;
+    co_return step;
+}
+
+RequestRelay::Step RequestRelay::broken(Exchange &exchange, const ServerDirectory::Choice &choice,
+                                        ServerOutcome outcome, std::string_view reason)
+{
+    const auto now = Clock::now();
+    m_parts.view.servers().ended(choice.server.id, exchange.watched.gone() ? ServerOutcome::Unrelated : outcome, now);
+    if (exchange.watched.gone()) {
+        return Step::Finished;
+    }
+    ++exchange.ran;
+    exchange.excluded.insert(choice.server.id);
+    LogLine(LogLevel::Info, "server_answer_lost")
+        .add("request", exchange.caller.attemptId)
+        .add("server", choice.server.id.value())
+        .add("zone", choice.zone.value())
+        .add("sent", exchange.sent)
+        .add("streaming", exchange.streaming ? "yes" : "no")
+        .add("left_ms", exchange.left(now))
+        .add("reason", reason);
+    return Step::Again;
+}
+
+asio::awaitable<RequestRelay::Step> RequestRelay::relay(Exchange &exchange, const ServerDirectory::Choice &choice,
+                                                        std::unique_ptr<HttpConnection> connection, HttpResponse head)
+{
+    const auto answer = m_parts.dialect.readAnswer(exchange.caller, head);
+    if (answer.notRun) {
+        co_return co_await notRun(exchange, choice, std::move(connection), answer);
+    }
+    if (!answer.authentic) {
+        co_return broken(exchange, choice, ServerOutcome::Broken, "the answer is not one to this request");
+    }
+    if (answer.eventStream && head.status == 200) {
+        co_return co_await relayStream(exchange, choice, std::move(connection), std::move(head));
+    }
+    if (exchange.streaming) {
+        co_return broken(exchange, choice, ServerOutcome::Failed, "the stream is not resumed");
+    }
+    co_return co_await relayWhole(exchange, choice, std::move(connection), std::move(head));
+}
+
+asio::awaitable<RequestRelay::Step> RequestRelay::notRun(Exchange &exchange, const ServerDirectory::Choice &choice,
+                                                         std::unique_ptr<HttpConnection> connection,
+                                                         const ServerAnswer &answer)
+{
+    const auto now = Clock::now();
+    auto &servers = m_parts.view.servers();
+    const auto &adapter = exchange.caller.adapter;
+    const bool loading = adapter && !answer.wrongServer && choice.readyAt + LoadOverrun > now;
+    servers.ended(choice.server.id,
+                  loading                  ? ServerOutcome::Unrelated
+                      : answer.wrongServer ? ServerOutcome::WrongServer
+                                           : ServerOutcome::Full,
+                  now);
+    if (loading) {
+        servers.setHolding(choice.server.id, *adapter, choice.version, now + LoadRetry);
+    } else if (adapter && answer.wrongServer) {
+        servers.setHolding(choice.server.id, *adapter, 0, now);
+        m_parts.view.noteMissing(choice.server.id, *adapter);
+    } else {
+        exchange.excluded.insert(choice.server.id);
+    }
+    LogLine(LogLevel::Info, "server_refused")
+        .add("request", exchange.caller.attemptId)
+        .add("server", choice.server.id.value())
+        .add("adapter", adapter ? std::string_view(adapter->adapter) : std::string_view())
+        .add("version", choice.version)
+        .add("reason", loading ? "loading" : answer.wrongServer ? "not held" : "full")
+        .add("sent", exchange.sent);
+    for (;;) {
+        const auto piece = co_await connection->readPiece(RefusalTimeout);
+        if (piece.has_error() || !piece.value()) {
+            break;
+        }
+    }
+    exchange.watched.connection = nullptr;
+    m_parts.connections.release(choice.server, std::move(connection));
+    co_return Step::NotRun;
+}
+
+asio::awaitable<RequestRelay::Step> RequestRelay::relayWhole(Exchange &exchange, const ServerDirectory::Choice &choice,
+                                                             std::unique_ptr<HttpConnection> connection,
+                                                             HttpResponse head)
+{
+    auto &servers = m_parts.view.servers();
+    for (;;) {
+        const auto left = std::max(exchange.left(Clock::now()), milliseconds(1));
+        const auto piece = co_await connection->readPiece(left);
+        if (piece.has_error()) {
+            co_return broken(exchange, choice, ServerOutcome::Broken, piece.error().detail);
+        }
+        if (!piece.value()) {
+            break;
+        }
+        head.body += *piece.value();
+    }
+    exchange.watched.connection = nullptr;
+    m_parts.connections.release(choice.server, std::move(connection));
+    const bool failed = head.status >= 500;
+    servers.ended(choice.server.id, failed ? ServerOutcome::Failed : ServerOutcome::Served, Clock::now());
+    ++exchange.ran;
+    if (failed && maySendAgain(exchange)) {
+        exchange.excluded.insert(choice.server.id);
+        exchange.failure = std::move(head);
+        co_return Step::Again;
+    }
+    (void)co_await exchange.responder.send(std::move(head));
+    co_return Step::Finished;
+}
+
+asio::awaitable<RequestRelay::Step> RequestRelay::relayStream(Exchange &exchange,
+                                                              const ServerDirectory::Choice &choice,
+                                                              std::unique_ptr<HttpConnection> connection,
+                                                              HttpResponse head)
+{
+    auto &servers = m_parts.view.servers();
+    const auto &route = *exchange.route;
+    const bool mayMove = route.repeatable() && exchange.ran + 1 < route.maxServers;
+    for (;;) {
+        auto patience = std::max(exchange.left(Clock::now()), milliseconds(1));
+        if (mayMove && route.eventGapGoal > milliseconds(0)) {
+            patience = std::min(patience, exchange.streaming ? route.eventGapGoal * 2 : route.goal * 3 / 2);
+        }
+        auto piece = co_await connection->readPiece(patience);
+        if (exchange.watched.gone()) {
+            servers.ended(choice.server.id, ServerOutcome::Unrelated, Clock::now());
+            co_return Step::Finished;
+        }
+        if (piece.has_error()) {
+            exchange.events.discardRest();
+            const bool silent = piece.error().code == HttpErrorCode::TimedOut;
+            co_return broken(exchange, choice, silent ? ServerOutcome::Silent : ServerOutcome::Broken,
+                             piece.error().detail);
+        }
+        const bool ended = !piece.value();
+        auto events = ended ? exchange.events.rest() : exchange.events.take(*piece.value());
+        if (events.empty() && !ended) {
+            continue;
+        }
+        if (!exchange.streaming) {
+            exchange.streaming = true;
+            const auto started = co_await exchange.responder.beginStream(std::move(head));
+            if (started.has_error()) {
+                servers.ended(choice.server.id, ServerOutcome::Unrelated, Clock::now());
+                co_return Step::Finished;
+            }
+        }
+        if (!events.empty()) {
+            const auto passed = co_await exchange.responder.writePiece(events);
+            if (passed.has_error()) {
+                servers.ended(choice.server.id, ServerOutcome::Unrelated, Clock::now());
+                co_return Step::Finished;
+            }
+        }
+        if (ended) {
+            break;
+        }
+    }
+    exchange.watched.connection = nullptr;
+    m_parts.connections.release(choice.server, std::move(connection));
+    servers.ended(choice.server.id, ServerOutcome::Served, Clock::now());
+    (void)co_await exchange.responder.endStream();
+    co_return Step::Finished;
+}
+
+asio::awaitable<void> RequestRelay::answerUnserved(Exchange &exchange)
+{
+    if (exchange.watched.gone()) {
+        co_return;
+    }
+    if (exchange.streaming) {
+        // The connection closes without the end of the stream, so that the caller sees that it is not whole.
+        LogLine(LogLevel::Warning, "stream_cut").add("request", exchange.caller.attemptId).add("sent", exchange.sent);
+        co_return;
+    }
+    if (exchange.failure) {
+        (void)co_await exchange.responder.send(std::move(*exchange.failure));
+        co_return;
+    }
+    if (exchange.ran > 0) {
+        const bool late = exchange.left(Clock::now()) <= AnswerMargin;
+        co_await refuse(exchange, late ? EntryRefusal::TimedOut : EntryRefusal::OutcomeUnknown, milliseconds(0));
+        co_return;
+    }
+    co_await refuse(exchange, EntryRefusal::NoServer, RefusalRetryAfter);
+}
+
+static std::string_view toString(EntryRefusal refusal)
+{
+    switch (refusal) {
+    case EntryRefusal::NoRoute:
+        return "no_route";
+    case EntryRefusal::NotReady:
+        return "not_ready";
+    case EntryRefusal::NoServer:
+        return "no_server";
+    case EntryRefusal::OutcomeUnknown:
+        return "outcome_unknown";
+    case EntryRefusal::TimedOut:
+        return "timed_out";
+    }
+    return "unknown";
+}
+
+asio::awaitable<void> RequestRelay::refuse(Exchange &exchange, EntryRefusal refusal, milliseconds retryAfter)
+{
+    LogLine(LogLevel::Info, "request_refused")
+        .add("request", exchange.caller.attemptId)
+        .add("route", exchange.route == nullptr ? std::string_view() : std::string_view(exchange.route->name))
+        .add("service", exchange.service.value())
+        .add("adapter", exchange.caller.adapter ? std::string_view(exchange.caller.adapter->adapter) : std::string_view())
+        .add("reason", toString(refusal))
+        .add("sent", exchange.sent)
+        .add("refusals", exchange.refusals)
+        .add("after_ms", duration_cast<milliseconds>(Clock::now() - exchange.arrived));
+    m_parts.metrics.count(std::string("refusals_total{reason=\"") + std::string(toString(refusal)) + "\"}");
+    auto response = m_parts.dialect.refuse(exchange.caller, refusal, retryAfter);
+    (void)co_await exchange.responder.send(std::move(response));
+}
+
+} // namespace tamarackcove
--- a/lib/Entry/Callers/CallerWatch.cpp
+++ b/lib/Http/CallerWatch.cpp
@@ -1,4 +1,4 @@
-#include "tamarackcove/Entry/Callers/CallerWatch.h"
+#include "tamarackcove/Http/CallerWatch.h"
 
 #include "tamarackcove/Base/Time.h"
 #include "tamarackcove/Http/HttpConnection.h"
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace asio = boost::asio;
@@ -34,10 +35,29 @@
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::size_t requestBytesWritten = 0;
     TimePoint lastHeard = Clock::now();
+    std::optional<seconds> idleLimit;
     bool broken = false;
     bool inExchange = false;
 };
 
+/// The time in `Keep-Alive: timeout=5`.
+static std::optional<seconds> idleLimitOf(const http::fields &fields)
+{
+    constexpr std::string_view Key = "timeout=";
+    const auto found = fields.find(http::field::keep_alive);
+    if (found == fields.end()) {
+        return std::nullopt;
+    }
+    const std::string value(found->value());
+    const auto at = value.find(Key);
+    int limit = 0;
+    if (at == std::string::npos
+        || std::from_chars(value.data() + at + Key.size(), value.data() + value.size(), limit).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return seconds(limit);
+}
+
 HttpConnection::HttpConnection(std::unique_ptr<Impl> impl)
     : m_impl(std::move(impl))
 {
@@ -114,6 +134,9 @@
     // The parser then takes all chunks that have arrived at once.
     impl.parser->eager(true);
     impl.lastHeard = Clock::now();
+    if (const auto limit = idleLimitOf(impl.parser->get())) {
+        impl.idleLimit = limit;
+    }
     HttpResponse response;
     response.status = static_cast<int>(impl.parser->get().result_int());
     response.headers = headersFromBeast(impl.parser->get());
@@ -169,7 +192,8 @@
         }
     }
     impl.inExchange = false;
-    if (!parser.keep_alive()) {
+    // Bytes after the response belong to no request.
+    if (!parser.keep_alive() || impl.buffer.size() > 0) {
         impl.broken = true;
     }
     co_return std::optional<std::string>();
@@ -194,6 +218,11 @@
     return !m_impl->broken && !m_impl->inExchange && m_impl->socket.socket().is_open();
 }
 
+std::optional<seconds> HttpConnection::idleLimit() const
+{
+    return m_impl->idleLimit;
+}
+
 TimePoint HttpConnection::lastHeard() const
 {
     return m_impl->lastHeard;
--- a/lib/Http/HttpConversion.cpp
+++ b/lib/Http/HttpConversion.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 namespace beast = boost::beast;
 namespace http = beast::http;
@@ -30,16 +31,38 @@
     return {text.data(), text.size()};
 }
 
+/// Whether the Connection field names this field, which then concerns this connection only.
+static bool namedByConnection(const http::fields &fields, beast::string_view name)
+{
+    const auto found = fields.find(http::field::connection);
+    if (found == fields.end()) {
+        return false;
+    }
+    for (const auto &token : http::token_list(found->value())) {
+        if (beast::iequals(token, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 HttpHeaders headersFromBeast(const http::fields &fields)
 {
     HttpHeaders headers;
     for (const auto &field : fields) {
+        if (namedByConnection(fields, field.name_string())) {
+            continue;
+        }
         switch (field.name()) {
         case http::field::connection:
         case http::field::transfer_encoding:
         case http::field::content_length:
         case http::field::keep_alive:
         case http::field::expect:
+        case http::field::te:
+        case http::field::trailer:
+        case http::field::upgrade:
+        case http::field::proxy_connection:
             break;
         default:
             headers.set(toView(field.name_string()), toView(field.value()));
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -46,6 +46,7 @@
     std::set<ServerConnection *> open;
     std::size_t busy = 0;
     std::uint64_t accepted = 0;
+    bool closing = false;
     bool draining = false;
 };
 
@@ -102,12 +103,14 @@
     bool m_streaming = false;
     bool m_ended = false;
     bool m_keepAlive = true;
+    /// The last response said that this connection ends.
+    mutable bool m_saidClose = false;
     bool m_busy = false;
 };
 
 asio::awaitable<void> ServerConnection::run()
 {
-    while (m_keepAlive && !m_server.draining) {
+    while (m_keepAlive && !m_saidClose && !m_server.draining) {
         HttpRequest request;
         if (!co_await readRequest(request)) {
             break;
@@ -141,7 +144,7 @@
         co_await rejectUnreadable(error);
         co_return false;
     }
-    m_keepAlive = parser.get().keep_alive();
+    m_keepAlive = parser.get().keep_alive() && !m_server.closing;
     request = fromBeast(parser.release());
     co_return true;
 }
@@ -197,7 +200,8 @@
         text += fmt::format("{}: {}\r\n", name, value);
     }
     text += framing;
-    if (!m_keepAlive || m_server.draining) {
+    if (!m_keepAlive || m_server.closing || m_server.draining) {
+        m_saidClose = true;
         text += "connection: close\r\n";
     }
     text += "\r\n";
@@ -333,6 +337,16 @@
     }
 }
 
+void HttpServer::setLimits(HttpLimits limits)
+{
+    m_impl->limits = limits;
+}
+
+void HttpServer::beginClosing()
+{
+    m_impl->closing = true;
+}
+
 void HttpServer::beginDrain()
 {
     m_impl->draining = true;
