--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -63,6 +63,8 @@
     milliseconds loadWait{0};
     EventCutter events;
     bool streaming = false;
+    int eventCount = 0;
+    TimePoint lastProgress;
     /// A failure that a server has answered with, kept while another server is tried.
     std::optional<HttpResponse> failure;
 
@@ -210,6 +212,7 @@
     }
     auto request = m_parts.dialect.serverRequest(exchange.request, dispatch);
     ++exchange.sent;
+    exchange.lastProgress = begun;
     servers.began(choice.server.id);
     exchange.watched.connection = connection.get();
     const auto written = co_await connection->writeRequest(std::move(request), WriteTimeout);
@@ -256,10 +259,15 @@
     exchange.excluded.insert(choice.server.id);
     LogLine(LogLevel::Info, "server_answer_lost")
         .add("request", exchange.caller.attemptId)
+        .add("route", exchange.route->name)
         .add("server", choice.server.id.value())
         .add("zone", choice.zone.value())
         .add("sent", exchange.sent)
         .add("streaming", exchange.streaming ? "yes" : "no")
+        .add("events", exchange.eventCount)
+        .add("quiet_ms", duration_cast<milliseconds>(now - exchange.lastProgress))
+        .add("patience_ms", exchange.caller.patience.value_or(milliseconds(-1)))
+        .add("after_ms", duration_cast<milliseconds>(now - exchange.arrived))
         .add("left_ms", exchange.left(now))
         .add("reason", reason);
     return Step::Again;
@@ -382,6 +390,8 @@
         if (events.empty() && !ended) {
             continue;
         }
+        ++exchange.eventCount;
+        exchange.lastProgress = Clock::now();
         if (!exchange.streaming) {
             exchange.streaming = true;
             const auto started = co_await exchange.responder.beginStream(std::move(head));
