--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -35,6 +35,7 @@
         /// Whether every server that is alive has had the time to announce itself to this host.
         std::function<bool()> settled;
         std::function<void(const FleetReportMessage &)> onReport;
+        std::function<void(const EntryId &)> onEntryGone;
     };
 
     /// Precondition: state, registry and planner outlive this object; the supervisor is stopped before it is destroyed.
@@ -63,6 +64,7 @@
     boost::asio::awaitable<void> readReports(Link &link);
     boost::asio::awaitable<void> writeUpdates(Link &link);
     [[nodiscard]] FleetUpdateMessage compose(Link &link) const;
+    [[nodiscard]] std::vector<LoadMessage> loads() const;
     [[nodiscard]] ServerMessage describe(const TargetId &id) const;
 
     Supervisor &m_connections;
--- a/include/tamarackcove/Control/Fleet/FleetControl.h
+++ b/include/tamarackcove/Control/Fleet/FleetControl.h
@@ -42,6 +42,8 @@
     };
     struct Hooks
     {
+        /// Where operators and servers reach this host.
+        Endpoint address;
         ReadConfiguration readConfiguration;
         /// Called after the registry has changed.
         std::function<void()> onServers;
@@ -52,6 +54,10 @@
     /// Precondition: state and registry outlive this object.
     FleetControl(LogClient log, const FleetState &state, ServerRegistry &registry, Hooks hooks);
 
+    [[nodiscard]] const Endpoint &address() const
+    {
+        return m_hooks.address;
+    }
     /// Returns once the configuration is in the replicated state, or overtaken by a higher version.
     boost::asio::awaitable<Result<void, Refusal>> putConfiguration(std::string document);
     /// The newest configuration, as the operator sent it. Only answered by a host that is sure which one it is.
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -36,8 +36,11 @@
         milliseconds minIdle{300};
         /// Half-life of the estimate of an adapter's request rate.
         milliseconds rateHalfLife{3000};
-        /// Requests per second and slot that one copy of an adapter takes before another copy is loaded.
-        double requestsPerSlotAndCopy = 0.5;
+        /// Requests per second that one copy of an adapter takes before another copy is loaded. A prompt that is read
+        /// delays all other requests of the server, so a hot adapter is spread before a server is full.
+        double requestsPerCopy = 6;
+        /// Copies of adapters that an engine keeps in memory, for each of its places. Engines do not report them.
+        std::size_t cachedPerPlace = 6;
         /// An order without an answer is followed by a reading of the server's state after this time.
         milliseconds retryAfterUnknown{250};
         /// State that a server reports is this old at most.
@@ -83,8 +86,11 @@
     void orderEnded(const ServerOrder &order, OrderOutcome outcome, TimePoint now);
     /// Requests wait for an adapter in a zone. Returns the server that was told to load it.
     std::optional<TargetId> demand(const AdapterKey &adapter, std::uint64_t version, const Zone &zone, TimePoint now);
-    /// Requests were sent to a server.
-    void used(const TargetId &server, const AdapterKey &adapter, double requests, TimePoint now);
+    /// An entry has sent requests to a server since it last said so, and has some in progress.
+    void used(const TargetId &server, const AdapterKey &adapter, const EntryId &entry, int requests, int running,
+              TimePoint now);
+    /// An entry is gone, and with it its requests.
+    void entryGone(const EntryId &entry);
     /// A server has said that it does not hold an adapter that this planner believes it to hold.
     void missing(const TargetId &server, const AdapterKey &adapter, TimePoint now);
     /// A version of an adapter has been named; servers that hold an older one load it.
@@ -108,6 +114,8 @@
         double rate = 0;
         bool unloading = false;
         bool fromStore = false;
+        /// Requests in progress, by entry.
+        std::map<EntryId, int> running;
     };
     struct Wanted
     {
@@ -134,6 +142,8 @@
         std::deque<Wanted> wanted;
         /// Whether an order or a reading is in progress.
         bool engaged = false;
+        /// Orders that conflicted one after the other.
+        int conflicts = 0;
     };
 
     [[nodiscard]] double rateNow(const Held &held, TimePoint now) const;
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -89,6 +89,9 @@
     void keepOnly(const std::set<TargetId> &ids);
     void setHolding(const TargetId &id, const AdapterKey &adapter, std::uint64_t version, TimePoint readyAt);
 
+    /// Requests that all entries together had in progress at a server a moment ago.
+    void setLoad(const TargetId &id, int requests);
+
     /// The best server for a request now. A server that is loading the adapter is a choice too, when none holds it.
     [[nodiscard]] std::optional<Choice> choose(const Wish &wish, TimePoint now);
     /// Whether a server of the service is offered at all, and holds the model if one is named.
@@ -100,7 +103,8 @@
     /// Whether this start of the server is known and takes new requests.
     [[nodiscard]] bool usable(const ServerIdentity &identity) const;
     [[nodiscard]] std::size_t size() const;
-    [[nodiscard]] int inFlight(const TargetId &id) const;
+    /// This entry's requests in progress at each server that has any.
+    [[nodiscard]] std::vector<std::pair<TargetId, int>> inFlight() const;
 
 private:
     struct Holding
@@ -113,6 +117,8 @@
         OfferedServer offered;
         std::unordered_map<AdapterKey, Holding> holdings;
         int inFlight = 0;
+        /// What the other entries have in progress.
+        int others = 0;
         int failures = 0;
         TimePoint avoidUntil;
     };
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -45,7 +45,9 @@
     /// adapter meanwhile. The timer is that of the request, which may be cancelled from outside.
     boost::asio::awaitable<void> waitForAdapter(AdapterKey adapter, std::uint64_t version, bool demands,
                                                 boost::asio::steady_timer &timer, TimePoint until);
-    void noteUse(const TargetId &server, const AdapterKey &adapter);
+    /// A request for an adapter was sent to a server, and has ended there.
+    void beginUse(const TargetId &server, const AdapterKey &adapter);
+    void endUse(const TargetId &server, const AdapterKey &adapter);
     void noteMissing(const TargetId &server, const AdapterKey &adapter);
     /// Called when a request begins to wait for an adapter that nobody has been asked for yet.
     std::function<void()> onDemand;
@@ -73,7 +75,14 @@
     std::map<ServiceName, RetryWindow> m_retries;
     std::size_t m_entries = 1;
     std::map<AdapterKey, Demand> m_demands;
-    std::map<std::pair<TargetId, AdapterKey>, int> m_uses;
+    struct Use
+    {
+        int sent = 0;
+        int running = 0;
+        /// Whether the control host knows of requests in progress.
+        bool reported = false;
+    };
+    std::map<std::pair<TargetId, AdapterKey>, Use> m_uses;
     std::set<std::pair<TargetId, AdapterKey>> m_missing;
     std::set<boost::asio::steady_timer *> m_waiters;
 };
--- a/include/tamarackcove/Gateway/GatewaySettings.h
+++ b/include/tamarackcove/Gateway/GatewaySettings.h
@@ -30,8 +30,8 @@
     double retryRatio = 0.2;
     double retrySlack = 0;
     milliseconds retryWindow{10000};
-    /// Requests in progress end within this time after the start of a shutdown.
-    milliseconds drainTimeout{6500};
+    /// The process is killed this long after it was told to stop.
+    milliseconds grace{8000};
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -37,6 +37,14 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HoldingMessage, server, model, adapter, version, readyInMs)
 
+/// Requests in progress at a server.
+struct LoadMessage
+{
+    std::string server;
+    int requests = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadMessage, server, requests)
+
 struct WeightVersionMessage
 {
     std::string model;
@@ -61,11 +69,13 @@
     /// With `complete`: every server there is; others are gone.
     bool complete = false;
     std::vector<std::string> all;
+    /// Requests in progress at each server, over all entries.
+    std::vector<LoadMessage> loads;
     /// Entries that are connected, which share the retry budget.
     std::uint64_t entries = 1;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, leads, leader, configurationVersion, document, versions, servers,
-                                   removed, holdings, complete, all, entries)
+                                   removed, holdings, complete, all, loads, entries)
 
 /// Requests that wait for an adapter.
 struct DemandMessage
@@ -77,17 +87,20 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandMessage, model, adapter, version, waiting)
 
-/// Requests that were sent to a server for an adapter.
+/// How an entry uses an adapter at a server.
 struct UseMessage
 {
     std::string server;
     std::string model;
     std::string adapter;
+    /// Sent since the last report.
     int requests = 0;
+    /// In progress.
+    int running = 0;
     /// The server has answered that it does not hold the adapter.
     bool missing = false;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UseMessage, server, model, adapter, requests, missing)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UseMessage, server, model, adapter, requests, running, missing)
 
 struct FleetReportMessage
 {
@@ -97,7 +110,8 @@
     std::uint64_t configurationVersion = 0;
     std::vector<DemandMessage> demands;
     std::vector<UseMessage> uses;
+    std::vector<LoadMessage> loads;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses, loads)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -40,6 +40,8 @@
     std::map<std::pair<TargetId, AdapterKey>, AdapterPlanner::HoldingChange> holdings;
     /// Adapters that requests of this entry wait for.
     std::set<AdapterKey> awaited;
+    /// Requests in progress at servers, as the entry last said.
+    std::vector<LoadMessage> loads;
     bool urgent = false;
 };
 
@@ -118,6 +120,7 @@
     }
     co_await (readReports(*link) || writeUpdates(*link));
     if (!link->entry.empty()) {
+        m_hooks.onEntryGone(EntryId(link->entry));
         LogLine(LogLevel::Info, "entry_disconnected").add("entry", link->entry);
     }
 }
@@ -142,6 +145,7 @@
         for (const auto &demand : report.value().demands) {
             link.awaited.insert({BaseModel(demand.model), demand.adapter});
         }
+        link.loads = report.value().loads;
         m_hooks.onReport(report.value());
     }
 }
@@ -164,6 +168,21 @@
     return message;
 }
 
+std::vector<LoadMessage> EntryLinks::loads() const
+{
+    std::map<std::string, int> sums;
+    for (const auto *link : m_links) {
+        for (const auto &load : link->loads) {
+            sums[load.server] += load.requests;
+        }
+    }
+    std::vector<LoadMessage> all;
+    for (const auto &[server, requests] : sums) {
+        all.push_back({.server = server, .requests = requests});
+    }
+    return all;
+}
+
 FleetUpdateMessage EntryLinks::compose(Link &link) const
 {
     FleetUpdateMessage update;
@@ -173,6 +192,7 @@
         return update;
     }
     update.entries = m_links.size();
+    update.loads = loads();
     update.configurationVersion = m_state.configurationVersion();
     if (m_state.document() && link.sentConfiguration < m_state.configurationVersion()) {
         update.document = *m_state.document();
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -72,7 +72,8 @@
         , duty(orderTasks, planner, hooks.dialect,
                {.holdsDuty = [this] { return replica.leads(); }, .onChange = [this] { publishHoldings(); }})
         , control(replica.client(), log.state(), registry,
-                  {.readConfiguration = hooks.readConfiguration,
+                  {.address = settings.listen,
+                   .readConfiguration = hooks.readConfiguration,
                    .onServers = [this] { publishServers(); },
                    .onHeartbeat =
                        [this](const ServerHeartbeat &heartbeat) {
@@ -83,9 +84,10 @@
                 {.leads = [this] { return replica.leads(); },
                  .leader = [this] { return leaderName(); },
                  .settled = [this] { return Clock::now() > leadsSince + settings.heartbeatInterval * 3; },
-                 .onReport =
-                     [this](const FleetReportMessage &report) {
-                         take(report);
+                 .onReport = [this](const FleetReportMessage &report) { take(report); },
+                 .onEntryGone =
+                     [this](const EntryId &entry) {
+                         planner.entryGone(entry);
                      }})
     {
     }
@@ -266,7 +268,7 @@
         if (use.missing) {
             planner.missing(TargetId(use.server), adapter, now);
         } else {
-            planner.used(TargetId(use.server), adapter, use.requests, now);
+            planner.used(TargetId(use.server), adapter, EntryId(report.entry), use.requests, use.running, now);
         }
     }
     for (const auto &demand : report.demands) {
--- a/lib/Control/Replica/ReplicaDriver.cpp
+++ b/lib/Control/Replica/ReplicaDriver.cpp
@@ -16,6 +16,8 @@
 /// Longest wait for a command to be committed; then its outcome is reported as unknown.
 static constexpr milliseconds ProposalTimeout{5000};
 static constexpr milliseconds ReadTimeout{2000};
+/// Between two attempts to write to a full disk.
+static constexpr milliseconds FullDiskPause{200};
 
 static ReplicaOptions optionsFrom(const ReplicaSettings &settings)
 {
@@ -251,6 +253,14 @@
                 return m_folder->persist(*requests);
             };
             const auto written = co_await onStorageThread(std::move(work));
+            if (written.has_error() && written.error().code == StorageErrorCode::NoSpace) {
+                // Nothing was acknowledged; the others decide meanwhile.
+                LogLine(LogLevel::Warning, "storage_full").add("reason", written.error().detail);
+                m_toPersist.insert(m_toPersist.begin(), std::make_move_iterator(requests->begin()),
+                                   std::make_move_iterator(requests->end()));
+                co_await pauseStorage();
+                continue;
+            }
             if (written.has_error()) {
                 failFatally(written.error());
                 co_return;
@@ -270,6 +280,10 @@
                 return m_folder->saveSnapshot(image);
             };
             const auto saved = co_await onStorageThread(std::move(work));
+            if (saved.has_error() && saved.error().code == StorageErrorCode::NoSpace) {
+                co_await pauseStorage();
+                continue;
+            }
             if (saved.has_error()) {
                 failFatally(saved.error());
                 co_return;
@@ -280,6 +294,12 @@
     }
 }
 
+asio::awaitable<void> ReplicaDriver::pauseStorage()
+{
+    asio::steady_timer timer(m_executor, FullDiskPause);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 void ReplicaDriver::failFatally(const StorageError &error)
 {
     m_failed = true;
--- a/lib/Control/Replica/ReplicaDriver.h
+++ b/lib/Control/Replica/ReplicaDriver.h
@@ -83,6 +83,7 @@
     void armTimer();
     void snapshotIfDue();
     void failFatally(const StorageError &error);
+    boost::asio::awaitable<void> pauseStorage();
     static void finish(const WaiterPtr &waiter, Result<std::string, LogError> result);
     [[nodiscard]] LogError translate(ReplicaError error) const;
     [[nodiscard]] LogError refusal() const;
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -135,6 +135,7 @@
     if (outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Done) {
         // An order whose aim holds already may or may not count; a wrong expectation is refused and read again.
         ++server.ordersAccepted;
+        server.conflicts = 0;
         if (isModel) {
             return;
         }
@@ -157,8 +158,14 @@
         drop(server, order.weights);
     } else if (const auto kept = server.adapters.find(order.weights); kept != server.adapters.end()) {
         kept->second.unloading = false;
+        kept->second.lastUse = now;
         setHeld(server, order.weights, Held(kept->second));
     }
+    if (outcome == OrderOutcome::Conflict && !loads && ++server.conflicts < 2) {
+        // Most likely a request is using the adapter; another one is unloaded instead.
+        return;
+    }
+    server.conflicts = 0;
     // The state is read before the next order: what the server holds is not certain now.
     server.known = false;
     server.readAt = now;
@@ -220,13 +227,8 @@
 {
     std::erase(server.cached, adapter);
     server.cached.push_back(adapter);
-    const auto *model = server.profile.find(adapter.model);
-    // A tenth of the memory is left for what else the server keeps there.
-    const double room = model == nullptr || model->adapterMb <= 0
-        ? 0
-        : 0.9 * (server.profile.hostMemoryMb - model->weightsMb) / model->adapterMb;
-    const auto most = static_cast<std::size_t>(std::max(0.0, room));
-    while (server.cached.size() > most && !server.cached.empty()) {
+    const auto most = m_options.cachedPerPlace * static_cast<std::size_t>(std::max(0, server.profile.adapterSlots));
+    while (server.cached.size() > most) {
         server.cached.pop_front();
     }
 }
@@ -236,7 +238,7 @@
     const AdapterKey *best = nullptr;
     double lowest = 0;
     for (const auto &[adapter, held] : server.adapters) {
-        if (held.unloading || held.readyAt > now || held.lastUse + m_options.minIdle > now) {
+        if (held.unloading || held.readyAt > now || !held.running.empty() || held.lastUse + m_options.minIdle > now) {
             continue;
         }
         const bool awaited = std::any_of(server.wanted.begin(), server.wanted.end(),
@@ -319,7 +321,17 @@
     return best->identity.id;
 }
 
-void AdapterPlanner::used(const TargetId &id, const AdapterKey &adapter, double requests, TimePoint now)
+void AdapterPlanner::entryGone(const EntryId &entry)
+{
+    for (auto &[id, server] : m_servers) {
+        for (auto &[adapter, held] : server.adapters) {
+            held.running.erase(entry);
+        }
+    }
+}
+
+void AdapterPlanner::used(const TargetId &id, const AdapterKey &adapter, const EntryId &entry, int requests,
+                          int running, TimePoint now)
 {
     const auto found = m_servers.find(id);
     if (found == m_servers.end()) {
@@ -330,6 +342,14 @@
     if (held == server.adapters.end()) {
         return;
     }
+    if (running > 0) {
+        held->second.running[entry] = running;
+    } else {
+        held->second.running.erase(entry);
+    }
+    if (requests == 0) {
+        return;
+    }
     // Adding ln 2 / half-life for each request makes the decaying sum an estimate of requests per second.
     const std::chrono::duration<double> halfLife = m_options.rateHalfLife;
     held->second.rate = rateNow(held->second, now) + requests * std::numbers::ln2 / halfLife.count();
@@ -346,8 +366,7 @@
             std::count_if(other.wanted.begin(), other.wanted.end(),
                           [&](const auto &wanted) { return wanted.adapter == adapter; }));
     }
-    const auto perCopy = m_options.requestsPerSlotAndCopy * std::max(1, server.profile.slots);
-    if (total <= perCopy * static_cast<double>(copies)) {
+    if (total <= m_options.requestsPerCopy * static_cast<double>(copies)) {
         return;
     }
     Server *best = nullptr;
@@ -546,6 +565,7 @@
     const auto before = server.adapters.find(adapter);
     if (before != server.adapters.end()) {
         held.rate = before->second.rate;
+        held.running = before->second.running;
     }
     server.adapters[adapter] = held;
     m_changes.push_back({.server = server.identity.id,
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -49,7 +49,7 @@
 double ServerDirectory::load(const Server &server) const
 {
     const double local = server.offered.zone == m_options.zone ? 0 : m_options.otherZonePenalty;
-    return (server.inFlight + local) / std::max(1, server.offered.slots);
+    return (server.inFlight + server.others + local) / std::max(1, server.offered.slots);
 }
 
 std::optional<ServerDirectory::Choice> ServerDirectory::choose(const Wish &wish, TimePoint now)
@@ -158,10 +158,23 @@
     return m_servers.size();
 }
 
-int ServerDirectory::inFlight(const TargetId &id) const
+std::vector<std::pair<TargetId, int>> ServerDirectory::inFlight() const
+{
+    std::vector<std::pair<TargetId, int>> all;
+    for (const auto &[id, server] : m_servers) {
+        if (server.inFlight > 0) {
+            all.emplace_back(id, server.inFlight);
+        }
+    }
+    return all;
+}
+
+void ServerDirectory::setLoad(const TargetId &id, int requests)
 {
     const auto found = m_servers.find(id);
-    return found == m_servers.end() ? 0 : found->second.inFlight;
+    if (found != m_servers.end()) {
+        found->second.others = std::max(0, requests - found->second.inFlight);
+    }
 }
 
 } // namespace tamarackcove
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -89,6 +89,9 @@
         m_servers.setHolding(TargetId(holding.server), {BaseModel(holding.model), holding.adapter}, holding.version,
                              now + milliseconds(holding.readyInMs));
     }
+    for (const auto &load : update.loads) {
+        m_servers.setLoad(TargetId(load.server), load.requests);
+    }
     if (update.entries != m_entries && update.entries > 0) {
         m_entries = update.entries;
         for (auto &[service, window] : m_retries) {
@@ -119,21 +122,28 @@
                                   .version = demand.version,
                                   .waiting = demand.waiting});
     }
-    for (const auto &[key, requests] : m_uses) {
-        report.uses.push_back({.server = key.first.value(),
-                               .model = key.second.model.value(),
-                               .adapter = key.second.adapter,
-                               .requests = requests,
-                               .missing = false});
+    for (auto &[key, use] : m_uses) {
+        if (use.sent > 0 || use.running > 0 || use.reported) {
+            report.uses.push_back({.server = key.first.value(),
+                                   .model = key.second.model.value(),
+                                   .adapter = key.second.adapter,
+                                   .requests = use.sent,
+                                   .running = use.running,
+                                   .missing = false});
+        }
+        use.sent = 0;
+        use.reported = use.running > 0;
+    }
+    std::erase_if(m_uses, [](const auto &item) { return item.second.running == 0; });
+    for (const auto &[server, requests] : m_servers.inFlight()) {
+        report.loads.push_back({.server = server.value(), .requests = requests});
     }
     for (const auto &[server, adapter] : m_missing) {
         report.uses.push_back({.server = server.value(),
                                .model = adapter.model.value(),
                                .adapter = adapter.adapter,
-                               .requests = 0,
                                .missing = true});
     }
-    m_uses.clear();
     m_missing.clear();
     return report;
 }
@@ -209,9 +219,19 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-void FleetView::noteUse(const TargetId &server, const AdapterKey &adapter)
+void FleetView::beginUse(const TargetId &server, const AdapterKey &adapter)
 {
-    ++m_uses[{server, adapter}];
+    auto &use = m_uses[{server, adapter}];
+    ++use.sent;
+    ++use.running;
+}
+
+void FleetView::endUse(const TargetId &server, const AdapterKey &adapter)
+{
+    const auto found = m_uses.find({server, adapter});
+    if (found != m_uses.end() && found->second.running > 0) {
+        --found->second.running;
+    }
 }
 
 void FleetView::noteMissing(const TargetId &server, const AdapterKey &adapter)
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -20,6 +20,8 @@
 
 /// The balancer asks every second and stops sending new connections after two misses.
 static constexpr milliseconds NoticeTime{2300};
+/// Time to end the tasks before the process is killed.
+static constexpr milliseconds ExitMargin{350};
 static constexpr milliseconds HousekeepingInterval{500};
 /// Callers may keep a connection idle for most of the limit that the configuration sets; ends a little after it.
 static constexpr milliseconds IdleMargin{1000};
@@ -148,7 +150,7 @@
 {
     auto &impl = *m_impl;
     const auto begun = Clock::now();
-    const auto deadline = begun + impl.settings.drainTimeout;
+    const auto deadline = begun + impl.settings.grace - ExitMargin;
     impl.stopping = true;
     impl.callers.beginClosing();
     asio::steady_timer timer(impl.root.executor(), NoticeTime);
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -22,12 +22,18 @@
         "seeds": {"type": "array", "minItems": 1, "items": {"type": "string"}},
         "retry_ratio": {"type": "number", "minimum": 0},
         "retry_slack": {"type": "number", "minimum": 0},
-        "retry_window_ms": {"type": "integer", "minimum": 1000, "maximum": 86400000},
-        "drain_timeout_ms": {"type": "integer", "minimum": 1, "maximum": 86400000},
+        "retry_window_s": {"type": "number", "minimum": 1, "maximum": 86400},
+        "grace_s": {"type": "number", "minimum": 1, "maximum": 86400},
         "log_level": {"enum": ["debug", "info", "warning", "error"]}
     }
 })";
 
+static milliseconds secondsAt(const nlohmann::json &settings, const char *key, milliseconds absent)
+{
+    const std::chrono::duration<double> value(settings.value(key, std::chrono::duration<double>(absent).count()));
+    return std::chrono::round<milliseconds>(value);
+}
+
 Result<GatewaySettings, SettingsError> loadGatewaySettings(const std::string &path)
 {
     BOOST_OUTCOME_TRY(const auto json, loadSettings(path, Schema));
@@ -47,8 +53,8 @@
     }
     readIfPresent(json, "retry_ratio", settings.retryRatio);
     readIfPresent(json, "retry_slack", settings.retrySlack);
-    readIfPresent(json, "retry_window_ms", settings.retryWindow);
-    readIfPresent(json, "drain_timeout_ms", settings.drainTimeout);
+    settings.retryWindow = secondsAt(json, "retry_window_s", settings.retryWindow);
+    settings.grace = secondsAt(json, "grace_s", settings.grace);
     settings.logLevel = logLevelOf(json.value("log_level", std::string("info")));
     return settings;
 }
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -205,8 +205,24 @@
         if (required > 0) {
             dispatch.minVersion = required;
         }
-        m_parts.view.noteUse(choice.server.id, *exchange.caller.adapter);
     }
+    // Ends also when the coroutine is destroyed.
+    struct Use
+    {
+        FleetView &view;
+        const TargetId server;
+        const std::optional<AdapterKey> &adapter;
+        ~Use()
+        {
+            if (adapter) {
+                view.endUse(server, *adapter);
+            }
+        }
+    };
+    if (exchange.caller.adapter) {
+        m_parts.view.beginUse(choice.server.id, *exchange.caller.adapter);
+    }
+    const Use use{m_parts.view, choice.server.id, exchange.caller.adapter};
     if (exchange.streaming) {
         dispatch.lastEvent = exchange.events.lastId();
     }
--- a/lib/Storage/DataFolder.cpp
+++ b/lib/Storage/DataFolder.cpp
@@ -141,7 +141,7 @@
 
 Result<void, StorageError> DataFolder::Impl::keepFailure(Result<void, StorageError> result)
 {
-    if (result.has_error()) {
+    if (result.has_error() && result.error().code != StorageErrorCode::NoSpace) {
         failure = result.error();
     }
     return result;
--- a/lib/Storage/StorageFile.cpp
+++ b/lib/Storage/StorageFile.cpp
@@ -64,6 +64,9 @@
         if (written < 0 && errno == EINTR) {
             continue;
         }
+        if (written < 0 && (errno == ENOSPC || errno == EDQUOT)) {
+            return failure(StorageErrorCode::NoSpace, "no space to write to");
+        }
         if (written <= 0) {
             return failure(StorageErrorCode::WriteFailed, "cannot write to");
         }
--- a/lib/Storage/WriteAheadLog.cpp
+++ b/lib/Storage/WriteAheadLog.cpp
@@ -36,6 +36,8 @@
 
     Result<void, StorageError> readSegment(Segment &segment, bool newest, WalContents &contents);
     Result<void, StorageError> startSegment();
+    /// Goes back to the segment before, because there is no space for a new one. Returns the reason.
+    Result<void, StorageError> dropNewestSegment(const StorageError &reason);
     Result<void, StorageError> appendFrame(std::string_view payload);
     Result<void, StorageError> keepFailure(Result<void, StorageError> result);
 };
@@ -150,15 +152,37 @@
     // Each segment starts with the hard state, so that the segments before it can be removed.
     const PersistRequest head{.sequence = 0, .hardState = hardState};
     if (auto written = appendFrame(encodeRecords({&head, 1})); written.has_error()) {
+        if (written.error().code == StorageErrorCode::NoSpace && segments.size() > 1) {
+            return dropNewestSegment(written.error());
+        }
         return written;
     }
     return syncFolder(folder, hooks);
 }
 
+Result<void, StorageError> WriteAheadLog::Impl::dropNewestSegment(const StorageError &reason)
+{
+    std::error_code ignored;
+    fs::remove(segments.back().path, ignored);
+    segments.pop_back();
+    auto opened = StorageFile::open(segments.back().path, O_WRONLY | O_APPEND);
+    if (opened.has_error()) {
+        return std::move(opened).error();
+    }
+    current = std::move(opened).value();
+    return reason;
+}
+
 Result<void, StorageError> WriteAheadLog::Impl::appendFrame(std::string_view payload)
 {
     const auto frame = encodeFrame(payload);
     if (auto written = current.writeAll(frame, hooks); written.has_error()) {
+        if (written.error().code == StorageErrorCode::NoSpace) {
+            // What was written of the frame goes, so that the next one follows the last whole frame.
+            if (auto cut = current.truncate(segments.back().bytes); cut.has_error()) {
+                return cut;
+            }
+        }
         return written;
     }
     segments.back().bytes += frame.size();
@@ -167,7 +191,7 @@
 
 Result<void, StorageError> WriteAheadLog::Impl::keepFailure(Result<void, StorageError> result)
 {
-    if (result.has_error()) {
+    if (result.has_error() && result.error().code != StorageErrorCode::NoSpace) {
         failure = result.error();
     }
     return result;
