--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -30,8 +30,9 @@
     struct Hooks
     {
         std::function<bool()> leads;
-        /// Name of the host that leads, empty when it is not known.
-        std::function<std::string()> leader;
+        std::function<std::uint64_t()> term;
+        /// IP numbers of the control hosts.
+        std::function<std::vector<std::string>()> hosts;
         /// Whether every server that is alive has had the time to announce itself to this host.
         std::function<bool()> settled;
         std::function<void(const FleetReportMessage &)> onReport;
@@ -53,7 +54,7 @@
     void stateChanged();
     void serversChanged(const std::set<TargetId> &ids);
     void holdingsChanged(const std::vector<AdapterPlanner::HoldingChange> &changes);
-    /// Tells all entries that this host no longer leads.
+    /// This host has begun or ceased to lead; entries are told everything anew.
     void leadershipChanged();
     [[nodiscard]] std::size_t size() const;
 
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -35,7 +35,7 @@
         /// An adapter in use within this time is not evicted.
         milliseconds minIdle{300};
         /// Half-life of the estimate of an adapter's request rate.
-        milliseconds rateHalfLife{3000};
+        milliseconds rateHalfLife{1500};
         /// Requests per second that one copy of an adapter takes before another copy is loaded. A prompt that is read
         /// delays all other requests of the server, so a hot adapter is spread before a server is full.
         double requestsPerCopy = 6;
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -89,22 +89,23 @@
     void keepOnly(const std::set<TargetId> &ids);
     void setHolding(const TargetId &id, const AdapterKey &adapter, std::uint64_t version, TimePoint readyAt);
 
-    /// Requests that all entries together had in progress at a server a moment ago.
-    void setLoad(const TargetId &id, int requests);
+    /// What all entries together had in progress at a server a moment ago.
+    void setLoad(const TargetId &id, double load);
 
     /// The best server for a request now. A server that is loading the adapter is a choice too, when none holds it.
     [[nodiscard]] std::optional<Choice> choose(const Wish &wish, TimePoint now);
     /// Whether a server of the service is offered at all, and holds the model if one is named.
     [[nodiscard]] bool offers(const ServiceName &service, const std::optional<BaseModel> &model) const;
 
-    /// A request was sent to a server, and has ended there.
-    void began(const TargetId &id);
-    void ended(const TargetId &id, ServerOutcome outcome, TimePoint now);
+    /// A request was sent to a server, and has ended there. Its weight is in units of an ordinary request.
+    void began(const TargetId &id, double weight);
+    void ended(const TargetId &id, double weight, ServerOutcome outcome, TimePoint now);
     /// Whether this start of the server is known and takes new requests.
     [[nodiscard]] bool usable(const ServerIdentity &identity) const;
     [[nodiscard]] std::size_t size() const;
-    /// This entry's requests in progress at each server that has any.
-    [[nodiscard]] std::vector<std::pair<TargetId, int>> inFlight() const;
+    /// The weight of this entry's requests in progress at each server that has any.
+    [[nodiscard]] std::vector<std::pair<TargetId, double>> inFlight() const;
+    [[nodiscard]] std::vector<OfferedServer> offered() const;
 
 private:
     struct Holding
@@ -116,9 +117,9 @@
     {
         OfferedServer offered;
         std::unordered_map<AdapterKey, Holding> holdings;
-        int inFlight = 0;
+        double inFlight = 0;
         /// What the other entries have in progress.
-        int others = 0;
+        double others = 0;
         int failures = 0;
         TimePoint avoidUntil;
     };
--- a/include/tamarackcove/Fleet/ServerRegistry.h
+++ b/include/tamarackcove/Fleet/ServerRegistry.h
@@ -40,6 +40,8 @@
 
     /// Takes one heartbeat.
     [[nodiscard]] Verdict heartbeat(const ServerHeartbeat &heartbeat, TimePoint now);
+    /// Takes what an entry knows of a server that has not announced itself here yet. Returns whether it was taken.
+    bool suggest(const ServerHeartbeat &heartbeat, bool draining, TimePoint now);
     /// The identity under which a server of this name is known; nothing when it is not.
     [[nodiscard]] std::optional<ServerIdentity> identityOf(const TargetId &id) const;
     [[nodiscard]] const Server *find(const TargetId &id) const;
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -22,6 +22,8 @@
     std::optional<milliseconds> patience;
     std::optional<BaseModel> model;
     std::optional<AdapterKey> adapter;
+    /// Length of the prompt, if it says so.
+    int promptTokens = 0;
 };
 
 /// What the entry adds when it sends a request to a server.
--- a/include/tamarackcove/Gateway/FleetLink.h
+++ b/include/tamarackcove/Gateway/FleetLink.h
@@ -1,44 +1,61 @@
 #pragma once
 
 #include "tamarackcove/Gateway/GatewaySettings.h"
+#include "tamarackcove/Supervision/Supervisor.h"
 
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
 #include <string>
 
 namespace tamarackcove {
 
 class FleetView;
 class FramedConnection;
+struct FleetUpdateMessage;
 
-/// Keeps an entry connected with the control host that leads: takes its updates and sends it reports.
+/// Keeps an entry connected with every control host, one task each: the host that leads sends updates and takes
+/// reports, the others say which hosts there are and lead at any moment.
 ///
 /// Thread safety: used on the thread of the executor.
 class FleetLink
 {
 public:
-    /// Precondition: the view outlives this object.
-    FleetLink(boost::asio::any_io_executor executor, const GatewaySettings &settings, FleetView &view);
-
-    /// Connects again and again until cancelled.
-    boost::asio::awaitable<void> run();
+    /// Precondition: the view outlives this object; the supervisor is stopped before it is destroyed.
+    FleetLink(Supervisor &tasks, const GatewaySettings &settings, FleetView &view);
+    ~FleetLink();
+    FleetLink(const FleetLink &) = delete;
+    FleetLink &operator=(const FleetLink &) = delete;
+
+    /// Starts the tasks of the hosts that the settings name.
+    void start();
     /// Sends a report as soon as possible.
     void reportSoon();
+    /// Whether a host that leads is connected.
     [[nodiscard]] bool connected() const;
+    /// Whether most control hosts have been out of reach for a while, so that this entry is likely to be cut off.
+    [[nodiscard]] bool cutOff(TimePoint now) const;
 
 private:
-    boost::asio::awaitable<bool> attend(const std::string &host);
-    boost::asio::awaitable<void> readUpdates(FramedConnection &connection);
-    boost::asio::awaitable<void> writeReports(FramedConnection &connection);
+    struct Host;
+
+    void meet(const std::string &name);
+    boost::asio::awaitable<void> run(Host &host);
+    boost::asio::awaitable<void> readUpdates(Host &host, FramedConnection &connection);
+    boost::asio::awaitable<void> writeReports(Host &host, FramedConnection &connection);
+    void take(Host &host, const FleetUpdateMessage &update);
+    void noteReach(TimePoint now);
 
-    boost::asio::any_io_executor m_executor;
+    Supervisor &m_tasks;
     const GatewaySettings &m_settings;
     FleetView &m_view;
-    boost::asio::steady_timer m_wake;
-    std::string m_leader;
-    bool m_connected = false;
-    bool m_urgent = false;
+    std::map<std::string, std::unique_ptr<Host>> m_hosts;
+    /// The newest term in which a host has led; updates of earlier ones are passed over.
+    std::uint64_t m_term = 0;
+    Host *m_leader = nullptr;
+    /// Since when fewer than half of the hosts have been connected.
+    std::optional<TimePoint> m_outOfReachSince;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -30,8 +30,10 @@
 
     /// Takes over what the control host says. A configuration that is older than the one in force changes nothing.
     void apply(const FleetUpdateMessage &update, TimePoint now);
-    /// Takes what there is to report since the last call.
-    [[nodiscard]] FleetReportMessage takeReport();
+    /// Who this entry is, without anything to report.
+    [[nodiscard]] FleetReportMessage identity() const;
+    /// Takes what there is to report since the last call; with the servers that are known if asked.
+    [[nodiscard]] FleetReportMessage takeReport(bool withServers);
 
     /// Null before the first configuration.
     [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -32,6 +32,8 @@
         CallerWatch &watch;
         Metrics &metrics;
         const CallerDialect &dialect;
+        /// Whether a control host that leads is connected.
+        std::function<bool()> led;
     };
 
     explicit RequestRelay(Parts parts);
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -41,9 +41,10 @@
 struct LoadMessage
 {
     std::string server;
-    int requests = 0;
+    /// In units of an ordinary request.
+    double load = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadMessage, server, requests)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadMessage, server, load)
 
 struct WeightVersionMessage
 {
@@ -56,9 +57,12 @@
 struct FleetUpdateMessage
 {
     static constexpr std::string_view Type = "fleet_update";
-    /// False when the sender does not lead; then only `leader` is set, if it is known.
+    /// False when the sender does not lead; then only `hosts` is set.
     bool leads = false;
-    std::string leader;
+    /// The term in which the sender leads.
+    std::uint64_t term = 0;
+    /// IP numbers of the control hosts.
+    std::vector<std::string> hosts;
     std::uint64_t configurationVersion = 0;
     /// The configuration as the operator sent it; empty when the entry has it.
     std::string document;
@@ -74,7 +78,7 @@
     /// Entries that are connected, which share the retry budget.
     std::uint64_t entries = 1;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, leads, leader, configurationVersion, document, versions, servers,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, leads, term, hosts, configurationVersion, document, versions, servers,
                                    removed, holdings, complete, all, loads, entries)
 
 /// Requests that wait for an adapter.
@@ -111,7 +115,9 @@
     std::vector<DemandMessage> demands;
     std::vector<UseMessage> uses;
     std::vector<LoadMessage> loads;
+    /// The servers that the entry knows, in its first report to a host that has begun to lead.
+    std::vector<ServerMessage> servers;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses, loads)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses, loads, servers)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -20,6 +20,8 @@
 static constexpr milliseconds WriteTimeout{1000};
 /// Changes that no request waits for are collected for this long. It is also the longest silence towards an entry.
 static constexpr milliseconds UpdateInterval{200};
+/// The same for a host that does not lead.
+static constexpr milliseconds IdleUpdateInterval{1000};
 
 struct EntryLinks::Link
 {
@@ -29,10 +31,12 @@
     {
     }
 
+    /// The entry is told everything anew.
+    void reset(const ServerRegistry &registry, const AdapterPlanner &planner);
+
     FramedConnection connection;
     asio::steady_timer wake;
     std::string entry;
-    bool first = true;
     bool complete = false;
     std::uint64_t sentConfiguration = 0;
     Revision sentRevision;
@@ -45,6 +49,20 @@
     bool urgent = false;
 };
 
+void EntryLinks::Link::reset(const ServerRegistry &registry, const AdapterPlanner &planner)
+{
+    complete = false;
+    sentRevision = {};
+    servers.clear();
+    holdings.clear();
+    for (const auto &[id, server] : registry.servers()) {
+        servers.insert(id);
+    }
+    for (auto &holding : planner.holdings()) {
+        holdings[{holding.server, holding.adapter}] = holding;
+    }
+}
+
 EntryLinks::EntryLinks(Supervisor &connections, const FleetState &state, const ServerRegistry &registry,
                        const AdapterPlanner &planner, Hooks hooks)
     : m_connections(connections)
@@ -112,12 +130,7 @@
     };
     m_links.insert(link.get());
     const Registration registration{m_links, link.get()};
-    for (const auto &[id, server] : m_registry.servers()) {
-        link->servers.insert(id);
-    }
-    for (auto &holding : m_planner.holdings()) {
-        link->holdings[{holding.server, holding.adapter}] = holding;
-    }
+    link->reset(m_registry, m_planner);
     co_await (readReports(*link) || writeUpdates(*link));
     if (!link->entry.empty()) {
         m_hooks.onEntryGone(EntryId(link->entry));
@@ -170,15 +183,15 @@
 
 std::vector<LoadMessage> EntryLinks::loads() const
 {
-    std::map<std::string, int> sums;
+    std::map<std::string, double> sums;
     for (const auto *link : m_links) {
         for (const auto &load : link->loads) {
-            sums[load.server] += load.requests;
+            sums[load.server] += load.load;
         }
     }
     std::vector<LoadMessage> all;
-    for (const auto &[server, requests] : sums) {
-        all.push_back({.server = server, .requests = requests});
+    for (const auto &[server, load] : sums) {
+        all.push_back({.server = server, .load = load});
     }
     return all;
 }
@@ -187,10 +200,13 @@
 {
     FleetUpdateMessage update;
     update.leads = m_hooks.leads();
+    update.hosts = m_hooks.hosts();
     if (!update.leads) {
-        update.leader = m_hooks.leader();
+        // Everything is sent again once this host leads.
+        link.reset(m_registry, m_planner);
         return update;
     }
+    update.term = m_hooks.term();
     update.entries = m_links.size();
     update.loads = loads();
     update.configurationVersion = m_state.configurationVersion();
@@ -238,13 +254,13 @@
         link.urgent = false;
         auto message = toMessage(update);
         const auto written = co_await link.connection.write(std::move(message), WriteTimeout);
-        if (written.has_error() || !update.leads) {
+        if (written.has_error()) {
             co_return;
         }
         if (link.urgent) {
             continue;
         }
-        link.wake.expires_after(UpdateInterval);
+        link.wake.expires_after(update.leads ? UpdateInterval : IdleUpdateInterval);
         boost::system::error_code ignored;
         co_await link.wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -284,6 +300,9 @@
 
 void EntryLinks::leadershipChanged()
 {
+    for (auto *link : m_links) {
+        link->reset(m_registry, m_planner);
+    }
     stateChanged();
 }
 
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -82,7 +82,8 @@
         , http(callConnections, limits(), hooks.frontEnd(control))
         , links(entryConnections, log.state(), registry, planner,
                 {.leads = [this] { return replica.leads(); },
-                 .leader = [this] { return leaderName(); },
+                 .term = [this] { return replica.client().status().term; },
+                 .hosts = [this] { return hosts(); },
                  .settled = [this] { return Clock::now() > leadsSince + settings.heartbeatInterval * 3; },
                  .onReport = [this](const FleetReportMessage &report) { take(report); },
                  .onEntryGone =
@@ -106,10 +107,15 @@
         hooks.onFatal(what, detail);
     }
 
-    [[nodiscard]] std::string leaderName()
+    /// The hosts of the group, by the names in it.
+    [[nodiscard]] std::vector<std::string> hosts()
     {
-        const auto leader = replica.client().status().leader;
-        return leader ? leader->host : std::string();
+        std::vector<std::string> names;
+        for (const auto &member : replica.client().status().replicas) {
+            const auto &shown = member.id.value();
+            names.push_back(shown.substr(0, shown.find('@')));
+        }
+        return names;
     }
 
     void stateChanged();
@@ -177,8 +183,8 @@
     duty.end();
     planner.reset();
     registry.clear();
+    links.leadershipChanged();
     if (!leads) {
-        links.leadershipChanged();
         return;
     }
     leadsSince = Clock::now();
@@ -259,6 +265,30 @@
 
 void FleetNode::Impl::take(const FleetReportMessage &report)
 {
+    if (!leading) {
+        return;
+    }
+    for (const auto &server : report.servers) {
+        const auto endpoint = Endpoint::parse(server.endpoint);
+        ServerHeartbeat said;
+        said.identity = {.id = TargetId(server.id), .startedAt = Incarnation(server.startedAt)};
+        said.service = ServiceName(server.service);
+        said.zone = Zone(server.zone);
+        said.slots = server.slots;
+        for (const auto &model : server.models) {
+            said.models.push_back({.name = BaseModel(model), .version = 0, .adapters = {}});
+        }
+        if (!endpoint) {
+            continue;
+        }
+        said.endpoint = *endpoint;
+        if (registry.suggest(said, server.draining, Clock::now())) {
+            plan(said);
+        }
+    }
+    if (!report.servers.empty()) {
+        publishServers();
+    }
     if (!duty.active()) {
         return;
     }
--- a/lib/Control/Replica/ReplicaDriver.cpp
+++ b/lib/Control/Replica/ReplicaDriver.cpp
@@ -255,7 +255,9 @@
             const auto written = co_await onStorageThread(std::move(work));
             if (written.has_error() && written.error().code == StorageErrorCode::NoSpace) {
                 // Nothing was acknowledged; the others decide meanwhile.
-                LogLine(LogLevel::Warning, "storage_full").add("reason", written.error().detail);
+                if (!std::exchange(m_diskFull, true)) {
+                    LogLine(LogLevel::Warning, "storage_full").add("reason", written.error().detail);
+                }
                 m_toPersist.insert(m_toPersist.begin(), std::make_move_iterator(requests->begin()),
                                    std::make_move_iterator(requests->end()));
                 co_await pauseStorage();
@@ -271,6 +273,9 @@
                     m_applied = m_lastSnapshot = request.snapshot->lastIndex;
                 }
             }
+            if (std::exchange(m_diskFull, false)) {
+                LogLine(LogLevel::Info, "storage_writable").add("replica", m_settings.name);
+            }
             m_replica->persisted(requests->back().sequence, Clock::now());
             scheduleStep();
         }
--- a/lib/Control/Replica/ReplicaDriver.h
+++ b/lib/Control/Replica/ReplicaDriver.h
@@ -104,6 +104,7 @@
     boost::asio::steady_timer m_tick;
     bool m_stepScheduled = false;
     bool m_failed = false;
+    bool m_diskFull = false;
     bool m_reportedLeading = false;
     LogIndex m_applied = 0;
     LogIndex m_lastSnapshot = 0;
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -109,22 +109,22 @@
     });
 }
 
-void ServerDirectory::began(const TargetId &id)
+void ServerDirectory::began(const TargetId &id, double weight)
 {
     const auto found = m_servers.find(id);
     if (found != m_servers.end()) {
-        ++found->second.inFlight;
+        found->second.inFlight += weight;
     }
 }
 
-void ServerDirectory::ended(const TargetId &id, ServerOutcome outcome, TimePoint now)
+void ServerDirectory::ended(const TargetId &id, double weight, ServerOutcome outcome, TimePoint now)
 {
     const auto found = m_servers.find(id);
     if (found == m_servers.end()) {
         return;
     }
     auto &server = found->second;
-    server.inFlight = std::max(0, server.inFlight - 1);
+    server.inFlight = std::max(0.0, server.inFlight - weight);
     switch (outcome) {
     case ServerOutcome::Served:
         server.failures = 0;
@@ -158,9 +158,19 @@
     return m_servers.size();
 }
 
-std::vector<std::pair<TargetId, int>> ServerDirectory::inFlight() const
+std::vector<OfferedServer> ServerDirectory::offered() const
 {
-    std::vector<std::pair<TargetId, int>> all;
+    std::vector<OfferedServer> all;
+    all.reserve(m_servers.size());
+    for (const auto &[id, server] : m_servers) {
+        all.push_back(server.offered);
+    }
+    return all;
+}
+
+std::vector<std::pair<TargetId, double>> ServerDirectory::inFlight() const
+{
+    std::vector<std::pair<TargetId, double>> all;
     for (const auto &[id, server] : m_servers) {
         if (server.inFlight > 0) {
             all.emplace_back(id, server.inFlight);
@@ -169,11 +179,11 @@
     return all;
 }
 
-void ServerDirectory::setLoad(const TargetId &id, int requests)
+void ServerDirectory::setLoad(const TargetId &id, double load)
 {
     const auto found = m_servers.find(id);
     if (found != m_servers.end()) {
-        found->second.others = std::max(0, requests - found->second.inFlight);
+        found->second.others = std::max(0.0, load - found->second.inFlight);
     }
 }
 
--- a/lib/Fleet/ServerRegistry.cpp
+++ b/lib/Fleet/ServerRegistry.cpp
@@ -62,6 +62,20 @@
     return changed ? Verdict::Changed : Verdict::Unchanged;
 }
 
+bool ServerRegistry::suggest(const ServerHeartbeat &heartbeat, bool draining, TimePoint now)
+{
+    const auto departure = m_departures.find(heartbeat.identity);
+    if (m_servers.contains(heartbeat.identity.id) || m_atAddress.contains(heartbeat.endpoint)
+        || (departure != m_departures.end() && departure->second)) {
+        return false;
+    }
+    m_atAddress[heartbeat.endpoint] = heartbeat.identity;
+    m_servers[heartbeat.identity.id]
+        = {.said = heartbeat, .lastHeard = now, .draining = draining || departure != m_departures.end()};
+    m_changes.insert(heartbeat.identity.id);
+    return true;
+}
+
 std::optional<ServerIdentity> ServerRegistry::identityOf(const TargetId &id) const
 {
     const auto *server = find(id);
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -90,7 +90,7 @@
                              now + milliseconds(holding.readyInMs));
     }
     for (const auto &load : update.loads) {
-        m_servers.setLoad(TargetId(load.server), load.requests);
+        m_servers.setLoad(TargetId(load.server), load.load);
     }
     if (update.entries != m_entries && update.entries > 0) {
         m_entries = update.entries;
@@ -110,12 +110,39 @@
     }
 }
 
-FleetReportMessage FleetView::takeReport()
+static ServerMessage messageFrom(const OfferedServer &server)
+{
+    ServerMessage message{.id = server.identity.id.value(),
+                          .startedAt = server.identity.startedAt.value(),
+                          .service = server.service.value(),
+                          .endpoint = server.endpoint.toString(),
+                          .zone = server.zone.value(),
+                          .slots = server.slots,
+                          .draining = server.draining,
+                          .models = {}};
+    for (const auto &model : server.models) {
+        message.models.push_back(model.value());
+    }
+    return message;
+}
+
+FleetReportMessage FleetView::identity() const
 {
     FleetReportMessage report;
     report.entry = m_settings.name;
     report.zone = m_settings.zone.value();
     report.configurationVersion = m_routes ? m_routes->configuration().version : 0;
+    return report;
+}
+
+FleetReportMessage FleetView::takeReport(bool withServers)
+{
+    auto report = identity();
+    if (withServers) {
+        for (const auto &server : m_servers.offered()) {
+            report.servers.push_back(messageFrom(server));
+        }
+    }
     for (const auto &[adapter, demand] : m_demands) {
         report.demands.push_back({.model = adapter.model.value(),
                                   .adapter = adapter.adapter,
@@ -135,8 +162,8 @@
         use.reported = use.running > 0;
     }
     std::erase_if(m_uses, [](const auto &item) { return item.second.running == 0; });
-    for (const auto &[server, requests] : m_servers.inFlight()) {
-        report.loads.push_back({.server = server.value(), .requests = requests});
+    for (const auto &[server, load] : m_servers.inFlight()) {
+        report.loads.push_back({.server = server.value(), .load = load});
     }
     for (const auto &[server, adapter] : m_missing) {
         report.uses.push_back({.server = server.value(),
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -35,9 +35,10 @@
         , callerConnections(executor, "callers")
         , readyConnections(executor, "ready")
         , view(executor, settings, dialect)
-        , link(executor, settings, view)
+        , link(root, settings, view)
         , watch(executor)
-        , relay({.view = view, .connections = connections, .watch = watch, .metrics = metrics, .dialect = dialect})
+        , relay({.view = view, .connections = connections, .watch = watch, .metrics = metrics, .dialect = dialect,
+                 .led = [this] { return link.connected(); }})
         , callers(callerConnections, {},
                   [this](const HttpRequest &request, HttpResponder &responder) { return relay.serve(request, responder); })
         , ready(readyConnections, {}, [this](const HttpRequest &request, HttpResponder &responder) {
@@ -73,7 +74,9 @@
 {
     HttpResponse response;
     if (request.path() == dialect.readyPath) {
-        response.status = !stopping && view.routes() ? 200 : 503;
+        // Callers of an entry that is cut off are better served by the entries of another zone.
+        const bool serves = !stopping && view.routes() && !link.cutOff(Clock::now());
+        response.status = serves ? 200 : 503;
     } else if (request.path() == "/metrics") {
         metrics.gauge("servers", static_cast<double>(view.servers().size()));
         metrics.gauge("requests_in_progress", static_cast<double>(watch.size()));
@@ -134,7 +137,7 @@
 {
     auto &impl = *m_impl;
     impl.root.start("caller-watch", [&impl] { return impl.watch.run(); });
-    impl.root.start("control-link", [&impl] { return impl.link.run(); }, {.restart = Restart::Always});
+    impl.link.start();
     impl.root.start("housekeeping", [&impl] { return impl.keepHouse(); });
     impl.root.start("ready", [&impl] { return impl.ready.run(); });
     impl.root.start("callers", [&impl] { return impl.callers.run(); });
@@ -144,6 +147,7 @@
 void GatewayNode::setSeeds(std::vector<std::string> seeds)
 {
     m_impl->settings.seeds = std::move(seeds);
+    m_impl->link.start();
 }
 
 asio::awaitable<void> GatewayNode::shutDown()
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -22,7 +22,9 @@
 static constexpr milliseconds AnswerMargin{25};
 /// A request waits for an adapter at most this long; loads take a quarter of a second, and callers that are told early
 /// can come back in time.
-static constexpr milliseconds MaxAdapterWait{2500};
+static constexpr milliseconds MaxAdapterWait{1500};
+/// The same while no control host that leads is connected, which alone can have it loaded.
+static constexpr milliseconds MaxUnledWait{400};
 /// A waiting request looks again at least this often.
 static constexpr milliseconds WaitStep{100};
 /// A server refuses requests for an adapter while it loads it; the request is sent again after this time.
@@ -60,6 +62,7 @@
     /// Servers at which it may have run.
     int ran = 0;
     int refusals = 0;
+    double weight = 1;
     milliseconds loadWait{0};
     EventCutter events;
     bool streaming = false;
@@ -80,6 +83,13 @@
 {
 }
 
+/// A prompt delays the other requests of a server by its length; one of the ordinary length counts half.
+static double weightOf(const CallerRequest &caller)
+{
+    constexpr double OrdinaryPromptTokens = 650;
+    return caller.promptTokens == 0 ? 1.0 : 0.5 + 0.5 * caller.promptTokens / OrdinaryPromptTokens;
+}
+
 asio::awaitable<void> RequestRelay::serve(const HttpRequest &request, HttpResponder &responder)
 {
     Exchange exchange(request, responder, m_parts.watch);
@@ -100,6 +110,7 @@
     exchange.service = RouteTable::chooseService(route, draw(m_random));
     exchange.deadline = exchange.arrived + std::min(route.timeout, exchange.caller.patience.value_or(route.timeout))
         - AnswerMargin;
+    exchange.weight = weightOf(exchange.caller);
     m_parts.view.retries(exchange.service).noteRequest(exchange.arrived);
     co_await run(exchange);
     m_parts.metrics.observe("request_seconds", Clock::now() - exchange.arrived);
@@ -147,10 +158,11 @@
                                .adapter = exchange.caller.adapter,
                                .excluded = exchange.excluded};
     const auto begun = Clock::now();
-    const auto giveUp = std::min(exchange.deadline - AnswerMargin, begun + MaxAdapterWait);
+    const auto last = std::min(exchange.deadline - AnswerMargin, begun + MaxAdapterWait);
     asio::steady_timer timer(co_await asio::this_coro::executor);
     for (;;) {
         const auto now = Clock::now();
+        const auto giveUp = m_parts.led() ? last : std::min(last, begun + MaxUnledWait);
         if (exchange.watched.gone() || now >= giveUp) {
             co_return std::nullopt;
         }
@@ -182,8 +194,8 @@
     const auto &route = *exchange.route;
     auto acquired = co_await m_parts.connections.acquire(choice.server, choice.endpoint, route.repeatable());
     if (acquired.has_error()) {
-        servers.began(choice.server.id);
-        servers.ended(choice.server.id, ServerOutcome::Broken, Clock::now());
+        servers.began(choice.server.id, exchange.weight);
+        servers.ended(choice.server.id, exchange.weight, ServerOutcome::Broken, Clock::now());
         LogLine(LogLevel::Info, "server_unreachable")
             .add("request", exchange.caller.attemptId)
             .add("server", choice.server.id.value())
@@ -229,7 +241,7 @@
     auto request = m_parts.dialect.serverRequest(exchange.request, dispatch);
     ++exchange.sent;
     exchange.lastProgress = begun;
-    servers.began(choice.server.id);
+    servers.began(choice.server.id, exchange.weight);
     exchange.watched.connection = connection.get();
     const auto written = co_await connection->writeRequest(std::move(request), WriteTimeout);
     if (written.has_error()) {
@@ -237,7 +249,7 @@
         if (connection->requestBytesWritten() > 0) {
             co_return broken(exchange, choice, ServerOutcome::Broken, written.error().detail);
         }
-        servers.ended(choice.server.id, ServerOutcome::Broken, Clock::now());
+        servers.ended(choice.server.id, exchange.weight, ServerOutcome::Broken, Clock::now());
         exchange.excluded.insert(choice.server.id);
         co_return Step::NotRun;
     }
@@ -250,7 +262,7 @@
     const auto head = co_await connection->readHead(std::max(patience, milliseconds(1)));
     if (exchange.watched.gone()) {
         exchange.watched.connection = nullptr;
-        servers.ended(choice.server.id, ServerOutcome::Unrelated, Clock::now());
+        servers.ended(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
         co_return Step::Finished;
     }
     if (head.has_error()) {
@@ -267,7 +279,7 @@
                                         ServerOutcome outcome, std::string_view reason)
 {
     const auto now = Clock::now();
-    m_parts.view.servers().ended(choice.server.id, exchange.watched.gone() ? ServerOutcome::Unrelated : outcome, now);
+    m_parts.view.servers().ended(choice.server.id, exchange.weight, exchange.watched.gone() ? ServerOutcome::Unrelated : outcome, now);
     if (exchange.watched.gone()) {
         return Step::Finished;
     }
@@ -316,7 +328,7 @@
     auto &servers = m_parts.view.servers();
     const auto &adapter = exchange.caller.adapter;
     const bool loading = adapter && !answer.wrongServer && choice.readyAt + LoadOverrun > now;
-    servers.ended(choice.server.id,
+    servers.ended(choice.server.id, exchange.weight,
                   loading                  ? ServerOutcome::Unrelated
                       : answer.wrongServer ? ServerOutcome::WrongServer
                                            : ServerOutcome::Full,
@@ -366,7 +378,7 @@
     exchange.watched.connection = nullptr;
     m_parts.connections.release(choice.server, std::move(connection));
     const bool failed = head.status >= 500;
-    servers.ended(choice.server.id, failed ? ServerOutcome::Failed : ServerOutcome::Served, Clock::now());
+    servers.ended(choice.server.id, exchange.weight, failed ? ServerOutcome::Failed : ServerOutcome::Served, Clock::now());
     ++exchange.ran;
     if (failed && maySendAgain(exchange)) {
         exchange.excluded.insert(choice.server.id);
@@ -392,7 +404,7 @@
         }
         auto piece = co_await connection->readPiece(patience);
         if (exchange.watched.gone()) {
-            servers.ended(choice.server.id, ServerOutcome::Unrelated, Clock::now());
+            servers.ended(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
             co_return Step::Finished;
         }
         if (piece.has_error()) {
@@ -412,14 +424,14 @@
             exchange.streaming = true;
             const auto started = co_await exchange.responder.beginStream(std::move(head));
             if (started.has_error()) {
-                servers.ended(choice.server.id, ServerOutcome::Unrelated, Clock::now());
+                servers.ended(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
                 co_return Step::Finished;
             }
         }
         if (!events.empty()) {
             const auto passed = co_await exchange.responder.writePiece(events);
             if (passed.has_error()) {
-                servers.ended(choice.server.id, ServerOutcome::Unrelated, Clock::now());
+                servers.ended(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
                 co_return Step::Finished;
             }
         }
@@ -429,7 +441,7 @@
     }
     exchange.watched.connection = nullptr;
     m_parts.connections.release(choice.server, std::move(connection));
-    servers.ended(choice.server.id, ServerOutcome::Served, Clock::now());
+    servers.ended(choice.server.id, exchange.weight, ServerOutcome::Served, Clock::now());
     (void)co_await exchange.responder.endStream();
     co_return Step::Finished;
 }
--- /dev/null
+++ b/unittests/Fleet/FleetStateTest.cpp
@@ -0,0 +1,50 @@
+#include "tamarackcove/Fleet/FleetState.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarackcove;
+
+static constexpr std::chrono::system_clock::time_point Start{std::chrono::hours(1)};
+
+TEST_CASE("a configuration of the same or a lower version changes nothing")
+{
+    FleetState state;
+    state.apply(1, Start, PutConfiguration{.version = 7, .document = "seven"});
+    state.apply(2, Start, PutConfiguration{.version = 7, .document = "other"});
+    state.apply(3, Start, PutConfiguration{.version = 6, .document = "six"});
+    CHECK(*state.document() == "seven");
+    CHECK(state.configurationVersion() == 7);
+    CHECK(state.revision() == Revision(1));
+}
+
+TEST_CASE("the version of weights never goes back")
+{
+    FleetState state;
+    const AdapterKey key{BaseModel("m"), "a1"};
+    state.apply(1, Start, PutWeightVersion{.key = key, .version = 3});
+    state.apply(2, Start, PutWeightVersion{.key = key, .version = 2});
+    CHECK(state.weightVersions().at(key) == 3);
+}
+
+TEST_CASE("each holder of the order duty has a higher fencing number")
+{
+    FleetState state;
+    state.apply(4, Start, TakeOrderDuty{.holder = "a"});
+    const auto first = state.duty().fence;
+    state.apply(9, Start, TakeOrderDuty{.holder = "b"});
+    CHECK(state.duty().fence > first);
+    CHECK(state.duty().holder == "b");
+}
+
+TEST_CASE("departures are forgotten after their retention, and one that is gone stays gone")
+{
+    FleetState state;
+    const ServerIdentity server{.id = TargetId("s"), .startedAt = Incarnation(1)};
+    state.apply(1, Start, NoteDeparture{.server = server, .service = ServiceName("x"), .gone = true});
+    state.apply(2, Start, NoteDeparture{.server = server, .service = ServiceName("x"), .gone = false});
+    CHECK(state.departures().at(server).gone);
+    const ServerIdentity other{.id = TargetId("t"), .startedAt = Incarnation(1)};
+    state.apply(3, Start + FleetState::DepartureRetention + seconds(1),
+                NoteDeparture{.server = other, .service = ServiceName("x"), .gone = false});
+    CHECK_FALSE(state.departures().contains(server));
+}
--- /dev/null
+++ b/unittests/Fleet/RetryWindowTest.cpp
@@ -0,0 +1,40 @@
+#include "tamarackcove/Fleet/RetryWindow.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarackcove;
+
+static constexpr TimePoint Start{std::chrono::hours(1)};
+
+TEST_CASE("over any window no more is sent again than the share of the requests plus this entry's part of the slack")
+{
+    RetryWindow window({.ratio = 0.2, .slack = 50, .window = milliseconds(10000)});
+    window.setEntries(5);
+    int requests = 0;
+    int retries = 0;
+    for (int i = 0; i < 100; ++i) {
+        window.noteRequest(Start + milliseconds(10 * i));
+        ++requests;
+        retries += window.take(Start + milliseconds(10 * i)) ? 1 : 0;
+    }
+    CHECK(retries > 0);
+    CHECK(retries <= 0.2 * requests + 10);
+    // Nothing comes back before the window has passed.
+    CHECK_FALSE([&] {
+        int more = 0;
+        while (window.take(Start + milliseconds(5000))) {
+            ++more;
+        }
+        return more > 1;
+    }());
+    CHECK(window.take(Start + milliseconds(12000)));
+}
+
+TEST_CASE("more entries leave each a smaller part of the slack")
+{
+    RetryWindow window({.ratio = 0, .slack = 50, .window = milliseconds(10000)});
+    window.setEntries(50);
+    CHECK_FALSE(window.take(Start));
+    window.setEntries(2);
+    CHECK(window.take(Start));
+}
--- /dev/null
+++ b/unittests/Fleet/ServerDirectoryTest.cpp
@@ -0,0 +1,108 @@
+#include "tamarackcove/Fleet/ServerDirectory.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarackcove;
+
+static constexpr TimePoint Start{std::chrono::hours(1)};
+static const AdapterKey Adapter{BaseModel("m"), "a1"};
+
+static OfferedServer server(const std::string &id, const std::string &zone = "here", std::uint64_t startedAt = 1)
+{
+    return {.identity = {.id = TargetId(id), .startedAt = Incarnation(startedAt)},
+            .service = ServiceName("s"),
+            .endpoint = {.host = "10.0.0.1", .port = 80},
+            .zone = Zone(zone),
+            .slots = 8,
+            .draining = false,
+            .models = {BaseModel("m")}};
+}
+
+static ServerDirectory directory()
+{
+    return ServerDirectory({.zone = Zone("here")});
+}
+
+static ServerDirectory::Wish wish(bool adapter)
+{
+    ServerDirectory::Wish made;
+    made.service = ServiceName("s");
+    made.model = BaseModel("m");
+    if (adapter) {
+        made.adapter = Adapter;
+    }
+    return made;
+}
+
+TEST_CASE("a server that drains, or that has seen the request, is not chosen")
+{
+    auto servers = directory();
+    auto leaving = server("a");
+    leaving.draining = true;
+    servers.put(leaving);
+    CHECK_FALSE(servers.choose(wish(false), Start).has_value());
+    servers.put(server("b"));
+    CHECK(servers.choose(wish(false), Start)->server.id == TargetId("b"));
+    auto again = wish(false);
+    again.excluded.insert(TargetId("b"));
+    CHECK_FALSE(servers.choose(again, Start).has_value());
+}
+
+TEST_CASE("a request for an adapter goes only where the adapter and its version are held")
+{
+    auto servers = directory();
+    servers.put(server("a"));
+    servers.put(server("b"));
+    CHECK_FALSE(servers.choose(wish(true), Start).has_value());
+    servers.setHolding(TargetId("b"), Adapter, 2, Start);
+    CHECK(servers.choose(wish(true), Start)->server.id == TargetId("b"));
+    auto newer = wish(true);
+    newer.minVersion = 3;
+    CHECK_FALSE(servers.choose(newer, Start).has_value());
+    servers.setHolding(TargetId("b"), Adapter, 0, Start);
+    CHECK_FALSE(servers.choose(wish(true), Start).has_value());
+}
+
+TEST_CASE("a server that holds the adapter goes before one that is loading it")
+{
+    auto servers = directory();
+    servers.put(server("loading"));
+    servers.put(server("holding", "elsewhere"));
+    servers.setHolding(TargetId("loading"), Adapter, 1, Start + milliseconds(100));
+    CHECK(servers.choose(wish(true), Start)->readyAt == Start + milliseconds(100));
+    servers.setHolding(TargetId("holding"), Adapter, 1, Start);
+    CHECK(servers.choose(wish(true), Start)->server.id == TargetId("holding"));
+}
+
+TEST_CASE("a new start of a server holds nothing of before")
+{
+    auto servers = directory();
+    servers.put(server("a"));
+    servers.setHolding(TargetId("a"), Adapter, 1, Start);
+    servers.put(server("a", "here", 2));
+    CHECK_FALSE(servers.choose(wish(true), Start).has_value());
+}
+
+TEST_CASE("the load of the other entries counts, and the own zone goes first between equals")
+{
+    auto servers = directory();
+    servers.put(server("near"));
+    servers.put(server("far", "elsewhere"));
+    CHECK(servers.choose(wish(false), Start)->server.id == TargetId("near"));
+    servers.setLoad(TargetId("near"), 6);
+    CHECK(servers.choose(wish(false), Start)->server.id == TargetId("far"));
+}
+
+TEST_CASE("a server that broke off requests is avoided while another can take them")
+{
+    auto servers = directory();
+    servers.put(server("broken"));
+    servers.put(server("far", "elsewhere"));
+    servers.began(TargetId("broken"), 1);
+    servers.ended(TargetId("broken"), 1, ServerOutcome::Broken, Start);
+    CHECK(servers.choose(wish(false), Start)->server.id == TargetId("far"));
+    servers.remove(TargetId("far"));
+    CHECK(servers.choose(wish(false), Start)->server.id == TargetId("broken"));
+    servers.put(server("far", "elsewhere"));
+    CHECK(servers.choose(wish(false), Start + seconds(5))->server.id == TargetId("broken"));
+}
--- /dev/null
+++ b/unittests/Fleet/ServerRegistryTest.cpp
@@ -0,0 +1,102 @@
+#include "tamarackcove/Fleet/ServerRegistry.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarackcove;
+
+static constexpr TimePoint Start{std::chrono::hours(1)};
+static const Endpoint Address{.host = "10.0.0.1", .port = 80};
+
+static ServerHeartbeat heartbeat(const std::string &id, std::uint64_t startedAt, std::uint64_t sequence)
+{
+    ServerHeartbeat said;
+    said.identity = {.id = TargetId(id), .startedAt = Incarnation(startedAt)};
+    said.service = ServiceName("s");
+    said.endpoint = Address;
+    said.zone = Zone("z");
+    said.slots = 4;
+    said.sequence = sequence;
+    return said;
+}
+
+using Verdict = ServerRegistry::Verdict;
+
+TEST_CASE("a heartbeat that arrives after a later one changes nothing")
+{
+    ServerRegistry registry({});
+    CHECK(registry.heartbeat(heartbeat("a", 1, 5), Start) == Verdict::Changed);
+    auto late = heartbeat("a", 1, 4);
+    late.draining = true;
+    CHECK(registry.heartbeat(late, Start) == Verdict::Outdated);
+    CHECK_FALSE(registry.find(TargetId("a"))->draining);
+}
+
+TEST_CASE("a new start under the same name counts its heartbeats anew")
+{
+    ServerRegistry registry({});
+    (void)registry.heartbeat(heartbeat("a", 1, 50), Start);
+    CHECK(registry.heartbeat(heartbeat("a", 2, 1), Start) == Verdict::Changed);
+    CHECK(registry.heartbeat(heartbeat("a", 1, 51), Start) == Verdict::Outdated);
+    CHECK(registry.identityOf(TargetId("a"))->startedAt == Incarnation(2));
+}
+
+TEST_CASE("a delayed heartbeat of a crashed server does not take the address of its successor")
+{
+    ServerRegistry registry({});
+    (void)registry.heartbeat(heartbeat("new", 9, 1), Start);
+    CHECK(registry.heartbeat(heartbeat("old", 3, 70), Start) == Verdict::Outdated);
+    CHECK(registry.find(TargetId("old")) == nullptr);
+    CHECK(registry.find(TargetId("new")) != nullptr);
+}
+
+TEST_CASE("a server at an address replaces the one that was there")
+{
+    ServerRegistry registry({});
+    (void)registry.heartbeat(heartbeat("old", 3, 70), Start);
+    (void)registry.heartbeat(heartbeat("new", 9, 1), Start);
+    CHECK(registry.find(TargetId("old")) == nullptr);
+}
+
+TEST_CASE("a departure in the replicated state outlives later heartbeats that say ready")
+{
+    ServerRegistry registry({});
+    registry.departed({.id = TargetId("a"), .startedAt = Incarnation(1)}, false);
+    (void)registry.heartbeat(heartbeat("a", 1, 7), Start);
+    CHECK(registry.find(TargetId("a"))->draining);
+    CHECK_FALSE([&] {
+        (void)registry.heartbeat(heartbeat("a", 2, 1), Start);
+        return registry.find(TargetId("a"))->draining;
+    }());
+}
+
+TEST_CASE("draining is to be recorded once")
+{
+    ServerRegistry registry({});
+    auto leaving = heartbeat("a", 1, 2);
+    leaving.draining = true;
+    CHECK(registry.heartbeat(leaving, Start) == Verdict::Leaves);
+    registry.departed(leaving.identity, false);
+    leaving.sequence = 3;
+    CHECK(registry.heartbeat(leaving, Start) == Verdict::Unchanged);
+}
+
+TEST_CASE("a silent server is removed, and its removal is a change")
+{
+    ServerRegistry registry({.silence = milliseconds(1000)});
+    (void)registry.heartbeat(heartbeat("a", 1, 2), Start);
+    (void)registry.takeChanges();
+    registry.expire(Start + milliseconds(999));
+    CHECK(registry.find(TargetId("a")) != nullptr);
+    registry.expire(Start + milliseconds(1001));
+    CHECK(registry.find(TargetId("a")) == nullptr);
+    CHECK(registry.takeChanges().contains(TargetId("a")));
+}
+
+TEST_CASE("what an entry suggests gives way to the server's own word")
+{
+    ServerRegistry registry({});
+    CHECK(registry.suggest(heartbeat("a", 1, 0), false, Start));
+    CHECK_FALSE(registry.suggest(heartbeat("b", 2, 0), false, Start));
+    CHECK(registry.heartbeat(heartbeat("b", 2, 1), Start) == Verdict::Changed);
+    CHECK(registry.find(TargetId("a")) == nullptr);
+}
--- /dev/null
+++ b/unittests/Platform/CodecTest.cpp
@@ -0,0 +1,186 @@
+#include "platform/CallerCodec.h"
+#include "platform/ConfigurationCodec.h"
+#include "platform/ServerCodec.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace tamarackcove;
+using nlohmann::json;
+
+static json document()
+{
+    return json::parse(R"({"version":7,"routes":[
+        {"name":"r1","host":"h.example","pathPrefix":"/a/","type":"streaming","timeoutMs":5000,"goalMs":800,"priority":0,
+         "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"attempts":2,"sticky":true,
+         "resumable":true,"gapGoalMs":600},
+        {"name":"r2","host":"h.example","pathPrefix":"/b/","type":"non_idempotent","timeoutMs":800,"service":"s2"}],
+        "services":[{"name":"s1","healthPath":"/healthz","maxConns":200,"engine":{"slots":24,"models":[
+            {"name":"m","weightsMb":65.5,"loadS":1.9,"adapters":3000,"adapterMb":12.0,"warmS":0.6,"diskS":0.78}],
+            "weightsMb":666.0,"adapterSlots":13,"loadsPerS":6.8}},{"name":"s2"}],
+        "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+}
+
+TEST_CASE("a configuration is read into typed routes, services and limits")
+{
+    const auto read = platform::readConfiguration(document().dump());
+    REQUIRE(read.has_value());
+    const auto &configuration = read.value();
+    CHECK_FALSE(configuration.fault().has_value());
+    CHECK(configuration.version == 7);
+    REQUIRE(configuration.routes.size() == 2);
+    CHECK(configuration.routes[0].kind == RequestKind::Stream);
+    CHECK(configuration.routes[0].repeatable());
+    CHECK(configuration.routes[0].services.size() == 2);
+    CHECK(configuration.routes[0].eventGapGoal == milliseconds(600));
+    CHECK(configuration.routes[1].kind == RequestKind::NotRepeatable);
+    CHECK_FALSE(configuration.routes[1].repeatable());
+    REQUIRE(configuration.services[0].engine.has_value());
+    CHECK(configuration.services[0].engine->adapterSlots == 13);
+    CHECK(configuration.services[0].engine->models[0].storeLoad == milliseconds(1900));
+    CHECK(configuration.limits.idleTimeout == milliseconds(15000));
+}
+
+TEST_CASE("a configuration that is cut short or lacks a field is refused, not half read")
+{
+    const auto whole = document().dump();
+    for (std::size_t length = 0; length < whole.size(); length += 7) {
+        CHECK(platform::readConfiguration(whole.substr(0, length)).has_error());
+    }
+    for (const auto *field : {"host", "pathPrefix", "type", "timeoutMs"}) {
+        auto lacking = document();
+        lacking["routes"][1].erase(field);
+        CHECK(platform::readConfiguration(lacking.dump()).has_error());
+    }
+}
+
+static json heartbeat()
+{
+    return json::parse(R"({"service":"s1","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":24,"state":"ready",
+        "coldLeftMs":0,"born":1785776627475,"stage":"mixed","models":[{"name":"m","version":1,
+        "adapters":["a3@2","a4"]}],"seq":4})");
+}
+
+TEST_CASE("a heartbeat is read into a typed one")
+{
+    const auto read = platform::readHeartbeat("i-1", heartbeat().dump());
+    REQUIRE(read.has_value());
+    CHECK(read.value().identity.startedAt == Incarnation(1785776627475));
+    CHECK(read.value().sequence == 4);
+    REQUIRE(read.value().models[0].adapters.size() == 2);
+    CHECK(read.value().models[0].adapters[0].adapter == "a3");
+    CHECK(read.value().models[0].adapters[0].version == 2);
+    CHECK(read.value().models[0].adapters[1].version == 1);
+}
+
+TEST_CASE("a heartbeat from another writer names no server")
+{
+    auto bad = heartbeat();
+    SUBCASE("no address")
+    {
+        bad.erase("addr");
+    }
+    SUBCASE("an address that is none")
+    {
+        bad["addr"] = "nowhere";
+    }
+    SUBCASE("an unknown state")
+    {
+        bad["state"] = "resting";
+    }
+    SUBCASE("another type")
+    {
+        bad["slots"] = "many";
+    }
+    SUBCASE("a service that is no name")
+    {
+        bad["service"] = 5;
+    }
+    CHECK(platform::readHeartbeat("i-1", bad.dump()).has_error());
+    CHECK(platform::readHeartbeat("i-1", "\x01\xff").has_error());
+}
+
+TEST_CASE("an order names its server, its holder and what the server must have accepted before")
+{
+    ServerOrder order;
+    order.action = ServerOrder::Action::Load;
+    order.server = {.id = TargetId("i-1"), .startedAt = Incarnation(1)};
+    order.endpoint = {.host = "10.0.0.9", .port = 80};
+    order.weights = {BaseModel("m"), "a3"};
+    order.version = 2;
+    order.expectedOrders = 5;
+    order.holder = "c1";
+    order.fence = FencingNumber(41);
+    const auto request = platform::engineDialect().orderRequest(order);
+    CHECK(request.headers.find("Tamarackcove-Expect-Instance") == "i-1");
+    CHECK(json::parse(request.body)
+          == json::parse(R"({"op":"load","model":"m","adapter":"a3","version":2,"expected":5,"holder":"c1","fence":41})"));
+}
+
+TEST_CASE("a request is passed on with what the system sets, and without what a caller may not set")
+{
+    const auto dialect = platform::callerDialect();
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b?c=d";
+    request.body = std::string("\0\xff", 2);
+    request.headers
+        = {{"Host", "h.example"},          {"Tamarackcove-Attempt-Id", "x1"},     {"Tamarackcove-Model", "m/a3"},
+           {"Tamarackcove-Hold", "h"},     {"Tamarackcove-Pin-Ms", "4000"},       {"Tamarackcove-Kv-Backup", "10.0.0.1:1"},
+           {"Kv-From", "10.0.0.1:1/2"},    {"Tamarackcove-Deadline-Ms", "5000"},  {"Other", "kept"},
+           {"Tamarackcove-Token-Usage", "1460,80"}};
+    const auto caller = dialect.readRequest(request);
+    CHECK(caller.attemptId == "x1");
+    CHECK(caller.patience == milliseconds(5000));
+    CHECK(caller.adapter == AdapterKey{BaseModel("m"), "a3"});
+    CHECK(caller.promptTokens == 1460);
+    Dispatch dispatch;
+    dispatch.server.id = TargetId("i-1");
+    dispatch.timeLeft = milliseconds(4321);
+    dispatch.minVersion = 3;
+    dispatch.lastEvent = "12";
+    const auto passed = dialect.serverRequest(request, dispatch);
+    CHECK(passed.target == request.target);
+    CHECK(passed.body == request.body);
+    CHECK(passed.headers.find("Tamarackcove-Deadline-Ms") == "4321");
+    CHECK(passed.headers.find("Tamarackcove-Expect-Instance") == "i-1");
+    CHECK(passed.headers.find("Tamarackcove-Expect-Version") == "3");
+    CHECK(passed.headers.find("Last-Event-Id") == "12");
+    CHECK(passed.headers.find("Other") == "kept");
+    for (const auto *own : {"Tamarackcove-Hold", "Tamarackcove-Pin-Ms", "Tamarackcove-Kv-Backup", "Kv-From"}) {
+        CHECK_FALSE(passed.headers.find(own).has_value());
+    }
+}
+
+TEST_CASE("an answer counts only with the id of the request and the seal of a server")
+{
+    const auto dialect = platform::callerDialect();
+    CallerRequest caller;
+    caller.attemptId = "x1";
+    HttpResponse head;
+    head.headers = {{"Tamarackcove-Attempt-Id", "x1"}, {"Tamarackcove-Server-Seal", "s"}};
+    CHECK(dialect.readAnswer(caller, head).authentic);
+    head.headers.set("Tamarackcove-Attempt-Id", "x2");
+    head.headers.set("Tamarackcove-Not-Executed", "1");
+    CHECK_FALSE(dialect.readAnswer(caller, head).authentic);
+    CHECK_FALSE(dialect.readAnswer(caller, head).notRun);
+    head.headers = {{"Tamarackcove-Attempt-Id", "x1"}};
+    CHECK_FALSE(dialect.readAnswer(caller, head).authentic);
+    head.headers.set("Tamarackcove-Not-Executed", "1");
+    CHECK(dialect.readAnswer(caller, head).notRun);
+    head = {.status = 421, .headers = {}, .body = {}};
+    CHECK(dialect.readAnswer(caller, head).notRun);
+    CHECK(dialect.readAnswer(caller, head).wrongServer);
+}
+
+TEST_CASE("a request that may have run is never answered with a promise that it has not")
+{
+    const auto dialect = platform::callerDialect();
+    CHECK(dialect.refuse({}, EntryRefusal::OutcomeUnknown, milliseconds(0)).status == 502);
+    CHECK(dialect.refuse({}, EntryRefusal::TimedOut, milliseconds(0)).status == 504);
+    const auto refused = dialect.refuse({}, EntryRefusal::NoServer, milliseconds(300));
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.find("Retry-After") == "0.30");
+    CHECK(dialect.refuse({}, EntryRefusal::NotReady, milliseconds(300)).status == 503);
+    CHECK(dialect.refuse({}, EntryRefusal::NoRoute, milliseconds(0)).status == 404);
+}
