--- a/include/tamarackcove/Control/LogStatus.h
+++ b/include/tamarackcove/Control/LogStatus.h
@@ -17,6 +17,9 @@
     bool voter = false;
     bool reachable = false;
     std::uint64_t matchedIndex = 0;
+    /// Host name, and the start of its process that was last heard of.
+    std::string name{};
+    std::string boot{};
 };
 
 /// The replicated log as one replica sees it.
--- a/include/tamarackcove/Control/Replica/ReplicaCodec.h
+++ b/include/tamarackcove/Control/Replica/ReplicaCodec.h
@@ -20,8 +20,10 @@
     std::string administration;
     /// Names of the control processes that the sender is connected with.
     std::vector<std::string> connected;
+    /// Differs from start to start of the sender.
+    std::string boot;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PeerHello, name, identity, group, administration, connected)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PeerHello, name, identity, group, administration, connected, boot)
 
 /// Encodes everything but sender and receiver. Thread safe.
 [[nodiscard]] Message encodeReplicaMessage(const ReplicaMessage &message);
--- a/include/tamarackcove/Control/Replica/ReplicaSettings.h
+++ b/include/tamarackcove/Control/Replica/ReplicaSettings.h
@@ -47,6 +47,8 @@
     bool mayFormGroup = true;
     /// See ReplicaOptions.
     std::size_t maxVoters = 0;
+    /// Names this start of the process, so that others can tell it from the start before.
+    std::string boot;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -114,6 +114,9 @@
         double rate = 0;
         bool unloading = false;
         bool fromStore = false;
+        /// An order to load it was not answered. It holds its place until the server accepts another order, which makes
+        /// the server refuse the one before.
+        bool uncertain = false;
         /// Requests in progress, by entry.
         std::map<EntryId, int> running;
     };
@@ -142,8 +145,9 @@
         std::deque<Wanted> wanted;
         /// Whether an order or a reading is in progress.
         bool engaged = false;
-        /// Orders that conflicted one after the other.
+        /// Orders that conflicted, or were not answered, one after the other.
         int conflicts = 0;
+        int unanswered = 0;
     };
 
     [[nodiscard]] double rateNow(const Held &held, TimePoint now) const;
@@ -152,6 +156,7 @@
     [[nodiscard]] std::optional<AdapterKey> victim(const Server &server, TimePoint now) const;
     [[nodiscard]] double cost(const Server &server, const AdapterKey &adapter, const Zone &zone, TimePoint now) const;
     [[nodiscard]] static bool cachedAt(const Server &server, const AdapterKey &adapter);
+    void orderUnanswered(Server &server, const ServerOrder &order, TimePoint now);
     [[nodiscard]] Step modelStep(Server &server, TimePoint now);
     [[nodiscard]] Step adapterStep(Server &server, TimePoint now);
     [[nodiscard]] static Step orderStep(const Server &server, ServerOrder::Action action, AdapterKey weights,
--- a/include/tamarackcove/Fleet/FleetState.h
+++ b/include/tamarackcove/Fleet/FleetState.h
@@ -39,6 +39,8 @@
 struct TakeOrderDuty
 {
     std::string holder;
+    /// The start of its process.
+    std::string boot{};
 };
 
 using FleetCommand = std::variant<PutConfiguration, PutWeightVersion, NoteDeparture, TakeOrderDuty>;
@@ -59,6 +61,7 @@
     struct OrderDuty
     {
         std::string holder;
+        std::string boot{};
         /// Place of the command in the log, which grows from holder to holder.
         FencingNumber fence;
     };
--- a/lib/Control/Fleet/FleetCodec.cpp
+++ b/lib/Control/Fleet/FleetCodec.cpp
@@ -40,7 +40,8 @@
                      {"service", departure->service.value()},
                      {"gone", departure->gone}});
     }
-    return pack({{"t", "duty"}, {"holder", std::get<TakeOrderDuty>(command).holder}});
+    const auto &duty = std::get<TakeOrderDuty>(command);
+    return pack({{"t", "duty"}, {"holder", duty.holder}, {"boot", duty.boot}});
 }
 
 static FleetCommand commandFrom(const json &value)
@@ -60,7 +61,7 @@
                              .service = ServiceName(value.at("service").get<std::string>()),
                              .gone = value.at("gone").get<bool>()};
     }
-    return TakeOrderDuty{.holder = value.at("holder").get<std::string>()};
+    return TakeOrderDuty{.holder = value.at("holder").get<std::string>(), .boot = value.at("boot").get<std::string>()};
 }
 
 Result<FleetCommand, WireError> decodeFleetCommand(std::string_view bytes)
@@ -90,6 +91,7 @@
                  {"weights", std::move(versions)},
                  {"departures", std::move(departures)},
                  {"holder", image.duty.holder},
+                 {"boot", image.duty.boot},
                  {"fence", image.duty.fence.value()}});
 }
 
@@ -112,6 +114,7 @@
                .at = std::chrono::system_clock::time_point(milliseconds(item.at(3).get<std::int64_t>()))};
     }
     image.duty = {.holder = value.at("holder").get<std::string>(),
+                  .boot = value.at("boot").get<std::string>(),
                   .fence = FencingNumber(value.at("fence").get<std::uint64_t>())};
     return image;
 }
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -8,6 +8,7 @@
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 #include "tamarackcove/Fleet/AdapterPlanner.h"
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Storage/DataFolder.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
 #include <algorithm>
@@ -25,7 +26,7 @@
 /// Beyond the lease of orders, for orders that are still on their way.
 static constexpr milliseconds LeaseMargin{150};
 
-static ReplicaSettings replicaSettings(const FleetControlSettings &settings)
+static ReplicaSettings replicaSettings(const FleetControlSettings &settings, const std::string &boot)
 {
     ReplicaSettings replica;
     replica.name = settings.host;
@@ -41,6 +42,7 @@
     replica.mayFormGroup = settings.firstStart
         && std::find(settings.seeds.begin(), settings.seeds.end(), settings.host) != settings.seeds.end();
     replica.maxVoters = settings.maxVoters;
+    replica.boot = boot;
     replica.dataFolder = settings.dataFolder;
     replica.listen = {.host = settings.host, .port = port};
     replica.administration = settings.listen;
@@ -61,7 +63,8 @@
         , entryConnections(executor, "entries")
         , orderTasks(executor, "orders")
         , log([this] { stateChanged(); })
-        , replica(root, replicaSettings(settings), log.hooks(),
+        , replicaBoot(randomIdentity())
+        , replica(root, replicaSettings(settings, replicaBoot), log.hooks(),
                   {.onFatal = [this](const StorageError &error) { fatal("the data folder failed", error.detail); },
                    .onLeadership =
                        [this](bool leads) {
@@ -112,8 +115,7 @@
     {
         std::vector<std::string> names;
         for (const auto &member : replica.client().status().replicas) {
-            const auto &shown = member.id.value();
-            names.push_back(shown.substr(0, shown.find('@')));
+            names.push_back(member.name);
         }
         return names;
     }
@@ -134,6 +136,7 @@
     Supervisor entryConnections;
     Supervisor orderTasks;
     FleetLog log;
+    const std::string replicaBoot;
     ReplicaTask replica;
     ServerRegistry registry;
     AdapterPlanner planner;
@@ -189,11 +192,12 @@
     }
     leadsSince = Clock::now();
     stateChanged();
-    const auto &former = log.state().duty().holder;
+    // A host that has gone, or has started anew since, gives no orders of its former duty.
+    const auto &former = log.state().duty();
     const auto status = replica.client().status();
-    const bool formerRuns = !former.empty() && former != settings.host
+    const bool formerRuns = former.holder != settings.host
         && std::any_of(status.replicas.begin(), status.replicas.end(), [&](const auto &member) {
-               return member.reachable && member.id.value().starts_with(former + "@");
+               return member.reachable && member.name == former.holder && member.boot == former.boot;
            });
     root.startTemporary("duty-" + std::to_string(leaderships),
                         [this, formerRuns, term = leaderships] { return takeDuty(term, formerRuns); });
@@ -202,6 +206,7 @@
 asio::awaitable<void> FleetNode::Impl::takeDuty(std::uint64_t term, bool formerLeaderRuns)
 {
     const auto host = settings.host;
+    const auto boot = replicaBoot;
     asio::steady_timer timer(root.executor());
     if (formerLeaderRuns) {
         // Its last order may be as young as this leadership.
@@ -209,7 +214,7 @@
         co_await timer.async_wait(asio::use_awaitable);
     }
     while (leading && leaderships == term) {
-        auto command = encodeFleetCommand(TakeOrderDuty{.holder = host});
+        auto command = encodeFleetCommand(TakeOrderDuty{.holder = host, .boot = boot});
         const auto taken = co_await replica.client().propose(std::move(command));
         if (taken.has_value() && leading && leaderships == term && log.state().duty().holder == host) {
             duty.begin(host, log.state().duty().fence);
--- a/lib/Control/Fleet/OrderDuty.cpp
+++ b/lib/Control/Fleet/OrderDuty.cpp
@@ -11,8 +11,8 @@
 namespace tamarackcove {
 
 static constexpr milliseconds ConnectTimeout{500};
-/// A server answers an order at once; one that does not may still carry it out.
-static constexpr milliseconds ExchangeTimeout{800};
+/// A server answers an order at once, within the time between zones; one that does not may still carry it out.
+static constexpr milliseconds ExchangeTimeout{120};
 /// Servers close idle connections after some seconds; an order is never sent on one that may be closing.
 static constexpr milliseconds MaxIdle{1500};
 
--- a/lib/Control/Replica/PeerLinks.cpp
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -38,6 +38,7 @@
     /// What the peer said on the newest connection in either direction.
     ReplicaId identity;
     std::optional<Endpoint> administration;
+    std::string boot;
     /// Named in the settings: the group is formed with it.
     bool founder = false;
     /// Whether the connection to it is open, and whether the peer belonged to no group when it was opened.
@@ -179,6 +180,15 @@
     return std::nullopt;
 }
 
+std::string PeerLinks::bootOf(const std::string &name) const
+{
+    if (name == m_settings.name) {
+        return m_settings.boot;
+    }
+    const auto found = m_peers.find(name);
+    return found == m_peers.end() ? std::string() : found->second->boot;
+}
+
 std::uint64_t PeerLinks::bytesSent() const
 {
     return m_bytesSent;
@@ -201,6 +211,7 @@
     }
     hello.administration = m_settings.administration.toString();
     hello.connected = connectedPeers();
+    hello.boot = m_settings.boot;
     return hello;
 }
 
@@ -218,6 +229,7 @@
         LogLine(LogLevel::Info, "peer_identified").add("peer", peer.settings.name).add("identity", hello.identity);
     }
     peer.administration = Endpoint::parse(hello.administration);
+    peer.boot = hello.boot;
     m_driver.replica().peerSeen(peer.settings.name, peer.identity);
     m_driver.scheduleStep();
     return true;
--- a/lib/Control/Replica/PeerLinks.h
+++ b/lib/Control/Replica/PeerLinks.h
@@ -36,6 +36,8 @@
     /// Queues a message for the peer with that identity; without a connection it is dropped and will be sent again.
     void send(ReplicaMessage message);
     [[nodiscard]] std::optional<Endpoint> administrationOf(const ReplicaId &id) const;
+    /// The start of the process of that name that was last heard of.
+    [[nodiscard]] std::string bootOf(const std::string &name) const;
     /// Bytes that this replica has written to its peers.
     [[nodiscard]] std::uint64_t bytesSent() const;
 
--- a/lib/Control/Replica/ReplicaTask.cpp
+++ b/lib/Control/Replica/ReplicaTask.cpp
@@ -55,7 +55,9 @@
         status.replicas.push_back({.id = displayId(member.name, member.id),
                                    .voter = member.voter,
                                    .reachable = replica.reachable(member.id, now),
-                                   .matchedIndex = replica.matchedIndex(member.id)});
+                                   .matchedIndex = replica.matchedIndex(member.id),
+                                   .name = member.name,
+                                   .boot = links.bootOf(member.name)});
     }
     status.lossesTolerated = replica.lossesTolerated(now);
     return status;
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -11,6 +11,8 @@
 static constexpr milliseconds ModelLoadMargin{1500};
 /// A demand that no server could take up is dropped; the entries repeat it while requests wait.
 static constexpr milliseconds DemandRetention{1000};
+/// After this many orders without an answer the state is read before the next one.
+static constexpr int MaxUnanswered = 3;
 /// Window over which loads of models from the store are limited.
 static constexpr seconds StoreWindow{5};
 
@@ -87,7 +89,7 @@
                   [&](const auto &item) { return server.models.contains(item.first) || item.second < now; });
     for (const auto &[adapter, version] : holds) {
         const auto held = server.adapters.find(adapter);
-        if (held == server.adapters.end()) {
+        if (held == server.adapters.end() || held->second.uncertain) {
             setHeld(server, adapter, {.version = version, .readyAt = first ? now : asked, .lastUse = now});
         }
     }
@@ -136,6 +138,10 @@
         // An order whose aim holds already may or may not count; a wrong expectation is refused and read again.
         ++server.ordersAccepted;
         server.conflicts = 0;
+        server.unanswered = 0;
+        std::erase_if(server.adapters, [&](const auto &item) {
+            return item.second.uncertain && item.first != order.weights;
+        });
         if (isModel) {
             return;
         }
@@ -152,6 +158,10 @@
         }
         return;
     }
+    if (outcome == OrderOutcome::Unknown && !isModel) {
+        orderUnanswered(server, order, now);
+        return;
+    }
     if (isModel) {
         server.modelsLoading.erase(order.weights.model);
     } else if (loads) {
@@ -169,10 +179,24 @@
     // The state is read before the next order: what the server holds is not certain now.
     server.known = false;
     server.readAt = now;
-    if (outcome == OrderOutcome::Unknown && loads && !isModel) {
-        // It may still be loaded, so its place stays taken until the server says otherwise.
-        setHeld(server, order.weights,
-                {.version = order.version, .readyAt = now + m_options.storeLoad, .lastUse = now, .fromStore = true});
+}
+
+void AdapterPlanner::orderUnanswered(Server &server, const ServerOrder &order, TimePoint now)
+{
+    auto &held = server.adapters[order.weights];
+    held.lastUse = now;
+    if (order.action == ServerOrder::Action::Load) {
+        held.uncertain = true;
+        held.readyAt = now;
+        server.wanted.push_front({.adapter = order.weights, .version = order.version, .since = now});
+    } else {
+        held.unloading = false;
+        setHeld(server, order.weights, Held(held));
+    }
+    if (++server.unanswered >= MaxUnanswered) {
+        server.unanswered = 0;
+        server.known = false;
+        server.readAt = now;
     }
 }
 
@@ -238,7 +262,7 @@
     const AdapterKey *best = nullptr;
     double lowest = 0;
     for (const auto &[adapter, held] : server.adapters) {
-        if (held.unloading || held.readyAt > now || !held.running.empty() || held.lastUse + m_options.minIdle > now) {
+        if (held.unloading || held.uncertain || held.readyAt > now || !held.running.empty() || held.lastUse + m_options.minIdle > now) {
             continue;
         }
         const bool awaited = std::any_of(server.wanted.begin(), server.wanted.end(),
@@ -294,7 +318,8 @@
     double lowest = 0;
     for (auto &[id, server] : m_servers) {
         const auto held = server.adapters.find(adapter);
-        const bool holds = held != server.adapters.end() && !held->second.unloading && held->second.version >= version;
+        const bool holds = held != server.adapters.end() && !held->second.unloading && !held->second.uncertain
+            && held->second.version >= version;
         const bool awaits = std::any_of(server.wanted.begin(), server.wanted.end(),
                                         [&](const auto &wanted) { return wanted.adapter == adapter; });
         if (holds || awaits) {
@@ -507,7 +532,8 @@
     std::erase_if(server.wanted, [&](const auto &wanted) {
         const auto held = server.adapters.find(wanted.adapter);
         const bool holds
-            = held != server.adapters.end() && !held->second.unloading && held->second.version >= wanted.version;
+            = held != server.adapters.end() && !held->second.unloading && !held->second.uncertain
+            && held->second.version >= wanted.version;
         const bool late = wanted.since != TimePoint::max() && wanted.since + DemandRetention < now;
         return holds || late || !server.models.contains(wanted.adapter.model);
     });
@@ -601,7 +627,7 @@
     std::vector<HoldingChange> all;
     for (const auto &[id, server] : m_servers) {
         for (const auto &[adapter, held] : server.adapters) {
-            if (!held.unloading) {
+            if (!held.unloading && !held.uncertain) {
                 all.push_back({.server = id,
                                .adapter = adapter,
                                .version = std::max<std::uint64_t>(held.version, 1),
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -25,7 +25,7 @@
         noted.gone = noted.gone || departure->gone;
         noted.at = time;
     } else if (const auto *duty = std::get_if<TakeOrderDuty>(&command)) {
-        m_image.duty = {.holder = duty->holder, .fence = FencingNumber(index)};
+        m_image.duty = {.holder = duty->holder, .boot = duty->boot, .fence = FencingNumber(index)};
     }
     m_image.revision = Revision(index);
 }
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -137,19 +137,28 @@
     CHECK(made.next(TargetId("a"), later).kind == Step::Kind::Order);
 }
 
-TEST_CASE("a load without an answer keeps its place until the server's state was read")
+TEST_CASE("a load without an answer keeps its place, and is ordered again before anything else")
 {
     auto made = planner({"a"}, 1);
     (void)made.demand(adapter(1), 0, Here, Start);
     const auto order = made.next(TargetId("a"), Start).order;
     made.orderEnded(order, OrderOutcome::Unknown, Start);
     (void)made.demand(adapter(2), 0, Here, Start);
+    auto step = made.next(TargetId("a"), Start);
+    REQUIRE(step.kind == Step::Kind::Order);
+    CHECK(step.order.action == ServerOrder::Action::Load);
+    CHECK(step.order.weights == adapter(1));
+    // Whichever of the two is carried out first, the server refuses the other.
+    CHECK(step.order.expectedOrders == order.expectedOrders);
+    made.orderEnded(step.order, OrderOutcome::Unknown, Start);
+    step = made.next(TargetId("a"), Start);
+    made.orderEnded(step.order, OrderOutcome::Unknown, Start);
     CHECK(made.next(TargetId("a"), Start).kind == Step::Kind::Wait);
     const auto later = Start + seconds(1);
     CHECK(made.next(TargetId("a"), later).kind == Step::Kind::ReadState);
     made.reported(order.server, holdsModel(), later, later);
     (void)made.demand(adapter(2), 0, Here, later);
-    const auto step = made.next(TargetId("a"), later);
+    step = made.next(TargetId("a"), later);
     REQUIRE(step.kind == Step::Kind::Order);
     CHECK(step.order.action == ServerOrder::Action::Load);
 }
--- a/unittests/Storage/DataFolderTest.cpp
+++ b/unittests/Storage/DataFolderTest.cpp
@@ -169,7 +169,7 @@
         };
         hooks.write = [&](int file, const void *bytes, std::size_t size) -> ssize_t {
             calls += failing ? 1 : 0;
-            errno = ENOSPC;
+            errno = EIO;
             // A torn write: a part reaches the file before the error.
             return failing && !failSync ? (size > 1 ? system.write(file, bytes, size / 2) : -1)
                                         : system.write(file, bytes, size);
@@ -190,6 +190,43 @@
     }
 }
 
+TEST_CASE("a write to a full disk leaves nothing behind, and can be tried again when there is space")
+{
+    const TemporaryFolder folder;
+    bool full = false;
+    auto hooks = FileHooks::system();
+    const auto system = hooks;
+    hooks.write = [&](int file, const void *bytes, std::size_t size) -> ssize_t {
+        if (!full) {
+            return system.write(file, bytes, size);
+        }
+        // A part still fits, then nothing does.
+        if (size > 1) {
+            return system.write(file, bytes, size / 2);
+        }
+        errno = ENOSPC;
+        return -1;
+    };
+    RecoveredState recovered;
+    {
+        auto opened = DataFolder::open(folder.path, hooks, randomIdentity, recovered);
+        REQUIRE(opened.has_value());
+        REQUIRE(opened.value().persist(std::vector{entries(1, 1, 1)}).has_value());
+        full = true;
+        for (int i = 0; i < 3; ++i) {
+            const auto refused = opened.value().persist(std::vector{entries(2, 2, 1)});
+            REQUIRE(refused.has_error());
+            CHECK(refused.error().code == StorageErrorCode::NoSpace);
+        }
+        full = false;
+        REQUIRE(opened.value().persist(std::vector{entries(2, 2, 1)}).has_value());
+    }
+    RecoveredState again;
+    const auto reopened = DataFolder::open(folder.path, system, randomIdentity, again);
+    REQUIRE(reopened.has_value());
+    CHECK(again.entries.size() == 2);
+}
+
 TEST_CASE("a snapshot drops old segments and the log goes on behind it")
 {
     const TemporaryFolder folder;
