--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -32,8 +32,10 @@
         /// Adapters that may be on their way from the store per server, over all servers; beyond about this number each
         /// load takes longer in proportion.
         double storeLoadsInTransitPerServer = 1.25;
-        /// An adapter in use within this time is not evicted.
-        milliseconds minIdle{300};
+        /// An adapter that was loaded or used within this time is not evicted: the requests that wait for it are sent
+        /// when it is ready, and entries report them up to 200 ms later. A server that unloads an adapter in use takes
+        /// no other order until those requests have ended.
+        milliseconds minIdle{600};
         /// Half-life of the estimate of an adapter's request rate.
         milliseconds rateHalfLife{1500};
         /// Requests per second that one copy of an adapter takes before another copy is loaded. A prompt that is read
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -155,6 +155,10 @@
             noteCached(server, order.weights);
         } else if (outcome == OrderOutcome::Done) {
             drop(server, order.weights);
+        } else {
+            // It waits for its requests, and the server takes no other order meanwhile.
+            server.busy = true;
+            server.readAt = now;
         }
         return;
     }
@@ -262,7 +266,8 @@
     const AdapterKey *best = nullptr;
     double lowest = 0;
     for (const auto &[adapter, held] : server.adapters) {
-        if (held.unloading || held.uncertain || held.readyAt > now || !held.running.empty() || held.lastUse + m_options.minIdle > now) {
+        const bool recent = std::max(held.lastUse, held.readyAt) + m_options.minIdle > now;
+        if (held.unloading || held.uncertain || recent || !held.running.empty()) {
             continue;
         }
         const bool awaited = std::any_of(server.wanted.begin(), server.wanted.end(),
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -124,6 +124,37 @@
     CHECK(step.order.weights == adapter(3));
 }
 
+TEST_CASE("an adapter that has just been loaded is not evicted before its requests can use it")
+{
+    auto made = planner({"a"}, 1);
+    (void)made.demand(adapter(1), 0, Here, Start);
+    made.orderEnded(made.next(TargetId("a"), Start).order, OrderOutcome::Accepted, Start);
+    const auto ready = Start + AdapterPlanner::Options{}.storeLoad;
+    (void)made.demand(adapter(2), 0, Here, ready + milliseconds(100));
+    CHECK(made.next(TargetId("a"), ready + milliseconds(100)).kind == Step::Kind::Wait);
+}
+
+TEST_CASE("a server that waits for requests before it unloads is ordered nothing else")
+{
+    auto made = planner({"a"}, 1);
+    (void)made.demand(adapter(1), 0, Here, Start);
+    made.orderEnded(made.next(TargetId("a"), Start).order, OrderOutcome::Accepted, Start);
+    auto now = Start + seconds(3);
+    (void)made.demand(adapter(2), 0, Here, now);
+    auto step = made.next(TargetId("a"), now);
+    REQUIRE(step.order.action == ServerOrder::Action::Unload);
+    made.orderEnded(step.order, OrderOutcome::Accepted, now);
+    CHECK(made.next(TargetId("a"), now).kind == Step::Kind::Wait);
+    now += milliseconds(500);
+    CHECK(made.next(TargetId("a"), now).kind == Step::Kind::ReadState);
+    made.reported(step.order.server, holdsModel({}, 2), now, now);
+    (void)made.demand(adapter(2), 0, Here, now);
+    step = made.next(TargetId("a"), now);
+    REQUIRE(step.kind == Step::Kind::Order);
+    CHECK(step.order.action == ServerOrder::Action::Load);
+    CHECK(step.order.expectedOrders == 2);
+}
+
 TEST_CASE("the requests of an entry that is gone hold no adapter")
 {
     auto made = planner({"a"}, 1);
