--- a/include/tamarackcove/Control/Fleet/OrderDuty.h
+++ b/include/tamarackcove/Control/Fleet/OrderDuty.h
@@ -15,8 +15,8 @@
 
 class HttpConnection;
 
-/// Gives orders to servers while this host has the duty to: one task a server, which asks the planner for the next step,
-/// carries it out and tells the planner what came of it.
+/// Gives orders to servers while this host has the duty to: one task a server, which asks the planner for the next
+/// step, carries it out and tells the planner what came of it.
 ///
 /// Thread safety: used on the thread of the executor.
 class OrderDuty
--- a/include/tamarackcove/Control/Replica/ReplicaSettings.h
+++ b/include/tamarackcove/Control/Replica/ReplicaSettings.h
@@ -39,8 +39,8 @@
     milliseconds leaderLease{250};
     /// A snapshot is saved after this many applied commands.
     std::uint64_t snapshotEvery = 20000;
-    /// Where a control process of this name accepts control peers. When set, processes that are not in `peers` may join;
-    /// `peers` are then only those that form the group and those to ask first.
+    /// Where a control process of this name accepts control peers. When set, processes that are not in `peers` may
+    /// join; `peers` are then only those that form the group and those to ask first.
     std::function<std::optional<Endpoint>(const std::string &name)> locate;
     /// Whether this process may form a group with `peers` when all of them are empty. Only true at the first start of
     /// the whole system: an empty folder may later mean a lost disk.
--- a/include/tamarackcove/Entry/Callers/RequestPath.h
+++ b/include/tamarackcove/Entry/Callers/RequestPath.h
@@ -2,10 +2,10 @@
 
 #include "tamarackcove/Base/Time.h"
 #include "tamarackcove/Entry/Callers/AdmissionGate.h"
-#include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Entry/Callers/LoadWait.h"
 #include "tamarackcove/Entry/Targets/Destination.h"
 #include "tamarackcove/Entry/Targets/DispatchContext.h"
+#include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Requests/BrokenTargets.h"
 #include "tamarackcove/Requests/CrashLedger.h"
 #include "tamarackcove/Requests/RetryBudget.h"
--- a/include/tamarackcove/Entry/Targets/TargetCall.h
+++ b/include/tamarackcove/Entry/Targets/TargetCall.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "tamarackcove/Base/Time.h"
-#include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Entry/Targets/Destination.h"
+#include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Requests/Refusal.h"
 
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -14,17 +14,17 @@
 
 /// Decides which server loads and unloads which weights. Used by the control host that has the duty to order servers.
 ///
-/// A server's places and memory are never exceeded: a place counts as taken from the moment of the order until the server
-/// itself has said that it is free. Orders to one server are given one after the other, each with the number of orders
-/// that the server must have accepted before.
-/// Thread safety: used on one thread.
+/// A server's places and memory are never exceeded: a place counts as taken from the moment of the order until the
+/// server itself has said that it is free. Orders to one server are given one after the other, each with the number of
+/// orders that the server must have accepted before. Thread safety: used on one thread.
 class AdapterPlanner
 {
 public:
     struct Options
     {
         /// How long a server takes to load an adapter from the store and from its own memory. The server does not say
-        /// when a load has ended, so requests are sent after this time and repeated while the load is still in progress.
+        /// when a load has ended, so requests are sent after this time and repeated while the load is still in
+        /// progress.
         milliseconds storeLoad{255};
         milliseconds memoryLoad{30};
         /// Adapters that may be on their way to one server (a limit of the engines).
--- a/include/tamarackcove/Gateway/EventCutter.h
+++ b/include/tamarackcove/Gateway/EventCutter.h
@@ -6,8 +6,8 @@
 
 namespace tamarackcove {
 
-/// Cuts the bytes of an event stream at the borders of events, so that only whole events are passed on and a stream that
-/// breaks off can go on after the last one.
+/// Cuts the bytes of an event stream at the borders of events, so that only whole events are passed on and a stream
+/// that breaks off can go on after the last one.
 ///
 /// Thread safety: used on one thread.
 class EventCutter
--- a/include/tamarackcove/Gateway/ServerConnections.h
+++ b/include/tamarackcove/Gateway/ServerConnections.h
@@ -38,9 +38,8 @@
     ServerConnections &operator=(const ServerConnections &) = delete;
 
     /// An idle connection to this start of the server, or a new one.
-    boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>, HttpError>> acquire(ServerIdentity server,
-                                                                                       Endpoint endpoint,
-                                                                                       bool repeatable);
+    boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>, HttpError>>
+    acquire(ServerIdentity server, Endpoint endpoint, bool repeatable);
     /// Keeps the connection if it can be used again.
     void release(const ServerIdentity &server, std::unique_ptr<HttpConnection> connection);
     /// Closes connections that have been idle for too long.
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -9,7 +9,8 @@
 namespace tamarackcove {
 
 /// Messages between entries and the control host that leads. An entry opens the connection; then either side sends on
-/// its own: the entry reports, the control host updates. Times are durations from the moment of sending, in milliseconds.
+/// its own: the entry reports, the control host updates. Times are durations from the moment of sending, in
+/// milliseconds.
 
 /// A server as entries need it.
 struct ServerMessage
@@ -78,8 +79,8 @@
     /// Entries that are connected, which share the retry budget.
     std::uint64_t entries = 1;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, leads, term, hosts, configurationVersion, document, versions, servers,
-                                   removed, holdings, complete, all, loads, entries)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, leads, term, hosts, configurationVersion, document, versions,
+                                   servers, removed, holdings, complete, all, loads, entries)
 
 /// Requests that wait for an adapter.
 struct DemandMessage
--- a/lib/Control/Fleet/FleetControl.cpp
+++ b/lib/Control/Fleet/FleetControl.cpp
@@ -99,9 +99,8 @@
         co_return refusal(barrier.error());
     }
     if (!m_state.document()) {
-        co_return Refusal{.code = RefusalCode::Unavailable,
-                          .detail = "there is no configuration yet",
-                          .leader = std::nullopt};
+        co_return Refusal{
+            .code = RefusalCode::Unavailable, .detail = "there is no configuration yet", .leader = std::nullopt};
     }
     co_return *m_state.document();
 }
@@ -109,9 +108,8 @@
 asio::awaitable<Result<void, FleetControl::Refusal>> FleetControl::putWeightVersion(PutWeightVersion version)
 {
     if (version.key.model.empty() || version.version == 0) {
-        co_return Refusal{.code = RefusalCode::Invalid,
-                          .detail = "name a model and a version of at least 1",
-                          .leader = std::nullopt};
+        co_return Refusal{
+            .code = RefusalCode::Invalid, .detail = "name a model and a version of at least 1", .leader = std::nullopt};
     }
     LogLine(LogLevel::Info, "weight_version_named")
         .add("model", version.key.model.value())
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -73,7 +73,11 @@
         , registry({.silence = settings.heartbeatInterval * 9 / 2})
         , planner({})
         , duty(orderTasks, planner, hooks.dialect,
-               {.holdsDuty = [this] { return replica.leads(); }, .onChange = [this] { publishHoldings(); }})
+               {.holdsDuty = [this] { return replica.leads(); },
+                .onChange =
+                    [this] {
+                        publishHoldings();
+                    }})
         , control(replica.client(), log.state(), registry,
                   {.address = settings.listen,
                    .readConfiguration = hooks.readConfiguration,
@@ -197,8 +201,8 @@
     const auto status = replica.client().status();
     const bool formerRuns = former.holder != settings.host
         && std::any_of(status.replicas.begin(), status.replicas.end(), [&](const auto &member) {
-               return member.reachable && member.name == former.holder && member.boot == former.boot;
-           });
+                                return member.reachable && member.name == former.holder && member.boot == former.boot;
+                            });
     root.startTemporary("duty-" + std::to_string(leaderships),
                         [this, formerRuns, term = leaderships] { return takeDuty(term, formerRuns); });
 }
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -139,9 +139,8 @@
         ++server.ordersAccepted;
         server.conflicts = 0;
         server.unanswered = 0;
-        std::erase_if(server.adapters, [&](const auto &item) {
-            return item.second.uncertain && item.first != order.weights;
-        });
+        std::erase_if(server.adapters,
+                      [&](const auto &item) { return item.second.uncertain && item.first != order.weights; });
         if (isModel) {
             return;
         }
@@ -392,9 +391,8 @@
             total += rateNow(copy->second, now);
             ++copies;
         }
-        copies += static_cast<std::size_t>(
-            std::count_if(other.wanted.begin(), other.wanted.end(),
-                          [&](const auto &wanted) { return wanted.adapter == adapter; }));
+        copies += static_cast<std::size_t>(std::count_if(
+            other.wanted.begin(), other.wanted.end(), [&](const auto &wanted) { return wanted.adapter == adapter; }));
     }
     if (total <= m_options.requestsPerCopy * static_cast<double>(copies)) {
         return;
@@ -508,10 +506,10 @@
         if (model.weightsMb > server.profile.weightsMb) {
             continue;
         }
-        const auto copies = static_cast<std::size_t>(
-            std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &item) {
-                return item.second.models.contains(model.name) || item.second.modelsLoading.contains(model.name);
-            }));
+        const auto copies
+            = static_cast<std::size_t>(std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &item) {
+                  return item.second.models.contains(model.name) || item.second.modelsLoading.contains(model.name);
+              }));
         if (best == nullptr || copies < fewest) {
             best = &model;
             fewest = copies;
@@ -536,8 +534,7 @@
 {
     std::erase_if(server.wanted, [&](const auto &wanted) {
         const auto held = server.adapters.find(wanted.adapter);
-        const bool holds
-            = held != server.adapters.end() && !held->second.unloading && !held->second.uncertain
+        const bool holds = held != server.adapters.end() && !held->second.unloading && !held->second.uncertain
             && held->second.version >= wanted.version;
         const bool late = wanted.since != TimePoint::max() && wanted.since + DemandRetention < now;
         return holds || late || !server.models.contains(wanted.adapter.model);
@@ -585,8 +582,8 @@
     server.wanted.erase(first);
     if (held == server.adapters.end()) {
         // Takes the place; entries learn of it once the server has accepted the order.
-        server.adapters[wanted.adapter] = {
-            .version = wanted.version, .readyAt = now + m_options.storeLoad, .lastUse = now, .fromStore = true};
+        server.adapters[wanted.adapter]
+            = {.version = wanted.version, .readyAt = now + m_options.storeLoad, .lastUse = now, .fromStore = true};
     }
     return orderStep(server, ServerOrder::Action::Load, wanted.adapter, wanted.version);
 }
--- a/lib/Fleet/DeploymentConfiguration.cpp
+++ b/lib/Fleet/DeploymentConfiguration.cpp
@@ -7,7 +7,8 @@
 
 const ModelProfile *EngineProfile::find(const BaseModel &name) const
 {
-    const auto found = std::find_if(models.begin(), models.end(), [&](const auto &model) { return model.name == name; });
+    const auto found
+        = std::find_if(models.begin(), models.end(), [&](const auto &model) { return model.name == name; });
     return found == models.end() ? nullptr : &*found;
 }
 
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -166,10 +166,8 @@
         report.loads.push_back({.server = server.value(), .load = load});
     }
     for (const auto &[server, adapter] : m_missing) {
-        report.uses.push_back({.server = server.value(),
-                               .model = adapter.model.value(),
-                               .adapter = adapter.adapter,
-                               .missing = true});
+        report.uses.push_back(
+            {.server = server.value(), .model = adapter.model.value(), .adapter = adapter.adapter, .missing = true});
     }
     m_missing.clear();
     return report;
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -37,10 +37,18 @@
         , view(executor, settings, dialect)
         , link(root, settings, view)
         , watch(executor)
-        , relay({.view = view, .connections = connections, .watch = watch, .metrics = metrics, .dialect = dialect,
-                 .led = [this] { return link.connected(); }})
-        , callers(callerConnections, {},
-                  [this](const HttpRequest &request, HttpResponder &responder) { return relay.serve(request, responder); })
+        , relay({.view = view,
+                 .connections = connections,
+                 .watch = watch,
+                 .metrics = metrics,
+                 .dialect = dialect,
+                 .led =
+                     [this] {
+                         return link.connected();
+                     }})
+        , callers(
+              callerConnections, {},
+              [this](const HttpRequest &request, HttpResponder &responder) { return relay.serve(request, responder); })
         , ready(readyConnections, {}, [this](const HttpRequest &request, HttpResponder &responder) {
             return answerReady(request, responder);
         })
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -108,8 +108,8 @@
     const auto &route = *exchange.route;
     std::uniform_real_distribution<double> draw(0, 1);
     exchange.service = RouteTable::chooseService(route, draw(m_random));
-    exchange.deadline = exchange.arrived + std::min(route.timeout, exchange.caller.patience.value_or(route.timeout))
-        - AnswerMargin;
+    exchange.deadline
+        = exchange.arrived + std::min(route.timeout, exchange.caller.patience.value_or(route.timeout)) - AnswerMargin;
     exchange.weight = weightOf(exchange.caller);
     m_parts.view.retries(exchange.service).noteRequest(exchange.arrived);
     co_await run(exchange);
@@ -279,7 +279,8 @@
                                         ServerOutcome outcome, std::string_view reason)
 {
     const auto now = Clock::now();
-    m_parts.view.servers().ended(choice.server.id, exchange.weight, exchange.watched.gone() ? ServerOutcome::Unrelated : outcome, now);
+    m_parts.view.servers().ended(choice.server.id, exchange.weight,
+                                 exchange.watched.gone() ? ServerOutcome::Unrelated : outcome, now);
     if (exchange.watched.gone()) {
         return Step::Finished;
     }
@@ -346,7 +347,10 @@
         .add("server", choice.server.id.value())
         .add("adapter", adapter ? std::string_view(adapter->adapter) : std::string_view())
         .add("version", choice.version)
-        .add("reason", loading ? "loading" : answer.wrongServer ? "not held" : "full")
+        .add("reason",
+             loading                  ? "loading"
+                 : answer.wrongServer ? "not held"
+                                      : "full")
         .add("sent", exchange.sent);
     for (;;) {
         const auto piece = co_await connection->readPiece(RefusalTimeout);
@@ -378,7 +382,8 @@
     exchange.watched.connection = nullptr;
     m_parts.connections.release(choice.server, std::move(connection));
     const bool failed = head.status >= 500;
-    servers.ended(choice.server.id, exchange.weight, failed ? ServerOutcome::Failed : ServerOutcome::Served, Clock::now());
+    servers.ended(choice.server.id, exchange.weight, failed ? ServerOutcome::Failed : ServerOutcome::Served,
+                  Clock::now());
     ++exchange.ran;
     if (failed && maySendAgain(exchange)) {
         exchange.excluded.insert(choice.server.id);
@@ -389,8 +394,7 @@
     co_return Step::Finished;
 }
 
-asio::awaitable<RequestRelay::Step> RequestRelay::relayStream(Exchange &exchange,
-                                                              const ServerDirectory::Choice &choice,
+asio::awaitable<RequestRelay::Step> RequestRelay::relayStream(Exchange &exchange, const ServerDirectory::Choice &choice,
                                                               std::unique_ptr<HttpConnection> connection,
                                                               HttpResponse head)
 {
@@ -491,7 +495,8 @@
         .add("request", exchange.caller.attemptId)
         .add("route", exchange.route == nullptr ? std::string_view() : std::string_view(exchange.route->name))
         .add("service", exchange.service.value())
-        .add("adapter", exchange.caller.adapter ? std::string_view(exchange.caller.adapter->adapter) : std::string_view())
+        .add("adapter",
+             exchange.caller.adapter ? std::string_view(exchange.caller.adapter->adapter) : std::string_view())
         .add("reason", toString(refusal))
         .add("sent", exchange.sent)
         .add("refusals", exchange.refusals)
--- a/lib/Gateway/ServerConnections.cpp
+++ b/lib/Gateway/ServerConnections.cpp
@@ -35,9 +35,8 @@
     return now < connection.lastHeard() + limit;
 }
 
-asio::awaitable<Result<std::unique_ptr<HttpConnection>, HttpError>> ServerConnections::acquire(ServerIdentity server,
-                                                                                               Endpoint endpoint,
-                                                                                               bool repeatable)
+asio::awaitable<Result<std::unique_ptr<HttpConnection>, HttpError>>
+ServerConnections::acquire(ServerIdentity server, Endpoint endpoint, bool repeatable)
 {
     auto &idle = m_idle[server];
     while (!idle.empty()) {
--- a/unittests/Fleet/RouteTableTest.cpp
+++ b/unittests/Fleet/RouteTableTest.cpp
@@ -21,8 +21,8 @@
     made.version = 1;
     made.services.push_back({.name = ServiceName("a")});
     made.services.push_back({.name = ServiceName("b")});
-    made.routes = {route("short", "h.example", "/x/"), route("long", "h.example", "/x/y/"),
-                   route("other", "g.example", "/x/")};
+    made.routes
+        = {route("short", "h.example", "/x/"), route("long", "h.example", "/x/y/"), route("other", "g.example", "/x/")};
     return made;
 }
 
--- a/unittests/Platform/CodecTest.cpp
+++ b/unittests/Platform/CodecTest.cpp
@@ -114,7 +114,8 @@
     const auto request = platform::engineDialect().orderRequest(order);
     CHECK(request.headers.find("Tamarackcove-Expect-Instance") == "i-1");
     CHECK(json::parse(request.body)
-          == json::parse(R"({"op":"load","model":"m","adapter":"a3","version":2,"expected":5,"holder":"c1","fence":41})"));
+          == json::parse(
+              R"({"op":"load","model":"m","adapter":"a3","version":2,"expected":5,"holder":"c1","fence":41})"));
 }
 
 TEST_CASE("a request is passed on with what the system sets, and without what a caller may not set")
@@ -124,11 +125,16 @@
     request.method = "POST";
     request.target = "/a/b?c=d";
     request.body = std::string("\0\xff", 2);
-    request.headers
-        = {{"Host", "h.example"},          {"Tamarackcove-Attempt-Id", "x1"},     {"Tamarackcove-Model", "m/a3"},
-           {"Tamarackcove-Hold", "h"},     {"Tamarackcove-Pin-Ms", "4000"},       {"Tamarackcove-Kv-Backup", "10.0.0.1:1"},
-           {"Kv-From", "10.0.0.1:1/2"},    {"Tamarackcove-Deadline-Ms", "5000"},  {"Other", "kept"},
-           {"Tamarackcove-Token-Usage", "1460,80"}};
+    request.headers = {{"Host", "h.example"},
+                       {"Tamarackcove-Attempt-Id", "x1"},
+                       {"Tamarackcove-Model", "m/a3"},
+                       {"Tamarackcove-Hold", "h"},
+                       {"Tamarackcove-Pin-Ms", "4000"},
+                       {"Tamarackcove-Kv-Backup", "10.0.0.1:1"},
+                       {"Kv-From", "10.0.0.1:1/2"},
+                       {"Tamarackcove-Deadline-Ms", "5000"},
+                       {"Other", "kept"},
+                       {"Tamarackcove-Token-Usage", "1460,80"}};
     const auto caller = dialect.readRequest(request);
     CHECK(caller.attemptId == "x1");
     CHECK(caller.patience == milliseconds(5000));
