--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -96,7 +96,9 @@
     /// A server has said that it does not hold an adapter that this planner believes it to hold.
     void missing(const TargetId &server, const AdapterKey &adapter, TimePoint now);
     /// A version of an adapter has been named; servers that hold an older one load it.
-    void versionNamed(const AdapterKey &adapter, std::uint64_t version);
+    void versionNamed(const AdapterKey &adapter, std::uint64_t version, TimePoint now);
+    /// Entries cannot reach a server, which may have crashed. Until then it counts as holding nothing.
+    void suspect(const TargetId &server, TimePoint until);
 
     [[nodiscard]] Step next(const TargetId &server, TimePoint now);
     /// Servers whose next step may have changed since the last call.
@@ -127,6 +129,8 @@
         AdapterKey adapter;
         std::uint64_t version = 0;
         TimePoint since;
+        /// Not ordered before.
+        TimePoint notBefore{};
     };
     struct Server
     {
@@ -135,6 +139,7 @@
         Zone zone;
         EngineProfile profile;
         bool draining = false;
+        TimePoint suspectUntil{};
         /// Whether its state was read since this planner began or an order stayed unanswered.
         bool known = false;
         TimePoint readAt;
--- a/include/tamarackcove/Fleet/FleetState.h
+++ b/include/tamarackcove/Fleet/FleetState.h
@@ -43,7 +43,14 @@
     std::string boot{};
 };
 
-using FleetCommand = std::variant<PutConfiguration, PutWeightVersion, NoteDeparture, TakeOrderDuty>;
+/// A server has announced itself for the first time, or has been silent for so long that it counts as gone.
+struct NoteServer
+{
+    ServerHeartbeat server;
+    bool known = true;
+};
+
+using FleetCommand = std::variant<PutConfiguration, PutWeightVersion, NoteDeparture, TakeOrderDuty, NoteServer>;
 
 /// What the control hosts agree on and keep on disk: the configuration in force, versions of weights, departures of
 /// servers, and who orders servers. Each replica applies the same commands in the same order.
@@ -80,6 +87,8 @@
     [[nodiscard]] const std::map<AdapterKey, std::uint64_t> &weightVersions() const;
     [[nodiscard]] const std::map<ServerIdentity, Departure> &departures() const;
     [[nodiscard]] const OrderDuty &duty() const;
+    /// Servers that were known, so that a host that begins to lead need not wait for their heartbeats.
+    [[nodiscard]] const std::map<TargetId, ServerHeartbeat> &servers() const;
 
     /// The whole state, for snapshots.
     struct Image
@@ -90,6 +99,7 @@
         std::map<AdapterKey, std::uint64_t> weightVersions;
         std::map<ServerIdentity, Departure> departures;
         OrderDuty duty;
+        std::map<TargetId, ServerHeartbeat> servers;
     };
     [[nodiscard]] const Image &image() const;
     void restore(Image image);
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -106,6 +106,8 @@
     /// The weight of this entry's requests in progress at each server that has any.
     [[nodiscard]] std::vector<std::pair<TargetId, double>> inFlight() const;
     [[nodiscard]] std::vector<OfferedServer> offered() const;
+    /// Servers at which several requests broke off in a row, and which are avoided for that.
+    [[nodiscard]] std::vector<TargetId> unreachable(TimePoint now) const;
 
 private:
     struct Holding
@@ -125,6 +127,7 @@
     };
 
     [[nodiscard]] double load(const Server &server) const;
+    [[nodiscard]] static bool unreachable(const Server &server, TimePoint now);
 
     Options m_options;
     std::mt19937_64 m_random;
--- a/include/tamarackcove/Gateway/ServerConnections.h
+++ b/include/tamarackcove/Gateway/ServerConnections.h
@@ -22,7 +22,7 @@
 public:
     struct Options
     {
-        milliseconds connectTimeout{400};
+        milliseconds connectTimeout{150};
         /// A server that does not say how long it keeps a connection is taken to close it after this time.
         milliseconds defaultIdle{2500};
         /// A connection that was silent for longer may be dead without a sign; a request that must not be lost uses a
--- a/include/tamarackcove/Http/HttpServer.h
+++ b/include/tamarackcove/Http/HttpServer.h
@@ -39,8 +39,8 @@
 
     /// Limits of the connections that are accepted, and of the requests that are read, from now on.
     void setLimits(HttpLimits limits);
-    /// From now on each response says `connection: close`; connections are still accepted.
-    void beginClosing();
+    /// While set, each response says `connection: close`; connections are still accepted.
+    void setClosing(bool closing);
     /// Stops accepting, and ends each connection after the request it is in: its response says `connection: close`.
     void beginDrain();
 
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -116,9 +116,12 @@
     std::vector<DemandMessage> demands;
     std::vector<UseMessage> uses;
     std::vector<LoadMessage> loads;
+    /// Servers that the entry cannot reach.
+    std::vector<std::string> unreachable;
     /// The servers that the entry knows, in its first report to a host that has begun to lead.
     std::vector<ServerMessage> servers;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses, loads, servers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses, loads, unreachable,
+                                   servers)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -21,7 +21,7 @@
 /// Changes that no request waits for are collected for this long. It is also the longest silence towards an entry.
 static constexpr milliseconds UpdateInterval{200};
 /// The same for a host that does not lead.
-static constexpr milliseconds IdleUpdateInterval{1000};
+static constexpr milliseconds IdleUpdateInterval{400};
 
 struct EntryLinks::Link
 {
--- a/lib/Control/Fleet/FleetCodec.cpp
+++ b/lib/Control/Fleet/FleetCodec.cpp
@@ -23,6 +23,32 @@
     return {.id = TargetId(value.at(0).get<std::string>()), .startedAt = Incarnation(value.at(1).get<std::uint64_t>())};
 }
 
+/// What is kept of a server: where it is and what it serves, not what changes with each heartbeat.
+static json serverJson(const ServerHeartbeat &server)
+{
+    auto models = json::array();
+    for (const auto &model : server.models) {
+        models.push_back(model.name.value());
+    }
+    return {{"identity", identityJson(server.identity)}, {"service", server.service.value()},
+            {"endpoint", server.endpoint.toString()},    {"zone", server.zone.value()},
+            {"slots", server.slots},                     {"models", std::move(models)}};
+}
+
+static ServerHeartbeat serverFrom(const json &value)
+{
+    ServerHeartbeat server;
+    server.identity = identityFrom(value.at("identity"));
+    server.service = ServiceName(value.at("service").get<std::string>());
+    server.endpoint = Endpoint::parse(value.at("endpoint").get<std::string>()).value_or(Endpoint{});
+    server.zone = Zone(value.at("zone").get<std::string>());
+    server.slots = value.at("slots").get<int>();
+    for (const auto &model : value.at("models")) {
+        server.models.push_back({.name = BaseModel(model.get<std::string>()), .version = 0, .adapters = {}});
+    }
+    return server;
+}
+
 std::string encodeFleetCommand(const FleetCommand &command)
 {
     if (const auto *put = std::get_if<PutConfiguration>(&command)) {
@@ -40,6 +66,9 @@
                      {"service", departure->service.value()},
                      {"gone", departure->gone}});
     }
+    if (const auto *noted = std::get_if<NoteServer>(&command)) {
+        return pack({{"t", "server"}, {"server", serverJson(noted->server)}, {"known", noted->known}});
+    }
     const auto &duty = std::get<TakeOrderDuty>(command);
     return pack({{"t", "duty"}, {"holder", duty.holder}, {"boot", duty.boot}});
 }
@@ -61,6 +90,9 @@
                              .service = ServiceName(value.at("service").get<std::string>()),
                              .gone = value.at("gone").get<bool>()};
     }
+    if (type == "server") {
+        return NoteServer{.server = serverFrom(value.at("server")), .known = value.at("known").get<bool>()};
+    }
     return TakeOrderDuty{.holder = value.at("holder").get<std::string>(), .boot = value.at("boot").get<std::string>()};
 }
 
@@ -85,7 +117,12 @@
         departures.push_back(
             json::array({identityJson(server), departure.service.value(), departure.gone, at.count()}));
     }
-    return pack({{"revision", image.revision.value()},
+    auto servers = json::array();
+    for (const auto &[id, server] : image.servers) {
+        servers.push_back(serverJson(server));
+    }
+    return pack({{"servers", std::move(servers)},
+                 {"revision", image.revision.value()},
                  {"version", image.configurationVersion},
                  {"document", image.document ? json(*image.document) : json(nullptr)},
                  {"weights", std::move(versions)},
@@ -113,6 +150,11 @@
                .gone = item.at(2).get<bool>(),
                .at = std::chrono::system_clock::time_point(milliseconds(item.at(3).get<std::int64_t>()))};
     }
+    for (const auto &item : value.at("servers")) {
+        auto server = serverFrom(item);
+        const auto id = server.identity.id;
+        image.servers[id] = std::move(server);
+    }
     image.duty = {.holder = value.at("holder").get<std::string>(),
                   .boot = value.at("boot").get<std::string>(),
                   .fence = FencingNumber(value.at("fence").get<std::uint64_t>())};
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -23,6 +23,8 @@
 static constexpr milliseconds ExpiryInterval{500};
 /// Pause before the duty is asked for again when the log did not take the command.
 static constexpr milliseconds DutyRetry{50};
+/// Entries repeat five times a second which servers they cannot reach.
+static constexpr milliseconds SuspicionTime{500};
 /// Beyond the lease of orders, for orders that are still on their way.
 static constexpr milliseconds LeaseMargin{150};
 
@@ -127,6 +129,7 @@
     void stateChanged();
     void leadershipChanged(bool leads);
     void publishServers();
+    void noteServer(const TargetId &id, const ServerRegistry::Server *server);
     void publishHoldings();
     void plan(const ServerHeartbeat &heartbeat);
     void take(const FleetReportMessage &report);
@@ -152,6 +155,7 @@
     bool leading = false;
     TimePoint leadsSince;
     std::uint64_t leaderships = 0;
+    std::uint64_t notes = 0;
 };
 
 void FleetNode::Impl::stateChanged()
@@ -171,7 +175,7 @@
         registry.departed(server, departure.gone);
     }
     for (const auto &[key, version] : state.weightVersions()) {
-        planner.versionNamed(key, version);
+        planner.versionNamed(key, version, Clock::now());
     }
     if (leading) {
         for (const auto &[id, server] : registry.servers()) {
@@ -195,6 +199,9 @@
         return;
     }
     leadsSince = Clock::now();
+    for (const auto &[id, server] : log.state().servers()) {
+        (void)registry.suggest(server, false, leadsSince);
+    }
     stateChanged();
     // A host that has gone, or has started anew since, gives no orders of its former duty.
     const auto &former = log.state().duty();
@@ -254,15 +261,39 @@
         return;
     }
     for (const auto &id : changes) {
-        if (registry.find(id) == nullptr) {
+        const auto *server = registry.find(id);
+        if (server == nullptr) {
             planner.serverGone(id);
             duty.serverGone(id);
         }
+        noteServer(id, server);
     }
     links.serversChanged(changes);
     publishHoldings();
 }
 
+void FleetNode::Impl::noteServer(const TargetId &id, const ServerRegistry::Server *server)
+{
+    const auto &noted = log.state().servers();
+    const auto before = noted.find(id);
+    std::optional<NoteServer> change;
+    if (server == nullptr && before != noted.end()) {
+        change = NoteServer{.server = before->second, .known = false};
+    } else if (server != nullptr && !server->draining
+               && (before == noted.end() || before->second.identity != server->said.identity
+                   || before->second.models.size() != server->said.models.size())) {
+        change = NoteServer{.server = server->said, .known = true};
+    }
+    if (!change || !leading) {
+        return;
+    }
+    // Nobody waits for it: without it a later leader only learns of the server a heartbeat later.
+    root.startTemporary("note-" + std::to_string(++notes),
+                        [this, bytes = encodeFleetCommand(*change)]() -> asio::awaitable<void> {
+                            (void)co_await replica.client().propose(bytes);
+                        });
+}
+
 void FleetNode::Impl::publishHoldings()
 {
     const auto changes = planner.takeChanges();
@@ -310,6 +341,9 @@
             planner.used(TargetId(use.server), adapter, EntryId(report.entry), use.requests, use.running, now);
         }
     }
+    for (const auto &server : report.unreachable) {
+        planner.suspect(TargetId(server), now + SuspicionTime);
+    }
     for (const auto &demand : report.demands) {
         (void)planner.demand({BaseModel(demand.model), demand.adapter}, demand.version, Zone(report.zone), now);
     }
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -13,6 +13,8 @@
 static constexpr milliseconds DemandRetention{1000};
 /// After this many orders without an answer the state is read before the next one.
 static constexpr int MaxUnanswered = 3;
+/// A named version must be in place everywhere some seconds later.
+static constexpr milliseconds MaxReplacementDelay{1200};
 /// Window over which loads of models from the store are limited.
 static constexpr seconds StoreWindow{5};
 
@@ -326,6 +328,9 @@
             && held->second.version >= version;
         const bool awaits = std::any_of(server.wanted.begin(), server.wanted.end(),
                                         [&](const auto &wanted) { return wanted.adapter == adapter; });
+        if (server.suspectUntil > now) {
+            continue;
+        }
         if (holds || awaits) {
             if (!server.draining) {
                 return std::nullopt;
@@ -400,7 +405,7 @@
     Server *best = nullptr;
     double lowest = 0;
     for (auto &[otherId, other] : m_servers) {
-        if (other.adapters.contains(adapter) || other.draining || !other.known || other.busy
+        if (other.adapters.contains(adapter) || other.draining || other.suspectUntil > now || !other.known || other.busy
             || !other.models.contains(adapter.model)) {
             continue;
         }
@@ -431,17 +436,29 @@
     wake(id);
 }
 
-void AdapterPlanner::versionNamed(const AdapterKey &adapter, std::uint64_t version)
+void AdapterPlanner::suspect(const TargetId &id, TimePoint until)
+{
+    const auto found = m_servers.find(id);
+    if (found != m_servers.end()) {
+        found->second.suspectUntil = std::max(found->second.suspectUntil, until);
+    }
+}
+
+void AdapterPlanner::versionNamed(const AdapterKey &adapter, std::uint64_t version, TimePoint now)
 {
     auto &named = m_versions[adapter];
     if (version <= named) {
         return;
     }
     named = version;
+    // One copy after the other, so that requests find one that is not being replaced.
+    auto notBefore = now;
     for (auto &[id, server] : m_servers) {
         const auto held = server.adapters.find(adapter);
         if (held != server.adapters.end() && held->second.version < version && !server.draining) {
-            server.wanted.push_front({.adapter = adapter, .version = version, .since = TimePoint::max()});
+            server.wanted.push_front(
+                {.adapter = adapter, .version = version, .since = TimePoint::max(), .notBefore = notBefore});
+            notBefore = std::min(notBefore + m_options.storeLoad, now + MaxReplacementDelay);
             wake(id);
         }
     }
@@ -552,13 +569,12 @@
     if (inTransit(server, now) >= m_options.maxInTransitPerServer) {
         return {.kind = Step::Kind::Wait, .until = soonest};
     }
-    auto first = server.wanted.begin();
-    if (static_cast<double>(storeLoadsInTransit(now)) >= storeMost) {
-        first = std::find_if(server.wanted.begin(), server.wanted.end(),
-                             [&](const auto &wanted) { return cachedAt(server, wanted.adapter); });
-        if (first == server.wanted.end()) {
-            return {.kind = Step::Kind::Wait, .until = soonest};
-        }
+    const bool storeBusy = static_cast<double>(storeLoadsInTransit(now)) >= storeMost;
+    const auto first = std::find_if(server.wanted.begin(), server.wanted.end(), [&](const auto &wanted) {
+        return wanted.notBefore <= now && (!storeBusy || cachedAt(server, wanted.adapter));
+    });
+    if (first == server.wanted.end()) {
+        return {.kind = Step::Kind::Wait, .until = soonest};
     }
     const auto wanted = *first;
     const auto held = server.adapters.find(wanted.adapter);
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -24,8 +24,18 @@
         noted.service = departure->service;
         noted.gone = noted.gone || departure->gone;
         noted.at = time;
+        if (departure->gone) {
+            m_image.servers.erase(departure->server.id);
+        }
     } else if (const auto *duty = std::get_if<TakeOrderDuty>(&command)) {
         m_image.duty = {.holder = duty->holder, .boot = duty->boot, .fence = FencingNumber(index)};
+    } else if (const auto *noted = std::get_if<NoteServer>(&command)) {
+        if (noted->known) {
+            m_image.servers[noted->server.identity.id] = noted->server;
+        } else {
+            m_image.servers.erase(noted->server.identity.id);
+        }
+        return; // entries learn of servers from the host that leads
     }
     m_image.revision = Revision(index);
 }
@@ -60,6 +70,11 @@
     return m_image.duty;
 }
 
+const std::map<TargetId, ServerHeartbeat> &FleetState::servers() const
+{
+    return m_image.servers;
+}
+
 const FleetState::Image &FleetState::image() const
 {
     return m_image;
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -52,6 +52,23 @@
     return (server.inFlight + server.others + local) / std::max(1, server.offered.slots);
 }
 
+bool ServerDirectory::unreachable(const Server &server, TimePoint now)
+{
+    constexpr int BrokenInARow = 2;
+    return server.failures >= BrokenInARow && server.avoidUntil > now;
+}
+
+std::vector<TargetId> ServerDirectory::unreachable(TimePoint now) const
+{
+    std::vector<TargetId> ids;
+    for (const auto &[id, server] : m_servers) {
+        if (unreachable(server, now)) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 std::optional<ServerDirectory::Choice> ServerDirectory::choose(const Wish &wish, TimePoint now)
 {
     struct Candidate
@@ -76,7 +93,9 @@
         Candidate candidate{.server = &server};
         if (wish.adapter) {
             const auto held = server.holdings.find(*wish.adapter);
-            if (held == server.holdings.end() || held->second.version < wish.minVersion) {
+            // An adapter at a server that has most likely crashed is loaded elsewhere.
+            if (held == server.holdings.end() || held->second.version < wish.minVersion
+                || unreachable(server, now)) {
                 continue;
             }
             candidate.holding = &held->second;
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -16,16 +16,16 @@
 namespace tamarackcove {
 
 static constexpr milliseconds ConnectTimeout{300};
-/// The control host that leads sends something five times a second, the others once a second.
-static constexpr milliseconds LeaderTimeout{1200};
-static constexpr milliseconds FollowerTimeout{2500};
+/// The control host that leads sends something five times a second, the others more than twice.
+static constexpr milliseconds LeaderTimeout{900};
+static constexpr milliseconds FollowerTimeout{1200};
 static constexpr milliseconds WriteTimeout{1000};
 static constexpr milliseconds ReportInterval{200};
 static constexpr milliseconds IdleReportInterval{1000};
 static constexpr milliseconds FirstBackoff{50};
 static constexpr milliseconds MaxBackoff{400};
 /// A control host that is restarted is back within a second.
-static constexpr milliseconds CutOffAfter{1000};
+static constexpr milliseconds CutOffAfter{600};
 
 struct FleetLink::Host
 {
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -138,6 +138,9 @@
 FleetReportMessage FleetView::takeReport(bool withServers)
 {
     auto report = identity();
+    for (const auto &id : m_servers.unreachable(Clock::now())) {
+        report.unreachable.push_back(id.value());
+    }
     if (withServers) {
         for (const auto &server : m_servers.offered()) {
             report.servers.push_back(messageFrom(server));
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -76,6 +76,7 @@
     HttpServer ready;
     std::uint64_t limitsOf = 0;
     bool stopping = false;
+    bool servedBefore = false;
 };
 
 asio::awaitable<void> GatewayNode::Impl::answerReady(const HttpRequest &request, HttpResponder &responder)
@@ -84,6 +85,10 @@
     if (request.path() == dialect.readyPath) {
         // Callers of an entry that is cut off are better served by the entries of another zone.
         const bool serves = !stopping && view.routes() && !link.cutOff(Clock::now());
+        if (std::exchange(servedBefore, serves) != serves) {
+            LogLine(LogLevel::Info, "readiness").add("ready", serves ? "yes" : "no");
+        }
+        callers.setClosing(!serves);
         response.status = serves ? 200 : 503;
     } else if (request.path() == "/metrics") {
         metrics.gauge("servers", static_cast<double>(view.servers().size()));
@@ -164,7 +169,7 @@
     const auto begun = Clock::now();
     const auto deadline = begun + impl.settings.grace - ExitMargin;
     impl.stopping = true;
-    impl.callers.beginClosing();
+    impl.callers.setClosing(true);
     asio::steady_timer timer(impl.root.executor(), NoticeTime);
     co_await timer.async_wait(asio::use_awaitable);
     impl.callers.beginDrain();
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -328,7 +328,9 @@
     const auto now = Clock::now();
     auto &servers = m_parts.view.servers();
     const auto &adapter = exchange.caller.adapter;
-    const bool loading = adapter && !answer.wrongServer && choice.readyAt + LoadOverrun > now;
+    // A server refuses requests for an adapter also while it replaces it by another version.
+    const bool loading = adapter && !answer.wrongServer
+        && (choice.readyAt + LoadOverrun > now || choice.version < m_parts.view.namedVersion(*adapter));
     servers.ended(choice.server.id, exchange.weight,
                   loading                  ? ServerOutcome::Unrelated
                       : answer.wrongServer ? ServerOutcome::WrongServer
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -342,9 +342,9 @@
     m_impl->limits = limits;
 }
 
-void HttpServer::beginClosing()
+void HttpServer::setClosing(bool closing)
 {
-    m_impl->closing = true;
+    m_impl->closing = closing;
 }
 
 void HttpServer::beginDrain()
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -7,7 +7,7 @@
 cmake --preset lint > /dev/null
 files=("$@")
 if [ "${#files[@]}" -eq 0 ]; then
-    mapfile -t files < <(git ls-files -co --exclude-standard 'lib/*.cpp' 'tools/*.cpp' 'unittests/*.cpp')
+    mapfile -t files < <(git ls-files -co --exclude-standard 'lib/*.cpp' 'platform/*.cpp' 'tools/*.cpp' 'unittests/*.cpp')
 fi
 if ! printf '%s\n' "${files[@]}" | xargs -P "${LINT_JOBS:-8}" -I{} clang-tidy --quiet -p build/lint {} 2> build/lint/tidy.err; then
     echo "lint: clang-tidy found the problems above"
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -212,7 +212,7 @@
     auto made = planner({"a", "b"});
     const auto first = made.demand(adapter(1), 1, Here, Start);
     made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
-    made.versionNamed(adapter(1), 2);
+    made.versionNamed(adapter(1), 2, Start + seconds(1));
     const auto step = made.next(*first, Start + seconds(1));
     REQUIRE(step.kind == Step::Kind::Order);
     CHECK(step.order.action == ServerOrder::Action::Load);
@@ -237,6 +237,35 @@
     CHECK(loads == 15);
 }
 
+TEST_CASE("an adapter whose only holder cannot be reached is loaded elsewhere")
+{
+    auto made = planner({"a", "b"});
+    const auto first = made.demand(adapter(1), 0, Here, Start);
+    made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
+    CHECK_FALSE(made.demand(adapter(1), 0, Here, Start + seconds(1)).has_value());
+    made.suspect(*first, Start + seconds(2));
+    const auto second = made.demand(adapter(1), 0, Here, Start + seconds(1));
+    REQUIRE(second.has_value());
+    CHECK(*second != *first);
+}
+
+TEST_CASE("the copies of an adapter are replaced by a new version one after the other")
+{
+    auto made = planner({"a", "b"});
+    const auto first = made.demand(adapter(1), 0, Here, Start);
+    made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
+    made.suspect(*first, Start + milliseconds(1));
+    const auto second = made.demand(adapter(1), 0, Here, Start);
+    made.orderEnded(made.next(*second, Start).order, OrderOutcome::Accepted, Start);
+    const auto now = Start + seconds(1);
+    made.versionNamed(adapter(1), 2, now);
+    int orders = 0;
+    for (const auto *id : {"a", "b"}) {
+        orders += made.next(TargetId(id), now).kind == Step::Kind::Order ? 1 : 0;
+    }
+    CHECK(orders == 1);
+}
+
 /// A server that keeps to its own rules, whatever it is ordered.
 struct ModelServer
 {
