--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -57,6 +57,8 @@
     /// This host has begun or ceased to lead; entries are told everything anew.
     void leadershipChanged();
     [[nodiscard]] std::size_t size() const;
+    /// What all entries together have in progress at each server.
+    [[nodiscard]] std::vector<LoadMessage> loads() const;
 
 private:
     struct Link;
@@ -65,7 +67,6 @@
     boost::asio::awaitable<void> readReports(Link &link);
     boost::asio::awaitable<void> writeUpdates(Link &link);
     [[nodiscard]] FleetUpdateMessage compose(Link &link) const;
-    [[nodiscard]] std::vector<LoadMessage> loads() const;
     [[nodiscard]] ServerMessage describe(const TargetId &id) const;
 
     Supervisor &m_connections;
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -41,6 +41,11 @@
         /// Requests per second that one copy of an adapter takes before another copy is loaded. A prompt that is read
         /// delays all other requests of the server, so a hot adapter is spread before a server is full.
         double requestsPerCopy = 6;
+        /// The same while the servers that hold the adapter are crowded, because they are slow or hold other hot ones.
+        double requestsPerCrowdedCopy = 1.5;
+        /// A server is crowded above this share of its slots, if it has as many times the average load in progress.
+        double crowdedShare = 0.25;
+        double crowdedRatio = 1.6;
         /// Copies of adapters that an engine keeps in memory, for each of its places. Engines do not report them.
         std::size_t cachedPerPlace = 6;
         /// An order without an answer is followed by a reading of the server's state after this time.
@@ -91,6 +96,8 @@
     /// An entry has sent requests to a server since it last said so, and has some in progress.
     void used(const TargetId &server, const AdapterKey &adapter, const EntryId &entry, int requests, int running,
               TimePoint now);
+    /// What all entries have in progress at a server, in units of an ordinary request.
+    void setLoad(const TargetId &server, double load);
     /// An entry is gone, and with it its requests.
     void entryGone(const EntryId &entry);
     /// A server has said that it does not hold an adapter that this planner believes it to hold.
@@ -140,6 +147,7 @@
         EngineProfile profile;
         bool draining = false;
         TimePoint suspectUntil{};
+        double load = 0;
         /// Whether its state was read since this planner began or an order stayed unanswered.
         bool known = false;
         TimePoint readAt;
@@ -157,6 +165,7 @@
         int unanswered = 0;
     };
 
+    [[nodiscard]] bool crowded(const Server &server) const;
     [[nodiscard]] double rateNow(const Held &held, TimePoint now) const;
     [[nodiscard]] int inTransit(const Server &server, TimePoint now) const;
     [[nodiscard]] bool hasRoom(const Server &server, const BaseModel &model) const;
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -190,6 +190,7 @@
         }
     }
     std::vector<LoadMessage> all;
+    all.reserve(sums.size());
     for (const auto &[server, load] : sums) {
         all.push_back({.server = server, .load = load});
     }
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -333,6 +333,9 @@
         return;
     }
     const auto now = Clock::now();
+    for (const auto &load : links.loads()) {
+        planner.setLoad(TargetId(load.server), load.load);
+    }
     for (const auto &use : report.uses) {
         const AdapterKey adapter{BaseModel(use.model), use.adapter};
         if (use.missing) {
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -205,6 +205,26 @@
     }
 }
 
+void AdapterPlanner::setLoad(const TargetId &id, double load)
+{
+    const auto found = m_servers.find(id);
+    if (found != m_servers.end()) {
+        found->second.load = load;
+    }
+}
+
+bool AdapterPlanner::crowded(const Server &server) const
+{
+    if (server.load < m_options.crowdedShare * server.profile.slots) {
+        return false;
+    }
+    double sum = 0;
+    for (const auto &[id, other] : m_servers) {
+        sum += other.load;
+    }
+    return server.load > m_options.crowdedRatio * sum / static_cast<double>(m_servers.size());
+}
+
 double AdapterPlanner::rateNow(const Held &held, TimePoint now) const
 {
     const std::chrono::duration<double> idle = now - held.lastUse;
@@ -300,11 +320,7 @@
     if (queued >= m_options.maxInTransitPerServer) {
         sum += StoreCost;
     }
-    double rate = 0;
-    for (const auto &[held, state] : server.adapters) {
-        rate += rateNow(state, now);
-    }
-    sum += LoadCost * rate / std::max(1, server.profile.slots);
+    sum += LoadCost * server.load / std::max(1, server.profile.slots);
     if (!hasRoom(server, adapter.model)) {
         const auto evicted = victim(server, now);
         sum += evicted ? EvictionCost * rateNow(server.adapters.at(*evicted), now) : NoVictimCost;
@@ -390,16 +406,19 @@
     held->second.lastUse = now;
     double total = 0;
     std::size_t copies = 0;
+    bool allCrowded = true;
     for (const auto &[otherId, other] : m_servers) {
         const auto copy = other.adapters.find(adapter);
         if (copy != other.adapters.end() && !copy->second.unloading) {
             total += rateNow(copy->second, now);
             ++copies;
+            allCrowded = allCrowded && crowded(other);
         }
         copies += static_cast<std::size_t>(std::count_if(
             other.wanted.begin(), other.wanted.end(), [&](const auto &wanted) { return wanted.adapter == adapter; }));
     }
-    if (total <= m_options.requestsPerCopy * static_cast<double>(copies)) {
+    const auto perCopy = allCrowded ? m_options.requestsPerCrowdedCopy : m_options.requestsPerCopy;
+    if (total <= perCopy * static_cast<double>(copies)) {
         return;
     }
     Server *best = nullptr;
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -428,7 +428,7 @@
         exchange.lastProgress = Clock::now();
         if (!exchange.streaming) {
             exchange.streaming = true;
-            const auto started = co_await exchange.responder.beginStream(std::move(head));
+            const auto started = co_await exchange.responder.beginStream(head);
             if (started.has_error()) {
                 servers.ended(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
                 co_return Step::Finished;
--- a/lib/Supervision/NodeProcess.cpp
+++ b/lib/Supervision/NodeProcess.cpp
@@ -22,7 +22,7 @@
             LogLine(LogLevel::Info, "stopping").add("signal", signal);
             break;
         }
-        LogLine(LogLevel::Info, "reloading");
+        LogLine(LogLevel::Info, "reloading").add("signal", signal);
         hooks.reload();
     }
     co_await hooks.shutDown();
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -207,6 +207,21 @@
     CHECK_FALSE(made.takeWakeups().empty());
 }
 
+TEST_CASE("an adapter on a crowded server gets another copy at a lower rate")
+{
+    for (const bool crowded : {false, true}) {
+        auto made = planner({"a", "b", "c"});
+        const auto first = made.demand(adapter(1), 0, Here, Start);
+        made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
+        made.setLoad(*first, crowded ? 7 : 1);
+        (void)made.takeWakeups();
+        for (int i = 0; i < 8; ++i) {
+            made.used(*first, adapter(1), Entry, 1, 1, Start + milliseconds(500 + 250 * i));
+        }
+        CHECK(made.takeWakeups().empty() == !crowded);
+    }
+}
+
 TEST_CASE("an older version is replaced where it is held")
 {
     auto made = planner({"a", "b"});
