--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -57,6 +57,8 @@
     /// This host has begun or ceased to lead; entries are told everything anew.
     void leadershipChanged();
     [[nodiscard]] std::size_t size() const;
+    /// Requests of all entries that wait for an adapter.
+    [[nodiscard]] int waiting(const AdapterKey &adapter) const;
     /// What all entries together have in progress at each server.
     [[nodiscard]] std::vector<LoadMessage> loads() const;
 
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -31,7 +31,9 @@
         int maxInTransitPerServer = 4;
         /// Adapters that may be on their way from the store per server, over all servers; beyond about this number each
         /// load takes longer in proportion.
-        double storeLoadsInTransitPerServer = 1.25;
+        double storeLoadsInTransitPerServer = 1.7;
+        /// An adapter that more requests wait for is loaded by several servers at once.
+        int waitingPerCopy = 4;
         /// An adapter that was loaded or used within this time is not evicted: the requests that wait for it are sent
         /// when it is ready, and entries report them up to 200 ms later. A server that unloads an adapter in use takes
         /// no other order until those requests have ended.
@@ -91,8 +93,9 @@
     void reported(const ServerIdentity &server, const ServerReport &report, TimePoint asked, TimePoint now);
     void readFailed(const ServerIdentity &server, TimePoint now);
     void orderEnded(const ServerOrder &order, OrderOutcome outcome, TimePoint now);
-    /// Requests wait for an adapter in a zone. Returns the server that was told to load it.
-    std::optional<TargetId> demand(const AdapterKey &adapter, std::uint64_t version, const Zone &zone, TimePoint now);
+    /// Requests wait for an adapter, in one zone or in several. Returns the server that was told to load it.
+    std::optional<TargetId> demand(const AdapterKey &adapter, std::uint64_t version, const Zone &zone, int waiting,
+                                   TimePoint now);
     /// An entry has sent requests to a server since it last said so, and has some in progress.
     void used(const TargetId &server, const AdapterKey &adapter, const EntryId &entry, int requests, int running,
               TimePoint now);
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -43,7 +43,7 @@
     std::set<TargetId> servers;
     std::map<std::pair<TargetId, AdapterKey>, AdapterPlanner::HoldingChange> holdings;
     /// Adapters that requests of this entry wait for.
-    std::set<AdapterKey> awaited;
+    std::map<AdapterKey, int> awaited;
     /// Requests in progress at servers, as the entry last said.
     std::vector<LoadMessage> loads;
     bool urgent = false;
@@ -156,7 +156,7 @@
         }
         link.awaited.clear();
         for (const auto &demand : report.value().demands) {
-            link.awaited.insert({BaseModel(demand.model), demand.adapter});
+            link.awaited[{BaseModel(demand.model), demand.adapter}] = demand.waiting;
         }
         link.loads = report.value().loads;
         m_hooks.onReport(report.value());
@@ -181,6 +181,16 @@
     return message;
 }
 
+int EntryLinks::waiting(const AdapterKey &adapter) const
+{
+    int sum = 0;
+    for (const auto *link : m_links) {
+        const auto found = link->awaited.find(adapter);
+        sum += found == link->awaited.end() ? 0 : found->second;
+    }
+    return sum;
+}
+
 std::vector<LoadMessage> EntryLinks::loads() const
 {
     std::map<std::string, double> sums;
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -348,7 +348,8 @@
         planner.suspect(TargetId(server), now + SuspicionTime);
     }
     for (const auto &demand : report.demands) {
-        (void)planner.demand({BaseModel(demand.model), demand.adapter}, demand.version, Zone(report.zone), now);
+        const AdapterKey adapter{BaseModel(demand.model), demand.adapter};
+        (void)planner.demand(adapter, demand.version, Zone(report.zone), links.waiting(adapter), now);
     }
     publishHoldings();
 }
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -332,10 +332,11 @@
 }
 
 std::optional<TargetId> AdapterPlanner::demand(const AdapterKey &adapter, std::uint64_t version, const Zone &zone,
-                                               TimePoint now)
+                                               int waiting, TimePoint now)
 {
     const auto named = m_versions.find(adapter);
     version = std::max(version, named == m_versions.end() ? 0 : named->second);
+    int copies = 0;
     Server *best = nullptr;
     double lowest = 0;
     for (auto &[id, server] : m_servers) {
@@ -348,9 +349,7 @@
             continue;
         }
         if (holds || awaits) {
-            if (!server.draining) {
-                return std::nullopt;
-            }
+            copies += server.draining ? 0 : 1;
             continue;
         }
         if (server.draining || !server.known || server.busy || !server.models.contains(adapter.model)) {
@@ -363,7 +362,7 @@
             lowest = value;
         }
     }
-    if (best == nullptr) {
+    if (best == nullptr || copies >= 1 + waiting / m_options.waitingPerCopy) {
         return std::nullopt;
     }
     best->wanted.push_back({.adapter = adapter, .version = version, .since = now});
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -70,31 +70,42 @@
 {
     AdapterPlanner made({});
     made.serverSeen(heartbeat("a"), false, profile(), Start);
-    CHECK_FALSE(made.demand(adapter(1), 0, Here, Start).has_value());
+    CHECK_FALSE(made.demand(adapter(1), 0, Here, 1, Start).has_value());
     CHECK(made.next(TargetId("a"), Start).kind == Step::Kind::ReadState);
 }
 
 TEST_CASE("requests of many entries for one adapter lead to one load")
 {
     auto made = planner({"a", "b"});
-    const auto chosen = made.demand(adapter(1), 0, Here, Start);
+    const auto chosen = made.demand(adapter(1), 0, Here, 1, Start);
     REQUIRE(chosen.has_value());
-    CHECK_FALSE(made.demand(adapter(1), 0, Here, Start).has_value());
+    CHECK_FALSE(made.demand(adapter(1), 0, Here, 1, Start).has_value());
     const auto step = made.next(*chosen, Start);
     REQUIRE(step.kind == Step::Kind::Order);
     CHECK(step.order.action == ServerOrder::Action::Load);
     CHECK(step.order.expectedOrders == 0);
     made.orderEnded(step.order, OrderOutcome::Accepted, Start);
-    CHECK_FALSE(made.demand(adapter(1), 0, Here, Start + seconds(1)).has_value());
+    CHECK_FALSE(made.demand(adapter(1), 0, Here, 1, Start + seconds(1)).has_value());
+}
+
+TEST_CASE("an adapter that many requests wait for is loaded by several servers")
+{
+    auto made = planner({"a", "b", "c"});
+    const auto first = made.demand(adapter(1), 0, Here, 5, Start);
+    const auto second = made.demand(adapter(1), 0, Here, 5, Start);
+    REQUIRE(first.has_value());
+    REQUIRE(second.has_value());
+    CHECK(*first != *second);
+    CHECK_FALSE(made.demand(adapter(1), 0, Here, 5, Start).has_value());
 }
 
 TEST_CASE("the next order expects the ones that were accepted before")
 {
     auto made = planner({"a"});
-    (void)made.demand(adapter(1), 0, Here, Start);
+    (void)made.demand(adapter(1), 0, Here, 1, Start);
     auto step = made.next(TargetId("a"), Start);
     made.orderEnded(step.order, OrderOutcome::Accepted, Start);
-    (void)made.demand(adapter(2), 0, Here, Start);
+    (void)made.demand(adapter(2), 0, Here, 1, Start);
     step = made.next(TargetId("a"), Start);
     REQUIRE(step.kind == Step::Kind::Order);
     CHECK(step.order.expectedOrders == 1);
@@ -105,7 +116,7 @@
     auto made = planner({"a"}, 2);
     TimePoint now = Start;
     for (const int number : {1, 2}) {
-        (void)made.demand(adapter(number), 0, Here, now);
+        (void)made.demand(adapter(number), 0, Here, 1, now);
         const auto step = made.next(TargetId("a"), now);
         made.orderEnded(step.order, OrderOutcome::Accepted, now);
     }
@@ -113,7 +124,7 @@
     made.used(TargetId("a"), adapter(1), Entry, 1, 1, now);
     made.used(TargetId("a"), adapter(2), Entry, 5, 0, now);
     now += seconds(1);
-    (void)made.demand(adapter(3), 0, Here, now);
+    (void)made.demand(adapter(3), 0, Here, 1, now);
     auto step = made.next(TargetId("a"), now);
     REQUIRE(step.kind == Step::Kind::Order);
     CHECK(step.order.action == ServerOrder::Action::Unload);
@@ -127,20 +138,20 @@
 TEST_CASE("an adapter that has just been loaded is not evicted before its requests can use it")
 {
     auto made = planner({"a"}, 1);
-    (void)made.demand(adapter(1), 0, Here, Start);
+    (void)made.demand(adapter(1), 0, Here, 1, Start);
     made.orderEnded(made.next(TargetId("a"), Start).order, OrderOutcome::Accepted, Start);
     const auto ready = Start + AdapterPlanner::Options{}.storeLoad;
-    (void)made.demand(adapter(2), 0, Here, ready + milliseconds(100));
+    (void)made.demand(adapter(2), 0, Here, 1, ready + milliseconds(100));
     CHECK(made.next(TargetId("a"), ready + milliseconds(100)).kind == Step::Kind::Wait);
 }
 
 TEST_CASE("a server that waits for requests before it unloads is ordered nothing else")
 {
     auto made = planner({"a"}, 1);
-    (void)made.demand(adapter(1), 0, Here, Start);
+    (void)made.demand(adapter(1), 0, Here, 1, Start);
     made.orderEnded(made.next(TargetId("a"), Start).order, OrderOutcome::Accepted, Start);
     auto now = Start + seconds(3);
-    (void)made.demand(adapter(2), 0, Here, now);
+    (void)made.demand(adapter(2), 0, Here, 1, now);
     auto step = made.next(TargetId("a"), now);
     REQUIRE(step.order.action == ServerOrder::Action::Unload);
     made.orderEnded(step.order, OrderOutcome::Accepted, now);
@@ -148,7 +159,7 @@
     now += milliseconds(500);
     CHECK(made.next(TargetId("a"), now).kind == Step::Kind::ReadState);
     made.reported(step.order.server, holdsModel({}, 2), now, now);
-    (void)made.demand(adapter(2), 0, Here, now);
+    (void)made.demand(adapter(2), 0, Here, 1, now);
     step = made.next(TargetId("a"), now);
     REQUIRE(step.kind == Step::Kind::Order);
     CHECK(step.order.action == ServerOrder::Action::Load);
@@ -158,11 +169,11 @@
 TEST_CASE("the requests of an entry that is gone hold no adapter")
 {
     auto made = planner({"a"}, 1);
-    (void)made.demand(adapter(1), 0, Here, Start);
+    (void)made.demand(adapter(1), 0, Here, 1, Start);
     made.orderEnded(made.next(TargetId("a"), Start).order, OrderOutcome::Accepted, Start);
     made.used(TargetId("a"), adapter(1), Entry, 1, 1, Start);
     const auto later = Start + seconds(2);
-    (void)made.demand(adapter(2), 0, Here, later);
+    (void)made.demand(adapter(2), 0, Here, 1, later);
     CHECK(made.next(TargetId("a"), later).kind == Step::Kind::Wait);
     made.entryGone(Entry);
     CHECK(made.next(TargetId("a"), later).kind == Step::Kind::Order);
@@ -171,10 +182,10 @@
 TEST_CASE("a load without an answer keeps its place, and is ordered again before anything else")
 {
     auto made = planner({"a"}, 1);
-    (void)made.demand(adapter(1), 0, Here, Start);
+    (void)made.demand(adapter(1), 0, Here, 1, Start);
     const auto order = made.next(TargetId("a"), Start).order;
     made.orderEnded(order, OrderOutcome::Unknown, Start);
-    (void)made.demand(adapter(2), 0, Here, Start);
+    (void)made.demand(adapter(2), 0, Here, 1, Start);
     auto step = made.next(TargetId("a"), Start);
     REQUIRE(step.kind == Step::Kind::Order);
     CHECK(step.order.action == ServerOrder::Action::Load);
@@ -188,7 +199,7 @@
     const auto later = Start + seconds(1);
     CHECK(made.next(TargetId("a"), later).kind == Step::Kind::ReadState);
     made.reported(order.server, holdsModel(), later, later);
-    (void)made.demand(adapter(2), 0, Here, later);
+    (void)made.demand(adapter(2), 0, Here, 1, later);
     step = made.next(TargetId("a"), later);
     REQUIRE(step.kind == Step::Kind::Order);
     CHECK(step.order.action == ServerOrder::Action::Load);
@@ -197,7 +208,7 @@
 TEST_CASE("a hot adapter gets further copies, a cool one does not")
 {
     auto made = planner({"a", "b", "c"});
-    const auto first = made.demand(adapter(1), 0, Here, Start);
+    const auto first = made.demand(adapter(1), 0, Here, 1, Start);
     made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
     made.used(*first, adapter(1), Entry, 1, 1, Start);
     (void)made.takeWakeups();
@@ -211,7 +222,7 @@
 {
     for (const bool crowded : {false, true}) {
         auto made = planner({"a", "b", "c"});
-        const auto first = made.demand(adapter(1), 0, Here, Start);
+        const auto first = made.demand(adapter(1), 0, Here, 1, Start);
         made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
         made.setLoad(*first, crowded ? 7 : 1);
         (void)made.takeWakeups();
@@ -225,7 +236,7 @@
 TEST_CASE("an older version is replaced where it is held")
 {
     auto made = planner({"a", "b"});
-    const auto first = made.demand(adapter(1), 1, Here, Start);
+    const auto first = made.demand(adapter(1), 1, Here, 1, Start);
     made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
     made.versionNamed(adapter(1), 2, Start + seconds(1));
     const auto step = made.next(*first, Start + seconds(1));
@@ -255,11 +266,11 @@
 TEST_CASE("an adapter whose only holder cannot be reached is loaded elsewhere")
 {
     auto made = planner({"a", "b"});
-    const auto first = made.demand(adapter(1), 0, Here, Start);
+    const auto first = made.demand(adapter(1), 0, Here, 1, Start);
     made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
-    CHECK_FALSE(made.demand(adapter(1), 0, Here, Start + seconds(1)).has_value());
+    CHECK_FALSE(made.demand(adapter(1), 0, Here, 1, Start + seconds(1)).has_value());
     made.suspect(*first, Start + seconds(2));
-    const auto second = made.demand(adapter(1), 0, Here, Start + seconds(1));
+    const auto second = made.demand(adapter(1), 0, Here, 1, Start + seconds(1));
     REQUIRE(second.has_value());
     CHECK(*second != *first);
 }
@@ -267,10 +278,10 @@
 TEST_CASE("the copies of an adapter are replaced by a new version one after the other")
 {
     auto made = planner({"a", "b"});
-    const auto first = made.demand(adapter(1), 0, Here, Start);
+    const auto first = made.demand(adapter(1), 0, Here, 1, Start);
     made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
     made.suspect(*first, Start + milliseconds(1));
-    const auto second = made.demand(adapter(1), 0, Here, Start);
+    const auto second = made.demand(adapter(1), 0, Here, 1, Start);
     made.orderEnded(made.next(*second, Start).order, OrderOutcome::Accepted, Start);
     const auto now = Start + seconds(1);
     made.versionNamed(adapter(1), 2, now);
@@ -335,7 +346,7 @@
                 return true;
             });
             if (random() % 3 == 0) {
-                (void)made.demand(adapter(static_cast<int>(random() % 30)), 0, Here, now);
+                (void)made.demand(adapter(static_cast<int>(random() % 30)), 0, Here, 1, now);
             }
             for (auto &[id, server] : servers) {
                 const auto step = made.next(TargetId(id), now);
