--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -50,6 +50,9 @@
     /// Accepts until cancelled. Precondition: listen() has succeeded.
     boost::asio::awaitable<void> run();
 
+    /// Precondition: listen() has succeeded.
+    [[nodiscard]] std::uint16_t port() const;
+
     /// The configuration or the versions of weights have changed.
     void stateChanged();
     void serversChanged(const std::set<TargetId> &ids);
--- a/include/tamarackcove/Control/Fleet/FleetNode.h
+++ b/include/tamarackcove/Control/Fleet/FleetNode.h
@@ -43,6 +43,10 @@
     /// Hands over leadership, finishes the calls in progress and ends the tasks.
     boost::asio::awaitable<void> shutDown();
 
+    /// The bound ports. Precondition: open() has succeeded.
+    [[nodiscard]] std::uint16_t callPort() const;
+    [[nodiscard]] std::uint16_t entryPort() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> m_impl;
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -93,9 +93,10 @@
     void reported(const ServerIdentity &server, const ServerReport &report, TimePoint asked, TimePoint now);
     void readFailed(const ServerIdentity &server, TimePoint now);
     void orderEnded(const ServerOrder &order, OrderOutcome outcome, TimePoint now);
-    /// Requests wait for an adapter, in one zone or in several. Returns the server that was told to load it.
+    /// Requests wait for an adapter, in one zone or in several. Servers that have failed such a request do not count as
+    /// holding it. Returns the server that was told to load it.
     std::optional<TargetId> demand(const AdapterKey &adapter, std::uint64_t version, const Zone &zone, int waiting,
-                                   TimePoint now);
+                                   TimePoint now, int failed = 0);
     /// An entry has sent requests to a server since it last said so, and has some in progress.
     void used(const TargetId &server, const AdapterKey &adapter, const EntryId &entry, int requests, int running,
               TimePoint now);
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -43,10 +43,20 @@
     [[nodiscard]] std::uint64_t requiredVersion(const AdapterKey &adapter, TimePoint now) const;
     [[nodiscard]] std::uint64_t namedVersion(const AdapterKey &adapter) const;
 
-    /// Waits until servers or what they hold have changed, or the deadline. The request counts as waiting for the
-    /// adapter meanwhile. The timer is that of the request, which may be cancelled from outside.
-    boost::asio::awaitable<void> waitForAdapter(AdapterKey adapter, std::uint64_t version, bool demands,
-                                                boost::asio::steady_timer &timer, TimePoint until);
+    /// How a request waits for an adapter.
+    struct Wait
+    {
+        AdapterKey adapter;
+        std::uint64_t version = 0;
+        /// Whether it is to be loaded for this request. Otherwise a load is in progress.
+        bool demands = false;
+        /// Servers that have failed this request.
+        int failed = 0;
+        TimePoint until;
+    };
+    /// Waits until servers or what they hold have changed, or the deadline. The timer is that of the request, which may
+    /// be cancelled from outside.
+    boost::asio::awaitable<void> waitForAdapter(Wait wait, boost::asio::steady_timer &timer);
     /// A request for an adapter was sent to a server, and has ended there.
     void beginUse(const TargetId &server, const AdapterKey &adapter);
     void endUse(const TargetId &server, const AdapterKey &adapter);
@@ -59,6 +69,7 @@
     {
         int waiting = 0;
         std::uint64_t version = 0;
+        int failed = 0;
     };
     struct Named
     {
--- a/include/tamarackcove/Gateway/GatewayNode.h
+++ b/include/tamarackcove/Gateway/GatewayNode.h
@@ -31,6 +31,10 @@
     /// Says that it is not ready, goes on until the balancer has noticed, and finishes the requests in progress.
     boost::asio::awaitable<void> shutDown();
 
+    /// The bound ports. Precondition: open() has succeeded.
+    [[nodiscard]] std::uint16_t callerPort() const;
+    [[nodiscard]] std::uint16_t readyPort() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> m_impl;
--- a/include/tamarackcove/Observe/LogLine.h
+++ b/include/tamarackcove/Observe/LogLine.h
@@ -44,4 +44,8 @@
 /// Sets up logging to standard error for this process. Call once, before the first line.
 void initLogging(std::string_view process, LogLevel lowestLevel);
 
+/// Sets up logging to standard output for a process that serves: lines are bounded in volume and never wait for the
+/// reader; what is left out is counted in a line of its own. Call once, before the first line.
+void initServiceLogging(std::string_view process, LogLevel lowestLevel);
+
 } // namespace tamarackcove
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -89,8 +89,10 @@
     std::string adapter;
     std::uint64_t version = 0;
     int waiting = 0;
+    /// Servers that hold it and have failed one of these requests.
+    int failed = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandMessage, model, adapter, version, waiting)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandMessage, model, adapter, version, waiting, failed)
 
 /// How an entry uses an adapter at a server.
 struct UseMessage
@@ -121,7 +123,7 @@
     /// The servers that the entry knows, in its first report to a host that has begun to lead.
     std::vector<ServerMessage> servers;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses, loads, unreachable,
-                                   servers)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses, loads,
+                                   unreachable, servers)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -97,6 +97,11 @@
     return ok();
 }
 
+std::uint16_t EntryLinks::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
 asio::awaitable<void> EntryLinks::run()
 {
     constexpr milliseconds AcceptPause{20};
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -349,7 +349,7 @@
     }
     for (const auto &demand : report.demands) {
         const AdapterKey adapter{BaseModel(demand.model), demand.adapter};
-        (void)planner.demand(adapter, demand.version, Zone(report.zone), links.waiting(adapter), now);
+        (void)planner.demand(adapter, demand.version, Zone(report.zone), links.waiting(adapter), now, demand.failed);
     }
     publishHoldings();
 }
@@ -402,6 +402,16 @@
     LogLine(LogLevel::Info, "ready").add("name", impl.settings.name);
 }
 
+std::uint16_t FleetNode::callPort() const
+{
+    return m_impl->http.port();
+}
+
+std::uint16_t FleetNode::entryPort() const
+{
+    return m_impl->links.port();
+}
+
 asio::awaitable<void> FleetNode::shutDown()
 {
     auto &impl = *m_impl;
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -332,7 +332,7 @@
 }
 
 std::optional<TargetId> AdapterPlanner::demand(const AdapterKey &adapter, std::uint64_t version, const Zone &zone,
-                                               int waiting, TimePoint now)
+                                               int waiting, TimePoint now, int failed)
 {
     const auto named = m_versions.find(adapter);
     version = std::max(version, named == m_versions.end() ? 0 : named->second);
@@ -362,7 +362,7 @@
             lowest = value;
         }
     }
-    if (best == nullptr || copies >= 1 + waiting / m_options.waitingPerCopy) {
+    if (best == nullptr || copies >= 1 + failed + waiting / m_options.waitingPerCopy) {
         return std::nullopt;
     }
     best->wanted.push_back({.adapter = adapter, .version = version, .since = now});
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -150,7 +150,8 @@
         report.demands.push_back({.model = adapter.model.value(),
                                   .adapter = adapter.adapter,
                                   .version = demand.version,
-                                  .waiting = demand.waiting});
+                                  .waiting = demand.waiting,
+                                  .failed = demand.failed});
     }
     for (auto &[key, use] : m_uses) {
         if (use.sent > 0 || use.running > 0 || use.reported) {
@@ -211,38 +212,35 @@
     return found == m_versions.end() || now < found->second.since + VersionGrace ? 0 : found->second.version;
 }
 
-asio::awaitable<void> FleetView::waitForAdapter(AdapterKey adapter, std::uint64_t version, bool demands,
-                                                asio::steady_timer &timer, TimePoint until)
+asio::awaitable<void> FleetView::waitForAdapter(Wait wait, asio::steady_timer &timer)
 {
     // Leaves the sets also when the coroutine is destroyed while it waits.
     struct Registration
     {
         FleetView &view;
-        const AdapterKey &adapter;
+        const Wait &wait;
         asio::steady_timer *timer;
-        bool demands;
         ~Registration()
         {
             view.m_waiters.erase(timer);
-            if (!demands) {
-                return;
-            }
-            const auto found = view.m_demands.find(adapter);
-            if (found != view.m_demands.end() && --found->second.waiting <= 0) {
+            const auto found = view.m_demands.find(wait.adapter);
+            if (wait.demands && found != view.m_demands.end() && --found->second.waiting <= 0) {
                 view.m_demands.erase(found);
             }
         }
     };
     m_waiters.insert(&timer);
-    const Registration registration{*this, adapter, &timer, demands};
-    if (demands) {
-        auto &demand = m_demands[adapter];
-        demand.version = std::max(demand.version, version);
-        if (++demand.waiting == 1 && onDemand) {
+    const Registration registration{*this, wait, &timer};
+    if (wait.demands) {
+        auto &demand = m_demands[wait.adapter];
+        demand.version = std::max(demand.version, wait.version);
+        const bool more = wait.failed > demand.failed;
+        demand.failed = std::max(demand.failed, wait.failed);
+        if ((++demand.waiting == 1 || more) && onDemand) {
             onDemand();
         }
     }
-    timer.expires_at(until);
+    timer.expires_at(wait.until);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -163,6 +163,16 @@
     m_impl->link.start();
 }
 
+std::uint16_t GatewayNode::callerPort() const
+{
+    return m_impl->callers.port();
+}
+
+std::uint16_t GatewayNode::readyPort() const
+{
+    return m_impl->ready.port();
+}
+
 asio::awaitable<void> GatewayNode::shutDown()
 {
     auto &impl = *m_impl;
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -181,9 +181,13 @@
         if (choice) {
             until = std::min(until, choice->readyAt);
         }
-        const auto version = view.namedVersion(*wish.adapter);
+        FleetView::Wait wait{.adapter = *wish.adapter,
+                             .version = view.namedVersion(*wish.adapter),
+                             .demands = !choice,
+                             .failed = static_cast<int>(exchange.excluded.size()),
+                             .until = until};
         exchange.watched.timer = &timer;
-        co_await view.waitForAdapter(*wish.adapter, version, !choice, timer, until);
+        co_await view.waitForAdapter(std::move(wait), timer);
         exchange.watched.timer = nullptr;
     }
 }
--- a/lib/Observe/LogLine.cpp
+++ b/lib/Observe/LogLine.cpp
@@ -1,9 +1,12 @@
 #include "tamarackcove/Observe/LogLine.h"
 
+#include "BoundedSink.h"
+
 #include <cassert>
 #include <fmt/format.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace tamarackcove {
 
@@ -101,13 +104,23 @@
     return add(key, static_cast<std::int64_t>(value.count()));
 }
 
-void initLogging(std::string_view process, LogLevel lowestLevel)
+static void useLogger(std::shared_ptr<spdlog::logger> logger, LogLevel lowestLevel)
 {
-    auto logger = spdlog::stderr_logger_st(std::string(process));
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l process=%n %v");
     logger->set_level(toSpdlog(lowestLevel));
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(std::move(logger));
 }
 
+void initLogging(std::string_view process, LogLevel lowestLevel)
+{
+    useLogger(spdlog::stderr_logger_st(std::string(process)), lowestLevel);
+}
+
+void initServiceLogging(std::string_view process, LogLevel lowestLevel)
+{
+    auto sink = std::make_shared<BoundedSink>(STDOUT_FILENO, BoundedSink::Limits{});
+    useLogger(std::make_shared<spdlog::logger>(std::string(process), std::move(sink)), lowestLevel);
+}
+
 } // namespace tamarackcove
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -99,6 +99,17 @@
     CHECK_FALSE(made.demand(adapter(1), 0, Here, 5, Start).has_value());
 }
 
+TEST_CASE("a request that its only holder has failed gets the adapter elsewhere")
+{
+    auto made = planner({"a", "b"});
+    const auto first = made.demand(adapter(1), 0, Here, 1, Start);
+    made.orderEnded(made.next(*first, Start).order, OrderOutcome::Accepted, Start);
+    CHECK_FALSE(made.demand(adapter(1), 0, Here, 1, Start + seconds(1)).has_value());
+    const auto second = made.demand(adapter(1), 0, Here, 1, Start + seconds(1), 1);
+    REQUIRE(second.has_value());
+    CHECK(*second != *first);
+}
+
 TEST_CASE("the next order expects the ones that were accepted before")
 {
     auto made = planner({"a"});
--- /dev/null
+++ b/unittests/Observe/BoundedSinkTest.cpp
@@ -0,0 +1,62 @@
+#include "../../lib/Observe/BoundedSink.h"
+
+#include <array>
+#include <doctest/doctest.h>
+#include <memory>
+#include <spdlog/logger.h>
+#include <string>
+#include <unistd.h>
+
+using namespace tamarackcove;
+
+/// What has arrived at the reading end of a pipe.
+static std::string arrived(int file)
+{
+    std::string all;
+    std::array<char, 8192> bytes{};
+    for (;;) {
+        const auto count = ::read(file, bytes.data(), bytes.size());
+        if (count <= 0) {
+            return all;
+        }
+        all.append(bytes.data(), static_cast<std::size_t>(count));
+        if (static_cast<std::size_t>(count) < bytes.size()) {
+            return all;
+        }
+    }
+}
+
+TEST_CASE("a reader that has stopped does not block the process, and the lines left out are counted")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(::pipe(ends.data()) == 0);
+    auto sink = std::make_shared<BoundedSink>(ends[1], BoundedSink::Limits{.bytesPerSecond = 1e9, .burstBytes = 1e9});
+    spdlog::logger logger("test", sink);
+    // Far more than a pipe holds; a write that waited would never return.
+    for (int i = 0; i < 20000; ++i) {
+        logger.info("event=flood number={}", i);
+    }
+    CHECK(sink->dropped() > 0);
+    (void)arrived(ends[0]);
+    logger.info("event=after");
+    const auto text = arrived(ends[0]);
+    CHECK(text.find("event=log_lines_dropped") != std::string::npos);
+    CHECK(text.find("event=after") != std::string::npos);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+TEST_CASE("no more is written than the bytes a second allow")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(::pipe(ends.data()) == 0);
+    auto sink = std::make_shared<BoundedSink>(ends[1], BoundedSink::Limits{.bytesPerSecond = 0, .burstBytes = 500});
+    spdlog::logger logger("test", sink);
+    for (int i = 0; i < 100; ++i) {
+        logger.info("event=flood number={}", i);
+    }
+    CHECK(sink->dropped() > 0);
+    CHECK(arrived(ends[0]).size() <= 500);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
--- /dev/null
+++ b/unittests/Platform/WholePathTest.cpp
@@ -0,0 +1,325 @@
+#include "StandInServer.h"
+#include "platform/CallerCodec.h"
+#include "platform/ConfigurationCodec.h"
+#include "platform/ControlCalls.h"
+#include "platform/ServerCodec.h"
+#include "tamarackcove/Control/Fleet/FleetNode.h"
+#include "tamarackcove/Gateway/GatewayNode.h"
+#include "tamarackcove/Http/HttpConnection.h"
+#include "tamarackcove/Observe/LogLine.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <unistd.h>
+
+namespace asio = boost::asio;
+using namespace tamarackcove;
+using nlohmann::json;
+using test::StandInServer;
+
+static constexpr milliseconds CallTimeout{5000};
+/// Only liveness is asked, so it is generous.
+static constexpr seconds Patience{20};
+
+static HttpResponse sealed(const HttpRequest &request, int status)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.set("Tamarackcove-Attempt-Id", request.headers.find("Tamarackcove-Attempt-Id").value_or(""));
+    response.headers.set("Tamarackcove-Server-Seal", "seal");
+    return response;
+}
+
+/// Sends events from after the last one that the request names, and breaks off after `upTo`.
+static asio::awaitable<void> sendEvents(const HttpRequest &request, HttpResponder &responder, int upTo, int all)
+{
+    auto head = sealed(request, 200);
+    head.headers.set("Content-Type", "text/event-stream");
+    (void)co_await responder.beginStream(std::move(head));
+    int next = 1;
+    if (const auto last = request.headers.find("Last-Event-Id")) {
+        next = std::stoi(std::string(*last)) + 1;
+    }
+    for (; next <= upTo; ++next) {
+        const auto event = "id: " + std::to_string(next) + "\ndata: x\n\n";
+        (void)co_await responder.writePiece(event);
+    }
+    if (upTo == all) {
+        (void)co_await responder.endStream();
+    } else {
+        (void)co_await responder.writePiece("id: torn");
+    }
+}
+
+static asio::awaitable<void> refuseWithoutRunning(const HttpRequest &request, HttpResponder &responder)
+{
+    auto response = sealed(request, 503);
+    response.headers.set("Tamarackcove-Not-Executed", "1");
+    (void)co_await responder.send(std::move(response));
+}
+
+/// A control host, an entry and servers in one process, with an operator who has set routes.
+class Deployment
+{
+public:
+    Deployment()
+        : m_folder(std::filesystem::temp_directory_path() / ("tamarackcove-path-" + std::to_string(::getpid())))
+    {
+        std::filesystem::remove_all(m_folder);
+    }
+    ~Deployment()
+    {
+        std::filesystem::remove_all(m_folder);
+    }
+    Deployment(const Deployment &) = delete;
+    Deployment &operator=(const Deployment &) = delete;
+
+    StandInServer &addServer(const std::string &id, const std::string &service, StandInServer::Behaviour behaviour)
+    {
+        m_servers.push_back({std::make_unique<StandInServer>(m_io.get_executor(), id, std::move(behaviour)), service});
+        return *m_servers.back().server;
+    }
+
+    /// Starts everything, runs the body once the entry is ready, and stops everything.
+    void run(std::function<asio::awaitable<void>()> body)
+    {
+        static const bool LogsSetUp = [] {
+            initLogging("whole-path", LogLevel::Error);
+            return true;
+        }();
+        REQUIRE(LogsSetUp);
+        bool finished = false;
+        asio::co_spawn(m_io, play(std::move(body)), [&](const std::exception_ptr &error) {
+            finished = !error;
+            m_io.stop();
+        });
+        m_io.run_for(Patience);
+        CHECK_MESSAGE(finished, "the deployment did not finish in time");
+    }
+
+    asio::awaitable<HttpResponse> call(std::string method, std::string path, std::string id, std::string adapter = {})
+    {
+        HttpRequest request;
+        request.method = std::move(method);
+        request.target = std::move(path);
+        request.headers
+            = {{"Host", "h.example"}, {"Tamarackcove-Attempt-Id", id}, {"Tamarackcove-Deadline-Ms", "4000"}};
+        if (!adapter.empty()) {
+            request.headers.set("Tamarackcove-Model", "m/" + adapter);
+        }
+        Endpoint entry{.host = "127.0.0.1", .port = m_entry->callerPort()};
+        auto response = co_await httpExchange(std::move(entry), std::move(request), CallTimeout);
+        HttpResponse failed;
+        failed.status = 0;
+        co_return response.has_value() ? std::move(response).value() : failed;
+    }
+
+private:
+    struct Member
+    {
+        std::unique_ptr<StandInServer> server;
+        std::string service;
+    };
+
+    static json configuration()
+    {
+        const auto route = [](const char *path, const char *type, const char *service, int attempts, bool resumable) {
+            return json{{"name", path},         {"host", "h.example"}, {"pathPrefix", path},    {"type", type},
+                        {"timeoutMs", 4000},    {"goalMs", 1000},      {"gapGoalMs", 600},      {"service", service},
+                        {"attempts", attempts}, {"priority", 0},       {"resumable", resumable}};
+        };
+        const json engine{{"slots", 8},
+                          {"adapterSlots", 4},
+                          {"weightsMb", 1000},
+                          {"loadsPerS", 3},
+                          {"models", {{{"name", "m"}, {"weightsMb", 900}, {"adapterMb", 1}, {"loadS", 1}}}}};
+        return {
+            {"version", 7},
+            {"routes",
+             {route("/once/", "non_idempotent", "plain", 1, false), route("/again/", "idempotent", "plain", 2, false),
+              route("/stream/", "streaming", "engines", 2, true)}},
+            {"services", {{{"name", "plain"}}, {{"name", "engines"}, {"engine", engine}}}}};
+    }
+
+    asio::awaitable<int> control(std::string method, std::string path, std::string body)
+    {
+        HttpRequest request;
+        request.method = std::move(method);
+        request.target = std::move(path);
+        request.body = std::move(body);
+        Endpoint host{.host = "127.0.0.1", .port = m_control->callPort()};
+        const auto response = co_await httpExchange(std::move(host), std::move(request), CallTimeout);
+        co_return response.has_value() ? response.value().status : 0;
+    }
+
+    asio::awaitable<void> pause(milliseconds time)
+    {
+        asio::steady_timer timer(m_io, time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    asio::awaitable<void> play(std::function<asio::awaitable<void>()> body)
+    {
+        FleetControlSettings controlSettings;
+        controlSettings.name = "c1";
+        controlSettings.host = "127.0.0.1";
+        controlSettings.listen = {.host = "127.0.0.1", .port = 0};
+        controlSettings.seeds = {"127.0.0.1"};
+        controlSettings.firstStart = true;
+        controlSettings.dataFolder = m_folder;
+        FleetNode::Hooks hooks;
+        hooks.readConfiguration = platform::readConfiguration;
+        hooks.dialect = platform::engineDialect();
+        hooks.frontEnd = platform::controlCalls;
+        hooks.onFatal = [](std::string_view, std::string_view) {
+        };
+        m_control = std::make_unique<FleetNode>(m_io.get_executor(), controlSettings, std::move(hooks));
+        REQUIRE(m_control->open().has_value());
+        m_control->start();
+        GatewaySettings entrySettings;
+        entrySettings.name = "e1";
+        entrySettings.zone = Zone("z");
+        entrySettings.listen = {.host = "127.0.0.1", .port = 0};
+        entrySettings.readyListen = {.host = "127.0.0.1", .port = 0};
+        entrySettings.controlPort = m_control->entryPort();
+        entrySettings.seeds = {"127.0.0.1"};
+        entrySettings.retrySlack = 50;
+        m_entry = std::make_unique<GatewayNode>(m_io.get_executor(), entrySettings, platform::callerDialect());
+        REQUIRE(m_entry->open().has_value());
+        m_entry->start();
+        for (const auto &member : m_servers) {
+            member.server->start();
+        }
+        const auto before = co_await call("GET", "/again/x", "early");
+        CHECK(before.status == 503);
+        const auto document = configuration().dump();
+        while (co_await control("POST", "/v1/Config.Replace", document) != 200) {
+            co_await pause(milliseconds(20));
+        }
+        for (const auto &member : m_servers) {
+            const auto beat = member.server->heartbeat(member.service).dump();
+            const auto status = co_await control("POST", "/v1/Instances.Heartbeat/" + member.server->id(), beat);
+            CHECK(status == 200);
+        }
+        for (;;) {
+            // Ready, and told of the servers too.
+            const auto response = co_await call("GET", "/again/ready", "probe");
+            if (response.status == 200) {
+                break;
+            }
+            co_await pause(milliseconds(20));
+        }
+        co_await body();
+        co_await m_entry->shutDown();
+        co_await m_control->shutDown();
+        for (const auto &member : m_servers) {
+            co_await member.server->stop();
+        }
+    }
+
+    asio::io_context m_io{1};
+    std::filesystem::path m_folder;
+    std::vector<Member> m_servers;
+    std::unique_ptr<FleetNode> m_control;
+    std::unique_ptr<GatewayNode> m_entry;
+};
+
+static asio::awaitable<void> answerPlainly(const HttpRequest &request, HttpResponder &responder)
+{
+    auto response = sealed(request, 200);
+    response.body = "whole";
+    (void)co_await responder.send(std::move(response));
+}
+
+static int countOf(const StandInServer &server, const std::string &id)
+{
+    return static_cast<int>(std::count_if(server.requests.begin(), server.requests.end(), [&](const auto &request) {
+        return request.headers.find("Tamarackcove-Attempt-Id") == id;
+    }));
+}
+
+TEST_CASE("an adapter is loaded on demand, and a stream that breaks off goes on at another server")
+{
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerPlainly);
+    StandInServer::Behaviour breaksOff = [](const HttpRequest &request, HttpResponder &responder) {
+        return sendEvents(request, responder, request.headers.find("Last-Event-Id") ? 6 : 3, 6);
+    };
+    auto &first = deployment.addServer("s1", "engines", breaksOff);
+    auto &second = deployment.addServer("s2", "engines", breaksOff);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto response = co_await deployment.call("POST", "/stream/x", "r1", "a5");
+        CHECK(response.status == 200);
+        CHECK(response.headers.find("Tamarackcove-Server-Seal") == "seal");
+        std::string whole;
+        for (int i = 1; i <= 6; ++i) {
+            whole += "id: " + std::to_string(i) + "\ndata: x\n\n";
+        }
+        CHECK(response.body == whole);
+        CHECK(first.adapters.contains("a5"));
+        CHECK(second.adapters.contains("a5"));
+        CHECK(countOf(first, "r1") == 1);
+        CHECK(countOf(second, "r1") == 1);
+    });
+}
+
+TEST_CASE("a request that may run once is never sent again after it may have run, and moves on when it did not")
+{
+    Deployment deployment;
+    int broken = 0;
+    StandInServer::Behaviour loses
+        = [&broken](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        const auto id = request.headers.find("Tamarackcove-Attempt-Id").value_or("");
+        if (id == "lost") {
+            ++broken;
+            // Ends the connection after it has run: a head without the rest of its answer.
+            auto head = sealed(request, 200);
+            (void)co_await responder.beginStream(std::move(head));
+            co_return;
+        }
+        if (id == "full" && ++broken == 1) {
+            co_await refuseWithoutRunning(request, responder);
+            co_return;
+        }
+        co_await answerPlainly(request, responder);
+    };
+    auto &first = deployment.addServer("p1", "plain", loses);
+    auto &second = deployment.addServer("p2", "plain", loses);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto lost = co_await deployment.call("POST", "/once/x", "lost");
+        CHECK(lost.status == 502);
+        CHECK(broken == 1);
+        CHECK(countOf(first, "lost") + countOf(second, "lost") == 1);
+        broken = 0;
+        const auto moved = co_await deployment.call("POST", "/once/x", "full");
+        CHECK(moved.status == 200);
+        CHECK(moved.body == "whole");
+        const auto none = co_await deployment.call("GET", "/nowhere/x", "none");
+        CHECK(none.status == 404);
+    });
+}
+
+TEST_CASE("a second answer on a connection is never taken for the answer to the next request")
+{
+    Deployment deployment;
+    StandInServer::Behaviour mixes = [](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        // The answer carries the id of another request, as a late one does.
+        HttpRequest other = request;
+        if (request.headers.find("Tamarackcove-Attempt-Id") == "mixed") {
+            other.headers.set("Tamarackcove-Attempt-Id", "older");
+        }
+        co_await answerPlainly(other, responder);
+    };
+    auto &server = deployment.addServer("p1", "plain", mixes);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto mixed = co_await deployment.call("POST", "/once/x", "mixed");
+        CHECK(mixed.status == 502);
+        CHECK(countOf(server, "mixed") == 1);
+        const auto clean = co_await deployment.call("POST", "/once/x", "clean");
+        CHECK(clean.status == 200);
+    });
+}
