--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -31,7 +31,7 @@
         int maxInTransitPerServer = 4;
         /// Adapters that may be on their way from the store per server, over all servers; beyond about this number each
         /// load takes longer in proportion.
-        double storeLoadsInTransitPerServer = 1.7;
+        double storeLoadsInTransitPerServer = 1.35;
         /// An adapter that more requests wait for is loaded by several servers at once.
         int waitingPerCopy = 4;
         /// An adapter that was loaded or used within this time is not evicted: the requests that wait for it are sent
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -79,6 +79,8 @@
         std::uint64_t version = 0;
         /// For a load in progress: when the server can be asked. In the past otherwise.
         TimePoint readyAt;
+        /// When the load is or was expected to end.
+        TimePoint expectedAt;
     };
 
     explicit ServerDirectory(Options options);
@@ -89,6 +91,8 @@
     void keepOnly(const std::set<TargetId> &ids);
     void setHolding(const TargetId &id, const AdapterKey &adapter, std::uint64_t version, TimePoint readyAt);
 
+    /// A server is still loading an adapter that it was expected to hold by now.
+    void postpone(const TargetId &id, const AdapterKey &adapter, TimePoint until);
     /// What all entries together had in progress at a server a moment ago.
     void setLoad(const TargetId &id, double load);
 
@@ -114,6 +118,8 @@
     {
         std::uint64_t version = 0;
         TimePoint readyAt;
+        /// When the load was expected to end.
+        TimePoint expectedAt;
     };
     struct Server
     {
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -46,6 +46,8 @@
     bool notRun = false;
     /// Another server has the address, or it does not hold the weights or the version.
     bool wrongServer = false;
+    /// The server that has answered, if it says so.
+    TargetId server;
     bool eventStream = false;
 };
 
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -43,7 +43,19 @@
         found->second.holdings.erase(adapter);
         return;
     }
-    found->second.holdings[adapter] = {.version = version, .readyAt = readyAt};
+    found->second.holdings[adapter] = {.version = version, .readyAt = readyAt, .expectedAt = readyAt};
+}
+
+void ServerDirectory::postpone(const TargetId &id, const AdapterKey &adapter, TimePoint until)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    const auto held = found->second.holdings.find(adapter);
+    if (held != found->second.holdings.end()) {
+        held->second.readyAt = std::max(held->second.readyAt, until);
+    }
 }
 
 double ServerDirectory::load(const Server &server) const
@@ -94,8 +106,7 @@
         if (wish.adapter) {
             const auto held = server.holdings.find(*wish.adapter);
             // An adapter at a server that has most likely crashed is loaded elsewhere.
-            if (held == server.holdings.end() || held->second.version < wish.minVersion
-                || unreachable(server, now)) {
+            if (held == server.holdings.end() || held->second.version < wish.minVersion || unreachable(server, now)) {
                 continue;
             }
             candidate.holding = &held->second;
@@ -115,6 +126,7 @@
     if (best->holding != nullptr) {
         choice.version = best->holding->version;
         choice.readyAt = best->holding->readyAt;
+        choice.expectedAt = best->holding->expectedAt;
     }
     return choice;
 }
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -332,17 +332,19 @@
     const auto now = Clock::now();
     auto &servers = m_parts.view.servers();
     const auto &adapter = exchange.caller.adapter;
-    // A server refuses requests for an adapter also while it replaces it by another version.
-    const bool loading = adapter && !answer.wrongServer
-        && (choice.readyAt + LoadOverrun > now || choice.version < m_parts.view.namedVersion(*adapter));
+    const bool other = answer.wrongServer && !answer.server.empty() && answer.server != choice.server.id;
+    // A load can take longer than expected, and a server refuses requests also while it replaces a version.
+    const bool loading = adapter && !other
+        && (choice.expectedAt + LoadOverrun > now
+            || (!answer.wrongServer && choice.version < m_parts.view.namedVersion(*adapter)));
     servers.ended(choice.server.id, exchange.weight,
                   loading                  ? ServerOutcome::Unrelated
                       : answer.wrongServer ? ServerOutcome::WrongServer
                                            : ServerOutcome::Full,
                   now);
     if (loading) {
-        servers.setHolding(choice.server.id, *adapter, choice.version, now + LoadRetry);
-    } else if (adapter && answer.wrongServer) {
+        servers.postpone(choice.server.id, *adapter, now + LoadRetry * (1 + exchange.refusals));
+    } else if (adapter && answer.wrongServer && !other) {
         servers.setHolding(choice.server.id, *adapter, 0, now);
         m_parts.view.noteMissing(choice.server.id, *adapter);
     } else {
--- a/unittests/Fleet/ServerDirectoryTest.cpp
+++ b/unittests/Fleet/ServerDirectoryTest.cpp
@@ -74,6 +74,18 @@
     CHECK(servers.choose(wish(true), Start)->server.id == TargetId("holding"));
 }
 
+TEST_CASE("a load that takes longer than expected keeps its place among the choices")
+{
+    auto servers = directory();
+    servers.put(server("a"));
+    servers.setHolding(TargetId("a"), Adapter, 1, Start);
+    servers.postpone(TargetId("a"), Adapter, Start + milliseconds(50));
+    const auto choice = servers.choose(wish(true), Start + milliseconds(10));
+    REQUIRE(choice.has_value());
+    CHECK(choice->readyAt == Start + milliseconds(50));
+    CHECK(choice->expectedAt == Start);
+}
+
 TEST_CASE("a new start of a server holds nothing of before")
 {
     auto servers = directory();
--- a/unittests/Platform/CodecTest.cpp
+++ b/unittests/Platform/CodecTest.cpp
@@ -174,7 +174,8 @@
     CHECK_FALSE(dialect.readAnswer(caller, head).authentic);
     head.headers.set("Tamarackcove-Not-Executed", "1");
     CHECK(dialect.readAnswer(caller, head).notRun);
-    head = {.status = 421, .headers = {}, .body = {}};
+    head = {.status = 421, .headers = {{"Tamarackcove-Instance-Id", "i-2"}}, .body = {}};
+    CHECK(dialect.readAnswer(caller, head).server == TargetId("i-2"));
     CHECK(dialect.readAnswer(caller, head).notRun);
     CHECK(dialect.readAnswer(caller, head).wrongServer);
 }
