Take the vote only from a voter that is gone

Cause: a schedule with a spare member did not recover. A voter that still ran was demoted by an entry that reached only itself; it then neither campaigned nor voted for the others, whose logs were behind its own, and the fourth disk was lost. Ruled out: votes of learners are granted, it was the length of the log.

--- a/lib/Consensus/ReplicaMembership.cpp
+++ b/lib/Consensus/ReplicaMembership.cpp
@@ -69,18 +69,14 @@
     if (m_options.maxVoters == 0 || group.voterCount() <= m_options.maxVoters) {
         return false;
     }
-    const GroupMember *surplus = nullptr;
-    for (const auto &member : group.members) {
-        if (!member.voter || member.id == m_self) {
-            continue;
-        }
-        if (surplus == nullptr || (!healthy(member.id, now) && healthy(surplus->id, now))) {
-            surplus = &member;
-        }
-    }
+    // Only a voter that is gone: one that still runs could be the only one to learn that it no longer votes, and would
+    // then neither lead nor vote for those whose logs are behind its own.
     auto changed = group;
     const auto found = std::find_if(changed.members.begin(), changed.members.end(),
-                                    [&](const auto &member) { return member.id == surplus->id; });
+                                    [&](const auto &member) { return member.voter && lost(member.id, now); });
+    if (found == changed.members.end()) {
+        return false;
+    }
     found->voter = false;
     if (healthyVoters(changed, now) < changed.majority()) {
         return false;
--- a/unittests/Consensus/RandomScheduleTest.cpp
+++ b/unittests/Consensus/RandomScheduleTest.cpp
@@ -108,10 +108,12 @@
     return false;
 }
 
-static std::string runSchedule(std::uint64_t seed, Coverage &coverage)
+static std::string runSchedule(std::uint64_t seed, Coverage &coverage, std::size_t maxVoters = 0)
 {
     SimulationOptions options;
-    options.nodes = seed % 4 == 0 ? 5 : 3;
+    options.maxVoters = maxVoters;
+    // With a limit there is one node more than voters.
+    options.nodes = maxVoters > 0 ? static_cast<int>(maxVoters) + 1 : seed % 4 == 0 ? 5 : 3;
     options.dropRate = seed % 3 == 0 ? 0.1 : 0.01;
     options.duplicateRate = 0.05;
     options.maxDelay = seed % 5 == 0 ? milliseconds(150) : milliseconds(15);
@@ -166,3 +168,46 @@
     CHECK(coverage.reads > Schedules);
     CHECK(coverage.wipes > Schedules / 20);
 }
+
+TEST_CASE("a learner takes the place of a voter that is gone, and no acknowledged entry is lost by it")
+{
+    Coverage coverage;
+    for (std::uint64_t seed = FirstSeed; seed < FirstSeed + Schedules / 5; ++seed) {
+        const auto violation = runSchedule(seed, coverage, seed % 3 == 0 ? 5 : 3);
+        CAPTURE(seed);
+        REQUIRE(violation == "");
+    }
+    CHECK(coverage.wipes > 0);
+}
+
+TEST_CASE("a voter that is silent for long makes way for a learner and comes back as one")
+{
+    SimulationOptions options;
+    options.nodes = 4;
+    options.maxVoters = 3;
+    SimulatedGroup group(options, FirstSeed);
+    group.bootstrap();
+    const auto isVoter = [&](int node) {
+        const auto leader = group.leader();
+        return leader >= 0 && group.node(leader).replica->group().isVoter(group.node(node).disk.self);
+    };
+    const auto voters = [&] {
+        int count = 0;
+        for (int node = 0; node < group.size(); ++node) {
+            count += isVoter(node) ? 1 : 0;
+        }
+        return count;
+    };
+    REQUIRE(group.runUntil([&] { return group.leader() >= 0; }, seconds(5)));
+    int lost = 0;
+    while (lost == group.leader() || !isVoter(lost)) {
+        ++lost;
+    }
+    group.isolate(lost);
+    CHECK(group.runUntil([&] { return voters() == 3 && !isVoter(lost); }, seconds(5)));
+    group.heal();
+    group.run(seconds(3));
+    CHECK(voters() == 3);
+    CHECK_FALSE(isVoter(lost));
+    CHECK(group.violation() == "");
+}
--- a/unittests/Consensus/SimulatedGroup.cpp
+++ b/unittests/Consensus/SimulatedGroup.cpp
@@ -39,6 +39,7 @@
 {
     ReplicaOptions options;
     options.trailingEntries = m_options.trailingEntries;
+    options.maxVoters = m_options.maxVoters;
     // Small, so that a snapshot takes several messages.
     options.snapshotChunkBytes = 8;
     options.random = [this] {
--- a/unittests/Consensus/SimulatedGroup.h
+++ b/unittests/Consensus/SimulatedGroup.h
@@ -26,6 +26,8 @@
     double clockDrift = 0;
     std::uint64_t snapshotEvery = 1000;
     std::uint64_t trailingEntries = 100;
+    /// See ReplicaOptions; 0 makes every node a voter.
+    std::size_t maxVoters = 0;
 };
 
 /// One simulated control process with its disk.
