--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -8,6 +8,8 @@
 step build
 cmake --preset release > /dev/null
 cmake --build --preset release
+step "deploy build"
+scripts/deploy-build.sh
 step lint
 scripts/lint.sh
 step "sanitizer build"
