--- a/include/tamarackcove/Consensus/ReplicaOptions.h
+++ b/include/tamarackcove/Consensus/ReplicaOptions.h
@@ -32,9 +32,9 @@
     /// Entries that are proposed and not yet committed; beyond it proposals are refused.
     std::uint64_t maxUncommitted = 20000;
 
-    /// Voters of the group. Further members stay learners that can take the place of a voter that is gone; when that one
-    /// comes back in between, the group has one voter more until the next is lost. 0 makes every member a voter. Odd, so
-    /// that the group does not need more replicas to decide than it gains.
+    /// Voters of the group. Further members stay learners that can take the place of a voter that is gone; when that
+    /// one comes back in between, the group has one voter more until the next is lost. 0 makes every member a voter.
+    /// Odd, so that the group does not need more replicas to decide than it gains.
     std::size_t maxVoters = 0;
     /// With maxVoters: a voter that was silent for this long is replaced by a learner that is caught up.
     milliseconds replaceVoterAfter{1500};
--- a/lib/Control/Fleet/FleetCodec.cpp
+++ b/lib/Control/Fleet/FleetCodec.cpp
@@ -30,9 +30,12 @@
     for (const auto &model : server.models) {
         models.push_back(model.name.value());
     }
-    return {{"identity", identityJson(server.identity)}, {"service", server.service.value()},
-            {"endpoint", server.endpoint.toString()},    {"zone", server.zone.value()},
-            {"slots", server.slots},                     {"models", std::move(models)}};
+    return {{"identity", identityJson(server.identity)},
+            {"service", server.service.value()},
+            {"endpoint", server.endpoint.toString()},
+            {"zone", server.zone.value()},
+            {"slots", server.slots},
+            {"models", std::move(models)}};
 }
 
 static ServerHeartbeat serverFrom(const json &value)
