--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -62,8 +62,8 @@
     [[nodiscard]] std::size_t size() const;
     /// Requests of all entries that wait for an adapter.
     [[nodiscard]] int waiting(const AdapterKey &adapter) const;
-    /// What all entries together have in progress at each server.
-    [[nodiscard]] std::vector<LoadMessage> loads() const;
+    /// What all entries together have in progress at each server; added up ten times a second at most.
+    [[nodiscard]] const std::vector<LoadMessage> &loads();
 
 private:
     struct Link;
@@ -71,7 +71,7 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<Link> link);
     boost::asio::awaitable<void> readReports(Link &link);
     boost::asio::awaitable<void> writeUpdates(Link &link);
-    [[nodiscard]] FleetUpdateMessage compose(Link &link) const;
+    [[nodiscard]] FleetUpdateMessage compose(Link &link);
     [[nodiscard]] ServerMessage describe(const TargetId &id) const;
 
     Supervisor &m_connections;
@@ -82,6 +82,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<Link *> m_links;
     std::uint64_t m_accepted = 0;
+    std::vector<LoadMessage> m_loads;
+    TimePoint m_loadsAt;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -40,6 +40,8 @@
         milliseconds minIdle{600};
         /// Half-life of the estimate of an adapter's request rate.
         milliseconds rateHalfLife{1500};
+        /// How often it is considered whether an adapter needs further copies. The cost grows with the servers.
+        milliseconds weighInterval{100};
         /// Requests per second that one copy of an adapter takes before another copy is loaded. A prompt that is read
         /// delays all other requests of the server, so a hot adapter is spread before a server is full.
         double requestsPerCopy = 6;
@@ -132,6 +134,8 @@
         /// An order to load it was not answered. It holds its place until the server accepts another order, which makes
         /// the server refuse the one before.
         bool uncertain = false;
+        /// When it was last considered whether further copies are needed.
+        TimePoint weighedAt;
         /// Requests in progress, by entry.
         std::map<EntryId, int> running;
     };
@@ -191,6 +195,7 @@
     std::map<AdapterKey, std::uint64_t> m_versions;
     std::vector<TargetId> m_wakeups;
     std::vector<HoldingChange> m_changes;
+    double m_loadSum = 0;
     /// Recent loads of models from the store, to stay below its rate.
     std::deque<TimePoint> m_modelLoads;
 };
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -20,6 +20,8 @@
 static constexpr milliseconds WriteTimeout{1000};
 /// Changes that no request waits for are collected for this long. It is also the longest silence towards an entry.
 static constexpr milliseconds UpdateInterval{200};
+/// Adding up the loads of all entries at each report kept the leader from its heartbeats at 67 entries and 60 servers.
+static constexpr milliseconds LoadsInterval{100};
 /// The same for a host that does not lead.
 static constexpr milliseconds IdleUpdateInterval{400};
 
@@ -196,23 +198,28 @@
     return sum;
 }
 
-std::vector<LoadMessage> EntryLinks::loads() const
+const std::vector<LoadMessage> &EntryLinks::loads()
 {
-    std::map<std::string, double> sums;
+    const auto now = Clock::now();
+    if (now < m_loadsAt + LoadsInterval) {
+        return m_loads;
+    }
+    m_loadsAt = now;
+    std::map<std::string_view, double> sums;
     for (const auto *link : m_links) {
         for (const auto &load : link->loads) {
             sums[load.server] += load.load;
         }
     }
-    std::vector<LoadMessage> all;
-    all.reserve(sums.size());
+    m_loads.clear();
+    m_loads.reserve(sums.size());
     for (const auto &[server, load] : sums) {
-        all.push_back({.server = server, .load = load});
+        m_loads.push_back({.server = std::string(server), .load = load});
     }
-    return all;
+    return m_loads;
 }
 
-FleetUpdateMessage EntryLinks::compose(Link &link) const
+FleetUpdateMessage EntryLinks::compose(Link &link)
 {
     FleetUpdateMessage update;
     update.leads = m_hooks.leads();
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -25,6 +25,8 @@
 static constexpr milliseconds DutyRetry{50};
 /// Entries repeat five times a second which servers they cannot reach.
 static constexpr milliseconds SuspicionTime{500};
+/// How often the planner is told what is in progress at each server.
+static constexpr milliseconds LoadsInterval{100};
 /// Beyond the lease of orders, for orders that are still on their way.
 static constexpr milliseconds LeaseMargin{150};
 
@@ -156,6 +158,7 @@
     TimePoint leadsSince;
     std::uint64_t leaderships = 0;
     std::uint64_t notes = 0;
+    TimePoint loadsTakenAt;
 };
 
 void FleetNode::Impl::stateChanged()
@@ -333,8 +336,11 @@
         return;
     }
     const auto now = Clock::now();
-    for (const auto &load : links.loads()) {
-        planner.setLoad(TargetId(load.server), load.load);
+    if (now >= loadsTakenAt + LoadsInterval) {
+        loadsTakenAt = now;
+        for (const auto &load : links.loads()) {
+            planner.setLoad(TargetId(load.server), load.load);
+        }
     }
     for (const auto &use : report.uses) {
         const AdapterKey adapter{BaseModel(use.model), use.adapter};
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -26,6 +26,7 @@
 void AdapterPlanner::reset()
 {
     m_servers.clear();
+    m_loadSum = 0;
     m_changes.clear();
     m_wakeups.clear();
 }
@@ -35,6 +36,7 @@
 {
     auto &server = m_servers[heartbeat.identity.id];
     if (server.identity != heartbeat.identity) {
+        setLoad(heartbeat.identity.id, 0);
         server = Server{};
         server.identity = heartbeat.identity;
         server.readAt = now - m_options.retryAfterUnknown;
@@ -58,6 +60,7 @@
 
 void AdapterPlanner::serverGone(const TargetId &id)
 {
+    setLoad(id, 0);
     m_servers.erase(id);
 }
 
@@ -209,6 +212,7 @@
 {
     const auto found = m_servers.find(id);
     if (found != m_servers.end()) {
+        m_loadSum += load - found->second.load;
         found->second.load = load;
     }
 }
@@ -218,11 +222,7 @@
     if (server.load < m_options.crowdedShare * server.profile.slots) {
         return false;
     }
-    double sum = 0;
-    for (const auto &[id, other] : m_servers) {
-        sum += other.load;
-    }
-    return server.load > m_options.crowdedRatio * sum / static_cast<double>(m_servers.size());
+    return server.load > m_options.crowdedRatio * m_loadSum / static_cast<double>(m_servers.size());
 }
 
 double AdapterPlanner::rateNow(const Held &held, TimePoint now) const
@@ -403,6 +403,10 @@
     const std::chrono::duration<double> halfLife = m_options.rateHalfLife;
     held->second.rate = rateNow(held->second, now) + requests * std::numbers::ln2 / halfLife.count();
     held->second.lastUse = now;
+    if (now < held->second.weighedAt + m_options.weighInterval) {
+        return;
+    }
+    held->second.weighedAt = now;
     double total = 0;
     std::size_t copies = 0;
     bool allCrowded = true;
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -224,7 +224,7 @@
     made.used(*first, adapter(1), Entry, 1, 1, Start);
     (void)made.takeWakeups();
     for (int i = 0; i < 30; ++i) {
-        made.used(*first, adapter(1), Entry, 1, 1, Start + milliseconds(500 + 20 * i));
+        made.used(*first, adapter(1), Entry, 1, 1, Start + milliseconds(500 + 30 * i));
     }
     CHECK_FALSE(made.takeWakeups().empty());
 }
