--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -1,6 +1,7 @@
 #include "tamarackcove/Control/Fleet/EntryLinks.h"
 
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Supervision/Listening.h"
 #include "tamarackcove/Wire/Codec.h"
 #include "tamarackcove/Wire/FramedConnection.h"
 
@@ -80,18 +81,7 @@
 
 Result<void, WireError> EntryLinks::listen(const Endpoint &endpoint)
 {
-    boost::system::error_code error;
-    const tcp::endpoint address(asio::ip::make_address(endpoint.host, error), endpoint.port);
-    if (!error) {
-        m_acceptor.open(address.protocol(), error);
-    }
-    if (!error) {
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        m_acceptor.bind(address, error);
-    }
-    if (!error) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
+    const auto error = listenOn(m_acceptor, endpoint);
     if (error) {
         return WireError{WireErrorCode::ConnectFailed,
                          "cannot listen on " + endpoint.toString() + ": " + error.message()};
--- a/lib/Control/Replica/PeerLinks.cpp
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -1,6 +1,7 @@
 #include "PeerLinks.h"
 
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Supervision/Listening.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -68,19 +69,8 @@
     if (m_peers.empty() && !m_settings.locate) {
         return ok();
     }
-    boost::system::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(m_settings.listen.host, error), m_settings.listen.port);
     auto &acceptor = m_acceptor.emplace(m_supervisor.executor());
-    if (!error) {
-        acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
+    const auto error = listenOn(acceptor, m_settings.listen);
     if (error) {
         return StorageError{StorageErrorCode::OpenFailed,
                             "cannot listen for control peers on " + m_settings.listen.toString() + ": "
--- a/lib/Control/Watchers/WatcherServer.cpp
+++ b/lib/Control/Watchers/WatcherServer.cpp
@@ -5,6 +5,7 @@
 #include "tamarackcove/Control/Watchers/LeaderDuties.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
+#include "tamarackcove/Supervision/Listening.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Wire/ControlMessages.h"
 #include "tamarackcove/Wire/DeltaCodec.h"
@@ -37,20 +38,7 @@
 
 Result<void, WireError> WatcherServer::listen(const Endpoint &endpoint)
 {
-    boost::system::error_code error;
-    const tcp::endpoint address(asio::ip::make_address(endpoint.host, error), endpoint.port);
-    if (!error) {
-        m_acceptor.open(address.protocol(), error);
-    }
-    if (!error) {
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind(address, error);
-    }
-    if (!error) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
+    const auto error = listenOn(m_acceptor, endpoint);
     if (error) {
         return WireError{WireErrorCode::ConnectFailed,
                          "cannot listen on " + endpoint.toString() + ": " + error.message()};
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Supervision/Listening.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -287,21 +288,7 @@
 
 Result<void, HttpError> HttpServer::listen(const Endpoint &endpoint)
 {
-    beast::error_code error;
-    const tcp::endpoint address(asio::ip::make_address(endpoint.host, error), endpoint.port);
-    auto &acceptor = m_impl->acceptor;
-    if (!error) {
-        acceptor.open(address.protocol(), error);
-    }
-    if (!error) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(address, error);
-    }
-    if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
+    const auto error = listenOn(m_impl->acceptor, endpoint);
     if (error) {
         return HttpError{HttpErrorCode::ConnectFailed,
                          "cannot listen on " + endpoint.toString() + ": " + error.message()};
