--- a/lib/Control/Watchers/WatcherServer.cpp
+++ b/lib/Control/Watchers/WatcherServer.cpp
@@ -17,7 +17,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 namespace tamarackcove {
 
