--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -39,7 +39,6 @@
     int ran = 0;
     int refusals = 0;
     double weight = 1;
-    milliseconds loadWait{0};
     EventCutter events;
     bool streaming = false;
     int eventCount = 0;
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -126,7 +126,6 @@
         }
         const auto choice = view.servers().choose(wish, now);
         if (choice && choice->readyAt <= now) {
-            exchange.loadWait += duration_cast<milliseconds>(now - begun);
             co_return choice;
         }
         if (!wish.adapter || !view.servers().offers(exchange.service, wish.model)) {
