--- a/include/tamarackcove/Control/Fleet/FleetControlSettings.h
+++ b/include/tamarackcove/Control/Fleet/FleetControlSettings.h
@@ -8,6 +8,7 @@
 #include "tamarackcove/Settings/SettingsError.h"
 
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
     Zone zone;
     /// Where operators and servers call.
     Endpoint listen;
+    /// Where metrics are served, if anywhere.
+    std::optional<Endpoint> metricsListen;
     /// IP number of this host; control hosts know each other by it.
     std::string host;
     /// Framed protocols: between control hosts, and with entries. The same ports on all hosts.
--- a/include/tamarackcove/Control/Fleet/OrderDuty.h
+++ b/include/tamarackcove/Control/Fleet/OrderDuty.h
@@ -14,6 +14,7 @@
 namespace tamarackcove {
 
 class HttpConnection;
+class Metrics;
 
 /// Gives orders to servers while this host has the duty to: one task a server, which asks the planner for the next
 /// step, carries it out and tells the planner what came of it.
@@ -30,8 +31,8 @@
         std::function<void()> onChange;
     };
 
-    /// Precondition: the planner outlives this object; the supervisor is stopped before it is destroyed.
-    OrderDuty(Supervisor &tasks, AdapterPlanner &planner, EngineDialect dialect, Hooks hooks);
+    /// Precondition: planner and metrics outlive this object; the supervisor is stopped before it is destroyed.
+    OrderDuty(Supervisor &tasks, AdapterPlanner &planner, EngineDialect dialect, Metrics &metrics, Hooks hooks);
 
     void begin(std::string holder, FencingNumber fence);
     void end();
@@ -54,6 +55,7 @@
     Supervisor &m_tasks;
     AdapterPlanner &m_planner;
     EngineDialect m_dialect;
+    Metrics &m_metrics;
     Hooks m_hooks;
     std::string m_holder;
     FencingNumber m_fence;
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -84,6 +84,16 @@
         TimePoint readyAt;
     };
 
+    /// Copies of adapters over all servers.
+    struct Totals
+    {
+        std::size_t held = 0;
+        /// Ordered, and not expected to be ready yet.
+        std::size_t loading = 0;
+        /// Decided on, and not ordered yet.
+        std::size_t wanted = 0;
+    };
+
     explicit AdapterPlanner(Options options);
 
     /// Forgets everything: another control host may have given orders meanwhile.
@@ -119,6 +129,7 @@
     [[nodiscard]] std::vector<HoldingChange> takeChanges();
     /// All holdings, as changes from nothing.
     [[nodiscard]] std::vector<HoldingChange> holdings() const;
+    [[nodiscard]] Totals totals(TimePoint now) const;
     [[nodiscard]] std::size_t storeLoadsInTransit(TimePoint now) const;
 
 private:
--- a/include/tamarackcove/Fleet/ServerRegistry.h
+++ b/include/tamarackcove/Fleet/ServerRegistry.h
@@ -42,8 +42,7 @@
     [[nodiscard]] Verdict heartbeat(const ServerHeartbeat &heartbeat, TimePoint now);
     /// Takes what an entry knows of a server that has not announced itself here yet. Returns whether it was taken.
     bool suggest(const ServerHeartbeat &heartbeat, bool draining, TimePoint now);
-    /// The identity under which a server of this name is known; nothing when it is not.
-    [[nodiscard]] std::optional<ServerIdentity> identityOf(const TargetId &id) const;
+    /// Null when no server of this name is known.
     [[nodiscard]] const Server *find(const TargetId &id) const;
     /// Takes over a departure that is in the replicated state.
     void departed(const ServerIdentity &server, bool gone);
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -42,6 +42,12 @@
     /// The version below which requests for an adapter must not run; 0 when none has been named.
     [[nodiscard]] std::uint64_t requiredVersion(const AdapterKey &adapter, TimePoint now) const;
     [[nodiscard]] std::uint64_t namedVersion(const AdapterKey &adapter) const;
+    /// How old the last word of a control host that leads is; the time since the start before the first.
+    [[nodiscard]] milliseconds updateAge(TimePoint now) const;
+    /// Requests that wait for an adapter.
+    [[nodiscard]] std::size_t waiting() const;
+    /// What is left of this entry's share of the retry budget, by service.
+    [[nodiscard]] std::vector<std::pair<ServiceName, double>> retriesLeft(TimePoint now);
 
     /// How a request waits for an adapter.
     struct Wait
@@ -83,6 +89,7 @@
     const GatewaySettings &m_settings;
     const CallerDialect &m_dialect;
     std::shared_ptr<const RouteTable> m_routes;
+    TimePoint m_updatedAt;
     ServerDirectory m_servers;
     std::unordered_map<AdapterKey, Named> m_versions;
     std::map<ServiceName, RetryWindow> m_retries;
--- a/include/tamarackcove/Gateway/GatewaySettings.h
+++ b/include/tamarackcove/Gateway/GatewaySettings.h
@@ -7,6 +7,7 @@
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Settings/SettingsError.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
     Endpoint listen;
     /// Where the balancer asks whether this entry takes new connections.
     Endpoint readyListen;
+    /// Where metrics are served, if anywhere.
+    std::optional<Endpoint> metricsListen;
     /// Port of the framed protocol with entries on each control host.
     std::uint16_t controlPort = 0;
     /// IP numbers of control hosts to ask first.
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -68,9 +68,15 @@
     [[nodiscard]] Step broken(Exchange &exchange, const ServerDirectory::Choice &choice, ServerOutcome outcome,
                               std::string_view reason);
     [[nodiscard]] bool maySendAgain(const Exchange &exchange) const;
+    void logRouted(const Exchange &exchange) const;
+    void logAwaited(const Exchange &exchange, Duration waited, std::string_view result) const;
+    void logSent(const Exchange &exchange, const ServerDirectory::Choice &choice, milliseconds timeLeft) const;
+    /// Writes the last line of a request, and counts it.
+    void recordEnd(const Exchange &exchange);
 
     Parts m_parts;
     std::mt19937_64 m_random;
+    std::uint64_t m_served = 0;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Observe/Metrics.h
+++ b/include/tamarackcove/Observe/Metrics.h
@@ -3,14 +3,16 @@
 #include "tamarackcove/Base/Time.h"
 
 #include <cstdint>
+#include <initializer_list>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace tamarackcove {
 
 /// The figures of one process, in the text format of scrapers. Counters and gauges are plain numbers; durations are
-/// kept as count, sum, p50, p95, p99 and maximum by Boost.Accumulators.
+/// histograms with fixed bounds.
 ///
 /// A name is `snake_case` with its unit at the end, and may carry labels: `requests_total{status="200"}`.
 /// Thread safety: used on one thread.
@@ -27,6 +29,10 @@
     /// Precondition: the name ends in `_seconds`, before its labels.
     void observe(std::string_view name, Duration value);
 
+    /// A name with labels. Characters that end a label's value are replaced, because values may come from outside.
+    [[nodiscard]] static std::string
+    labelled(std::string_view name, std::initializer_list<std::pair<std::string_view, std::string_view>> labels);
+
     /// The value of a counter, 0 when it was never counted.
     [[nodiscard]] std::uint64_t counter(std::string_view name) const;
     /// Every figure, one a line, each name with the prefix `tamarackcove_`.
--- a/include/tamarackcove/Supervision/Listening.h
+++ b/include/tamarackcove/Supervision/Listening.h
@@ -2,8 +2,10 @@
 
 #include "tamarackcove/Base/Endpoint.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
+#include <functional>
 
 namespace tamarackcove {
 
@@ -11,4 +13,10 @@
 /// Precondition: the acceptor is not open. Thread safety: as for the acceptor.
 [[nodiscard]] boost::system::error_code listenOn(boost::asio::ip::tcp::acceptor &acceptor, const Endpoint &endpoint);
 
+/// Accepts connections until the acceptor is closed or cancelled, and gives each to the hook. While the process is out
+/// of descriptors it waits for connections to end. Precondition: the acceptor listens and outlives the coroutine.
+[[nodiscard]] boost::asio::awaitable<void>
+acceptConnections(boost::asio::ip::tcp::acceptor &acceptor,
+                  std::function<void(boost::asio::ip::tcp::socket)> onConnection);
+
 } // namespace tamarackcove
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -5,7 +5,6 @@
 #include "tamarackcove/Wire/Codec.h"
 #include "tamarackcove/Wire/FramedConnection.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -96,21 +95,10 @@
 
 asio::awaitable<void> EntryLinks::run()
 {
-    constexpr milliseconds AcceptPause{20};
-    while (m_acceptor.is_open()) {
-        auto [error, socket] = co_await m_acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
-        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
-            break;
-        }
-        if (error) {
-            // Out of descriptors; waits for connections to end.
-            asio::steady_timer pause(m_connections.executor(), AcceptPause);
-            co_await pause.async_wait(asio::use_awaitable);
-            continue;
-        }
+    return acceptConnections(m_acceptor, [this](tcp::socket socket) {
         auto link = std::make_shared<Link>(std::move(socket), m_connections.executor());
         m_connections.startTemporary("entry-" + std::to_string(++m_accepted), [this, link] { return serve(link); });
-    }
+    });
 }
 
 asio::awaitable<void> EntryLinks::serve(std::shared_ptr<Link> link)
--- a/lib/Control/Fleet/FleetControlSettings.cpp
+++ b/lib/Control/Fleet/FleetControlSettings.cpp
@@ -16,6 +16,7 @@
         "name": {"type": "string", "minLength": 1, "maxLength": 128},
         "zone": {"type": "string", "minLength": 1, "maxLength": 128},
         "listen": {"type": "string"},
+        "metrics_listen": {"type": "string"},
         "internal_ports": {"type": "array", "minItems": 2, "maxItems": 2,
                            "items": {"type": "integer", "minimum": 1, "maximum": 65535}},
         "seeds": {"type": "array", "minItems": 1, "items": {"type": "string"}},
@@ -36,6 +37,9 @@
     settings.name = json.at("name").get<std::string>();
     settings.zone = Zone(json.at("zone").get<std::string>());
     BOOST_OUTCOME_TRY(settings.listen, endpointAt(json, "listen"));
+    if (json.contains("metrics_listen")) {
+        BOOST_OUTCOME_TRY(settings.metricsListen, endpointAt(json, "metrics_listen"));
+    }
     settings.host = settings.listen.host;
     settings.replicaPort = static_cast<std::uint16_t>(json.at("internal_ports").at(0).get<int>());
     settings.entryPort = static_cast<std::uint16_t>(settings.replicaPort + 1);
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -7,7 +7,9 @@
 #include "tamarackcove/Control/LogStatus.h"
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 #include "tamarackcove/Fleet/AdapterPlanner.h"
+#include "tamarackcove/Http/MetricsEndpoint.h"
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Observe/Metrics.h"
 #include "tamarackcove/Storage/DataFolder.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
@@ -76,7 +78,7 @@
                        }})
         , registry({.silence = settings.heartbeatInterval * 9 / 2})
         , planner({})
-        , duty(orderTasks, planner, hooks.dialect,
+        , duty(orderTasks, planner, hooks.dialect, metrics,
                {.holdsDuty = [this] { return replica.leads(); },
                 .onChange =
                     [this] {
@@ -88,6 +90,7 @@
                    .onServers = [this] { publishServers(); },
                    .onHeartbeat =
                        [this](const ServerHeartbeat &heartbeat) {
+                           metrics.count("heartbeats_total");
                            plan(heartbeat);
                        }})
         , http(callConnections, limits(), hooks.frontEnd(control))
@@ -101,6 +104,7 @@
                      [this](const EntryId &entry) {
                          planner.entryGone(entry);
                      }})
+        , metricsEndpoint(executor, metrics, [this](Metrics &figures) { setGauges(figures); })
     {
     }
 
@@ -128,6 +132,7 @@
         return names;
     }
 
+    void setGauges(Metrics &figures);
     void stateChanged();
     void leadershipChanged(bool leads);
     void publishServers();
@@ -144,6 +149,7 @@
     Supervisor callConnections;
     Supervisor entryConnections;
     Supervisor orderTasks;
+    Metrics metrics;
     FleetLog log;
     const std::string replicaBoot;
     ReplicaTask replica;
@@ -153,6 +159,7 @@
     FleetControl control;
     HttpServer http;
     EntryLinks links;
+    MetricsEndpoint metricsEndpoint;
     std::shared_ptr<const DeploymentConfiguration> configuration;
     bool leading = false;
     TimePoint leadsSince;
@@ -161,6 +168,32 @@
     TimePoint loadsTakenAt;
 };
 
+void FleetNode::Impl::setGauges(Metrics &figures)
+{
+    const auto gauge = [&](std::string_view name, auto value) {
+        figures.gauge(name, static_cast<double>(value));
+    };
+    const auto status = replica.client().status();
+    const auto count = [&](auto property) {
+        return std::count_if(status.replicas.begin(), status.replicas.end(), property);
+    };
+    gauge("leads", leading);
+    gauge("order_duty", duty.active());
+    gauge("order_fence", log.state().duty().fence.value());
+    gauge("log_term", status.term);
+    gauge("log_committed", status.commitIndex);
+    gauge("log_applied", status.appliedIndex);
+    gauge("log_voters", count([](const ReplicaStatus &member) { return member.voter; }));
+    gauge("log_members_reachable", count([](const ReplicaStatus &member) { return member.reachable; }));
+    gauge("configuration_version", log.state().configurationVersion());
+    gauge("servers", registry.servers().size());
+    gauge("entries_connected", links.size());
+    const auto totals = planner.totals(Clock::now());
+    gauge("adapters_held", totals.held);
+    gauge("adapters_loading", totals.loading);
+    gauge("adapters_wanted", totals.wanted);
+}
+
 void FleetNode::Impl::stateChanged()
 {
     const auto &state = log.state();
@@ -388,6 +421,9 @@
     if (const auto listening = impl.links.listen(entries); listening.has_error()) {
         return "key [entry_port]: " + listening.error().detail;
     }
+    if (const auto listening = impl.metricsEndpoint.listen(impl.settings.metricsListen); listening.has_error()) {
+        return "key [metrics_listen]: " + listening.error().detail;
+    }
     if (const auto opened = impl.replica.open(); opened.has_error()) {
         return "key [data_folder]: " + opened.error().detail;
     }
@@ -403,6 +439,7 @@
     auto &impl = *m_impl;
     impl.replica.start();
     impl.root.start("entry-links", [&impl] { return impl.links.run(); });
+    impl.metricsEndpoint.start(impl.root);
     impl.root.start("calls", [&impl] { return impl.http.run(); });
     impl.root.start("expiry", [&impl] { return impl.expireServers(); });
     LogLine(LogLevel::Info, "ready").add("name", impl.settings.name);
@@ -432,6 +469,7 @@
     co_await impl.orderTasks.stop();
     co_await impl.entryConnections.stop();
     co_await impl.callConnections.stop();
+    co_await impl.metricsEndpoint.stop();
     co_await impl.root.stop();
 }
 
--- a/lib/Control/Fleet/OrderDuty.cpp
+++ b/lib/Control/Fleet/OrderDuty.cpp
@@ -2,6 +2,7 @@
 
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Observe/Metrics.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -51,10 +52,11 @@
     return "unknown";
 }
 
-OrderDuty::OrderDuty(Supervisor &tasks, AdapterPlanner &planner, EngineDialect dialect, Hooks hooks)
+OrderDuty::OrderDuty(Supervisor &tasks, AdapterPlanner &planner, EngineDialect dialect, Metrics &metrics, Hooks hooks)
     : m_tasks(tasks)
     , m_planner(planner)
     , m_dialect(std::move(dialect))
+    , m_metrics(metrics)
     , m_hooks(std::move(hooks))
 {
 }
@@ -186,7 +188,9 @@
     if (response) {
         report = m_dialect.readReport(*response);
     }
+    m_metrics.count("state_reads_total");
     if (!report) {
+        m_metrics.count("state_reads_failed_total");
         LogLine(LogLevel::Info, "server_state_unread")
             .add("server", identity.id.value())
             .add("status", response ? response->status : 0);
@@ -198,13 +202,16 @@
 
 asio::awaitable<void> OrderDuty::giveOrder(Target &target, ServerOrder order)
 {
+    const auto asked = Clock::now();
     auto request = m_dialect.orderRequest(order);
     const auto response = co_await exchange(target, std::move(request));
     const auto outcome = response ? m_dialect.orderOutcome(order, *response) : OrderOutcome::Unknown;
-    const bool plain = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Done;
-    LogLine(plain ? LogLevel::Debug : LogLevel::Info, "order_answered")
+    const std::string_view action = order.action == ServerOrder::Action::Load ? "load" : "unload";
+    m_metrics.count(Metrics::labelled("orders_total", {{"action", action}, {"outcome", toString(outcome)}}));
+    m_metrics.observe("order_seconds", Clock::now() - asked);
+    LogLine(LogLevel::Info, "order_answered")
         .add("server", order.server.id.value())
-        .add("action", order.action == ServerOrder::Action::Load ? "load" : "unload")
+        .add("action", action)
         .add("model", order.weights.model.value())
         .add("adapter", order.weights.adapter)
         .add("version", order.version)
--- a/lib/Control/Replica/PeerLinks.cpp
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -4,13 +4,13 @@
 #include "tamarackcove/Supervision/Listening.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
 
 namespace tamarackcove {
 
@@ -346,18 +346,11 @@
 
 asio::awaitable<void> PeerLinks::acceptPeers()
 {
-    for (;;) {
-        auto [error, socket] = co_await m_acceptor->async_accept(asio::as_tuple(asio::use_awaitable));
-        if (error) {
-            // Out of descriptors, for example; the peers connect again.
-            asio::steady_timer timer(m_supervisor.executor(), MaxBackoff);
-            co_await timer.async_wait(asio::use_awaitable);
-            continue;
-        }
+    return acceptConnections(*m_acceptor, [this](tcp::socket socket) {
         auto connection = std::make_shared<FramedConnection>(std::move(socket));
         m_supervisor.startTemporary("peer-incoming-" + std::to_string(++m_accepted),
                                     [this, connection] { return serveIncoming(connection); });
-    }
+    });
 }
 
 asio::awaitable<void> PeerLinks::serveIncoming(std::shared_ptr<FramedConnection> connection)
--- a/lib/Control/Watchers/WatcherServer.cpp
+++ b/lib/Control/Watchers/WatcherServer.cpp
@@ -12,11 +12,11 @@
 #include "tamarackcove/Wire/FramedConnection.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
 
 namespace tamarackcove {
 
@@ -71,22 +71,11 @@
 
 asio::awaitable<void> WatcherServer::run()
 {
-    constexpr milliseconds AcceptPause{20};
-    while (m_acceptor.is_open()) {
-        auto [error, socket] = co_await m_acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
-        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
-            break;
-        }
-        if (error) {
-            // Out of descriptors; waits for connections to end.
-            asio::steady_timer pause(m_connections.executor(), AcceptPause);
-            co_await pause.async_wait(asio::use_awaitable);
-            continue;
-        }
+    return acceptConnections(m_acceptor, [this](tcp::socket socket) {
         auto connection = std::make_shared<FramedConnection>(std::move(socket));
         m_connections.startTemporary("entry-" + std::to_string(++m_accepted),
                                      [this, connection]() -> asio::awaitable<void> { co_await serve(*connection); });
-    }
+    });
 }
 
 asio::awaitable<void> WatcherServer::serve(FramedConnection &connection)
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -491,4 +491,16 @@
     return all;
 }
 
+AdapterPlanner::Totals AdapterPlanner::totals(TimePoint now) const
+{
+    Totals totals;
+    for (const auto &[id, server] : m_servers) {
+        const auto loading = static_cast<std::size_t>(inTransit(server, now));
+        totals.loading += loading;
+        totals.held += server.adapters.size() - loading;
+        totals.wanted += server.wanted.size();
+    }
+    return totals;
+}
+
 } // namespace tamarackcove
--- a/lib/Fleet/ServerRegistry.cpp
+++ b/lib/Fleet/ServerRegistry.cpp
@@ -76,12 +76,6 @@
     return true;
 }
 
-std::optional<ServerIdentity> ServerRegistry::identityOf(const TargetId &id) const
-{
-    const auto *server = find(id);
-    return server == nullptr ? std::nullopt : std::optional(server->said.identity);
-}
-
 const ServerRegistry::Server *ServerRegistry::find(const TargetId &id) const
 {
     const auto found = m_servers.find(id);
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -23,6 +23,7 @@
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_dialect(dialect)
+    , m_updatedAt(Clock::now())
     , m_servers({.zone = settings.zone, .seed = std::random_device()()})
     , m_entries(AssumedEntries)
 {
@@ -53,6 +54,7 @@
 
 void FleetView::apply(const FleetUpdateMessage &update, TimePoint now)
 {
+    m_updatedAt = now;
     const auto held = m_routes ? m_routes->configuration().version : 0;
     if (!update.document.empty() && update.configurationVersion > held) {
         auto read = m_dialect.readConfiguration(update.document);
@@ -212,6 +214,26 @@
     return found == m_versions.end() || now < found->second.since + VersionGrace ? 0 : found->second.version;
 }
 
+milliseconds FleetView::updateAge(TimePoint now) const
+{
+    return duration_cast<milliseconds>(now - m_updatedAt);
+}
+
+std::size_t FleetView::waiting() const
+{
+    return m_waiters.size();
+}
+
+std::vector<std::pair<ServiceName, double>> FleetView::retriesLeft(TimePoint now)
+{
+    std::vector<std::pair<ServiceName, double>> all;
+    all.reserve(m_retries.size());
+    for (auto &[service, window] : m_retries) {
+        all.emplace_back(service, window.left(now));
+    }
+    return all;
+}
+
 asio::awaitable<void> FleetView::waitForAdapter(Wait wait, asio::steady_timer &timer)
 {
     // Leaves the sets also when the coroutine is destroyed while it waits.
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -7,6 +7,7 @@
 #include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Http/HttpServer.h"
+#include "tamarackcove/Http/MetricsEndpoint.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
 #include "tamarackcove/Supervision/Supervisor.h"
@@ -49,9 +50,10 @@
         , callers(
               callerConnections, {},
               [this](const HttpRequest &request, HttpResponder &responder) { return relay.serve(request, responder); })
-        , ready(readyConnections, {}, [this](const HttpRequest &request, HttpResponder &responder) {
-            return answerReady(request, responder);
-        })
+        , ready(
+              readyConnections, {},
+              [this](const HttpRequest &request, HttpResponder &responder) { return answerReady(request, responder); })
+        , metricsEndpoint(executor, metrics, [this](Metrics &figures) { setGauges(figures); })
     {
         view.onDemand = [this] {
             link.reportSoon();
@@ -59,6 +61,7 @@
     }
 
     asio::awaitable<void> answerReady(const HttpRequest &request, HttpResponder &responder);
+    void setGauges(Metrics &figures);
     asio::awaitable<void> keepHouse();
 
     GatewaySettings settings;
@@ -74,6 +77,7 @@
     RequestRelay relay;
     HttpServer callers;
     HttpServer ready;
+    MetricsEndpoint metricsEndpoint;
     std::uint64_t limitsOf = 0;
     bool stopping = false;
     bool servedBefore = false;
@@ -90,19 +94,28 @@
         }
         callers.setClosing(!serves);
         response.status = serves ? 200 : 503;
-    } else if (request.path() == "/metrics") {
-        metrics.gauge("servers", static_cast<double>(view.servers().size()));
-        metrics.gauge("requests_in_progress", static_cast<double>(watch.size()));
-        metrics.gauge("control_connected", link.connected() ? 1 : 0);
-        metrics.gauge("server_connections_opened", static_cast<double>(connections.opened()));
-        response.headers.set("content-type", "text/plain; version=0.0.4");
-        response.body = metrics.exposition();
     } else {
         response.status = 404;
     }
     (void)co_await responder.send(std::move(response));
 }
 
+void GatewayNode::Impl::setGauges(Metrics &figures)
+{
+    const auto now = Clock::now();
+    const auto routes = view.routes();
+    figures.gauge("servers", static_cast<double>(view.servers().size()));
+    figures.gauge("requests_in_progress", static_cast<double>(watch.size()));
+    figures.gauge("requests_awaiting_adapter", static_cast<double>(view.waiting()));
+    figures.gauge("control_connected", link.connected() ? 1 : 0);
+    figures.gauge("control_update_age_seconds", std::chrono::duration<double>(view.updateAge(now)).count());
+    figures.gauge("configuration_version", routes ? static_cast<double>(routes->configuration().version) : 0.0);
+    figures.gauge("server_connections_opened", static_cast<double>(connections.opened()));
+    for (const auto &[service, left] : view.retriesLeft(now)) {
+        figures.gauge(Metrics::labelled("retries_left", {{"service", service.value()}}), left);
+    }
+}
+
 asio::awaitable<void> GatewayNode::Impl::keepHouse()
 {
     asio::steady_timer timer(root.executor());
@@ -119,6 +132,7 @@
         HttpLimits limits;
         limits.maxHeaderBytes = caller.maxHeaderBytes;
         limits.maxBodyBytes = caller.maxBodyBytes;
+        limits.headerTimeout = caller.headerTimeout;
         limits.idleTimeout = caller.idleTimeout + IdleMargin;
         callers.setLimits(limits);
     }
@@ -140,6 +154,9 @@
     if (const auto listening = impl.ready.listen(impl.settings.readyListen); listening.has_error()) {
         return "key [ready_listen]: " + listening.error().detail;
     }
+    if (const auto listening = impl.metricsEndpoint.listen(impl.settings.metricsListen); listening.has_error()) {
+        return "key [metrics_listen]: " + listening.error().detail;
+    }
     LogLine(LogLevel::Info, "listening")
         .add("listen", impl.settings.listen.toString())
         .add("ready", impl.settings.readyListen.toString());
@@ -153,6 +170,7 @@
     impl.link.start();
     impl.root.start("housekeeping", [&impl] { return impl.keepHouse(); });
     impl.root.start("ready", [&impl] { return impl.ready.run(); });
+    impl.metricsEndpoint.start(impl.root);
     impl.root.start("callers", [&impl] { return impl.callers.run(); });
     LogLine(LogLevel::Info, "started").add("name", impl.settings.name).add("zone", impl.settings.zone.value());
 }
@@ -189,6 +207,7 @@
         .add("after_ms", duration_cast<milliseconds>(Clock::now() - begun));
     co_await impl.callerConnections.stop();
     co_await impl.readyConnections.stop();
+    co_await impl.metricsEndpoint.stop();
     co_await impl.root.stop();
 }
 
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -17,6 +17,7 @@
         "zone": {"type": "string", "minLength": 1, "maxLength": 128},
         "listen": {"type": "string"},
         "ready_listen": {"type": "string"},
+        "metrics_listen": {"type": "string"},
         "internal_ports": {"type": "array", "minItems": 2, "maxItems": 2,
                            "items": {"type": "integer", "minimum": 1, "maximum": 65535}},
         "seeds": {"type": "array", "minItems": 1, "items": {"type": "string"}},
@@ -42,6 +43,9 @@
     settings.zone = Zone(json.at("zone").get<std::string>());
     BOOST_OUTCOME_TRY(settings.listen, endpointAt(json, "listen"));
     BOOST_OUTCOME_TRY(settings.readyListen, endpointAt(json, "ready_listen"));
+    if (json.contains("metrics_listen")) {
+        BOOST_OUTCOME_TRY(settings.metricsListen, endpointAt(json, "metrics_listen"));
+    }
     // The first port is that between control hosts.
     settings.controlPort = static_cast<std::uint16_t>(json.at("internal_ports").at(0).get<int>() + 1);
     for (const auto &seed : json.at("seeds")) {
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -4,6 +4,7 @@
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Observe/Metrics.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -62,15 +63,16 @@
     } else {
         exchange.excluded.insert(choice.server.id);
     }
+    const std::string_view reason = loading ? "loading" : answer.wrongServer ? "not_held" : "full";
+    exchange.obstacle = loading ? "the server was still loading the adapter" : "the server did not take the request";
+    m_parts.metrics.count(
+        Metrics::labelled("server_refusals_total", {{"service", exchange.service.value()}, {"reason", reason}}));
     LogLine(LogLevel::Info, "server_refused")
         .add("request", exchange.caller.attemptId)
         .add("server", choice.server.id.value())
         .add("adapter", adapter ? std::string_view(adapter->adapter) : std::string_view())
         .add("version", choice.version)
-        .add("reason",
-             loading                  ? "loading"
-                 : answer.wrongServer ? "not held"
-                                      : "full")
+        .add("reason", reason)
         .add("sent", exchange.sent);
     for (;;) {
         const auto piece = co_await connection->readPiece(RefusalTimeout);
@@ -105,11 +107,21 @@
     servers.ended(choice.server.id, exchange.weight, failed ? ServerOutcome::Failed : ServerOutcome::Served,
                   Clock::now());
     ++exchange.ran;
+    if (failed) {
+        exchange.obstacle = "a server answered with a failure";
+        LogLine(LogLevel::Info, "server_failed")
+            .add("request", exchange.caller.attemptId)
+            .add("server", choice.server.id.value())
+            .add("status", head.status)
+            .add("sent", exchange.sent);
+    }
     if (failed && maySendAgain(exchange)) {
         exchange.excluded.insert(choice.server.id);
         exchange.failure = std::move(head);
         co_return Step::Again;
     }
+    exchange.outcome = failed ? RequestOutcome::ServerFailed : RequestOutcome::Answered;
+    exchange.reason = failed ? "server_error" : "";
     (void)co_await exchange.responder.send(std::move(head));
     co_return Step::Finished;
 }
@@ -146,6 +158,7 @@
         exchange.lastProgress = Clock::now();
         if (!exchange.streaming) {
             exchange.streaming = true;
+            exchange.firstEvent = exchange.lastProgress;
             const auto started = co_await exchange.responder.beginStream(head);
             if (started.has_error()) {
                 servers.ended(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
@@ -166,6 +179,7 @@
     exchange.watched.connection = nullptr;
     m_parts.connections.release(choice.server, std::move(connection));
     servers.ended(choice.server.id, exchange.weight, ServerOutcome::Served, Clock::now());
+    exchange.outcome = RequestOutcome::Answered;
     (void)co_await exchange.responder.endStream();
     co_return Step::Finished;
 }
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -11,6 +11,17 @@
 
 namespace tamarackcove {
 
+/// How a request ended, as its caller saw it.
+enum class RequestOutcome {
+    Answered,
+    /// A server's answer with a failure status was passed on.
+    ServerFailed,
+    Refused,
+    /// The stream ended before its last event.
+    Cut,
+    CallerGone,
+};
+
 /// One request while it is served: what it asks for, where it has been, and how far its answer has come.
 ///
 /// Thread safety: used by the coroutine of its request.
@@ -45,6 +56,17 @@
     TimePoint lastProgress;
     /// A failure that a server has answered with, kept while another server is tried.
     std::optional<HttpResponse> failure;
+    RequestOutcome outcome = RequestOutcome::CallerGone;
+    /// Why it was not answered; one of a fixed set of words.
+    std::string_view reason;
+    /// What kept it from a server, in words for the log.
+    std::string_view obstacle;
+    /// The time it waited for its adapter.
+    Duration waited{0};
+    std::optional<TimePoint> firstEvent;
+    TargetId lastServer;
+    /// Whether all its steps are logged, even if nothing goes wrong.
+    bool sampled = false;
 
     [[nodiscard]] milliseconds left(TimePoint now) const
     {
--- /dev/null
+++ b/lib/Gateway/RequestRecord.cpp
@@ -0,0 +1,111 @@
+#include "RequestExchange.h"
+#include "tamarackcove/Gateway/FleetView.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Observe/Metrics.h"
+
+namespace tamarackcove {
+
+static std::string_view toString(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::Answered:
+        return "answered";
+    case RequestOutcome::ServerFailed:
+        return "server_failed";
+    case RequestOutcome::Refused:
+        return "refused";
+    case RequestOutcome::Cut:
+        return "cut";
+    case RequestOutcome::CallerGone:
+        return "caller_gone";
+    }
+    return "unknown";
+}
+
+static std::string_view adapterOf(const CallerRequest &caller)
+{
+    return caller.adapter ? std::string_view(caller.adapter->adapter) : std::string_view();
+}
+
+void RequestRelay::logRouted(const Exchange &exchange) const
+{
+    if (!exchange.sampled) {
+        return;
+    }
+    LogLine(LogLevel::Info, "request_routed")
+        .add("request", exchange.caller.attemptId)
+        .add("route", exchange.route->name)
+        .add("service", exchange.service.value())
+        .add("adapter", adapterOf(exchange.caller))
+        .add("configuration", exchange.routes->configuration().version)
+        .add("left_ms", exchange.left(exchange.arrived));
+}
+
+void RequestRelay::logAwaited(const Exchange &exchange, Duration waited, std::string_view result) const
+{
+    m_parts.metrics.observe(Metrics::labelled("adapter_wait_seconds", {{"result", result}}), waited);
+    LogLine(LogLevel::Info, "adapter_awaited")
+        .add("request", exchange.caller.attemptId)
+        .add("adapter", adapterOf(exchange.caller))
+        .add("named_version", exchange.caller.adapter ? m_parts.view.namedVersion(*exchange.caller.adapter) : 0)
+        .add("waited_ms", duration_cast<milliseconds>(waited))
+        .add("control_age_ms", m_parts.view.updateAge(Clock::now()))
+        .add("result", result);
+}
+
+void RequestRelay::logSent(const Exchange &exchange, const ServerDirectory::Choice &choice, milliseconds timeLeft) const
+{
+    if (exchange.sent == 1 && !exchange.sampled) {
+        return;
+    }
+    LogLine(LogLevel::Info, exchange.streaming ? "stream_resumed" : "request_sent")
+        .add("request", exchange.caller.attemptId)
+        .add("server", choice.server.id.value())
+        .add("started_at", choice.server.startedAt.value())
+        .add("zone", choice.zone.value())
+        .add("version", choice.version)
+        .add("sent", exchange.sent)
+        .add("last_event", exchange.streaming ? exchange.events.lastId().value_or("") : std::string())
+        .add("left_ms", timeLeft);
+}
+
+void RequestRelay::recordEnd(const Exchange &exchange)
+{
+    const auto now = Clock::now();
+    const auto outcome = toString(exchange.outcome);
+    const auto route = exchange.route == nullptr ? std::string_view() : std::string_view(exchange.route->name);
+    auto &metrics = m_parts.metrics;
+    metrics.count(
+        Metrics::labelled("requests_total", {{"route", route}, {"outcome", outcome}, {"reason", exchange.reason}}));
+    metrics.observe(Metrics::labelled("request_seconds", {{"route", route}, {"outcome", outcome}}),
+                    now - exchange.arrived);
+    if (exchange.firstEvent) {
+        metrics.observe(Metrics::labelled("first_event_seconds", {{"route", route}}),
+                        *exchange.firstEvent - exchange.arrived);
+    }
+    const bool plain
+        = exchange.outcome == RequestOutcome::Answered && exchange.sent <= 1 && exchange.waited == Duration(0);
+    if (plain && !exchange.sampled) {
+        return;
+    }
+    LogLine(LogLevel::Info, "request_ended")
+        .add("request", exchange.caller.attemptId)
+        .add("route", route)
+        .add("service", exchange.service.value())
+        .add("adapter", adapterOf(exchange.caller))
+        .add("server", exchange.lastServer.value())
+        .add("outcome", outcome)
+        .add("reason", exchange.reason)
+        .add("sent", exchange.sent)
+        .add("ran", exchange.ran)
+        .add("refusals", exchange.refusals)
+        .add("events", exchange.eventCount)
+        .add("waited_ms", duration_cast<milliseconds>(exchange.waited))
+        .add("first_event_ms",
+             exchange.firstEvent ? duration_cast<milliseconds>(*exchange.firstEvent - exchange.arrived)
+                                 : milliseconds(-1))
+        .add("after_ms", duration_cast<milliseconds>(now - exchange.arrived))
+        .add("left_ms", exchange.route == nullptr ? milliseconds(0) : exchange.left(now));
+}
+
+} // namespace tamarackcove
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -31,6 +31,8 @@
 static constexpr milliseconds RefusalRetryAfter{300};
 /// Refusals by servers that one request tolerates before it is refused itself.
 static constexpr int MaxRefusals = 6;
+/// One of so many requests has all its steps logged; a log of all of them would be several MB/s at the planned size.
+static constexpr std::uint64_t SampleInterval = 64;
 
 RequestRelay::RequestRelay(Parts parts)
     : m_parts(parts)
@@ -49,15 +51,18 @@
 {
     Exchange exchange(request, responder, m_parts.watch);
     exchange.arrived = Clock::now();
+    exchange.sampled = m_served++ % SampleInterval == 0;
     exchange.caller = m_parts.dialect.readRequest(request);
     exchange.routes = m_parts.view.routes();
     if (!exchange.routes) {
         co_await refuse(exchange, EntryRefusal::NotReady, RefusalRetryAfter);
+        recordEnd(exchange);
         co_return;
     }
     exchange.route = exchange.routes->find(request.headers.find("host").value_or(""), request.path());
     if (exchange.route == nullptr) {
         co_await refuse(exchange, EntryRefusal::NoRoute, milliseconds(0));
+        recordEnd(exchange);
         co_return;
     }
     const auto &route = *exchange.route;
@@ -67,19 +72,29 @@
         = exchange.arrived + std::min(route.timeout, exchange.caller.patience.value_or(route.timeout)) - AnswerMargin;
     exchange.weight = weightOf(exchange.caller);
     m_parts.view.retries(exchange.service).noteRequest(exchange.arrived);
+    logRouted(exchange);
     co_await run(exchange);
-    m_parts.metrics.observe("request_seconds", Clock::now() - exchange.arrived);
+    recordEnd(exchange);
 }
 
 asio::awaitable<void> RequestRelay::run(Exchange &exchange)
 {
     while (!exchange.watched.gone()) {
-        if (exchange.sent > 0 && !m_parts.view.retries(exchange.service).take(Clock::now())) {
-            LogLine(LogLevel::Info, "retry_refused")
-                .add("request", exchange.caller.attemptId)
-                .add("sent", exchange.sent)
-                .add("reason", "the retry budget is used up");
-            break;
+        if (exchange.sent > 0) {
+            auto &budget = m_parts.view.retries(exchange.service);
+            const bool granted = budget.take(Clock::now());
+            m_parts.metrics.count(Metrics::labelled(
+                "retries_total", {{"service", exchange.service.value()}, {"result", granted ? "granted" : "refused"}}));
+            if (!granted) {
+                exchange.obstacle = "the retry budget is used up";
+                LogLine(LogLevel::Info, "retry_refused")
+                    .add("request", exchange.caller.attemptId)
+                    .add("service", exchange.service.value())
+                    .add("sent", exchange.sent)
+                    .add("budget_left", budget.left(Clock::now()))
+                    .add("reason", exchange.obstacle);
+                break;
+            }
         }
         auto choice = co_await awaitServer(exchange);
         if (!choice) {
@@ -115,10 +130,20 @@
     const auto begun = Clock::now();
     const auto last = std::min(exchange.deadline - AnswerMargin, begun + MaxAdapterWait);
     asio::steady_timer timer(co_await asio::this_coro::executor);
+    bool waited = false;
+    const auto noteWait = [&](std::string_view result, TimePoint now) {
+        if (waited) {
+            exchange.waited += now - begun;
+            logAwaited(exchange, now - begun, result);
+        }
+    };
     for (;;) {
         const auto now = Clock::now();
-        const auto giveUp = m_parts.led() ? last : std::min(last, begun + MaxUnledWait);
+        const bool led = m_parts.led();
+        const auto giveUp = led ? last : std::min(last, begun + MaxUnledWait);
         if (exchange.watched.gone() || now >= giveUp) {
+            exchange.obstacle = led ? "the adapter was not loaded in time" : "no control host that leads is connected";
+            noteWait(exchange.watched.gone() ? "caller_gone" : "gave_up", now);
             co_return std::nullopt;
         }
         if (wish.adapter) {
@@ -126,11 +151,21 @@
         }
         const auto choice = view.servers().choose(wish, now);
         if (choice && choice->readyAt <= now) {
+            noteWait("ready", now);
+            if (wish.adapter && !waited) {
+                m_parts.metrics.count("adapter_hits_total");
+            }
             co_return choice;
         }
         if (!wish.adapter || !view.servers().offers(exchange.service, wish.model)) {
+            exchange.obstacle = "no other server offers what it needs";
+            noteWait("no_server", now);
             co_return std::nullopt;
         }
+        if (!std::exchange(waited, true)) {
+            m_parts.metrics.count(
+                Metrics::labelled("adapter_misses_total", {{"state", choice ? "loading" : "not_held"}}));
+        }
         auto until = std::min(giveUp, now + WaitStep);
         if (choice) {
             until = std::min(until, choice->readyAt);
@@ -198,6 +233,8 @@
     }
     auto request = m_parts.dialect.serverRequest(exchange.request, dispatch);
     ++exchange.sent;
+    exchange.lastServer = choice.server.id;
+    logSent(exchange, choice, dispatch.timeLeft);
     exchange.lastProgress = begun;
     servers.began(choice.server.id, exchange.weight);
     exchange.watched.connection = connection.get();
@@ -244,6 +281,10 @@
     }
     ++exchange.ran;
     exchange.excluded.insert(choice.server.id);
+    exchange.obstacle = "the answer of a server was lost";
+    m_parts.metrics.count(Metrics::labelled(
+        "server_answers_lost_total",
+        {{"service", exchange.service.value()}, {"how", outcome == ServerOutcome::Silent ? "silent" : "broken"}}));
     LogLine(LogLevel::Info, "server_answer_lost")
         .add("request", exchange.caller.attemptId)
         .add("route", exchange.route->name)
@@ -267,10 +308,19 @@
     }
     if (exchange.streaming) {
         // The connection closes without the end of the stream, so that the caller sees that it is not whole.
-        LogLine(LogLevel::Warning, "stream_cut").add("request", exchange.caller.attemptId).add("sent", exchange.sent);
+        exchange.outcome = RequestOutcome::Cut;
+        exchange.reason = "not_resumed";
+        LogLine(LogLevel::Warning, "stream_cut")
+            .add("request", exchange.caller.attemptId)
+            .add("sent", exchange.sent)
+            .add("events", exchange.eventCount)
+            .add("last_event", exchange.events.lastId().value_or(""))
+            .add("reason", exchange.obstacle);
         co_return;
     }
     if (exchange.failure) {
+        exchange.outcome = RequestOutcome::ServerFailed;
+        exchange.reason = "server_error";
         (void)co_await exchange.responder.send(std::move(*exchange.failure));
         co_return;
     }
@@ -301,17 +351,22 @@
 
 asio::awaitable<void> RequestRelay::refuse(Exchange &exchange, EntryRefusal refusal, milliseconds retryAfter)
 {
+    exchange.outcome = RequestOutcome::Refused;
+    exchange.reason = toString(refusal);
     LogLine(LogLevel::Info, "request_refused")
         .add("request", exchange.caller.attemptId)
         .add("route", exchange.route == nullptr ? std::string_view() : std::string_view(exchange.route->name))
         .add("service", exchange.service.value())
         .add("adapter",
              exchange.caller.adapter ? std::string_view(exchange.caller.adapter->adapter) : std::string_view())
-        .add("reason", toString(refusal))
+        .add("reason", exchange.reason)
+        .add("detail", exchange.obstacle)
         .add("sent", exchange.sent)
         .add("refusals", exchange.refusals)
+        .add("servers", static_cast<std::uint64_t>(m_parts.view.servers().size()))
+        .add("configuration", exchange.routes ? exchange.routes->configuration().version : 0)
+        .add("control_age_ms", m_parts.view.updateAge(Clock::now()))
         .add("after_ms", duration_cast<milliseconds>(Clock::now() - exchange.arrived));
-    m_parts.metrics.count(std::string("refusals_total{reason=\"") + std::string(toString(refusal)) + "\"}");
     auto response = m_parts.dialect.refuse(exchange.caller, refusal, retryAfter);
     (void)co_await exchange.responder.send(std::move(response));
 }
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -131,7 +131,19 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(m_server.limits.maxHeaderBytes));
     parser.body_limit(m_server.limits.maxBodyBytes);
-    m_socket.expireAfter(m_server.limits.idleTimeout);
+    // A caller may stay idle between requests for longer than it may take to send a head.
+    if (m_buffer.size() == 0) {
+        constexpr std::size_t ReadSize = 4096;
+        m_socket.expireAfter(m_server.limits.idleTimeout);
+        const auto [idleError, count]
+            = co_await m_socket.socket().async_read_some(m_buffer.prepare(ReadSize), UseTuple);
+        if (idleError) {
+            m_socket.expireNever();
+            co_return false;
+        }
+        m_buffer.commit(count);
+    }
+    m_socket.expireAfter(m_server.limits.headerTimeout);
     auto [error, headerBytes] = co_await http::async_read_header(m_socket.socket(), m_buffer, parser, UseTuple);
     if (!error) {
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
--- a/lib/Observe/BoundedSink.cpp
+++ b/lib/Observe/BoundedSink.cpp
@@ -39,12 +39,34 @@
     return ::write(m_file, line.data(), line.size()) == static_cast<ssize_t>(line.size());
 }
 
+void BoundedSink::noteDropped(std::string_view message)
+{
+    constexpr std::string_view Key = "event=";
+    std::string_view event = "other";
+    if (message.substr(0, Key.size()) == Key) {
+        event = message.substr(Key.size(), message.find(' ') - Key.size());
+    }
+    ++m_dropped;
+    const auto found = m_unreported.find(event);
+    if (found != m_unreported.end()) {
+        ++found->second;
+    } else {
+        m_unreported.emplace(event, 1);
+    }
+}
+
 void BoundedSink::reportDropped()
 {
-    const auto line
-        = fmt::format("level=warning event=log_lines_dropped lines={} since_start={}\n", m_unreported, m_dropped);
+    std::uint64_t lines = 0;
+    std::string byEvent;
+    for (const auto &[event, count] : m_unreported) {
+        lines += count;
+        byEvent += fmt::format("{}{}:{}", byEvent.empty() ? "" : ",", event, count);
+    }
+    const auto line = fmt::format("level=warning event=log_lines_dropped lines={} since_start={} by_event={}\n", lines,
+                                  m_dropped, byEvent);
     if (writeLine(line)) {
-        m_unreported = 0;
+        m_unreported.clear();
     }
 }
 
@@ -62,12 +84,11 @@
         cut = std::string(line.substr(0, MaxLineBytes - 1)) + '\n';
         line = cut;
     }
-    if (m_unreported > 0) {
+    if (!m_unreported.empty()) {
         reportDropped();
     }
     if (!writeLine(line)) {
-        ++m_dropped;
-        ++m_unreported;
+        noteDropped({message.payload.data(), message.payload.size()});
     }
 }
 
--- a/lib/Observe/BoundedSink.h
+++ b/lib/Observe/BoundedSink.h
@@ -3,8 +3,12 @@
 #include "tamarackcove/Base/Time.h"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/sinks/base_sink.h>
+#include <string>
+#include <string_view>
 
 namespace tamarackcove {
 
@@ -32,6 +36,7 @@
 private:
     [[nodiscard]] bool writable() const;
     [[nodiscard]] bool writeLine(std::string_view line);
+    void noteDropped(std::string_view message);
     void reportDropped();
 
     int m_file;
@@ -39,7 +44,8 @@
     double m_budget;
     TimePoint m_refilled;
     std::uint64_t m_dropped = 0;
-    std::uint64_t m_unreported = 0;
+    /// Lines dropped since the last report, by event.
+    std::map<std::string, std::uint64_t, std::less<>> m_unreported;
 };
 
 } // namespace tamarackcove
--- a/lib/Observe/Metrics.cpp
+++ b/lib/Observe/Metrics.cpp
@@ -1,12 +1,12 @@
 #include "tamarackcove/Observe/Metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <limits>
 #include <map>
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
@@ -16,10 +16,16 @@
 
 namespace tamarackcove {
 
-static constexpr std::array<double, 3> Quantiles{0.5, 0.95, 0.99};
+/// Upper bounds in seconds. 0.15, 0.8 and 1 are the goals of the served routes, so that the share of requests within a
+/// goal can be read off without interpolation.
+static constexpr std::array<double, 12> Bounds{0.005, 0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1, 2, 4, 10};
 
-using DurationStats = acc::accumulator_set<
-    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max, acc::tag::extended_p_square_quantile>>;
+struct DurationStats
+{
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>> sums;
+    /// One for each bound, and one for what is above all of them.
+    std::array<std::uint64_t, Bounds.size() + 1> buckets{};
+};
 
 struct Metrics::Impl
 {
@@ -57,9 +63,29 @@
 
 void Metrics::observe(std::string_view name, Duration value)
 {
-    auto &stats = findOrAdd(m_impl->durations, name,
-                            [] { return DurationStats(acc::extended_p_square_probabilities = Quantiles); });
-    stats(std::chrono::duration<double>(value).count());
+    auto &stats = findOrAdd(m_impl->durations, name, [] { return DurationStats(); });
+    const auto inSeconds = std::chrono::duration<double>(value).count();
+    stats.sums(inSeconds);
+    const auto bound = std::lower_bound(Bounds.begin(), Bounds.end(), inSeconds);
+    ++stats.buckets.at(static_cast<std::size_t>(bound - Bounds.begin()));
+}
+
+std::string Metrics::labelled(std::string_view name,
+                              std::initializer_list<std::pair<std::string_view, std::string_view>> labels)
+{
+    std::string result(name);
+    char separator = '{';
+    for (const auto &[key, value] : labels) {
+        result += separator;
+        result += key;
+        result += "=\"";
+        for (const char c : value) {
+            result += c == '"' || c == '\\' || c == '\n' ? '_' : c;
+        }
+        result += '"';
+        separator = ',';
+    }
+    return result += '}';
 }
 
 std::uint64_t Metrics::counter(std::string_view name) const
@@ -117,14 +143,16 @@
     }
     for (const auto &[name, stats] : m_impl->durations) {
         auto metric = withLabels(name, family);
-        metric.summary.sample_count = acc::count(stats);
-        metric.summary.sample_sum = acc::sum(stats);
-        for (const auto probability : Quantiles) {
-            metric.summary.quantile.push_back(
-                {probability, acc::quantile(stats, acc::quantile_probability = probability)});
+        metric.histogram.sample_count = acc::count(stats.sums);
+        metric.histogram.sample_sum = acc::sum(stats.sums);
+        metric.histogram.bucket.reserve(stats.buckets.size());
+        std::uint64_t cumulative = 0;
+        for (std::size_t i = 0; i < stats.buckets.size(); ++i) {
+            cumulative += stats.buckets.at(i);
+            const auto bound = i < Bounds.size() ? Bounds.at(i) : std::numeric_limits<double>::infinity();
+            metric.histogram.bucket.push_back({cumulative, bound});
         }
-        metric.summary.quantile.push_back({1.0, acc::max(stats)});
-        addToFamily(families, family, prometheus::MetricType::Summary, std::move(metric));
+        addToFamily(families, family, prometheus::MetricType::Histogram, std::move(metric));
     }
     std::vector<prometheus::MetricFamily> all;
     all.reserve(families.size());
--- a/lib/Operator/OperatorCommandLine.cpp
+++ b/lib/Operator/OperatorCommandLine.cpp
@@ -16,6 +16,7 @@
       "  plan show PLAN              what a plan changes\n"
       "  plan confirm PLAN           put a plan in force\n"
       "  status                      the whole system\n"
+      "  explain ID FILE...          what the logs in these files tell about one request; - is standard input\n"
       "Exit codes: 0 done, 1 refused, 2 wrong use, 3 no control host could be reached";
 
 /// Splits `ip:port,ip:port`.
@@ -44,7 +45,8 @@
         return words.size() == count && words[0] == first && (second.empty() || words[1] == second);
     };
     return is(2, "intent", "create") || is(2, "intent", "list") || is(3, "intent", "show") || is(2, "plan", "list")
-        || is(3, "plan", "show") || is(3, "plan", "confirm") || is(1, "status", "");
+        || is(3, "plan", "show") || is(3, "plan", "confirm") || is(1, "status", "")
+        || (words.size() >= 3 && words[0] == "explain");
 }
 
 std::optional<OperatorCommand> parseOperatorCommand(int argc, const char *const *argv, const std::string &version,
@@ -55,7 +57,7 @@
     try {
         TCLAP::CmdLine line(Description, ' ', version);
         line.setExceptionHandling(false);
-        TCLAP::MultiArg<std::string> control("", "control", "administration endpoints of the control hosts", true,
+        TCLAP::MultiArg<std::string> control("", "control", "administration endpoints of the control hosts", false,
                                              "IP:PORT[,IP:PORT]", line);
         TCLAP::ValueArg<std::string> file("f", "file", "intent as json; - is standard input", false, "", "FILE", line);
         TCLAP::ValueArg<std::string> id("", "command-id", "to resend a command whose answer was lost", false, "", "ID",
@@ -88,6 +90,10 @@
         err << "tamarackcovectl: unknown command; see --help\n";
         return std::nullopt;
     }
+    if (command.words[0] != "explain" && command.control.empty()) {
+        err << "tamarackcovectl: required argument missing: --control\n";
+        return std::nullopt;
+    }
     if (command.words[0] == "intent" && command.words[1] == "create" && command.file.empty()) {
         err << "tamarackcovectl: intent create needs --file FILE\n";
         return std::nullopt;
--- a/lib/Operator/OperatorTool.cpp
+++ b/lib/Operator/OperatorTool.cpp
@@ -2,6 +2,7 @@
 
 #include "tamarackcove/Operator/ControlApi.h"
 #include "tamarackcove/Operator/Rendering.h"
+#include "tamarackcove/Operator/RequestExplanation.h"
 #include "tamarackcove/Settings/SettingsFile.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -62,6 +63,7 @@
     int createIntent();
     int confirmPlan(const std::string &plan);
     int show(std::string path, Render render);
+    int explain();
     std::optional<json> exchange(HttpRequest request, bool changes);
     int finish(const std::optional<json> &answer, Render render);
     int fail(int code, const std::string &reason);
@@ -188,9 +190,34 @@
     return finish(exchange(std::move(request), false), render);
 }
 
+int OperatorRun::explain()
+{
+    const auto &words = m_command.words;
+    RequestExplanation explanation(words[1]);
+    for (std::size_t i = 2; i < words.size(); ++i) {
+        if (words[i] == "-") {
+            explanation.read("stdin", std::cin);
+            continue;
+        }
+        std::ifstream file(words[i]);
+        if (!file) {
+            return fail(ExitUsage, "cannot read " + words[i]);
+        }
+        explanation.read(words[i], file);
+    }
+    if (!explanation.write(m_out)) {
+        return fail(ExitRefused,
+                    "no line names the request " + words[1] + "; requests that went well at once are logged one in 64");
+    }
+    return 0;
+}
+
 int OperatorRun::run()
 {
     const auto &words = m_command.words;
+    if (words[0] == "explain") {
+        return explain();
+    }
     if (words[0] == "status") {
         return show("/v1/status", renderStatus);
     }
--- a/lib/Supervision/Listening.cpp
+++ b/lib/Supervision/Listening.cpp
@@ -1,5 +1,11 @@
 #include "tamarackcove/Supervision/Listening.h"
 
+#include "tamarackcove/Base/Time.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -24,4 +30,21 @@
     return error;
 }
 
+asio::awaitable<void> acceptConnections(tcp::acceptor &acceptor, std::function<void(tcp::socket)> onConnection)
+{
+    constexpr milliseconds OutOfDescriptorsPause{20};
+    while (acceptor.is_open()) {
+        auto [error, socket] = co_await acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+            break;
+        }
+        if (error) {
+            asio::steady_timer pause(acceptor.get_executor(), OutOfDescriptorsPause);
+            co_await pause.async_wait(asio::use_awaitable);
+            continue;
+        }
+        onConnection(std::move(socket));
+    }
+}
+
 } // namespace tamarackcove
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -3,9 +3,15 @@
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
+#include <array>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 namespace asio = boost::asio;
@@ -84,3 +90,25 @@
         CHECK(served.value().status == 200);
     });
 }
+
+TEST_CASE("a head that is not complete in time ends the connection, and an idle one stays")
+{
+    const HttpLimits limits{.idleTimeout = seconds(30), .headerTimeout = milliseconds(50)};
+    withServer(limits, streamThreePieces, [](Endpoint endpoint) -> asio::awaitable<void> {
+        auto idle = co_await HttpConnection::connect(endpoint, seconds(5));
+        REQUIRE(idle.has_value());
+        asio::ip::tcp::socket slow(co_await asio::this_coro::executor);
+        co_await slow.async_connect({asio::ip::make_address(endpoint.host), endpoint.port}, asio::use_awaitable);
+        co_await asio::async_write(slow, asio::buffer(std::string_view("GET / HTTP/1.1\r\nHos")), asio::use_awaitable);
+        std::array<char, 64> bytes{};
+        const auto begun = Clock::now();
+        const auto [error, count]
+            = co_await slow.async_read_some(asio::buffer(bytes), asio::as_tuple(asio::use_awaitable));
+        CHECK(error);
+        CHECK(count == 0);
+        CHECK(Clock::now() - begun < seconds(5));
+        HttpRequest request;
+        const auto served = co_await idle.value()->exchange(std::move(request), seconds(5));
+        CHECK(served.has_value());
+    });
+}
--- a/unittests/Observe/BoundedSinkTest.cpp
+++ b/unittests/Observe/BoundedSinkTest.cpp
@@ -41,6 +41,7 @@
     logger.info("event=after");
     const auto text = arrived(ends[0]);
     CHECK(text.find("event=log_lines_dropped") != std::string::npos);
+    CHECK(text.find("by_event=flood:" + std::to_string(sink->dropped()) + "\n") != std::string::npos);
     CHECK(text.find("event=after") != std::string::npos);
     ::close(ends[0]);
     ::close(ends[1]);
