Load what waits newest first, with a store window that outlives servers

The number of loads on their way was 1.35 for each server that is left, 19 after four servers had gone, while the store takes 24 at full speed, so that 60 instead of 94 adapters a second were loaded for twelve seconds after all processes had been killed. Places stayed taken 600 ms after their last use while nothing else could be evicted.

Change: demands that can still be in time come first, those with the most requests, then the newest; demands that no entry repeats within 500 ms are dropped, and move when their server's places stay in use. An adapter may be evicted after 250 idle ms when nothing else can be.

What binds next are places while a zone is cut off.

--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -3,6 +3,7 @@
 #include "tamarackcove/Fleet/ServerOrder.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
 #include "tamarackcove/Fleet/ServiceProfile.h"
+#include "tamarackcove/Fleet/StoreLoads.h"
 
 #include <deque>
 #include <map>
@@ -27,17 +28,22 @@
         /// progress.
         milliseconds storeLoad{255};
         milliseconds memoryLoad{30};
+        StoreLoads::Options store{};
         /// Adapters that may be on their way to one server (a limit of the engines).
         int maxInTransitPerServer = 4;
-        /// Adapters that may be on their way from the store per server, over all servers; beyond about this number each
-        /// load takes longer in proportion.
-        double storeLoadsInTransitPerServer = 1.35;
         /// An adapter that more requests wait for is loaded by several servers at once.
         int waitingPerCopy = 4;
         /// An adapter that was loaded or used within this time is not evicted: the requests that wait for it are sent
         /// when it is ready, and entries report them up to 200 ms later. A server that unloads an adapter in use takes
         /// no other order until those requests have ended.
         milliseconds minIdle{600};
+        /// The same when nothing else can be evicted and requests wait: the time that a report of a use takes.
+        milliseconds minIdleUnderPressure{250};
+        /// Requests that have waited for longer than this are late whatever is done, because goals are not much longer
+        /// than a load and the reading of a prompt; others come before them.
+        milliseconds timely{450};
+        /// A demand that no entry has repeated for this long is dropped: its requests have given up.
+        milliseconds demandRetention{500};
         /// Half-life of the estimate of an adapter's request rate.
         milliseconds rateHalfLife{1500};
         /// How often it is considered whether an adapter needs further copies. The cost grows with the servers.
@@ -92,6 +98,8 @@
         std::size_t loading = 0;
         /// Decided on, and not ordered yet.
         std::size_t wanted = 0;
+        /// Of those that are loading, the ones from the store.
+        std::size_t fromStore = 0;
     };
 
     explicit AdapterPlanner(Options options);
@@ -116,6 +124,8 @@
     void setLoad(const TargetId &server, double load);
     /// An entry is gone, and with it its requests.
     void entryGone(const EntryId &entry);
+    /// A server was still loading an adapter so long after the load should have ended.
+    void overdue(const TargetId &server, const AdapterKey &adapter, milliseconds by, TimePoint now);
     /// A server has said that it does not hold an adapter that this planner believes it to hold.
     void missing(const TargetId &server, const AdapterKey &adapter, TimePoint now);
     /// A version of an adapter has been named; servers that hold an older one load it.
@@ -130,6 +140,7 @@
     /// All holdings, as changes from nothing.
     [[nodiscard]] std::vector<HoldingChange> holdings() const;
     [[nodiscard]] Totals totals(TimePoint now) const;
+    [[nodiscard]] const StoreLoads &storeLoads() const;
     [[nodiscard]] std::size_t storeLoadsInTransit(TimePoint now) const;
 
 private:
@@ -145,6 +156,8 @@
         /// An order to load it was not answered. It holds its place until the server accepts another order, which makes
         /// the server refuse the one before.
         bool uncertain = false;
+        /// Whether it is known if the load came in time.
+        bool timed = false;
         /// When it was last considered whether further copies are needed.
         TimePoint weighedAt;
         /// Requests in progress, by entry.
@@ -154,7 +167,13 @@
     {
         AdapterKey adapter;
         std::uint64_t version = 0;
+        /// When the last request began to wait for it.
         TimePoint since;
+        /// When an entry last said that requests wait for it.
+        TimePoint asked;
+        int waiting = 0;
+        /// Whether it replaces an older version or an order that was not answered.
+        bool replaces = false;
         /// Not ordered before.
         TimePoint notBefore{};
     };
@@ -188,9 +207,16 @@
     [[nodiscard]] double rateNow(const Held &held, TimePoint now) const;
     [[nodiscard]] int inTransit(const Server &server, TimePoint now) const;
     [[nodiscard]] bool hasRoom(const Server &server, const BaseModel &model) const;
+    /// The adapter that is evicted for another one, if any can be.
     [[nodiscard]] std::optional<AdapterKey> victim(const Server &server, TimePoint now) const;
+    /// The adapter with the fewest requests among those that have been idle for some time.
+    [[nodiscard]] std::optional<AdapterKey> idlest(const Server &server, TimePoint now, milliseconds minIdle) const;
     [[nodiscard]] double cost(const Server &server, const AdapterKey &adapter, const Zone &zone, TimePoint now) const;
     [[nodiscard]] static bool cachedAt(const Server &server, const AdapterKey &adapter);
+    /// Whether the server is to load the adapter already. If it cannot make room for it soon, the demand is dropped.
+    [[nodiscard]] bool repeatDemand(Server &server, const AdapterKey &adapter, int waiting, TimePoint now) const;
+    /// Whether one demand is taken up before another one of the same server.
+    [[nodiscard]] bool isBefore(const Wanted &first, const Wanted &second, TimePoint now) const;
     void orderUnanswered(Server &server, const ServerOrder &order, TimePoint now);
     [[nodiscard]] Step modelStep(Server &server, TimePoint now);
     [[nodiscard]] Step adapterStep(Server &server, TimePoint now);
@@ -202,6 +228,7 @@
     void wake(const TargetId &id);
 
     Options m_options;
+    StoreLoads m_storeLoads;
     std::map<TargetId, Server> m_servers;
     std::map<AdapterKey, std::uint64_t> m_versions;
     std::vector<TargetId> m_wakeups;
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -67,6 +67,8 @@
     void beginUse(const TargetId &server, const AdapterKey &adapter);
     void endUse(const TargetId &server, const AdapterKey &adapter);
     void noteMissing(const TargetId &server, const AdapterKey &adapter);
+    /// A server was still loading the adapter so long after the expected end.
+    void noteOverdue(const TargetId &server, const AdapterKey &adapter, milliseconds by);
     /// Called when a request begins to wait for an adapter that nobody has been asked for yet.
     std::function<void()> onDemand;
 
@@ -104,6 +106,7 @@
     };
     std::map<std::pair<TargetId, AdapterKey>, Use> m_uses;
     std::set<std::pair<TargetId, AdapterKey>> m_missing;
+    std::map<std::pair<TargetId, AdapterKey>, milliseconds> m_overdue;
     std::set<boost::asio::steady_timer *> m_waiters;
 };
 
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -106,8 +106,10 @@
     int running = 0;
     /// The server has answered that it does not hold the adapter.
     bool missing = false;
+    /// The server was still loading the adapter so long after the expected end; 0 when it was not.
+    std::int64_t overdueMs = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UseMessage, server, model, adapter, requests, running, missing)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UseMessage, server, model, adapter, requests, running, missing, overdueMs)
 
 struct FleetReportMessage
 {
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -192,6 +192,8 @@
     gauge("adapters_held", totals.held);
     gauge("adapters_loading", totals.loading);
     gauge("adapters_wanted", totals.wanted);
+    gauge("store_loads", totals.fromStore);
+    gauge("store_load_window", planner.storeLoads().window());
 }
 
 void FleetNode::Impl::stateChanged()
@@ -379,6 +381,8 @@
         const AdapterKey adapter{BaseModel(use.model), use.adapter};
         if (use.missing) {
             planner.missing(TargetId(use.server), adapter, now);
+        } else if (use.overdueMs > 0) {
+            planner.overdue(TargetId(use.server), adapter, milliseconds(use.overdueMs), now);
         } else {
             planner.used(TargetId(use.server), adapter, EntryId(report.entry), use.requests, use.running, now);
         }
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -14,6 +14,7 @@
 
 AdapterPlanner::AdapterPlanner(Options options)
     : m_options(options)
+    , m_storeLoads(options.store)
 {
 }
 
@@ -35,6 +36,7 @@
         server.identity = heartbeat.identity;
         server.readAt = now - m_options.retryAfterUnknown;
     }
+    m_storeLoads.setServers(m_servers.size());
     server.endpoint = heartbeat.endpoint;
     server.zone = heartbeat.zone;
     server.profile = profile;
@@ -190,7 +192,8 @@
     if (order.action == ServerOrder::Action::Load) {
         held.uncertain = true;
         held.readyAt = now;
-        server.wanted.push_front({.adapter = order.weights, .version = order.version, .since = now});
+        server.wanted.push_front(
+            {.adapter = order.weights, .version = order.version, .since = now, .asked = now, .replaces = true});
     } else {
         held.unloading = false;
         setHeld(server, order.weights, Held(held));
@@ -296,12 +299,10 @@
         const auto held = server.adapters.find(adapter);
         const bool holds = held != server.adapters.end() && !held->second.unloading && !held->second.uncertain
             && held->second.version >= version;
-        const bool awaits = std::any_of(server.wanted.begin(), server.wanted.end(),
-                                        [&](const auto &wanted) { return wanted.adapter == adapter; });
         if (server.suspectUntil > now) {
             continue;
         }
-        if (holds || awaits) {
+        if (holds || repeatDemand(server, adapter, waiting, now)) {
             copies += server.draining ? 0 : 1;
             continue;
         }
@@ -318,11 +319,33 @@
     if (best == nullptr || copies >= 1 + failed + waiting / m_options.waitingPerCopy) {
         return std::nullopt;
     }
-    best->wanted.push_back({.adapter = adapter, .version = version, .since = now});
+    best->wanted.push_back({.adapter = adapter, .version = version, .since = now, .asked = now, .waiting = waiting});
     wake(best->identity.id);
     return best->identity.id;
 }
 
+bool AdapterPlanner::repeatDemand(Server &server, const AdapterKey &adapter, int waiting, TimePoint now) const
+{
+    const auto wanted = std::find_if(server.wanted.begin(), server.wanted.end(),
+                                     [&](const auto &item) { return item.adapter == adapter; });
+    if (wanted == server.wanted.end()) {
+        return false;
+    }
+    const bool stuck = wanted->waiting > 0 && wanted->since + m_options.storeLoad < now
+        && !hasRoom(server, adapter.model) && !victim(server, now);
+    if (stuck) {
+        // All places are in use; another server may have one by now.
+        server.wanted.erase(wanted);
+        return false;
+    }
+    if (waiting > wanted->waiting) {
+        wanted->since = std::max(wanted->since, now);
+    }
+    wanted->waiting = waiting;
+    wanted->asked = std::max(wanted->asked, now);
+    return true;
+}
+
 void AdapterPlanner::entryGone(const EntryId &entry)
 {
     for (auto &[id, server] : m_servers) {
@@ -352,6 +375,9 @@
     if (requests == 0) {
         return;
     }
+    if (held->second.fromStore && !std::exchange(held->second.timed, true)) {
+        m_storeLoads.inTime(storeLoadsInTransit(now), now);
+    }
     // Adding ln 2 / half-life for each request makes the decaying sum an estimate of requests per second.
     const std::chrono::duration<double> halfLife = m_options.rateHalfLife;
     held->second.rate = rateNow(held->second, now) + requests * std::numbers::ln2 / halfLife.count();
@@ -391,11 +417,27 @@
         }
     }
     if (best != nullptr) {
-        best->wanted.push_back({.adapter = adapter, .version = held->second.version, .since = now});
+        best->wanted.push_back({.adapter = adapter, .version = held->second.version, .since = now, .asked = now});
         wake(best->identity.id);
     }
 }
 
+void AdapterPlanner::overdue(const TargetId &id, const AdapterKey &adapter, milliseconds by, TimePoint now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    const auto held = found->second.adapters.find(adapter);
+    if (held == found->second.adapters.end() || held->second.unloading || !held->second.fromStore) {
+        return;
+    }
+    held->second.timed = true;
+    m_storeLoads.late(by, storeLoadsInTransit(now), now);
+    // It is still on its way.
+    held->second.readyAt = std::max(held->second.readyAt, now);
+}
+
 void AdapterPlanner::missing(const TargetId &id, const AdapterKey &adapter, TimePoint now)
 {
     const auto found = m_servers.find(id);
@@ -431,8 +473,12 @@
     for (auto &[id, server] : m_servers) {
         const auto held = server.adapters.find(adapter);
         if (held != server.adapters.end() && held->second.version < version && !server.draining) {
-            server.wanted.push_front(
-                {.adapter = adapter, .version = version, .since = TimePoint::max(), .notBefore = notBefore});
+            server.wanted.push_front({.adapter = adapter,
+                                      .version = version,
+                                      .since = now,
+                                      .asked = TimePoint::max(),
+                                      .replaces = true,
+                                      .notBefore = notBefore});
             notBefore = std::min(notBefore + m_options.storeLoad, now + MaxReplacementDelay);
             wake(id);
         }
@@ -500,7 +546,13 @@
         totals.held += server.adapters.size() - loading;
         totals.wanted += server.wanted.size();
     }
+    totals.fromStore = storeLoadsInTransit(now);
     return totals;
 }
 
+const StoreLoads &AdapterPlanner::storeLoads() const
+{
+    return m_storeLoads;
+}
+
 } // namespace tamarackcove
--- a/lib/Fleet/AdapterPlannerSteps.cpp
+++ b/lib/Fleet/AdapterPlannerSteps.cpp
@@ -1,13 +1,12 @@
 #include "tamarackcove/Fleet/AdapterPlanner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarackcove {
 
 /// A model is loaded again this long after an order for it stayed without effect.
 static constexpr milliseconds ModelLoadMargin{1500};
-/// A demand that no server could take up is dropped; the entries repeat it while requests wait.
-static constexpr milliseconds DemandRetention{1000};
 /// Window over which loads of models from the store are limited.
 static constexpr seconds StoreWindow{5};
 
@@ -30,11 +29,17 @@
 }
 
 std::optional<AdapterKey> AdapterPlanner::victim(const Server &server, TimePoint now) const
+{
+    const auto idle = idlest(server, now, m_options.minIdle);
+    return idle ? idle : idlest(server, now, m_options.minIdleUnderPressure);
+}
+
+std::optional<AdapterKey> AdapterPlanner::idlest(const Server &server, TimePoint now, milliseconds minIdle) const
 {
     const AdapterKey *best = nullptr;
     double lowest = 0;
     for (const auto &[adapter, held] : server.adapters) {
-        const bool recent = std::max(held.lastUse, held.readyAt) + m_options.minIdle > now;
+        const bool recent = std::max(held.lastUse, held.readyAt) + minIdle > now;
         if (held.unloading || held.uncertain || recent || !held.running.empty()) {
             continue;
         }
@@ -135,19 +140,41 @@
     return orderStep(server, ServerOrder::Action::Load, {.model = best->name, .adapter = {}}, 0);
 }
 
+bool AdapterPlanner::isBefore(const Wanted &first, const Wanted &second, TimePoint now) const
+{
+    // New versions must be in place soon, and an order without an answer holds a place. Then, when more is asked for
+    // than can be loaded, the order of arrival would make every request late; the newest ones can still be in time.
+    const auto rank = [&](const Wanted &wanted) {
+        if (wanted.replaces) {
+            return 0;
+        }
+        if (wanted.waiting == 0) {
+            return 3;
+        }
+        return wanted.since + m_options.timely >= now ? 1 : 2;
+    };
+    const auto ranks = std::pair(rank(first), rank(second));
+    if (ranks.first != ranks.second) {
+        return ranks.first < ranks.second;
+    }
+    if (first.waiting != second.waiting) {
+        return first.waiting > second.waiting;
+    }
+    return ranks.first == 1 && first.since > second.since;
+}
+
 AdapterPlanner::Step AdapterPlanner::adapterStep(Server &server, TimePoint now)
 {
     std::erase_if(server.wanted, [&](const auto &wanted) {
         const auto held = server.adapters.find(wanted.adapter);
         const bool holds = held != server.adapters.end() && !held->second.unloading && !held->second.uncertain
             && held->second.version >= wanted.version;
-        const bool late = wanted.since != TimePoint::max() && wanted.since + DemandRetention < now;
-        return holds || late || !server.models.contains(wanted.adapter.model);
+        const bool givenUp = wanted.asked != TimePoint::max() && wanted.asked + m_options.demandRetention < now;
+        return holds || givenUp || !server.models.contains(wanted.adapter.model);
     });
     if (server.wanted.empty()) {
         return {};
     }
-    const auto storeMost = m_options.storeLoadsInTransitPerServer * static_cast<double>(m_servers.size());
     TimePoint soonest = now + m_options.memoryLoad;
     for (const auto &[adapter, held] : server.adapters) {
         if (held.readyAt > now) {
@@ -157,10 +184,14 @@
     if (inTransit(server, now) >= m_options.maxInTransitPerServer) {
         return {.kind = Step::Kind::Wait, .until = soonest};
     }
-    const bool storeBusy = static_cast<double>(storeLoadsInTransit(now)) >= storeMost;
-    const auto first = std::find_if(server.wanted.begin(), server.wanted.end(), [&](const auto &wanted) {
-        return wanted.notBefore <= now && (!storeBusy || cachedAt(server, wanted.adapter));
-    });
+    const bool storeBusy = m_storeLoads.full(storeLoadsInTransit(now));
+    auto first = server.wanted.end();
+    for (auto item = server.wanted.begin(); item != server.wanted.end(); ++item) {
+        const bool possible = item->notBefore <= now && (!storeBusy || cachedAt(server, item->adapter));
+        if (possible && (first == server.wanted.end() || isBefore(*item, *first, now))) {
+            first = item;
+        }
+    }
     if (first == server.wanted.end()) {
         return {.kind = Step::Kind::Wait, .until = soonest};
     }
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -176,6 +176,13 @@
             {.server = server.value(), .model = adapter.model.value(), .adapter = adapter.adapter, .missing = true});
     }
     m_missing.clear();
+    for (const auto &[key, by] : m_overdue) {
+        report.uses.push_back({.server = key.first.value(),
+                               .model = key.second.model.value(),
+                               .adapter = key.second.adapter,
+                               .overdueMs = by.count()});
+    }
+    m_overdue.clear();
     return report;
 }
 
@@ -287,4 +294,10 @@
     m_missing.emplace(server, adapter);
 }
 
+void FleetView::noteOverdue(const TargetId &server, const AdapterKey &adapter, milliseconds by)
+{
+    auto &longest = m_overdue[{server, adapter}];
+    longest = std::max({longest, by, milliseconds(1)});
+}
+
 } // namespace tamarackcove
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -56,6 +56,9 @@
                                            : ServerOutcome::Full,
                   now);
     if (loading) {
+        if (choice.expectedAt + LoadOverrun > now) {
+            m_parts.view.noteOverdue(choice.server.id, *adapter, duration_cast<milliseconds>(now - choice.expectedAt));
+        }
         servers.postpone(choice.server.id, *adapter, now + LoadRetry * (1 + exchange.refusals));
     } else if (adapter && answer.wrongServer && !other) {
         servers.setHolding(choice.server.id, *adapter, 0, now);
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -55,9 +55,10 @@
 }
 
 /// A planner with servers whose state has been read.
-static AdapterPlanner planner(const std::vector<std::string> &servers, int places = 3)
+static AdapterPlanner planner(const std::vector<std::string> &servers, int places = 3,
+                              AdapterPlanner::Options options = {})
 {
-    AdapterPlanner made({});
+    AdapterPlanner made(options);
     for (const auto &id : servers) {
         made.serverSeen(heartbeat(id), false, profile(places), Start);
         REQUIRE(made.next(TargetId(id), Start).kind == Step::Kind::ReadState);
@@ -66,6 +67,14 @@
     return made;
 }
 
+/// Only the server's own limits bind.
+static AdapterPlanner::Options ampleStore()
+{
+    AdapterPlanner::Options options;
+    options.store.perServer = 100;
+    return options;
+}
+
 TEST_CASE("the state of a server is read before its first order")
 {
     AdapterPlanner made({});
@@ -380,3 +389,67 @@
         }
     }
 }
+
+TEST_CASE("when more is asked for than can be loaded, the newest requests are served and none are late for the others")
+{
+    auto made = planner({"a"}, 12, ampleStore());
+    for (int i = 1; i <= 4; ++i) {
+        (void)made.demand(adapter(i), 0, Here, 1, Start);
+        made.orderEnded(made.next(TargetId("a"), Start).order, OrderOutcome::Accepted, Start);
+    }
+    // Four are on their way; the others queue.
+    (void)made.demand(adapter(5), 0, Here, 1, Start);
+    const auto later = Start + milliseconds(200);
+    (void)made.demand(adapter(6), 0, Here, 1, later);
+    (void)made.demand(adapter(7), 0, Here, 2, later);
+    (void)made.demand(adapter(5), 0, Here, 1, later);
+    CHECK(made.next(TargetId("a"), later).kind == Step::Kind::Wait);
+    const auto free = Start + milliseconds(300);
+    std::vector<AdapterKey> order;
+    for (int i = 0; i < 3; ++i) {
+        const auto step = made.next(TargetId("a"), free);
+        REQUIRE(step.kind == Step::Kind::Order);
+        order.push_back(step.order.weights);
+        made.orderEnded(step.order, OrderOutcome::Accepted, free);
+    }
+    CHECK(order == std::vector{adapter(7), adapter(6), adapter(5)});
+}
+
+TEST_CASE("an adapter whose requests have given up is not loaded")
+{
+    auto made = planner({"a"}, 12, ampleStore());
+    for (int i = 1; i <= 4; ++i) {
+        (void)made.demand(adapter(i), 0, Here, 1, Start);
+        made.orderEnded(made.next(TargetId("a"), Start).order, OrderOutcome::Accepted, Start);
+    }
+    (void)made.demand(adapter(5), 0, Here, 1, Start);
+    (void)made.demand(adapter(6), 0, Here, 1, Start);
+    (void)made.demand(adapter(6), 0, Here, 1, Start + milliseconds(400));
+    const auto later = Start + milliseconds(600);
+    const auto step = made.next(TargetId("a"), later);
+    REQUIRE(step.kind == Step::Kind::Order);
+    CHECK(step.order.weights == adapter(6));
+    made.orderEnded(step.order, OrderOutcome::Accepted, later);
+    CHECK(made.next(TargetId("a"), later).kind == Step::Kind::Wait);
+}
+
+TEST_CASE("a demand at a server whose places are all in use moves to one that has room")
+{
+    auto made = planner({"a", "b"}, 1);
+    for (const int number : {1, 2}) {
+        const auto chosen = made.demand(adapter(number), 0, Here, 1, Start);
+        made.orderEnded(made.next(*chosen, Start).order, OrderOutcome::Accepted, Start);
+        made.used(*chosen, adapter(number), Entry, 1, 1, Start + milliseconds(260));
+    }
+    auto now = Start + milliseconds(700);
+    const auto first = made.demand(adapter(3), 0, Here, 1, now);
+    REQUIRE(first.has_value());
+    const TargetId other(first->value() == "a" ? "b" : "a");
+    // The other server's adapter falls idle, while that of the first stays in use.
+    made.used(other, adapter(1), Entry, 0, 0, now);
+    made.used(other, adapter(2), Entry, 0, 0, now);
+    now += milliseconds(300);
+    const auto second = made.demand(adapter(3), 0, Here, 1, now);
+    REQUIRE(second.has_value());
+    CHECK(*second == other);
+}
