Tell a new control leader which adapters servers have held

Cause: servers load an adapter that they held recently ten times as fast and do not name these adapters.

Change: entries keep AdapterHistory, and up to three of them are asked for it, one each 100 ms.

--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -35,6 +35,8 @@
         std::function<std::vector<std::string>()> hosts;
         /// Whether every server that is alive has had the time to announce itself to this host.
         std::function<bool()> settled;
+        /// Whether it helps to know which adapters servers have held before this host gave orders.
+        std::function<bool()> wantsHistory;
         std::function<void(const FleetReportMessage &)> onReport;
         std::function<void(const EntryId &)> onEntryGone;
     };
@@ -72,6 +74,7 @@
     boost::asio::awaitable<void> readReports(Link &link);
     boost::asio::awaitable<void> writeUpdates(Link &link);
     [[nodiscard]] FleetUpdateMessage compose(Link &link);
+    [[nodiscard]] bool asksForHistory(Link &link);
     [[nodiscard]] ServerMessage describe(const TargetId &id) const;
 
     Supervisor &m_connections;
@@ -84,6 +87,9 @@
     std::uint64_t m_accepted = 0;
     std::vector<LoadMessage> m_loads;
     TimePoint m_loadsAt;
+    /// Entries that were asked for the history since this host began to lead, and when the last one was.
+    int m_historiesAsked = 0;
+    TimePoint m_historyAskedAt;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -124,6 +124,8 @@
     void setLoad(const TargetId &server, double load);
     /// An entry is gone, and with it its requests.
     void entryGone(const EntryId &entry);
+    /// Adapters that a server has held before this planner began, the least recent first.
+    void recall(const ServerIdentity &server, const std::vector<AdapterKey> &adapters);
     /// A server was still loading an adapter so long after the load should have ended.
     void overdue(const TargetId &server, const AdapterKey &adapter, milliseconds by, TimePoint now);
     /// A server has said that it does not hold an adapter that this planner believes it to hold.
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -106,6 +106,8 @@
     void ended(const TargetId &id, double weight, ServerOutcome outcome, TimePoint now);
     /// Whether this start of the server is known and takes new requests.
     [[nodiscard]] bool usable(const ServerIdentity &identity) const;
+    /// The start of a server that is known; nothing when it is not.
+    [[nodiscard]] std::optional<ServerIdentity> identityOf(const TargetId &id) const;
     [[nodiscard]] std::size_t size() const;
     /// The weight of this entry's requests in progress at each server that has any.
     [[nodiscard]] std::vector<std::pair<TargetId, double>> inFlight() const;
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackcove/Fleet/AdapterHistory.h"
 #include "tamarackcove/Fleet/RetryWindow.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Fleet/ServerDirectory.h"
@@ -32,8 +33,9 @@
     void apply(const FleetUpdateMessage &update, TimePoint now);
     /// Who this entry is, without anything to report.
     [[nodiscard]] FleetReportMessage identity() const;
-    /// Takes what there is to report since the last call; with the servers that are known if asked.
-    [[nodiscard]] FleetReportMessage takeReport(bool withServers);
+    /// Takes what there is to report since the last call; with the servers that are known, and with what they have
+    /// held, if asked.
+    [[nodiscard]] FleetReportMessage takeReport(bool withServers, bool withHistory);
 
     /// Null before the first configuration.
     [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
@@ -86,6 +88,7 @@
     };
 
     void wakeAll();
+    void addHistory(FleetReportMessage &report) const;
 
     boost::asio::any_io_executor m_executor;
     const GatewaySettings &m_settings;
@@ -93,6 +96,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     TimePoint m_updatedAt;
     ServerDirectory m_servers;
+    AdapterHistory m_history;
     std::unordered_map<AdapterKey, Named> m_versions;
     std::map<ServiceName, RetryWindow> m_retries;
     std::size_t m_entries = 1;
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -78,9 +78,11 @@
     std::vector<LoadMessage> loads;
     /// Entries that are connected, which share the retry budget.
     std::uint64_t entries = 1;
+    /// Whether the next report is to tell which adapters servers have held.
+    bool wantsHistory = false;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, leads, term, hosts, configurationVersion, document, versions,
-                                   servers, removed, holdings, complete, all, loads, entries)
+                                   servers, removed, holdings, complete, all, loads, entries, wantsHistory)
 
 /// Requests that wait for an adapter.
 struct DemandMessage
@@ -111,6 +113,16 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UseMessage, server, model, adapter, requests, running, missing, overdueMs)
 
+/// Adapters of one model that one start of a server has held, the least recent first.
+struct HistoryMessage
+{
+    std::string server;
+    std::uint64_t startedAt = 0;
+    std::string model;
+    std::vector<std::string> adapters;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HistoryMessage, server, startedAt, model, adapters)
+
 struct FleetReportMessage
 {
     static constexpr std::string_view Type = "fleet_report";
@@ -124,8 +136,10 @@
     std::vector<std::string> unreachable;
     /// The servers that the entry knows, in its first report to a host that has begun to lead.
     std::vector<ServerMessage> servers;
+    /// Only when the control host has asked for it.
+    std::vector<HistoryMessage> histories;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses, loads,
-                                   unreachable, servers)
+                                   unreachable, servers, histories)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -22,8 +22,12 @@
 static constexpr milliseconds UpdateInterval{200};
 /// Adding up the loads of all entries at each report kept the leader from its heartbeats at 67 entries and 60 servers.
 static constexpr milliseconds LoadsInterval{100};
-/// The same for a host that does not lead.
+/// The longest silence of a host that does not lead.
 static constexpr milliseconds IdleUpdateInterval{400};
+/// Entries tell much the same of what servers have held; one that has just started tells nothing.
+static constexpr int MostHistories = 3;
+/// One answer is taken in before the next entry is asked.
+static constexpr milliseconds HistoryInterval{100};
 
 struct EntryLinks::Link
 {
@@ -49,11 +53,13 @@
     /// Requests in progress at servers, as the entry last said.
     std::vector<LoadMessage> loads;
     bool urgent = false;
+    bool askedForHistory = false;
 };
 
 void EntryLinks::Link::reset(const ServerRegistry &registry, const AdapterPlanner &planner)
 {
     complete = false;
+    askedForHistory = false;
     sentRevision = {};
     servers.clear();
     holdings.clear();
@@ -197,6 +203,19 @@
     return m_loads;
 }
 
+bool EntryLinks::asksForHistory(Link &link)
+{
+    const auto now = Clock::now();
+    if (m_historiesAsked >= MostHistories || link.askedForHistory || now < m_historyAskedAt + HistoryInterval
+        || !m_hooks.wantsHistory()) {
+        return false;
+    }
+    link.askedForHistory = true;
+    ++m_historiesAsked;
+    m_historyAskedAt = now;
+    return true;
+}
+
 FleetUpdateMessage EntryLinks::compose(Link &link)
 {
     FleetUpdateMessage update;
@@ -210,6 +229,7 @@
     update.term = m_hooks.term();
     update.entries = m_links.size();
     update.loads = loads();
+    update.wantsHistory = asksForHistory(link);
     update.configurationVersion = m_state.configurationVersion();
     if (m_state.document() && link.sentConfiguration < m_state.configurationVersion()) {
         update.document = *m_state.document();
@@ -301,6 +321,7 @@
 
 void EntryLinks::leadershipChanged()
 {
+    m_historiesAsked = 0;
     for (auto *link : m_links) {
         link->reset(m_registry, m_planner);
     }
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -99,6 +99,7 @@
                  .term = [this] { return replica.client().status().term; },
                  .hosts = [this] { return hosts(); },
                  .settled = [this] { return Clock::now() > leadsSince + settings.heartbeatInterval * 3; },
+                 .wantsHistory = [this] { return duty.active(); },
                  .onReport = [this](const FleetReportMessage &report) { take(report); },
                  .onEntryGone =
                      [this](const EntryId &entry) {
@@ -377,6 +378,14 @@
             planner.setLoad(TargetId(load.server), load.load);
         }
     }
+    for (const auto &history : report.histories) {
+        std::vector<AdapterKey> adapters;
+        adapters.reserve(history.adapters.size());
+        for (const auto &name : history.adapters) {
+            adapters.push_back({BaseModel(history.model), name});
+        }
+        planner.recall({.id = TargetId(history.server), .startedAt = Incarnation(history.startedAt)}, adapters);
+    }
     for (const auto &use : report.uses) {
         const AdapterKey adapter{BaseModel(use.model), use.adapter};
         if (use.missing) {
@@ -459,6 +468,11 @@
     return m_impl->links.port();
 }
 
+std::uint16_t FleetNode::metricsPort() const
+{
+    return m_impl->metricsEndpoint.port();
+}
+
 asio::awaitable<void> FleetNode::shutDown()
 {
     auto &impl = *m_impl;
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -422,6 +422,23 @@
     }
 }
 
+void AdapterPlanner::recall(const ServerIdentity &identity, const std::vector<AdapterKey> &adapters)
+{
+    const auto found = m_servers.find(identity.id);
+    if (found == m_servers.end() || found->second.identity != identity) {
+        return;
+    }
+    auto &server = found->second;
+    // What this planner has seen itself is more recent.
+    const auto known = std::exchange(server.cached, {});
+    for (const auto &adapter : adapters) {
+        noteCached(server, adapter);
+    }
+    for (const auto &adapter : known) {
+        noteCached(server, adapter);
+    }
+}
+
 void AdapterPlanner::overdue(const TargetId &id, const AdapterKey &adapter, milliseconds by, TimePoint now)
 {
     const auto found = m_servers.find(id);
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -184,6 +184,12 @@
     return found != m_servers.end() && found->second.offered.identity == identity && !found->second.offered.draining;
 }
 
+std::optional<ServerIdentity> ServerDirectory::identityOf(const TargetId &id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? std::nullopt : std::optional(found->second.offered.identity);
+}
+
 std::size_t ServerDirectory::size() const
 {
     return m_servers.size();
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -40,6 +40,8 @@
     bool connected = false;
     /// Whether the next report names the servers that this entry knows.
     bool introduces = false;
+    /// Whether it tells what these servers have held.
+    bool recalls = false;
     bool urgent = false;
 };
 
@@ -123,6 +125,11 @@
         host.urgent = true;
         host.wake.cancel();
     }
+    if (update.wantsHistory) {
+        host.recalls = true;
+        host.urgent = true;
+        host.wake.cancel();
+    }
     m_term = update.term;
     m_view.apply(update, Clock::now());
 }
@@ -154,8 +161,9 @@
         host.urgent = false;
         auto report = m_view.identity();
         if (m_leader == &host) {
-            report = m_view.takeReport(host.introduces);
+            report = m_view.takeReport(host.introduces, host.recalls);
             host.introduces = false;
+            host.recalls = false;
         }
         auto message = toMessage(report);
         const auto written = co_await connection.write(std::move(message), WriteTimeout);
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -18,6 +18,8 @@
 static constexpr milliseconds VersionGrace{1500};
 /// Entries that share the retry budget while the control host has not said how many there are.
 static constexpr std::size_t AssumedEntries = 8;
+/// Engines keep copies of somewhat fewer adapters than this in memory.
+static constexpr std::size_t HistoryPerServer = 128;
 
 FleetView::FleetView(asio::any_io_executor executor, const GatewaySettings &settings, const CallerDialect &dialect)
     : m_executor(std::move(executor))
@@ -25,6 +27,7 @@
     , m_dialect(dialect)
     , m_updatedAt(Clock::now())
     , m_servers({.zone = settings.zone, .seed = std::random_device()()})
+    , m_history(HistoryPerServer)
     , m_entries(AssumedEntries)
 {
 }
@@ -79,6 +82,7 @@
     }
     for (const auto &id : update.removed) {
         m_servers.remove(TargetId(id));
+        m_history.forget(TargetId(id));
     }
     if (update.complete) {
         std::set<TargetId> all;
@@ -88,8 +92,13 @@
         m_servers.keepOnly(all);
     }
     for (const auto &holding : update.holdings) {
-        m_servers.setHolding(TargetId(holding.server), {BaseModel(holding.model), holding.adapter}, holding.version,
-                             now + milliseconds(holding.readyInMs));
+        const TargetId id(holding.server);
+        const AdapterKey adapter{BaseModel(holding.model), holding.adapter};
+        m_servers.setHolding(id, adapter, holding.version, now + milliseconds(holding.readyInMs));
+        const auto identity = m_servers.identityOf(id);
+        if (identity && holding.version > 0) {
+            m_history.held(*identity, adapter);
+        }
     }
     for (const auto &load : update.loads) {
         m_servers.setLoad(TargetId(load.server), load.load);
@@ -137,7 +146,23 @@
     return report;
 }
 
-FleetReportMessage FleetView::takeReport(bool withServers)
+void FleetView::addHistory(FleetReportMessage &report) const
+{
+    for (const auto &record : m_history.records()) {
+        std::map<BaseModel, HistoryMessage> byModel;
+        for (const auto &adapter : record.adapters) {
+            byModel[adapter.model].adapters.push_back(adapter.adapter);
+        }
+        for (auto &[model, message] : byModel) {
+            message.server = record.server.id.value();
+            message.startedAt = record.server.startedAt.value();
+            message.model = model.value();
+            report.histories.push_back(std::move(message));
+        }
+    }
+}
+
+FleetReportMessage FleetView::takeReport(bool withServers, bool withHistory)
 {
     auto report = identity();
     for (const auto &id : m_servers.unreachable(Clock::now())) {
@@ -148,6 +173,9 @@
             report.servers.push_back(messageFrom(server));
         }
     }
+    if (withHistory) {
+        addHistory(report);
+    }
     for (const auto &[adapter, demand] : m_demands) {
         report.demands.push_back({.model = adapter.model.value(),
                                   .adapter = adapter.adapter,
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -453,3 +453,13 @@
     REQUIRE(second.has_value());
     CHECK(*second == other);
 }
+
+TEST_CASE("a planner that begins places an adapter where a copy is in memory, if it is told")
+{
+    auto made = planner({"a", "b", "c"});
+    made.recall(heartbeat("c").identity, {adapter(2), adapter(1)});
+    made.recall(heartbeat("b", 7).identity, {adapter(1)}); // another start, whose copies are gone
+    const auto chosen = made.demand(adapter(1), 0, Here, 1, Start);
+    REQUIRE(chosen.has_value());
+    CHECK(chosen->value() == "c");
+}
