Test the way from a failed request's id to its cause, and the metrics of both roles

The whole path runs with its log captured; the id of a lost answer and of a cut stream each lead to one cause with the load that the request waited for, and both metrics addresses serve the counters of it.

--- a/include/tamarackcove/Control/Fleet/FleetNode.h
+++ b/include/tamarackcove/Control/Fleet/FleetNode.h
@@ -46,6 +46,8 @@
     /// The bound ports. Precondition: open() has succeeded.
     [[nodiscard]] std::uint16_t callPort() const;
     [[nodiscard]] std::uint16_t entryPort() const;
+    /// Precondition: the settings name an address for metrics.
+    [[nodiscard]] std::uint16_t metricsPort() const;
 
 private:
     struct Impl;
--- a/include/tamarackcove/Gateway/GatewayNode.h
+++ b/include/tamarackcove/Gateway/GatewayNode.h
@@ -34,6 +34,8 @@
     /// The bound ports. Precondition: open() has succeeded.
     [[nodiscard]] std::uint16_t callerPort() const;
     [[nodiscard]] std::uint16_t readyPort() const;
+    /// Precondition: the settings name an address for metrics.
+    [[nodiscard]] std::uint16_t metricsPort() const;
 
 private:
     struct Impl;
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -191,6 +191,11 @@
     return m_impl->ready.port();
 }
 
+std::uint16_t GatewayNode::metricsPort() const
+{
+    return m_impl->metricsEndpoint.port();
+}
+
 asio::awaitable<void> GatewayNode::shutDown()
 {
     auto &impl = *m_impl;
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -7,6 +7,7 @@
 #include "tamarackcove/Gateway/GatewayNode.h"
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Operator/RequestExplanation.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <optional>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+#include <sstream>
 #include <unistd.h>
 
 namespace asio = boost::asio;
@@ -118,7 +123,24 @@
         co_return response.has_value() ? std::move(response).value() : failed;
     }
 
+    /// What the entry and the control host serve as metrics.
+    asio::awaitable<std::pair<std::string, std::string>> metrics()
+    {
+        auto entry = co_await metricsAt(m_entry->metricsPort());
+        auto control = co_await metricsAt(m_control->metricsPort());
+        co_return std::pair(std::move(entry), std::move(control));
+    }
+
 private:
+    static asio::awaitable<std::string> metricsAt(std::uint16_t port)
+    {
+        HttpRequest request;
+        request.target = "/metrics";
+        Endpoint endpoint{.host = "127.0.0.1", .port = port};
+        const auto response = co_await httpExchange(std::move(endpoint), std::move(request), CallTimeout);
+        co_return response.has_value() ? response.value().body : std::string();
+    }
+
     struct Member
     {
         std::unique_ptr<StandInServer> server;
@@ -168,6 +190,7 @@
         controlSettings.name = "c1";
         controlSettings.host = "127.0.0.1";
         controlSettings.listen = {.host = "127.0.0.1", .port = 0};
+        controlSettings.metricsListen = Endpoint{.host = "127.0.0.1", .port = 0};
         controlSettings.seeds = {"127.0.0.1"};
         controlSettings.firstStart = true;
         controlSettings.dataFolder = m_folder;
@@ -185,6 +208,7 @@
         entrySettings.zone = Zone("z");
         entrySettings.listen = {.host = "127.0.0.1", .port = 0};
         entrySettings.readyListen = {.host = "127.0.0.1", .port = 0};
+        entrySettings.metricsListen = Endpoint{.host = "127.0.0.1", .port = 0};
         entrySettings.controlPort = m_control->entryPort();
         entrySettings.seeds = {"127.0.0.1"};
         entrySettings.retrySlack = 50;
@@ -323,3 +347,97 @@
         CHECK(clean.status == 200);
     });
 }
+
+/// Takes all log lines of this process while it lives.
+class LogCapture
+{
+public:
+    LogCapture()
+        : m_before(spdlog::default_logger())
+    {
+        auto sink = std::make_shared<spdlog::sinks::ostream_sink_st>(m_text);
+        auto logger = std::make_shared<spdlog::logger>("capture", std::move(sink));
+        logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l process=%n %v");
+        spdlog::set_default_logger(std::move(logger));
+    }
+    ~LogCapture()
+    {
+        spdlog::set_default_logger(m_before);
+    }
+    LogCapture(const LogCapture &) = delete;
+    LogCapture &operator=(const LogCapture &) = delete;
+
+    /// What the log tells of one request, as an operator reads it.
+    std::string explain(const std::string &request)
+    {
+        RequestExplanation explanation(request);
+        std::istringstream log(m_text.str());
+        explanation.read("log", log);
+        std::ostringstream out;
+        const bool named = explanation.write(out);
+        CHECK(named);
+        return out.str();
+    }
+
+private:
+    std::shared_ptr<spdlog::logger> m_before;
+    std::ostringstream m_text;
+};
+
+static void contains(const std::string &text, const std::string &part)
+{
+    INFO(text);
+    CHECK_MESSAGE(text.find(part) != std::string::npos, part);
+}
+
+TEST_CASE("the id of a failed request leads to its one cause in the logs, and metrics count it")
+{
+    Deployment deployment;
+    StandInServer::Behaviour loses = [](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        const auto id = request.headers.find("Tamarackcove-Attempt-Id").value_or("");
+        if (id == "lost") {
+            (void)co_await responder.beginStream(sealed(request, 200));
+            co_return;
+        }
+        co_await answerPlainly(request, responder);
+    };
+    StandInServer::Behaviour breaksOff = [](const HttpRequest &request, HttpResponder &responder) {
+        const bool cut = request.headers.find("Tamarackcove-Attempt-Id") == "cut";
+        return sendEvents(request, responder, cut ? 3 : 6, 6);
+    };
+    deployment.addServer("p1", "plain", loses);
+    deployment.addServer("s1", "engines", breaksOff);
+    std::optional<LogCapture> capture;
+    deployment.run([&]() -> asio::awaitable<void> {
+        capture.emplace();
+        const auto lost = co_await deployment.call("POST", "/once/x", "lost");
+        CHECK(lost.status == 502);
+        (void)co_await deployment.call("POST", "/stream/x", "cut", "a1");
+        const auto [entry, control] = co_await deployment.metrics();
+        contains(entry,
+                 "tamarackcove_requests_total{route=\"/once/\",outcome=\"refused\",reason=\"outcome_unknown\"} 1");
+        contains(entry, "tamarackcove_requests_total{route=\"/stream/\",outcome=\"cut\",reason=\"not_resumed\"} 1");
+        contains(entry, "tamarackcove_request_seconds_bucket{route=\"/once/\",outcome=\"refused\",le=\"0.15\"}");
+        contains(entry, "tamarackcove_retries_left{service=\"engines\"}");
+        contains(entry, "tamarackcove_configuration_version 7");
+        contains(control, "tamarackcove_orders_total{action=\"load\",outcome=\"accepted\"}");
+        contains(control, "tamarackcove_order_duty 1");
+        contains(control, "tamarackcove_servers 2");
+        contains(control, "tamarackcove_configuration_version 7");
+    });
+    REQUIRE(capture);
+    const auto lost = capture->explain("lost");
+    contains(lost, "event=server_answer_lost request=lost route=/once/ server=p1");
+    contains(lost, "outcome: refused (outcome_unknown)");
+    contains(lost, "cause: request_refused, the answer of a server was lost");
+    const auto cut = capture->explain("cut");
+    // The load that it waited for, at the control host, comes before it was sent on.
+    const auto load = cut.find("event=order_answered server=s1 action=load model=m adapter=a1");
+    const auto awaited = cut.find("event=adapter_awaited request=cut adapter=a1");
+    REQUIRE(load != std::string::npos);
+    REQUIRE(awaited != std::string::npos);
+    CHECK(load < awaited);
+    contains(cut, "event=server_answer_lost request=cut");
+    contains(cut, "event=stream_cut request=cut");
+    contains(cut, "outcome: cut (not_resumed)");
+}
