Hold requests that come before the configuration after a restart

Change: a request waits for the configuration for at most 600 ms, and is then refused as before. A refusal for lack of time says so in its detail instead of blaming the adapter.

--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -65,6 +65,8 @@
     /// Waits until servers or what they hold have changed, or the deadline. The timer is that of the request, which may
     /// be cancelled from outside.
     boost::asio::awaitable<void> waitForAdapter(Wait wait, boost::asio::steady_timer &timer);
+    /// Waits until there is a configuration, or the deadline. The timer is that of the request.
+    boost::asio::awaitable<void> waitForConfiguration(TimePoint until, boost::asio::steady_timer &timer);
     /// A request for an adapter was sent to a server, and has ended there.
     void beginUse(const TargetId &server, const AdapterKey &adapter);
     void endUse(const TargetId &server, const AdapterKey &adapter);
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -51,6 +51,7 @@
         Again,
     };
 
+    boost::asio::awaitable<void> awaitConfiguration(Exchange &exchange);
     boost::asio::awaitable<void> run(Exchange &exchange);
     boost::asio::awaitable<std::optional<ServerDirectory::Choice>> awaitServer(Exchange &exchange);
     boost::asio::awaitable<Step> attempt(Exchange &exchange, ServerDirectory::Choice choice);
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -58,6 +58,7 @@
 void FleetView::apply(const FleetUpdateMessage &update, TimePoint now)
 {
     m_updatedAt = now;
+    bool changed = !update.holdings.empty() || !update.servers.empty() || !update.removed.empty();
     const auto held = m_routes ? m_routes->configuration().version : 0;
     if (!update.document.empty() && update.configurationVersion > held) {
         auto read = m_dialect.readConfiguration(update.document);
@@ -67,6 +68,7 @@
             m_routes = std::make_shared<const RouteTable>(
                 std::make_shared<const DeploymentConfiguration>(std::move(read).value()));
             LogLine(LogLevel::Info, "configuration_in_force").add("version", update.configurationVersion);
+            changed = true;
         }
     }
     for (const auto &named : update.versions) {
@@ -109,7 +111,7 @@
             window.setEntries(m_entries);
         }
     }
-    if (!update.holdings.empty() || !update.servers.empty() || !update.removed.empty()) {
+    if (changed) {
         wakeAll();
     }
 }
@@ -302,6 +304,30 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<void> FleetView::waitForConfiguration(TimePoint until, asio::steady_timer &timer)
+{
+    // Leaves the set also when the coroutine is destroyed while it waits.
+    struct Registration
+    {
+        std::set<asio::steady_timer *> &waiters;
+        asio::steady_timer *timer;
+        ~Registration()
+        {
+            waiters.erase(timer);
+        }
+    };
+    while (!m_routes && Clock::now() < until) {
+        m_waiters.insert(&timer);
+        const Registration registration{m_waiters, &timer};
+        timer.expires_at(until);
+        boost::system::error_code ended;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ended));
+        if (!ended) {
+            break;
+        }
+    }
+}
+
 void FleetView::beginUse(const TargetId &server, const AdapterKey &adapter)
 {
     auto &use = m_uses[{server, adapter}];
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -27,6 +27,9 @@
 static constexpr milliseconds MaxUnledWait{400};
 /// A waiting request looks again at least this often.
 static constexpr milliseconds WaitStep{100};
+/// After all processes have been restarted, an entry has its configuration within this time. A request that is refused
+/// meanwhile is lost for most callers, and goals leave room for it.
+static constexpr milliseconds MaxConfigurationWait{600};
 static constexpr milliseconds WriteTimeout{1000};
 static constexpr milliseconds RefusalRetryAfter{300};
 /// Refusals by servers that one request tolerates before it is refused itself.
@@ -53,6 +56,9 @@
     exchange.arrived = Clock::now();
     exchange.sampled = m_served++ % SampleInterval == 0;
     exchange.caller = m_parts.dialect.readRequest(request);
+    if (!m_parts.view.routes()) {
+        co_await awaitConfiguration(exchange);
+    }
     exchange.routes = m_parts.view.routes();
     if (!exchange.routes) {
         co_await refuse(exchange, EntryRefusal::NotReady, RefusalRetryAfter);
@@ -77,6 +83,15 @@
     recordEnd(exchange);
 }
 
+asio::awaitable<void> RequestRelay::awaitConfiguration(Exchange &exchange)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    exchange.watched.timer = &timer;
+    const auto patience = std::min(MaxConfigurationWait, exchange.caller.patience.value_or(MaxConfigurationWait));
+    co_await m_parts.view.waitForConfiguration(exchange.arrived + patience, timer);
+    exchange.watched.timer = nullptr;
+}
+
 asio::awaitable<void> RequestRelay::run(Exchange &exchange)
 {
     while (!exchange.watched.gone()) {
@@ -142,7 +157,9 @@
         const bool led = m_parts.led();
         const auto giveUp = led ? last : std::min(last, begun + MaxUnledWait);
         if (exchange.watched.gone() || now >= giveUp) {
-            exchange.obstacle = led ? "the adapter was not loaded in time" : "no control host that leads is connected";
+            exchange.obstacle = now + AnswerMargin >= exchange.deadline ? "too little time is left"
+                : led                                                   ? "the adapter was not loaded in time"
+                                                                        : "no control host that leads is connected";
             noteWait(exchange.watched.gone() ? "caller_gone" : "gave_up", now);
             co_return std::nullopt;
         }
--- /dev/null
+++ b/unittests/Gateway/FleetViewTest.cpp
@@ -0,0 +1,83 @@
+#include "tamarackcove/Gateway/FleetView.h"
+
+#include "tamarackcove/Gateway/CallerDialect.h"
+#include "tamarackcove/Gateway/GatewaySettings.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Wire/FleetMessages.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+namespace asio = boost::asio;
+using namespace tamarackcove;
+
+/// A view whose configurations are all readable.
+class Viewed
+{
+public:
+    Viewed()
+    {
+        static const bool LogsSetUp = [] {
+            initLogging("fleet-view", LogLevel::Error);
+            return true;
+        }();
+        REQUIRE(LogsSetUp);
+        dialect.readConfiguration = [](std::string_view) -> Result<DeploymentConfiguration, std::string> {
+            DeploymentConfiguration configuration;
+            configuration.version = 3;
+            return configuration;
+        };
+    }
+
+    /// Waits for a configuration that arrives after some time, if at all. Returns how long it waited.
+    Duration wait(milliseconds atMost, std::optional<milliseconds> arrivesAfter)
+    {
+        const auto begun = Clock::now();
+        Duration waited{0};
+        asio::steady_timer arrival(io);
+        if (arrivesAfter) {
+            arrival.expires_after(*arrivesAfter);
+            arrival.async_wait([this](const boost::system::error_code &) {
+                FleetUpdateMessage update;
+                update.leads = true;
+                update.configurationVersion = 3;
+                update.document = "{}";
+                view.apply(update, Clock::now());
+            });
+        }
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                asio::steady_timer timer(io);
+                co_await view.waitForConfiguration(begun + atMost, timer);
+                waited = Clock::now() - begun;
+            },
+            asio::detached);
+        io.run();
+        return waited;
+    }
+
+    asio::io_context io{1};
+    GatewaySettings settings;
+    CallerDialect dialect;
+    FleetView view{io.get_executor(), settings, dialect};
+};
+
+TEST_CASE("a request that comes before the configuration goes on as soon as it arrives")
+{
+    Viewed viewed;
+    const auto waited = viewed.wait(seconds(20), milliseconds(30));
+    CHECK(viewed.view.routes() != nullptr);
+    CHECK(waited >= milliseconds(30));
+    CHECK(waited < seconds(10));
+}
+
+TEST_CASE("without a configuration the wait ends at its deadline")
+{
+    Viewed viewed;
+    const auto waited = viewed.wait(milliseconds(50), std::nullopt);
+    CHECK(viewed.view.routes() == nullptr);
+    CHECK(waited >= milliseconds(50));
+}
