Do not read the control link of an entry before it is constructed

Cause: the router of EntryProcess was made from policy(), which asked inForce() for the weights; that reads the optional control link, a member that is constructed after the router.

Change: policy() takes the weights; while the entry is constructed they are those of its settings.

Ruled out: moving the link before the router, since its tasks belong to a supervisor that is destroyed before it then.

--- a/lib/Entry/EntryProcess.cpp
+++ b/lib/Entry/EntryProcess.cpp
@@ -41,7 +41,7 @@
     void useStaticConfiguration();
     void useZoneAndControl();
     [[nodiscard]] const ServingConfiguration &inForce() const;
-    [[nodiscard]] Policy policy();
+    [[nodiscard]] Policy policy(const PolicyWeights &weights);
     void startChildren();
     asio::awaitable<void> expireConnections();
     asio::awaitable<void> announceReady();
@@ -88,7 +88,7 @@
 EntryProcess::Impl::Impl(EntrySettings entrySettings)
     : settings(std::move(entrySettings))
     , tracer("tamarackcove-entry " + settings.name.value(), settings.traceFile)
-    , router(policy().routing)
+    , router(policy(staticConfiguration.weights).routing)
     , connections(settings.connections)
     , root(io.get_executor(), "entry")
     , callers(io.get_executor(), "callers")
@@ -138,7 +138,7 @@
     return link ? link->inForce() : staticConfiguration;
 }
 
-Policy EntryProcess::Impl::policy()
+Policy EntryProcess::Impl::policy(const PolicyWeights &weights)
 {
     Policy base;
     base.routing.zone = settings.zone;
@@ -149,7 +149,7 @@
                  const Router::LoadOf &load, std::mt19937_64 &random) {
               return Router::betterOfTwo(packThreshold(inForce().weights))(request, candidates, load, random);
           };
-    base.residency.packThreshold = packThreshold(inForce().weights);
+    base.residency.packThreshold = packThreshold(weights);
     base.residency.baseModel = [this](const AdapterRef &adapter) -> std::optional<BaseModel> {
         const auto record = inForce().adapters.find(adapter);
         return record ? std::optional(record->baseModel) : std::nullopt;
@@ -184,7 +184,7 @@
     ZoneHooks hooks;
     hooks.control = link->calls();
     hooks.makePlanner = [this] {
-        return makeResidencyPlanner(policy().residency);
+        return makeResidencyPlanner(policy(inForce().weights).residency);
     };
     hooks.onActivate = [this](Revision revision) {
         link->activate(revision);
