--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -104,8 +104,6 @@
     /// A request was sent to a server, and has ended there. Its weight is in units of an ordinary request.
     void began(const TargetId &id, double weight);
     void ended(const TargetId &id, double weight, ServerOutcome outcome, TimePoint now);
-    /// Whether this start of the server is known and takes new requests.
-    [[nodiscard]] bool usable(const ServerIdentity &identity) const;
     /// The start of a server that is known; nothing when it is not.
     [[nodiscard]] std::optional<ServerIdentity> identityOf(const TargetId &id) const;
     [[nodiscard]] std::size_t size() const;
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -178,12 +178,6 @@
     }
 }
 
-bool ServerDirectory::usable(const ServerIdentity &identity) const
-{
-    const auto found = m_servers.find(identity.id);
-    return found != m_servers.end() && found->second.offered.identity == identity && !found->second.offered.draining;
-}
-
 std::optional<ServerIdentity> ServerDirectory::identityOf(const TargetId &id) const
 {
     const auto found = m_servers.find(id);
