--- a/tools/tamarackcove-controlbench/main.cpp
+++ b/tools/tamarackcove-controlbench/main.cpp
@@ -1,4 +1,5 @@
 #include "tamarackcove/ControlBench/ChangeBench.h"
+#include "tamarackcove/ControlBench/LeaderBench.h"
 #include "tamarackcove/ControlBench/StateBench.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Settings/SettingsFile.h"
@@ -40,7 +41,19 @@
         TCLAP::ValueArg<int> adapters("", "adapters", "adapters in the configuration", false, 3000, "COUNT", line);
         TCLAP::ValueArg<int> idle("", "idle-ms", "length of the idle measurement", false, 10000, "MS", line);
         TCLAP::SwitchArg state("", "state", "measure only the replicated state, without control hosts", line);
+        TCLAP::SwitchArg leader("", "leader", "measure only a leading control host, with entries and engines", line);
+        TCLAP::ValueArg<int> entries("", "entries", "with --leader: number of entries", false, 67, "COUNT", line);
+        TCLAP::ValueArg<int> servers("", "servers", "with --leader: number of engines", false, 60, "COUNT", line);
+        TCLAP::ValueArg<double> rate("", "rate", "with --leader: requests per second", false, 920, "RATE", line);
         line.parse(argc, argv);
+        if (leader.getValue()) {
+            LeaderBenchOptions options;
+            options.entries = entries.getValue();
+            options.servers = servers.getValue();
+            options.requestsPerSecond = rate.getValue();
+            std::cout << runLeaderBench(options).dump(2) << '\n';
+            return 0;
+        }
         if (state.getValue()) {
             std::cout << runStateBench(adapters.getValue()).dump(2) << '\n';
             return 0;
