--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -2,15 +2,15 @@
 
 #include "tamarackcove/Base/Endpoint.h"
 #include "tamarackcove/Base/Result.h"
-#include "tamarackcove/Fleet/AdapterPlanner.h"
-#include "tamarackcove/Fleet/FleetState.h"
-#include "tamarackcove/Fleet/ServerRegistry.h"
+#include "tamarackcove/Control/Fleet/UpdateFeed.h"
+#include "tamarackcove/Fleet/DemandTable.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Wire/FleetMessages.h"
 #include "tamarackcove/Wire/WireError.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <set>
@@ -20,9 +20,13 @@
 
 class FramedConnection;
 
-/// Connections of entries to this control host. While the host is leader of the control hosts, it sends each entry the
+/// Connections of entries to this control host. While the host is leader of the control hosts, it sends all entries the
 /// changes of the configuration, of the servers and of the adapters that they hold or load (their holdings), and
-/// receives the reports of entries. While the host is not leader, it sends only the list of control hosts.
+/// receives the reports of entries. While the host is not leader, it sends only its status.
+///
+/// One task publishes the changes in the feed, at most once in each ChangeDelay; the task of each connection sends the
+/// frames that its entry lacks. Changes reach all entries at once, except holdings, which go at once only to entries
+/// with requests that wait for the adapter.
 ///
 /// Thread safety: used on the thread of the executor.
 class EntryLinks
@@ -45,9 +49,8 @@
         std::function<void(const EntryId &)> onEntryDisconnected;
     };
 
-    /// Precondition: state, registry and planner outlive this object; the supervisor is stopped before it is destroyed.
-    EntryLinks(Supervisor &connections, const FleetState &state, const ServerRegistry &registry,
-               const AdapterPlanner &planner, Hooks hooks);
+    /// Precondition: feed and demands outlive this object; the supervisor is stopped before it is destroyed.
+    EntryLinks(Supervisor &connections, UpdateFeed &feed, const DemandTable &demands, Hooks hooks);
     ~EntryLinks();
     EntryLinks(const EntryLinks &) = delete;
     EntryLinks &operator=(const EntryLinks &) = delete;
@@ -55,24 +58,24 @@
     Result<void, WireError> listen(const Endpoint &endpoint);
     /// Accepts until cancelled. Precondition: listen() has succeeded.
     boost::asio::awaitable<void> run();
+    /// Publishes changes until cancelled.
+    boost::asio::awaitable<void> publishUpdates();
 
     /// Precondition: listen() has succeeded.
     [[nodiscard]] std::uint16_t port() const;
 
-    /// Sends all entries an update at once. Called when the configuration or versions of weights have changed.
+    /// Sends all entries the changes of the configuration and the versions of weights.
     void scheduleStateUpdate();
-    /// Sends all entries these servers at once; those that are not in the registry any more as removed.
+    /// Sends all entries these servers; those that are not in the registry any more as removed.
     void scheduleServerUpdates(const std::set<TargetId> &ids);
-    /// Adds the changes to the next update of each entry. The update is sent at once if a server now holds or loads an
-    /// adapter that requests of this entry wait for.
+    /// Sends all entries these changes: at once those entries with requests that wait for an adapter which a server now
+    /// holds or loads, the others within UpdateInterval.
     void scheduleHoldingUpdates(const std::vector<AdapterPlanner::HoldingChange> &changes);
-    /// Sends all entries an update at once, with the whole state if this host is leader. Called when this host has
-    /// become leader or is no longer leader.
+    /// Sends all entries the status of this host, and the whole state if it is leader. Called when this host has become
+    /// leader or is no longer leader.
     void resendEverything();
     /// The number of open connections of entries.
     [[nodiscard]] std::size_t size() const;
-    /// Number of requests that wait for an adapter, summed over all entries.
-    [[nodiscard]] int waitingRequests(const AdapterKey &adapter) const;
     /// Request load of each server: the weight of its requests in progress, summed over the last reports of all
     /// entries. Computed at most ten times a second; between two computations the previous result is returned.
     [[nodiscard]] const std::vector<ServerLoadMessage> &totalLoads();
@@ -83,20 +86,34 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<Link> link);
     boost::asio::awaitable<void> readReports(Link &link);
     boost::asio::awaitable<void> writeUpdates(Link &link);
-    [[nodiscard]] FleetUpdateMessage composeUpdate(Link &link);
-    /// Decides whether the next update of this entry asks for its adapter history, and counts the history request if it
+    /// Publishes what is pending and wakes the connections that send it now.
+    void publish(TimePoint now);
+    /// Makes publishUpdates() publish after ChangeDelay.
+    void schedulePublication();
+    /// The status of this host as a frame, which the entries share for StatusLifetime.
+    [[nodiscard]] SharedFrame statusFrame(bool wantsHistory);
+    /// Decides whether the next status asks this entry for its adapter history, and counts the history request if it
     /// does.
     [[nodiscard]] bool tryRequestHistory(Link &link);
-    [[nodiscard]] ServerMessage toServerMessage(const TargetId &id) const;
 
     Supervisor &m_connections;
-    const FleetState &m_state;
-    const ServerRegistry &m_registry;
-    const AdapterPlanner &m_planner;
+    UpdateFeed &m_feed;
+    const DemandTable &m_demands;
     Hooks m_hooks;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<Link *> m_links;
+    /// Connections whose entries await a change that is not published yet.
+    std::set<Link *> m_awaitingLinks;
     std::uint64_t m_acceptedConnections = 0;
+    boost::asio::steady_timer m_publicationTimer;
+    /// When the next publication is due.
+    TimePoint m_publicationAt;
+    /// When all entries were last woken.
+    TimePoint m_allWokenAt;
+    /// Whether the next publication is sent to all entries at once.
+    bool m_wakeAll = false;
+    SharedFrame m_status;
+    TimePoint m_statusAt;
     std::vector<ServerLoadMessage> m_totalLoads;
     TimePoint m_totalLoadsAt;
     /// Number of entries that were asked for their adapter history since this host became leader.
--- a/include/tamarackcove/Control/Fleet/FleetLog.h
+++ b/include/tamarackcove/Control/Fleet/FleetLog.h
@@ -13,15 +13,17 @@
 class FleetLog
 {
 public:
-    /// `onChange` is called after each command and each snapshot that was applied.
-    explicit FleetLog(std::function<void()> onChange);
+    /// Called after each command that was applied, and with null after each snapshot.
+    using OnChange = std::function<void(const FleetCommand *command)>;
+
+    explicit FleetLog(OnChange onChange);
 
     /// Precondition: this object outlives the hooks.
     [[nodiscard]] StateMachineHooks hooks();
     [[nodiscard]] const FleetState &state() const;
 
 private:
-    std::function<void()> m_onChange;
+    OnChange m_onChange;
     FleetState m_state;
 };
 
--- a/include/tamarackcove/Gateway/FleetLink.h
+++ b/include/tamarackcove/Gateway/FleetLink.h
@@ -13,10 +13,11 @@
 
 class FleetView;
 class FramedConnection;
-struct FleetUpdateMessage;
+struct FleetReportMessage;
+struct FleetStatusMessage;
 
 /// Keeps an entry connected to every control host, with one task for each. The leader sends updates and receives
-/// reports; the other hosts send only the list of control hosts, and stay connected because each of them may become
+/// reports; the other hosts send only their status, and stay connected because each of them may become
 /// leader at any moment.
 ///
 /// Thread safety: used on the thread of the executor.
@@ -31,7 +32,7 @@
 
     /// Starts a task for each seed in the settings. May be called again after the seeds have changed.
     void start();
-    /// Sends a report to the leader as soon as possible; does nothing without a leader.
+    /// Reports new demands to the leader as soon as possible; does nothing without a leader.
     void reportSoon();
     /// Whether the leader is connected.
     [[nodiscard]] bool connectedToLeader() const;
@@ -46,7 +47,10 @@
     boost::asio::awaitable<void> run(Host &host);
     boost::asio::awaitable<void> readUpdates(Host &host, FramedConnection &connection);
     boost::asio::awaitable<void> writeReports(Host &host, FramedConnection &connection);
-    void applyUpdate(Host &host, const FleetUpdateMessage &update);
+    void applyStatus(Host &host, const FleetStatusMessage &status);
+    /// Sends a report with everything as soon as possible.
+    static void reportInFull(Host &host);
+    [[nodiscard]] FleetReportMessage nextReport(Host &host, TimePoint now);
     void updateReachability(TimePoint now);
 
     Supervisor &m_tasks;
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -15,6 +15,7 @@
 
 namespace tamarackcove {
 
+struct DemandMessage;
 struct FleetUpdateMessage;
 struct FleetReportMessage;
 struct GatewaySettings;
@@ -31,12 +32,17 @@
     FleetView(boost::asio::any_io_executor executor, const GatewaySettings &settings, const CallerDialect &dialect);
 
     /// Applies an update of the leader. A configuration that is not newer than the one in force is ignored.
-    void apply(const FleetUpdateMessage &update, TimePoint now);
+    /// `leaderClockZero` is when the clock of the leader, to which the update refers, stood at zero.
+    void apply(const FleetUpdateMessage &update, TimePoint leaderClockZero, TimePoint now);
+    /// Notes that the leader is connected, and the number of entries among which the retry budget is divided.
+    void noteStatus(std::size_t entries, TimePoint now);
     /// A report that only identifies this entry: its name, zone and configuration version.
     [[nodiscard]] FleetReportMessage makeReportHeader() const;
     /// Returns the report for the time since the last call and resets the counts in it. Optionally includes the servers
     /// that this entry knows, and the adapter history of each server.
     [[nodiscard]] FleetReportMessage takeReport(bool withServers, bool withHistory);
+    /// A report of the demands that are new since the previous report.
+    [[nodiscard]] FleetReportMessage takeNewDemands();
 
     /// Null before the first configuration.
     [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
@@ -46,7 +52,7 @@
     [[nodiscard]] std::uint64_t requiredVersion(const AdapterKey &adapter, TimePoint now) const;
     /// The latest version of an adapter that the control host has announced; 0 if there is none.
     [[nodiscard]] std::uint64_t latestVersion(const AdapterKey &adapter) const;
-    /// Time since the last update of a leader; before the first update, time since the start.
+    /// Time since the last message of a leader; before the first update, time since the start.
     [[nodiscard]] milliseconds updateAge(TimePoint now) const;
     /// Number of requests that wait for an adapter or for the first configuration.
     [[nodiscard]] std::size_t waitingRequests() const;
@@ -92,6 +98,8 @@
         int waiting = 0;
         std::uint64_t version = 0;
         int failed = 0;
+        /// Whether onNewDemand was called after the last report.
+        bool isNew = false;
     };
     struct AnnouncedVersion
     {
@@ -112,6 +120,8 @@
     std::unordered_map<AdapterKey, AnnouncedVersion> m_versions;
     std::map<ServiceName, RetryWindow> m_retryBudgets;
     std::size_t m_entryCount = 1;
+    [[nodiscard]] static DemandMessage toDemandMessage(const AdapterKey &adapter, const Demand &demand);
+
     std::map<AdapterKey, Demand> m_demands;
     /// Requests for one adapter at one server.
     struct Use
--- a/include/tamarackcove/Wire/Codec.h
+++ b/include/tamarackcove/Wire/Codec.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Wire/WireError.h"
 
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <vector>
 
@@ -17,6 +18,9 @@
 /// The maximum size of a frame that is read or written, not counting its length field.
 inline constexpr std::size_t MaxFrameBytes = 1024 * 1024;
 
+/// An encoded frame that several connections can write.
+using SharedFrame = std::shared_ptr<const std::vector<std::uint8_t>>;
+
 /// Encodes a message as a frame: the payload length as four bytes in big-endian order, then the msgpack payload. Fails
 /// with FrameTooLarge when the payload is longer than MaxFrameBytes. Thread safe.
 [[nodiscard]] Result<std::vector<std::uint8_t>, WireError> encodeFrame(const Message &message);
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -8,9 +8,31 @@
 
 namespace tamarackcove {
 
-// Messages between entries and the leading control host. An entry opens the connection. Afterwards both sides send
-// unprompted: the entry sends reports, the control host sends updates. Times are durations in milliseconds, counted
-// from the moment of sending.
+// Messages between entries and control hosts. An entry opens the connection. Afterwards both sides send unprompted: the
+// entry sends reports, the control host sends its status, and the leader sends updates after its status. An update is
+// encoded once for all entries, so that it names times on the clock of the leader, which the status carries.
+//
+// The messages that come by the thousand a second are encoded as arrays of their fields, in the order of declaration:
+// without the field names they take a fraction of the time to encode and decode.
+
+/// Encodes the fields of a message as an array.
+template<typename... Fields>
+[[nodiscard]] nlohmann::json toArray(const Fields &...fields)
+{
+    auto array = nlohmann::json::array();
+    array.get_ref<nlohmann::json::array_t &>().reserve(sizeof...(fields));
+    (array.push_back(fields), ...);
+    return array;
+}
+
+/// Decodes the fields of a message from an array. Throws nlohmann::json::exception when one is absent or of the wrong
+/// type.
+template<typename... Fields>
+void fromArray(const nlohmann::json &array, Fields &...fields)
+{
+    std::size_t index = 0;
+    (array.at(index++).get_to(fields), ...);
+}
 
 /// The attributes of a server that entries route by.
 struct ServerMessage
@@ -33,10 +55,17 @@
     std::string model;
     std::string adapter;
     std::uint64_t version = 0;
-    /// The time until requests may use the adapter at this server; negative when they already may.
-    std::int64_t readyInMs = 0;
+    /// When requests may use the adapter at this server, in milliseconds on the clock of FleetStatusMessage::clockMs.
+    std::int64_t readyAtMs = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HoldingMessage, server, model, adapter, version, readyInMs)
+inline void to_json(nlohmann::json &json, const HoldingMessage &message)
+{
+    json = toArray(message.server, message.model, message.adapter, message.version, message.readyAtMs);
+}
+inline void from_json(const nlohmann::json &json, HoldingMessage &message)
+{
+    fromArray(json, message.server, message.model, message.adapter, message.version, message.readyAtMs);
+}
 
 /// The load of the requests in progress at a server.
 struct ServerLoadMessage
@@ -45,7 +74,14 @@
     /// In units of the load of one ordinary request.
     double load = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServerLoadMessage, server, load)
+inline void to_json(nlohmann::json &json, const ServerLoadMessage &message)
+{
+    json = toArray(message.server, message.load);
+}
+inline void from_json(const nlohmann::json &json, ServerLoadMessage &message)
+{
+    fromArray(json, message.server, message.load);
+}
 
 struct WeightVersionMessage
 {
@@ -55,17 +91,30 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WeightVersionMessage, model, adapter, version)
 
-struct FleetUpdateMessage
+/// Sent by every control host at regular intervals, and by the leader before each update.
+struct FleetStatusMessage
 {
-    static constexpr std::string_view Type = "fleet_update";
-    /// False when the sender is not the leader; then only `hosts` is set.
+    static constexpr std::string_view Type = "fleet_status";
     bool leads = false;
-    /// The term in which the sender is the leader.
+    /// The term in which the sender is the leader. This field and those after `hosts` are set only by the leader.
     std::uint64_t term = 0;
     /// IP addresses of the control hosts.
     std::vector<std::string> hosts;
+    /// The monotonic clock of the sender, in milliseconds.
+    std::int64_t clockMs = 0;
+    /// The number of connected entries, among which the retry budget is divided.
+    std::uint64_t entries = 1;
+    /// Asks the entry to list in its next report which adapters the servers have held.
+    bool wantsHistory = false;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetStatusMessage, leads, term, hosts, clockMs, entries, wantsHistory)
+
+/// Changes since the previous update, or the whole state of the leader for an entry that has not followed its updates.
+struct FleetUpdateMessage
+{
+    static constexpr std::string_view Type = "fleet_update";
     std::uint64_t configurationVersion = 0;
-    /// The configuration as the operator sent it; empty when the entry already holds this version.
+    /// The configuration as the operator sent it; empty when it has not changed.
     std::string document;
     std::vector<WeightVersionMessage> versions;
     std::vector<ServerMessage> servers;
@@ -75,15 +124,11 @@
     bool complete = false;
     /// The ids of all existing servers. The entry removes every server that is not listed.
     std::vector<std::string> all;
-    /// The load of the requests in progress at each server, summed over all entries.
+    /// The load of the requests in progress, summed over all entries, at each server where it has changed.
     std::vector<ServerLoadMessage> loads;
-    /// The number of connected entries, among which the retry budget is divided.
-    std::uint64_t entries = 1;
-    /// Asks the entry to list in its next report which adapters the servers have held.
-    bool wantsHistory = false;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, leads, term, hosts, configurationVersion, document, versions,
-                                   servers, removed, holdings, complete, all, loads, entries, wantsHistory)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, configurationVersion, document, versions, servers, removed,
+                                   holdings, complete, all, loads)
 
 /// Requests that wait for an adapter.
 struct DemandMessage
@@ -95,7 +140,14 @@
     /// The number of servers that hold the adapter and have failed one of these requests.
     int failed = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandMessage, model, adapter, version, waiting, failed)
+inline void to_json(nlohmann::json &json, const DemandMessage &message)
+{
+    json = toArray(message.model, message.adapter, message.version, message.waiting, message.failed);
+}
+inline void from_json(const nlohmann::json &json, DemandMessage &message)
+{
+    fromArray(json, message.model, message.adapter, message.version, message.waiting, message.failed);
+}
 
 /// The use of an adapter at a server by the requests of one entry.
 struct UseMessage
@@ -113,7 +165,16 @@
     /// overdue.
     std::int64_t overdueMs = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UseMessage, server, model, adapter, requests, running, missing, overdueMs)
+inline void to_json(nlohmann::json &json, const UseMessage &message)
+{
+    json = toArray(message.server, message.model, message.adapter, message.requests, message.running, message.missing,
+                   message.overdueMs);
+}
+inline void from_json(const nlohmann::json &json, UseMessage &message)
+{
+    fromArray(json, message.server, message.model, message.adapter, message.requests, message.running, message.missing,
+              message.overdueMs);
+}
 
 /// The adapters of one model that a server has held since the start identified by `startedAt`, least recent first.
 struct HistoryMessage
@@ -131,6 +192,9 @@
     std::string entry;
     std::string zone;
     std::uint64_t configurationVersion = 0;
+    /// Whether the report only adds demands to those of the previous report. The fields after `demands` are then empty
+    /// and say nothing.
+    bool onlyNewDemands = false;
     std::vector<DemandMessage> demands;
     std::vector<UseMessage> uses;
     std::vector<ServerLoadMessage> loads;
@@ -141,7 +205,7 @@
     /// Sent only when the control host has asked for it with `wantsHistory`.
     std::vector<HistoryMessage> histories;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, demands, uses, loads,
-                                   unreachable, servers, histories)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, onlyNewDemands, demands, uses,
+                                   loads, unreachable, servers, histories)
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Wire/FramedConnection.h
+++ b/include/tamarackcove/Wire/FramedConnection.h
@@ -34,6 +34,9 @@
     /// connection is then closed.
     boost::asio::awaitable<Result<void, WireError>> write(Message message, milliseconds timeout);
 
+    /// Writes frames that encodeFrame() has made, in this order. Fails like write().
+    boost::asio::awaitable<Result<void, WireError>> write(std::vector<SharedFrame> frames, milliseconds timeout);
+
     /// Closes the socket. Pending reads and writes fail with Closed.
     void close();
 
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -5,6 +5,7 @@
 #include "tamarackcove/Wire/Codec.h"
 #include "tamarackcove/Wire/FramedConnection.h"
 
+#include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,14 +20,16 @@
 /// FleetLink.
 static constexpr milliseconds ReportTimeout{2500};
 static constexpr milliseconds WriteTimeout{1000};
-/// Longest interval between two updates to an entry while this host is leader. Changes in the holdings of servers that
-/// no request of the entry waits for are sent with the next of these updates.
+/// Longest interval between two messages to an entry while this host is leader, and while it is not.
 static constexpr milliseconds UpdateInterval{200};
+static constexpr milliseconds IdleUpdateInterval{400};
+/// Time from a change to its publication. Changes within this time are sent together.
+static constexpr milliseconds ChangeDelay{15};
+/// Largest error of the clock in a status, which the times of holdings refer to.
+static constexpr milliseconds StatusLifetime{10};
 /// Shortest interval between two computations of the request load of each server, summed over the reports of all
 /// entries. Summing at each report delayed the heartbeats of the leader at 67 entries and 60 servers.
 static constexpr milliseconds LoadsInterval{100};
-/// Interval between updates while this host is not leader.
-static constexpr milliseconds IdleUpdateInterval{400};
 /// Number of entries that are asked for their adapter history after this host has become leader. The histories of all
 /// entries are nearly the same, except that an entry that has just started has an empty one.
 static constexpr int MaxHistoryRequests = 3;
@@ -42,54 +45,32 @@
     {
     }
 
-    /// Makes the next update that is sent as leader contain the whole state.
-    void reset(const ServerRegistry &registry, const AdapterPlanner &planner);
+    void wakeNow()
+    {
+        updateNow = true;
+        wake.cancel();
+    }
 
     FramedConnection connection;
     asio::steady_timer wake;
     /// Name of the entry; empty until its first report.
     std::string entry;
-    /// Whether the complete list of servers was sent to the entry.
-    bool serverListSent = false;
-    std::uint64_t sentConfigurationVersion = 0;
-    Revision sentRevision;
-    /// Changed servers that have not been sent to the entry yet.
-    std::set<TargetId> pendingServers;
-    /// Changes in holdings that have not been sent to the entry yet.
-    std::map<std::pair<TargetId, AdapterKey>, AdapterPlanner::HoldingChange> pendingHoldings;
-    /// Number of requests of this entry that wait for an adapter, as last reported.
-    std::map<AdapterKey, int> awaitedAdapters;
+    UpdateFeed::Position position;
     /// Weight of this entry's requests in progress at each server, as last reported.
     std::vector<ServerLoadMessage> loads;
-    /// Whether the next update is sent without waiting for the update interval.
+    /// Whether the next message is sent without waiting.
     bool updateNow = false;
-    /// Whether the entry was asked for its adapter history since the last reset().
+    /// Whether the entry was asked for its adapter history since this host became leader.
     bool historyRequested = false;
 };
 
-void EntryLinks::Link::reset(const ServerRegistry &registry, const AdapterPlanner &planner)
-{
-    serverListSent = false;
-    historyRequested = false;
-    sentRevision = {};
-    pendingServers.clear();
-    pendingHoldings.clear();
-    for (const auto &[id, server] : registry.servers()) {
-        pendingServers.insert(id);
-    }
-    for (auto &holding : planner.holdings()) {
-        pendingHoldings[{holding.server, holding.adapter}] = holding;
-    }
-}
-
-EntryLinks::EntryLinks(Supervisor &connections, const FleetState &state, const ServerRegistry &registry,
-                       const AdapterPlanner &planner, Hooks hooks)
+EntryLinks::EntryLinks(Supervisor &connections, UpdateFeed &feed, const DemandTable &demands, Hooks hooks)
     : m_connections(connections)
-    , m_state(state)
-    , m_registry(registry)
-    , m_planner(planner)
+    , m_feed(feed)
+    , m_demands(demands)
     , m_hooks(std::move(hooks))
     , m_acceptor(connections.executor())
+    , m_publicationTimer(connections.executor())
 {
 }
 
@@ -124,19 +105,24 @@
     using namespace asio::experimental::awaitable_operators;
     struct Registration
     {
-        std::set<Link *> &links;
+        EntryLinks &owner;
         Link *link;
         ~Registration()
         {
-            links.erase(link);
+            owner.m_links.erase(link);
+            owner.m_awaitingLinks.erase(link);
         }
     };
     m_links.insert(link.get());
-    const Registration registration{m_links, link.get()};
-    link->reset(m_registry, m_planner);
+    const Registration registration{*this, link.get()};
     co_await (readReports(*link) || writeUpdates(*link));
+    const bool reconnected = std::any_of(m_links.begin(), m_links.end(), [&](const Link *other) {
+        return other != link.get() && other->entry == link->entry;
+    });
     if (!link->entry.empty()) {
-        m_hooks.onEntryDisconnected(EntryId(link->entry));
+        if (!reconnected) {
+            m_hooks.onEntryDisconnected(EntryId(link->entry));
+        }
         LogLine(LogLevel::Info, "entry_disconnected").add("entry", link->entry);
     }
 }
@@ -157,43 +143,13 @@
             link.entry = report.value().entry;
             LogLine(LogLevel::Info, "entry_connected").add("entry", link.entry).add("zone", report.value().zone);
         }
-        link.awaitedAdapters.clear();
-        for (const auto &demand : report.value().demands) {
-            link.awaitedAdapters[{BaseModel(demand.model), demand.adapter}] = demand.waiting;
+        if (!report.value().onlyNewDemands) {
+            link.loads = report.value().loads;
         }
-        link.loads = report.value().loads;
         m_hooks.onReport(report.value());
     }
 }
 
-ServerMessage EntryLinks::toServerMessage(const TargetId &id) const
-{
-    const auto &server = *m_registry.find(id);
-    const auto &heartbeat = server.lastHeartbeat;
-    ServerMessage message;
-    message.id = id.value();
-    message.startedAt = heartbeat.identity.startedAt.value();
-    message.service = heartbeat.service.value();
-    message.endpoint = heartbeat.endpoint.toString();
-    message.zone = heartbeat.zone.value();
-    message.slots = heartbeat.slots;
-    message.draining = server.draining;
-    for (const auto &model : heartbeat.models) {
-        message.models.push_back(model.name.value());
-    }
-    return message;
-}
-
-int EntryLinks::waitingRequests(const AdapterKey &adapter) const
-{
-    int sum = 0;
-    for (const auto *link : m_links) {
-        const auto found = link->awaitedAdapters.find(adapter);
-        sum += found == link->awaitedAdapters.end() ? 0 : found->second;
-    }
-    return sum;
-}
-
 const std::vector<ServerLoadMessage> &EntryLinks::totalLoads()
 {
     const auto now = Clock::now();
@@ -228,114 +184,145 @@
     return true;
 }
 
-FleetUpdateMessage EntryLinks::composeUpdate(Link &link)
+SharedFrame EntryLinks::statusFrame(bool wantsHistory)
 {
-    FleetUpdateMessage update;
-    update.leads = m_hooks.leads();
-    update.hosts = m_hooks.hosts();
-    if (!update.leads) {
-        // The whole state is sent once this host becomes leader.
-        link.reset(m_registry, m_planner);
-        return update;
-    }
-    update.term = m_hooks.term();
-    update.entries = m_links.size();
-    update.loads = totalLoads();
-    update.wantsHistory = tryRequestHistory(link);
-    update.configurationVersion = m_state.configurationVersion();
-    if (m_state.document() && link.sentConfigurationVersion < m_state.configurationVersion()) {
-        update.document = *m_state.document();
-        link.sentConfigurationVersion = m_state.configurationVersion();
-    }
-    if (link.sentRevision < m_state.revision()) {
-        for (const auto &[key, version] : m_state.weightVersions()) {
-            update.versions.push_back({.model = key.model.value(), .adapter = key.adapter, .version = version});
-        }
-        link.sentRevision = m_state.revision();
+    const auto now = Clock::now();
+    if (!wantsHistory && m_status && now < m_statusAt + StatusLifetime) {
+        return m_status;
     }
-    for (const auto &id : link.pendingServers) {
-        if (m_registry.find(id) == nullptr) {
-            update.removed.push_back(id.value());
-        } else {
-            update.servers.push_back(toServerMessage(id));
-        }
+    FleetStatusMessage status;
+    status.leads = m_hooks.leads();
+    status.hosts = m_hooks.hosts();
+    if (status.leads) {
+        status.term = m_hooks.term();
+        status.clockMs = duration_cast<milliseconds>(now.time_since_epoch()).count();
+        status.entries = m_links.size();
+        status.wantsHistory = wantsHistory;
     }
-    link.pendingServers.clear();
-    const auto now = Clock::now();
-    for (const auto &[key, change] : link.pendingHoldings) {
-        update.holdings.push_back({.server = change.server.value(),
-                                   .model = change.adapter.model.value(),
-                                   .adapter = change.adapter.adapter,
-                                   .version = change.version,
-                                   .readyInMs = duration_cast<milliseconds>(change.readyAt - now).count()});
+    auto encoded = encodeFrame(toMessage(status));
+    if (encoded.has_error()) {
+        LogLine(LogLevel::Error, "status_not_encoded").add("reason", encoded.error().detail);
+        return nullptr;
     }
-    link.pendingHoldings.clear();
-    if (!link.serverListSent && m_hooks.serversAnnounced()) {
-        link.serverListSent = true;
-        update.complete = true;
-        for (const auto &[id, server] : m_registry.servers()) {
-            update.all.push_back(id.value());
-        }
+    auto frame = std::make_shared<const std::vector<std::uint8_t>>(std::move(encoded).value());
+    if (!wantsHistory) {
+        m_status = frame;
+        m_statusAt = now;
     }
-    return update;
+    return frame;
 }
 
 asio::awaitable<void> EntryLinks::writeUpdates(Link &link)
 {
     for (;;) {
-        const auto update = composeUpdate(link);
         link.updateNow = false;
-        auto message = toMessage(update);
-        const auto written = co_await link.connection.write(std::move(message), WriteTimeout);
+        std::vector<SharedFrame> frames{statusFrame(m_hooks.leads() && tryRequestHistory(link))};
+        if (m_hooks.leads()) {
+            auto updates = m_feed.framesAfter(link.position);
+            frames.insert(frames.end(), updates.begin(), updates.end());
+        }
+        if (!frames.front()) {
+            co_return;
+        }
+        const auto written = co_await link.connection.write(std::move(frames), WriteTimeout);
         if (written.has_error()) {
             co_return;
         }
         if (link.updateNow) {
             continue;
         }
-        link.wake.expires_after(update.leads ? UpdateInterval : IdleUpdateInterval);
+        link.wake.expires_at(TimePoint::max());
         boost::system::error_code ignored;
         co_await link.wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 }
 
-void EntryLinks::scheduleStateUpdate()
+asio::awaitable<void> EntryLinks::publishUpdates()
 {
-    for (auto *link : m_links) {
-        link->updateNow = true;
-        link->wake.cancel();
+    for (;;) {
+        m_publicationTimer.expires_at(m_publicationAt);
+        boost::system::error_code ignored;
+        co_await m_publicationTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const auto now = Clock::now();
+        if (now >= m_publicationAt) {
+            publish(now);
+        }
     }
 }
 
-void EntryLinks::scheduleServerUpdates(const std::set<TargetId> &ids)
+void EntryLinks::publish(TimePoint now)
 {
-    for (auto *link : m_links) {
-        link->pendingServers.insert(ids.begin(), ids.end());
-        link->updateNow = true;
-        link->wake.cancel();
+    const bool leads = m_hooks.leads();
+    const auto interval = leads ? UpdateInterval : IdleUpdateInterval;
+    if (now >= m_allWokenAt + interval) {
+        m_wakeAll = true;
+        if (leads) {
+            m_feed.setLoads(totalLoads());
+        }
+    }
+    if (leads) {
+        if (m_hooks.serversAnnounced()) {
+            m_feed.setServersComplete();
+        }
+        m_feed.publish();
+    }
+    if (std::exchange(m_wakeAll, false)) {
+        m_allWokenAt = now;
+        for (auto *link : m_links) {
+            link->wakeNow();
+        }
+    }
+    for (auto *link : std::exchange(m_awaitingLinks, {})) {
+        link->wakeNow();
     }
+    m_publicationAt = m_allWokenAt + interval;
+}
+
+void EntryLinks::schedulePublication()
+{
+    const auto at = Clock::now() + ChangeDelay;
+    if (at < m_publicationAt) {
+        m_publicationAt = at;
+        m_publicationTimer.cancel();
+    }
+}
+
+void EntryLinks::scheduleStateUpdate()
+{
+    m_wakeAll = true;
+    schedulePublication();
+}
+
+void EntryLinks::scheduleServerUpdates(const std::set<TargetId> &ids)
+{
+    m_feed.addServers(ids);
+    m_wakeAll = true;
+    schedulePublication();
 }
 
 void EntryLinks::scheduleHoldingUpdates(const std::vector<AdapterPlanner::HoldingChange> &changes)
 {
-    for (auto *link : m_links) {
-        bool anyAwaited = false;
-        for (const auto &change : changes) {
-            link->pendingHoldings[{change.server, change.adapter}] = change;
-            anyAwaited = anyAwaited || (change.version > 0 && link->awaitedAdapters.contains(change.adapter));
+    m_feed.addHoldings(changes);
+    for (const auto &change : changes) {
+        if (change.version == 0 || m_demands.waiting(change.adapter) == 0) {
+            continue;
         }
-        if (anyAwaited) {
-            link->updateNow = true;
-            link->wake.cancel();
+        for (auto *link : m_links) {
+            if (m_demands.awaits(EntryId(link->entry), change.adapter)) {
+                m_awaitingLinks.insert(link);
+            }
         }
+        schedulePublication();
     }
 }
 
 void EntryLinks::resendEverything()
 {
+    m_feed.restart();
+    m_status.reset();
     m_historyRequests = 0;
     for (auto *link : m_links) {
-        link->reset(m_registry, m_planner);
+        link->historyRequested = false;
     }
     scheduleStateUpdate();
 }
--- a/lib/Control/Fleet/FleetLog.cpp
+++ b/lib/Control/Fleet/FleetLog.cpp
@@ -7,7 +7,7 @@
 
 namespace tamarackcove {
 
-FleetLog::FleetLog(std::function<void()> onChange)
+FleetLog::FleetLog(OnChange onChange)
     : m_onChange(std::move(onChange))
 {
 }
@@ -23,7 +23,7 @@
                         return std::string();
                     }
                     m_state.apply(index, time, command.value());
-                    m_onChange();
+                    m_onChange(&command.value());
                     return std::string();
                 },
             .saveSnapshot = [this] { return encodeFleetImage(m_state.image()); },
@@ -36,7 +36,7 @@
                         throw std::runtime_error("cannot read the snapshot of the state: " + image.error().detail);
                     }
                     m_state.restore(std::move(image).value());
-                    m_onChange();
+                    m_onChange(nullptr);
                 }};
 }
 
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -4,9 +4,11 @@
 #include "tamarackcove/Control/Fleet/FleetCodec.h"
 #include "tamarackcove/Control/Fleet/FleetLog.h"
 #include "tamarackcove/Control/Fleet/OrderDispatcher.h"
+#include "tamarackcove/Control/Fleet/UpdateFeed.h"
 #include "tamarackcove/Control/LogStatus.h"
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 #include "tamarackcove/Fleet/AdapterPlanner.h"
+#include "tamarackcove/Fleet/DemandTable.h"
 #include "tamarackcove/Http/MetricsEndpoint.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
@@ -14,6 +16,7 @@
 #include "tamarackcove/Supervision/Supervisor.h"
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -32,6 +35,10 @@
 static constexpr milliseconds SuspicionTime{500};
 /// Shortest interval at which the planner receives the request load of each server.
 static constexpr milliseconds LoadsInterval{100};
+/// Shortest time between two rounds in which the planner considers the demands of entries, and the largest number of
+/// demands of one round. They bound the CPU time of the leader however many requests wait.
+static constexpr milliseconds PlanInterval{10};
+static constexpr std::size_t MaxDemandsPerRound = 12;
 /// Added to the order lease while waiting for a former holder of the order duty, for its orders that are still in
 /// transit.
 static constexpr milliseconds LeaseMargin{150};
@@ -72,7 +79,7 @@
         , callConnections(executor, "calls")
         , entryConnections(executor, "entries")
         , orderTasks(executor, "orders")
-        , log([this] { handleStateChange(); })
+        , log([this](const FleetCommand *command) { handleStateChange(command); })
         , replicaBoot(randomIdentity())
         , replica(root, replicaSettings(settings, replicaBoot), log.hooks(),
                   {.onFatal
@@ -83,6 +90,9 @@
                        }})
         , registry({.heartbeatTimeout = settings.heartbeatInterval * 9 / 2})
         , planner({})
+        , demands({})
+        , planTimer(executor)
+        , feed(log.state(), registry, planner)
         , dispatcher(orderTasks, planner, hooks.dialect, metrics,
                      {.mayGiveOrders = [this] { return replica.leads(); },
                       .onChange =
@@ -99,7 +109,7 @@
                            updatePlanner(heartbeat);
                        }})
         , http(callConnections, limits(), hooks.frontEnd(control))
-        , links(entryConnections, log.state(), registry, planner,
+        , links(entryConnections, feed, demands,
                 {.leads = [this] { return replica.leads(); },
                  .term = [this] { return replica.client().status().term; },
                  .hosts = [this] { return hosts(); },
@@ -110,6 +120,7 @@
                  .onEntryDisconnected =
                      [this](const EntryId &entry) {
                          planner.removeEntry(entry);
+                         demands.removeEntry(entry);
                      }})
         , metricsEndpoint(executor, metrics, [this](Metrics &gauges) { setGauges(gauges); })
     {
@@ -140,7 +151,9 @@
     }
 
     void setGauges(Metrics &gauges);
-    void handleStateChange();
+    /// Applies what a command has changed in the replicated state; everything if the command is null.
+    void handleStateChange(const FleetCommand *command);
+    void readConfigurationInForce();
     void handleLeadershipChange(bool leads);
     void publishServers();
     /// Proposes a NoteServer command if the replicated record of the server is outdated. `server` is its entry in the
@@ -150,6 +163,9 @@
     /// Passes a heartbeat to the planner and the dispatcher if this host holds the order duty.
     void updatePlanner(const ServerHeartbeat &heartbeat);
     void applyReport(const FleetReportMessage &report);
+    void applyDemands(const FleetReportMessage &report, TimePoint now);
+    /// Has the planner consider the demands of entries.
+    asio::awaitable<void> planLoads();
     /// Proposes TakeOrderDuty until the log accepts it or this leadership ends. Waits for the order lease first if
     /// `awaitFormerHolder` says that the former holder still runs.
     asio::awaitable<void> acquireOrderDuty(std::uint64_t leadershipNumber, bool awaitFormerHolder);
@@ -167,6 +183,9 @@
     ReplicaTask replica;
     ServerRegistry registry;
     AdapterPlanner planner;
+    DemandTable demands;
+    asio::steady_timer planTimer;
+    UpdateFeed feed;
     OrderDispatcher dispatcher;
     FleetControl control;
     HttpServer http;
@@ -212,19 +231,39 @@
     gauge("store_load_window", planner.storeLoadWindow().window());
 }
 
-void FleetNode::Impl::handleStateChange()
+void FleetNode::Impl::readConfigurationInForce()
 {
     const auto &state = log.state();
-    if (state.document() && (!configuration || configuration->version < state.configurationVersion())) {
-        auto read = hooks.readConfiguration(*state.document());
-        if (read.has_error()) {
-            // Not expected: the document was parsed when the operator's call was accepted.
-            LogLine(LogLevel::Error, "configuration_unreadable").add("reason", read.error());
-        } else {
-            configuration = std::make_shared<const DeploymentConfiguration>(std::move(read).value());
-            LogLine(LogLevel::Info, "configuration_in_force").add("version", configuration->version);
+    if (!state.document() || (configuration && configuration->version >= state.configurationVersion())) {
+        return;
+    }
+    auto read = hooks.readConfiguration(*state.document());
+    if (read.has_error()) {
+        // Not expected: the document was parsed when the operator's call was accepted.
+        LogLine(LogLevel::Error, "configuration_unreadable").add("reason", read.error());
+        return;
+    }
+    configuration = std::make_shared<const DeploymentConfiguration>(std::move(read).value());
+    LogLine(LogLevel::Info, "configuration_in_force").add("version", configuration->version);
+}
+
+void FleetNode::Impl::handleStateChange(const FleetCommand *command)
+{
+    const auto &state = log.state();
+    if (command != nullptr
+        && (std::holds_alternative<TakeOrderDuty>(*command) || std::holds_alternative<NoteServer>(*command))) {
+        // Neither entries nor the planner depend on these; a new leader reads them from the state.
+        return;
+    }
+    if (const auto *departure = command == nullptr ? nullptr : std::get_if<NoteDeparture>(command)) {
+        registry.applyDeparture(departure->server, departure->gone);
+        if (const auto *server = registry.find(departure->server.id); leading && server != nullptr) {
+            updatePlanner(server->lastHeartbeat);
         }
+        publishServers();
+        return;
     }
+    readConfigurationInForce();
     for (const auto &[server, departure] : state.departures()) {
         registry.applyDeparture(server, departure.gone);
     }
@@ -247,6 +286,7 @@
     ++leadershipCount;
     dispatcher.end();
     planner.reset();
+    demands.clear();
     registry.clear();
     links.resendEverything();
     if (!leads) {
@@ -256,7 +296,7 @@
     for (const auto &[id, server] : log.state().servers()) {
         (void)registry.addUnannounced(server, false, leadershipStartedAt);
     }
-    handleStateChange();
+    handleStateChange(nullptr);
     // A former holder of the order duty that is unreachable, or whose process has restarted since it took the order
     // duty, does not send orders any more.
     const auto &former = log.state().duty();
@@ -392,6 +432,10 @@
         return;
     }
     const auto now = Clock::now();
+    applyDemands(report, now);
+    if (report.onlyNewDemands) {
+        return;
+    }
     if (now >= loadsUpdatedAt + LoadsInterval) {
         loadsUpdatedAt = now;
         for (const auto &load : links.totalLoads()) {
@@ -420,12 +464,49 @@
     for (const auto &server : report.unreachable) {
         planner.markUnreachable(TargetId(server), now + SuspicionTime);
     }
+    publishHoldings();
+}
+
+void FleetNode::Impl::applyDemands(const FleetReportMessage &report, TimePoint now)
+{
+    std::vector<DemandTable::Demand> reported;
+    reported.reserve(report.demands.size());
     for (const auto &demand : report.demands) {
-        const AdapterKey adapter{BaseModel(demand.model), demand.adapter};
-        (void)planner.requestLoad(adapter, demand.version, Zone(report.zone), links.waitingRequests(adapter), now,
-                                  demand.failed);
+        reported.push_back({.adapter = {BaseModel(demand.model), demand.adapter},
+                            .waiting = demand.waiting,
+                            .version = demand.version,
+                            .failed = demand.failed,
+                            .zone = Zone(report.zone)});
+    }
+    if (report.onlyNewDemands) {
+        demands.put(EntryId(report.entry), reported, now);
+    } else {
+        demands.replace(EntryId(report.entry), reported, now);
+    }
+    if (demands.hasDue()) {
+        planTimer.cancel();
+    }
+}
+
+asio::awaitable<void> FleetNode::Impl::planLoads()
+{
+    TimePoint plannedAt;
+    for (;;) {
+        planTimer.expires_at(demands.hasDue() ? plannedAt + PlanInterval : TimePoint::max());
+        boost::system::error_code ignored;
+        co_await planTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const auto now = Clock::now();
+        if (!demands.hasDue() || now < plannedAt + PlanInterval) {
+            continue;
+        }
+        plannedAt = now;
+        for (const auto &demand : demands.takeDue(MaxDemandsPerRound, now)) {
+            // Each call queues one copy; many waiting requests need several.
+            while (planner.requestLoad(demand.adapter, demand.version, demand.zone, demand.waiting, now,
+                                       demand.failed)) { }
+        }
+        publishHoldings();
     }
-    publishHoldings();
 }
 
 asio::awaitable<void> FleetNode::Impl::expireServers()
@@ -474,6 +555,8 @@
     auto &impl = *m_impl;
     impl.replica.start();
     impl.root.start("entry-links", [&impl] { return impl.links.run(); });
+    impl.root.start("entry-updates", [&impl] { return impl.links.publishUpdates(); });
+    impl.root.start("plan-loads", [&impl] { return impl.planLoads(); });
     impl.metricsEndpoint.start(impl.root);
     impl.root.start("calls", [&impl] { return impl.http.run(); });
     impl.root.start("expiry", [&impl] { return impl.expireServers(); });
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -16,7 +16,7 @@
 namespace tamarackcove {
 
 static constexpr milliseconds ConnectTimeout{300};
-/// Longest time without an update from a control host before its connection is closed. The leader sends an update at
+/// Longest time without a message from a control host before its connection is closed. The leader sends its status at
 /// least five times a second, other control hosts more than twice a second.
 static constexpr milliseconds LeaderTimeout{900};
 static constexpr milliseconds FollowerTimeout{1200};
@@ -24,6 +24,8 @@
 /// Longest interval between reports to the leader, and to the other control hosts.
 static constexpr milliseconds ReportInterval{200};
 static constexpr milliseconds IdleReportInterval{1000};
+/// Shortest time between two reports to the leader. New demands within this time are reported together.
+static constexpr milliseconds MinReportInterval{20};
 static constexpr milliseconds FirstBackoff{50};
 static constexpr milliseconds MaxBackoff{400};
 /// How long fewer than half of the control hosts must be connected before this entry counts as isolated. A restarted
@@ -47,6 +49,11 @@
     bool nextReportHasHistory = false;
     /// Whether the next report is sent without waiting for the report interval.
     bool reportNow = false;
+    /// When the last report was sent, and the last one that was not only of new demands.
+    TimePoint reportedAt;
+    TimePoint fullReportAt;
+    /// The time on our clock at which the clock of this host stood at zero, as of its last status.
+    TimePoint clockZero;
 };
 
 FleetLink::FleetLink(Supervisor &tasks, const GatewaySettings &settings, FleetView &view)
@@ -84,7 +91,7 @@
         auto connected = co_await FramedConnection::connect(std::move(endpoint), ConnectTimeout);
         if (connected.has_value()) {
             auto &connection = *connected.value();
-            host.reportNow = true;
+            reportInFull(host);
             co_await (readUpdates(host, connection) || writeReports(host, connection));
             if (host.connected) {
                 backoff = FirstBackoff;
@@ -105,37 +112,43 @@
     }
 }
 
-void FleetLink::applyUpdate(Host &host, const FleetUpdateMessage &update)
+void FleetLink::applyStatus(Host &host, const FleetStatusMessage &status)
 {
     if (!host.connected) {
         host.connected = true;
-        LogLine(LogLevel::Info, "control_connected").add("host", host.name).add("leads", update.leads ? "yes" : "no");
+        LogLine(LogLevel::Info, "control_connected").add("host", host.name).add("leads", status.leads ? "yes" : "no");
         updateReachability(Clock::now());
     }
-    for (const auto &name : update.hosts) {
+    for (const auto &name : status.hosts) {
         addHost(name);
     }
-    if (!update.leads || update.term < m_term) {
+    if (!status.leads || status.term < m_term) {
         if (m_leader == &host) {
             m_leader = nullptr;
         }
         return;
     }
     if (m_leader != &host) {
-        LogLine(LogLevel::Info, "control_leads").add("host", host.name).add("term", update.term);
+        LogLine(LogLevel::Info, "control_leads").add("host", host.name).add("term", status.term);
         m_leader = &host;
         // A new leader learns of the servers sooner from the entries than from heartbeats of the servers.
         host.nextReportHasServers = true;
-        host.reportNow = true;
-        host.wake.cancel();
+        reportInFull(host);
     }
-    if (update.wantsHistory) {
+    if (status.wantsHistory) {
         host.nextReportHasHistory = true;
-        host.reportNow = true;
-        host.wake.cancel();
+        reportInFull(host);
     }
-    m_term = update.term;
-    m_view.apply(update, Clock::now());
+    m_term = status.term;
+    host.clockZero = Clock::now() - milliseconds(status.clockMs);
+    m_view.noteStatus(status.entries, Clock::now());
+}
+
+void FleetLink::reportInFull(Host &host)
+{
+    host.fullReportAt = {};
+    host.reportNow = true;
+    host.wake.cancel();
 }
 
 asio::awaitable<void> FleetLink::readUpdates(Host &host, FramedConnection &connection)
@@ -145,31 +158,41 @@
         if (message.has_error()) {
             co_return;
         }
+        if (message.value().type == FleetStatusMessage::Type) {
+            const auto status = fromMessage<FleetStatusMessage>(message.value());
+            if (status.has_error()) {
+                LogLine(LogLevel::Warning, "status_refused").add("reason", status.error().detail);
+                co_return;
+            }
+            applyStatus(host, status.value());
+            continue;
+        }
         const auto update = fromMessage<FleetUpdateMessage>(message.value());
         if (update.has_error()) {
             LogLine(LogLevel::Warning, "update_refused").add("reason", update.error().detail);
             co_return;
         }
-        applyUpdate(host, update.value());
+        if (m_leader != &host) {
+            // A leader of an earlier term. The connection is closed because its next updates build on this one.
+            LogLine(LogLevel::Info, "update_outdated").add("host", host.name).add("term", m_term);
+            co_return;
+        }
+        m_view.apply(update.value(), host.clockZero, Clock::now());
     }
 }
 
 asio::awaitable<void> FleetLink::writeReports(Host &host, FramedConnection &connection)
 {
     for (;;) {
-        if (!host.reportNow) {
-            host.wake.expires_after(m_leader == &host ? ReportInterval : IdleReportInterval);
+        const auto interval = m_leader == &host ? ReportInterval : IdleReportInterval;
+        const auto nextAt = host.reportNow ? host.reportedAt + MinReportInterval : host.fullReportAt + interval;
+        if (nextAt > Clock::now()) {
+            host.wake.expires_at(nextAt);
             boost::system::error_code ignored;
             co_await host.wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
         }
-        host.reportNow = false;
-        auto report = m_view.makeReportHeader();
-        if (m_leader == &host) {
-            report = m_view.takeReport(host.nextReportHasServers, host.nextReportHasHistory);
-            host.nextReportHasServers = false;
-            host.nextReportHasHistory = false;
-        }
-        auto message = toMessage(report);
+        auto message = toMessage(nextReport(host, Clock::now()));
         const auto written = co_await connection.write(std::move(message), WriteTimeout);
         if (written.has_error()) {
             co_return;
@@ -177,6 +200,22 @@
     }
 }
 
+FleetReportMessage FleetLink::nextReport(Host &host, TimePoint now)
+{
+    host.reportNow = false;
+    host.reportedAt = now;
+    const bool leads = m_leader == &host;
+    if (leads && now < host.fullReportAt + ReportInterval) {
+        return m_view.takeNewDemands();
+    }
+    host.fullReportAt = now;
+    if (!leads) {
+        return m_view.makeReportHeader();
+    }
+    return m_view.takeReport(std::exchange(host.nextReportHasServers, false),
+                             std::exchange(host.nextReportHasHistory, false));
+}
+
 void FleetLink::updateReachability(TimePoint now)
 {
     const auto connectedHosts = static_cast<std::size_t>(
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -56,9 +56,20 @@
     return offered;
 }
 
-void FleetView::apply(const FleetUpdateMessage &update, TimePoint now)
+void FleetView::noteStatus(std::size_t entries, TimePoint now)
 {
     m_updatedAt = now;
+    if (entries == 0 || entries == m_entryCount) {
+        return;
+    }
+    m_entryCount = entries;
+    for (auto &[service, window] : m_retryBudgets) {
+        window.setEntries(m_entryCount);
+    }
+}
+
+void FleetView::apply(const FleetUpdateMessage &update, TimePoint leaderClockZero, TimePoint now)
+{
     bool changed = !update.holdings.empty() || !update.servers.empty() || !update.removed.empty();
     const auto currentVersion = m_routes ? m_routes->configuration().version : 0;
     if (!update.document.empty() && update.configurationVersion > currentVersion) {
@@ -97,7 +108,7 @@
     for (const auto &holding : update.holdings) {
         const TargetId id(holding.server);
         const AdapterKey adapter{BaseModel(holding.model), holding.adapter};
-        m_servers.setHolding(id, adapter, holding.version, now + milliseconds(holding.readyInMs));
+        m_servers.setHolding(id, adapter, holding.version, leaderClockZero + milliseconds(holding.readyAtMs));
         const auto identity = m_servers.identityOf(id);
         if (identity && holding.version > 0) {
             m_history.recordHeld(*identity, adapter);
@@ -106,12 +117,6 @@
     for (const auto &load : update.loads) {
         m_servers.setLoad(TargetId(load.server), load.load);
     }
-    if (update.entries != m_entryCount && update.entries > 0) {
-        m_entryCount = update.entries;
-        for (auto &[service, window] : m_retryBudgets) {
-            window.setEntries(m_entryCount);
-        }
-    }
     if (changed) {
         wakeWaiters();
     }
@@ -165,6 +170,27 @@
     }
 }
 
+DemandMessage FleetView::toDemandMessage(const AdapterKey &adapter, const Demand &demand)
+{
+    return {.model = adapter.model.value(),
+            .adapter = adapter.adapter,
+            .version = demand.version,
+            .waiting = demand.waiting,
+            .failed = demand.failed};
+}
+
+FleetReportMessage FleetView::takeNewDemands()
+{
+    auto report = makeReportHeader();
+    report.onlyNewDemands = true;
+    for (auto &[adapter, demand] : m_demands) {
+        if (std::exchange(demand.isNew, false) && demand.waiting > 0) {
+            report.demands.push_back(toDemandMessage(adapter, demand));
+        }
+    }
+    return report;
+}
+
 FleetReportMessage FleetView::takeReport(bool withServers, bool withHistory)
 {
     auto report = makeReportHeader();
@@ -179,12 +205,10 @@
     if (withHistory) {
         addHistory(report);
     }
-    for (const auto &[adapter, demand] : m_demands) {
-        report.demands.push_back({.model = adapter.model.value(),
-                                  .adapter = adapter.adapter,
-                                  .version = demand.version,
-                                  .waiting = demand.waiting,
-                                  .failed = demand.failed});
+    std::erase_if(m_demands, [](const auto &item) { return item.second.waiting <= 0; });
+    for (auto &[adapter, demand] : m_demands) {
+        demand.isNew = false;
+        report.demands.push_back(toDemandMessage(adapter, demand));
     }
     for (auto &[key, use] : m_uses) {
         if (use.sent > 0 || use.running > 0 || use.runningUseReported) {
@@ -274,7 +298,7 @@
 
 asio::awaitable<void> FleetView::waitForAdapter(Wait wait, asio::steady_timer &timer)
 {
-    // Removes the wait from m_waiters and m_demands, also when the coroutine is destroyed while it waits.
+    // Removes the wait from m_waiters and from its demand, also when the coroutine is destroyed while it waits.
     struct Registration
     {
         FleetView &view;
@@ -284,20 +308,27 @@
         {
             view.m_waiters.erase(timer);
             const auto found = view.m_demands.find(wait.adapter);
-            if (wait.requestsLoad && found != view.m_demands.end() && --found->second.waiting <= 0) {
-                view.m_demands.erase(found);
+            if (wait.requestsLoad && found != view.m_demands.end()) {
+                --found->second.waiting;
             }
         }
     };
     m_waiters.insert(&timer);
     const Registration registration{*this, wait, &timer};
     if (wait.requestsLoad) {
-        auto &demand = m_demands[wait.adapter];
+        // A demand without waiting requests stays until the next report: requests that wait are woken by each change
+        // and wait again, which is no new demand.
+        const auto [found, isNew] = m_demands.try_emplace(wait.adapter);
+        auto &demand = found->second;
+        ++demand.waiting;
         demand.version = std::max(demand.version, wait.version);
         const bool moreFailures = wait.failedServers > demand.failed;
         demand.failed = std::max(demand.failed, wait.failedServers);
-        if ((++demand.waiting == 1 || moreFailures) && onNewDemand) {
-            onNewDemand();
+        if (isNew || moreFailures) {
+            demand.isNew = true;
+            if (onNewDemand) {
+                onNewDemand();
+            }
         }
     }
     timer.expires_at(wait.until);
--- a/lib/Wire/FramedConnection.cpp
+++ b/lib/Wire/FramedConnection.cpp
@@ -144,6 +144,23 @@
     co_return ok();
 }
 
+asio::awaitable<Result<void, WireError>> FramedConnection::write(std::vector<SharedFrame> frames, milliseconds timeout)
+{
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(frames.size());
+    for (const auto &frame : frames) {
+        buffers.emplace_back(asio::buffer(*frame));
+    }
+    auto &impl = *m_impl;
+    const SocketDeadline deadline(impl.socket, impl.writeTimer, timeout, impl.writeExpired);
+    auto [error, written] = co_await asio::async_write(impl.socket, buffers, UseTuple);
+    if (error) {
+        co_return connectionError(impl.writeExpired, error);
+    }
+    impl.bytesWritten += written;
+    co_return ok();
+}
+
 void FramedConnection::close()
 {
     boost::system::error_code ignored;
--- /dev/null
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -0,0 +1,184 @@
+#include "tamarackcove/Control/Fleet/UpdateFeed.h"
+
+#include <doctest/doctest.h>
+#include <memory>
+
+using namespace tamarackcove;
+
+static const BaseModel Model("m");
+
+static ServerHeartbeat heartbeat(int number)
+{
+    ServerHeartbeat server;
+    server.identity = {.id = TargetId("s" + std::to_string(number)), .startedAt = Incarnation(1)};
+    server.service = ServiceName("engines");
+    server.endpoint = {.host = "10.0.0." + std::to_string(number), .port = 80};
+    server.zone = Zone("z");
+    server.slots = 8;
+    server.sequence = 1;
+    server.models = {{.name = Model, .version = 1, .adapters = {}}};
+    return server;
+}
+
+/// Fixture: the feed of a leader with some servers, and what one entry has received from it.
+class UpdateFeedFixture
+{
+public:
+    static constexpr int Servers = 20;
+
+    UpdateFeedFixture()
+    {
+        for (int i = 0; i < Servers; ++i) {
+            REQUIRE(registry.heartbeat(heartbeat(i), now) == ServerRegistry::HeartbeatResult::Changed);
+        }
+        (void)registry.takeChanges();
+        feed.restart();
+    }
+
+    static AdapterPlanner::HoldingChange holding(int server, const std::string &adapter, TimePoint readyAt)
+    {
+        return {.server = TargetId("s" + std::to_string(server)),
+                .adapter = {Model, adapter},
+                .version = 1,
+                .readyAt = readyAt};
+    }
+
+    static FleetUpdateMessage decode(const SharedFrame &frame)
+    {
+        constexpr std::size_t LengthBytes = 4;
+        const auto message = decodeFrame(std::span(*frame).subspan(LengthBytes));
+        REQUIRE(message.has_value());
+        const auto update = fromMessage<FleetUpdateMessage>(message.value());
+        REQUIRE(update.has_value());
+        return update.value();
+    }
+
+    /// What the frames of one call say, as one update.
+    FleetUpdateMessage receive(UpdateFeed::Position &position)
+    {
+        FleetUpdateMessage all;
+        for (const auto &frame : feed.framesAfter(position)) {
+            const auto update = decode(frame);
+            all.servers.insert(all.servers.end(), update.servers.begin(), update.servers.end());
+            all.removed.insert(all.removed.end(), update.removed.begin(), update.removed.end());
+            all.holdings.insert(all.holdings.end(), update.holdings.begin(), update.holdings.end());
+            all.loads.insert(all.loads.end(), update.loads.begin(), update.loads.end());
+            all.complete = all.complete || update.complete;
+        }
+        return all;
+    }
+
+    TimePoint now{seconds(100)};
+    FleetState state;
+    ServerRegistry registry{{}};
+    AdapterPlanner planner{{}};
+    UpdateFeed feed{state, registry, planner};
+};
+
+TEST_CASE_FIXTURE(UpdateFeedFixture, "an entry that connects gets the whole state, and then only what has changed")
+{
+    UpdateFeed::Position position;
+    CHECK(receive(position).servers.size() == Servers);
+    CHECK(receive(position).servers.empty());
+    auto drains = heartbeat(3);
+    drains.sequence = 2;
+    drains.draining = true;
+    REQUIRE(registry.heartbeat(drains, now) == ServerRegistry::HeartbeatResult::Departing);
+    feed.addServers(registry.takeChanges());
+    feed.addHoldings({holding(1, "a1", now + milliseconds(250))});
+    CHECK(feed.publish());
+    CHECK_FALSE(feed.publish());
+    const auto update = receive(position);
+    REQUIRE(update.servers.size() == 1);
+    CHECK(update.servers.front().id == "s3");
+    CHECK(update.servers.front().draining);
+    REQUIRE(update.holdings.size() == 1);
+    CHECK(update.holdings.front().readyAtMs == 100250);
+}
+
+// Guards against a leader whose CPU time for updates grows with the number of entries: it then stays overloaded once a
+// burst of changes has made it late, and tells entries of servers that leave too late.
+TEST_CASE_FIXTURE(UpdateFeedFixture, "each update is encoded once, whatever the number of entries and servers")
+{
+    constexpr int Changes = 50;
+    for (const int entries : {67, 150, 330}) {
+        CAPTURE(entries);
+        std::vector<UpdateFeed::Position> positions(entries);
+        for (auto &position : positions) {
+            (void)feed.framesAfter(position);
+        }
+        const auto before = feed.encodedFrames();
+        std::size_t received = 0;
+        for (int change = 0; change < Changes; ++change) {
+            feed.addHoldings({holding(change % Servers, "a" + std::to_string(change), now)});
+            feed.publish();
+            for (auto &position : positions) {
+                received += feed.framesAfter(position).size();
+            }
+        }
+        CHECK(received == static_cast<std::size_t>(Changes) * entries);
+        CHECK(feed.encodedFrames() - before == Changes);
+    }
+}
+
+// Guards against the load of a leader that tells everything to entries which all connect at the same time.
+TEST_CASE_FIXTURE(UpdateFeedFixture, "the whole state is encoded once for entries that connect together")
+{
+    std::vector<UpdateFeed::Position> positions(330);
+    for (auto &position : positions) {
+        CHECK(receive(position).servers.size() == Servers);
+    }
+    const auto afterFirst = feed.encodedFrames();
+    feed.restart();
+    for (auto &position : positions) {
+        CHECK(receive(position).servers.size() == Servers);
+    }
+    CHECK(feed.encodedFrames() == 2 * afterFirst);
+}
+
+TEST_CASE_FIXTURE(UpdateFeedFixture,
+                  "an entry that has fallen far behind gets the whole state and the updates after it")
+{
+    UpdateFeed::Position position;
+    (void)feed.framesAfter(position);
+    constexpr int ManyUpdates = 1000;
+    for (int change = 0; change < ManyUpdates; ++change) {
+        feed.addHoldings({holding(change % Servers, "a" + std::to_string(change), now)});
+        feed.publish();
+    }
+    const auto update = receive(position);
+    CHECK(update.servers.size() == Servers);
+    CHECK(update.holdings.size() < ManyUpdates / 10);
+    feed.addHoldings({holding(1, "last", now)});
+    feed.publish();
+    const auto next = receive(position);
+    CHECK(next.servers.empty());
+    CHECK(next.holdings.size() == 1);
+}
+
+TEST_CASE_FIXTURE(UpdateFeedFixture, "a load is sent when it has changed, also to zero")
+{
+    UpdateFeed::Position position;
+    feed.setLoads({{.server = "s1", .load = 2}, {.server = "s2", .load = 1}});
+    feed.publish();
+    (void)feed.framesAfter(position);
+    feed.setLoads({{.server = "s1", .load = 3}});
+    feed.publish();
+    const auto update = receive(position);
+    REQUIRE(update.loads.size() == 2);
+    CHECK(update.loads[0].server == "s1");
+    CHECK(update.loads[0].load == 3);
+    CHECK(update.loads[1].server == "s2");
+    CHECK(update.loads[1].load == 0);
+}
+
+TEST_CASE_FIXTURE(UpdateFeedFixture, "the list of all servers is sent once they have had time to announce themselves")
+{
+    UpdateFeed::Position position;
+    CHECK_FALSE(receive(position).complete);
+    feed.setServersComplete();
+    feed.publish();
+    CHECK(receive(position).complete);
+    UpdateFeed::Position later;
+    CHECK(receive(later).complete);
+}
--- a/unittests/Gateway/FleetViewTest.cpp
+++ b/unittests/Gateway/FleetViewTest.cpp
@@ -42,10 +42,9 @@
             arrival.expires_after(*arrivesAfter);
             arrival.async_wait([this](const boost::system::error_code &) {
                 FleetUpdateMessage update;
-                update.leads = true;
                 update.configurationVersion = 3;
                 update.document = "{}";
-                view.apply(update, Clock::now());
+                view.apply(update, Clock::now(), Clock::now());
             });
         }
         asio::co_spawn(
@@ -82,3 +81,42 @@
     CHECK(fixture.view.routes() == nullptr);
     CHECK(waited >= milliseconds(50));
 }
+
+// Guards against entries that report at each update of the leader, while the leader sends updates in answer to reports.
+TEST_CASE("a request that waits for an adapter is one new demand, however often changes wake it")
+{
+    FleetViewFixture fixture;
+    auto &view = fixture.view;
+    int newDemands = 0;
+    view.onNewDemand = [&] {
+        ++newDemands;
+    };
+    const AdapterKey adapter{BaseModel("m"), "a1"};
+    int waits = 0;
+    const auto end = Clock::now() + seconds(20);
+    asio::co_spawn(
+        fixture.io,
+        [&]() -> asio::awaitable<void> {
+            asio::steady_timer timer(fixture.io);
+            for (; waits < 10; ++waits) {
+                FleetView::Wait wait{
+                    .adapter = adapter, .version = 0, .requestsLoad = true, .failedServers = 0, .until = end};
+                co_await view.waitForAdapter(std::move(wait), timer);
+            }
+        },
+        asio::detached);
+    fixture.io.poll();
+    REQUIRE(newDemands == 1);
+    CHECK(view.takeNewDemands().demands.size() == 1);
+    for (int change = 0; change < 10; ++change) {
+        FleetUpdateMessage update;
+        update.removed = {"some server"};
+        view.apply(update, Clock::now(), Clock::now());
+        fixture.io.poll();
+        CHECK(view.takeNewDemands().demands.empty());
+    }
+    CHECK(waits == 10);
+    CHECK(newDemands == 1);
+    // Nothing waits any more, so the demand ends with the next report.
+    CHECK(view.takeReport(false, false).demands.empty());
+}
