AdapterPlanner: keep the adapters of a server in flat containers

Part of the cause of the overloaded leader: each choice of a server walks the adapters of all servers, in trees, and searches a list of 66 cached adapters by comparing strings. Profile of the leader's thread at 67 entries: tree walks and that search were a quarter of its samples. Now a flat map, and a hash index for the cached adapters.

--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "tamarackcove/Fleet/CachedAdapters.h"
 #include "tamarackcove/Fleet/ServerOrder.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
 #include "tamarackcove/Fleet/ServiceProfile.h"
 #include "tamarackcove/Fleet/StoreLoadWindow.h"
 
+#include <boost/container/flat_map.hpp>
 #include <deque>
 #include <map>
 #include <optional>
@@ -203,7 +205,7 @@
         /// When it was last checked whether the adapter needs another copy.
         TimePoint copiesCheckedAt;
         /// Number of requests in progress that use the copy, by entry.
-        std::map<EntryId, int> running;
+        boost::container::flat_map<EntryId, int> running;
     };
     /// An adapter load that is queued for one server, and not ordered yet.
     struct QueuedLoad
@@ -248,9 +250,9 @@
         std::map<BaseModel, std::uint64_t> models;
         /// Base models that the server was ordered to load, with the time at which the load counts as failed.
         std::map<BaseModel, TimePoint> modelsLoading;
-        std::map<AdapterKey, AdapterCopy> adapters;
-        /// Adapters of which the server is assumed to keep a copy in its memory, the least recently held first.
-        std::deque<AdapterKey> cached;
+        /// Few and visited often: a decision that compares servers visits all adapters of each.
+        boost::container::flat_map<AdapterKey, AdapterCopy> adapters;
+        CachedAdapters cached;
         std::deque<QueuedLoad> queuedLoads;
         /// Whether an order or a read of the state is in progress.
         bool stepInProgress = false;
@@ -277,7 +279,6 @@
                                                           milliseconds minIdle) const;
     /// The cost of loading the adapter on the server, in milliseconds; the server with the lowest cost loads it.
     [[nodiscard]] double cost(const Server &server, const AdapterKey &adapter, const Zone &zone, TimePoint now) const;
-    [[nodiscard]] static bool isCached(const Server &server, const AdapterKey &adapter);
     /// Updates the queued load of an adapter at the server. Returns false if there is none, or if it was removed
     /// because the server cannot free a slot soon.
     [[nodiscard]] bool refreshQueuedLoad(Server &server, const AdapterKey &adapter, int waitingRequests,
@@ -295,7 +296,8 @@
     /// a copy that is replaced.
     void setCopy(Server &server, const AdapterKey &adapter, AdapterCopy copy);
     void removeCopy(Server &server, const AdapterKey &adapter);
-    void addCached(Server &server, const AdapterKey &adapter);
+    /// Number of adapters of which the server is assumed to keep a copy in its memory.
+    [[nodiscard]] std::size_t maxCached(const Server &server) const;
     void wake(const TargetId &id);
 
     Options m_options;
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -42,7 +42,7 @@
     server.profile = profile;
     server.draining = draining;
     if (!heartbeat.cachedAdapters.empty()) {
-        server.cached.assign(heartbeat.cachedAdapters.begin(), heartbeat.cachedAdapters.end());
+        server.cached.assign(heartbeat.cachedAdapters);
     }
     // A heartbeat may list a newly loaded model before the next read of the state does.
     for (const auto &model : heartbeat.models) {
@@ -143,19 +143,21 @@
         ++server.ordersAccepted;
         server.consecutiveConflicts = 0;
         server.consecutiveUnanswered = 0;
-        std::erase_if(server.adapters,
-                      [&](const auto &item) { return item.second.loadUnanswered && item.first != order.weights; });
+        for (auto item = server.adapters.begin(); item != server.adapters.end();) {
+            const bool refused = item->second.loadUnanswered && item->first != order.weights;
+            item = refused ? server.adapters.erase(item) : std::next(item);
+        }
         if (isModel) {
             return;
         }
         if (loads) {
-            const bool inMemory = isCached(server, order.weights);
+            const bool inMemory = server.cached.contains(order.weights);
             const auto loadTime = outcome == OrderOutcome::Done ? milliseconds(0)
                 : inMemory                                      ? m_options.memoryLoadTime
                                                                 : m_options.storeLoadTime;
             setCopy(server, order.weights,
                     {.version = order.version, .readyAt = now + loadTime, .lastUse = now, .fromStore = !inMemory});
-            addCached(server, order.weights);
+            server.cached.add(order.weights, maxCached(server));
         } else if (outcome == OrderOutcome::Done) {
             removeCopy(server, order.weights);
         } else {
@@ -253,20 +255,9 @@
     return count;
 }
 
-bool AdapterPlanner::isCached(const Server &server, const AdapterKey &adapter)
-{
-    return std::find(server.cached.begin(), server.cached.end(), adapter) != server.cached.end();
-}
-
-void AdapterPlanner::addCached(Server &server, const AdapterKey &adapter)
+std::size_t AdapterPlanner::maxCached(const Server &server) const
 {
-    std::erase(server.cached, adapter);
-    server.cached.push_back(adapter);
-    const auto maxCached
-        = m_options.cachedPerAdapterSlot * static_cast<std::size_t>(std::max(0, server.profile.adapterSlots));
-    while (server.cached.size() > maxCached) {
-        server.cached.pop_front();
-    }
+    return m_options.cachedPerAdapterSlot * static_cast<std::size_t>(std::max(0, server.profile.adapterSlots));
 }
 
 void AdapterPlanner::removeEntry(const EntryId &entry)
@@ -284,16 +275,8 @@
     if (found == m_servers.end() || found->second.identity != identity) {
         return;
     }
-    auto &server = found->second;
-    // The adapters in `observed` were added while this planner issued orders, so they are more recent than the given
-    // ones and go to the end.
-    const auto observed = std::exchange(server.cached, {});
-    for (const auto &adapter : adapters) {
-        addCached(server, adapter);
-    }
-    for (const auto &adapter : observed) {
-        addCached(server, adapter);
-    }
+    // The cached adapters were added while this planner issued orders, so they are more recent than the given ones.
+    found->second.cached.addEarlier(adapters, maxCached(found->second));
 }
 
 void AdapterPlanner::recordLateLoad(const TargetId &id, const AdapterKey &adapter, milliseconds by, TimePoint now)
--- a/lib/Fleet/AdapterPlannerDemands.cpp
+++ b/lib/Fleet/AdapterPlannerDemands.cpp
@@ -19,7 +19,7 @@
     constexpr double LoadCost = 300;
     constexpr double OtherZoneCost = 4;
     constexpr double EvictionCost = 40;
-    double sum = isCached(server, adapter) ? 0 : StoreCost;
+    double sum = server.cached.contains(adapter) ? 0 : StoreCost;
     const auto queued = static_cast<double>(server.queuedLoads.size()) + inTransit(server, now);
     sum += QueueCost * queued;
     if (queued >= m_options.maxInTransitPerServer) {
--- a/lib/Fleet/AdapterPlannerSteps.cpp
+++ b/lib/Fleet/AdapterPlannerSteps.cpp
@@ -192,7 +192,7 @@
     const bool storeBusy = m_storeLoadWindow.isFull(storeLoadsInTransit(now));
     auto first = server.queuedLoads.end();
     for (auto item = server.queuedLoads.begin(); item != server.queuedLoads.end(); ++item) {
-        const bool mayBeOrdered = item->notBefore <= now && (!storeBusy || isCached(server, item->adapter));
+        const bool mayBeOrdered = item->notBefore <= now && (!storeBusy || server.cached.contains(item->adapter));
         if (mayBeOrdered && (first == server.queuedLoads.end() || hasPriorityOver(*item, *first, now))) {
             first = item;
         }
