Control: keep the state of a leader over a lapse of its lease

What callers saw: once overloaded, the grown deployments did not recover, also after the cause had gone.

Cause: a lease of 250 ms expires when the event loop is late. The leader then forgot all servers, loads and queued demands, told 67 entries that it does not lead, and 20 to 140 ms later, leader again in the same term, told them the whole state, took the order duty anew and read the state of 60 servers. The class: recovery that costs more than what it recovers from.

A lease that becomes valid again in the same term shows that no other leader was elected in between: its voters would be in a later term. So the replica reports Suspended, and the leader gives no orders and acknowledges nothing meanwhile but keeps what it knows; it starts over when its term ends, or after 600 ms, when another host may have been elected. The control nodes of the product's own interface keep their store permits in the same way.

The new test fails before by its nature: the old hook reported the end of the leadership.

--- a/include/tamarackcove/Consensus/Replica.h
+++ b/include/tamarackcove/Consensus/Replica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tamarackcove/Base/Result.h"
+#include "tamarackcove/Consensus/Leadership.h"
 #include "tamarackcove/Consensus/ReplicaLog.h"
 #include "tamarackcove/Consensus/ReplicaOptions.h"
 #include "tamarackcove/Consensus/ReplicaOutput.h"
@@ -83,9 +84,11 @@
     [[nodiscard]] Term term() const;
     /// The leader of the current term; empty if this replica does not know it.
     [[nodiscard]] const ReplicaId &leader() const;
-    /// Whether this replica may act as the leader: its lease is valid, and all entries up to the first one of its term
-    /// have been delivered to the state machine, whose state then includes every command that earlier leaders
+    /// Held means that this replica may act as the leader: its lease is valid, and all entries up to the first one of
+    /// its term have been delivered to the state machine, whose state then includes every command that earlier leaders
     /// committed.
+    [[nodiscard]] Leadership leadership(TimePoint now) const;
+    /// Whether leadership() is Held.
     [[nodiscard]] bool leads(TimePoint now) const;
     [[nodiscard]] LogIndex commitIndex() const;
     [[nodiscard]] const ReplicaLog &log() const;
--- a/include/tamarackcove/Control/Fleet/OrderDispatcher.h
+++ b/include/tamarackcove/Control/Fleet/OrderDispatcher.h
@@ -26,7 +26,7 @@
 public:
     struct Hooks
     {
-        /// Whether this host may send an order at this moment.
+        /// Whether this host may send an order at this moment. While it may not, the tasks of the servers wait.
         std::function<bool()> mayGiveOrders;
         /// Called after each step, which may have changed the holdings of servers.
         std::function<void()> onChange;
--- a/include/tamarackcove/Control/Replica/ReplicaTask.h
+++ b/include/tamarackcove/Control/Replica/ReplicaTask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tamarackcove/Base/Result.h"
+#include "tamarackcove/Consensus/Leadership.h"
 #include "tamarackcove/Control/LogClient.h"
 #include "tamarackcove/Control/Replica/ReplicaSettings.h"
 #include "tamarackcove/Control/StateMachineHooks.h"
@@ -31,9 +32,9 @@
         /// Called once when a file cannot be written or synced; writes to a full disk are retried instead. The process
         /// must then exit, because the content of the files on disk is unknown. No command is acknowledged afterwards.
         std::function<void(StorageError)> onFatal;
-        /// Called on the thread of the executor whenever this replica becomes the leader with a valid lease, and when
-        /// it stops being the leader or loses the lease.
-        std::function<void(bool leads)> onLeadershipChange;
+        /// Called on the thread of the executor when the leadership of this replica has changed. A change of the term
+        /// is reported as None before the leadership of the new term.
+        std::function<void(Leadership leadership)> onLeadershipChange;
         /// Returns whether frames to and from this peer are delivered; when the hook is not set, all are. Other frames
         /// are dropped without an error, as on a connection that loses all packets. For measurements and tests.
         std::function<bool(const std::string &peer)> allowsTraffic;
--- a/lib/Consensus/Replica.cpp
+++ b/lib/Consensus/Replica.cpp
@@ -224,9 +224,18 @@
     return m_leader;
 }
 
+Leadership Replica::leadership(TimePoint now) const
+{
+    const bool transferRequested = m_transfer && m_transfer->sent;
+    if (role() != ReplicaRole::Leader || m_deliveredIndex < m_termStartIndex || transferRequested) {
+        return Leadership::None;
+    }
+    return leaseValid(now) ? Leadership::Held : Leadership::Suspended;
+}
+
 bool Replica::leads(TimePoint now) const
 {
-    return role() == ReplicaRole::Leader && m_deliveredIndex >= m_termStartIndex && leaseValid(now);
+    return leadership(now) == Leadership::Held;
 }
 
 LogIndex Replica::commitIndex() const
--- a/lib/Control/ControlNode.cpp
+++ b/lib/Control/ControlNode.cpp
@@ -59,8 +59,8 @@
         , replica(root, replicaSettings(settings), state.hooks(),
                   {.onFatal = [this](const StorageError &error) { fatal("cannot use the data folder", error.detail); },
                    .onLeadershipChange =
-                       [this](bool leads) {
-                           handleLeadershipChange(leads);
+                       [this](Leadership leadership) {
+                           handleLeadershipChange(leadership);
                        }})
         , log(replica.client())
         , leaderState(initialBudget(settings))
@@ -81,10 +81,12 @@
         }
     }
 
-    void handleLeadershipChange(bool leads)
+    void handleLeadershipChange(Leadership leadership)
     {
+        const bool leads = leadership == Leadership::Held;
         LogLine(LogLevel::Info, "leadership").add("leads", leads ? "yes" : "no").add("term", log.status().term);
-        if (!leads) {
+        // What the leader has collected in this term stays valid while its lease is only suspended.
+        if (leadership == Leadership::None) {
             leaderState.leaveTerm();
         }
     }
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -39,6 +39,9 @@
 /// demands of one round. They bound the CPU time of the leader however many requests wait.
 static constexpr milliseconds PlanInterval{10};
 static constexpr std::size_t MaxDemandsPerRound = 12;
+/// Longest time for which a leader whose lease has expired keeps what it knows of servers and entries, and entries keep
+/// to it. The other control hosts elect a new leader within about this time.
+static constexpr milliseconds MaxSuspension{600};
 /// Added to the order lease while waiting for a former holder of the order duty, for its orders that are still in
 /// transit.
 static constexpr milliseconds LeaseMargin{150};
@@ -85,8 +88,8 @@
                   {.onFatal
                    = [this](const StorageError &error) { reportFatal("cannot use the data folder", error.detail); },
                    .onLeadershipChange =
-                       [this](bool leads) {
-                           handleLeadershipChange(leads);
+                       [this](Leadership leadership) {
+                           handleLeadershipChange(leadership);
                        }})
         , registry({.heartbeatTimeout = settings.heartbeatInterval * 9 / 2})
         , planner({})
@@ -110,7 +113,7 @@
                        }})
         , http(callConnections, limits(), hooks.frontEnd(control))
         , links(entryConnections, feed, demands,
-                {.leads = [this] { return replica.leads(); },
+                {.leads = [this] { return leading; },
                  .term = [this] { return replica.client().status().term; },
                  .hosts = [this] { return hosts(); },
                  .serversAnnounced
@@ -154,7 +157,11 @@
     /// Applies what a command has changed in the replicated state; everything if the command is null.
     void handleStateChange(const FleetCommand *command);
     void readConfigurationInForce();
-    void handleLeadershipChange(bool leads);
+    void handleLeadershipChange(Leadership leadership);
+    void beginLeadership();
+    void endLeadership();
+    /// Ends the leadership if it is still suspended after MaxSuspension.
+    asio::awaitable<void> awaitLease(std::uint64_t suspensionNumber);
     void publishServers();
     /// Proposes a NoteServer command if the replicated record of the server is outdated. `server` is its entry in the
     /// registry; null if it was removed.
@@ -192,8 +199,11 @@
     EntryLinks links;
     MetricsEndpoint metricsEndpoint;
     std::shared_ptr<const DeploymentConfiguration> configuration;
-    /// Whether this host is leader, as of the last call of handleLeadershipChange().
+    /// Whether this host is leader, including the first MaxSuspension of a suspension.
     bool leading = false;
+    /// Number of suspensions of leadership since the start of the process, and whether the last one lasts.
+    std::uint64_t suspensionCount = 0;
+    bool suspended = false;
     TimePoint leadershipStartedAt;
     /// Number of times that this host has become or ceased to be leader since the start of the process. A task compares
     /// this number with the one at its own start to detect that the leadership in which it was started has ended.
@@ -280,18 +290,56 @@
     }
 }
 
-void FleetNode::Impl::handleLeadershipChange(bool leads)
+void FleetNode::Impl::handleLeadershipChange(Leadership leadership)
 {
-    leading = leads;
+    suspended = leadership == Leadership::Suspended;
+    switch (leadership) {
+    case Leadership::None:
+        if (leading) {
+            endLeadership();
+        }
+        return;
+    case Leadership::Suspended:
+        // Under load the lease may expire for some milliseconds several times a second. Starting over each time would
+        // add to the load: the whole state to each entry, and a read of the state of each server.
+        if (leading) {
+            root.startTemporary("suspension-" + std::to_string(++suspensionCount),
+                                [this, number = suspensionCount] { return awaitLease(number); });
+        }
+        return;
+    case Leadership::Held:
+        if (!leading) {
+            beginLeadership();
+        }
+        return;
+    }
+}
+
+asio::awaitable<void> FleetNode::Impl::awaitLease(std::uint64_t suspensionNumber)
+{
+    asio::steady_timer timer(root.executor(), MaxSuspension);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (leading && suspended && suspensionCount == suspensionNumber) {
+        endLeadership();
+    }
+}
+
+void FleetNode::Impl::endLeadership()
+{
+    leading = false;
     ++leadershipCount;
     dispatcher.end();
     planner.reset();
     demands.clear();
     registry.clear();
     links.resendEverything();
-    if (!leads) {
-        return;
-    }
+}
+
+void FleetNode::Impl::beginLeadership()
+{
+    leading = true;
+    ++leadershipCount;
+    links.resendEverything();
     leadershipStartedAt = Clock::now();
     for (const auto &[id, server] : log.state().servers()) {
         (void)registry.addUnannounced(server, false, leadershipStartedAt);
--- a/lib/Control/Fleet/OrderDispatcher.cpp
+++ b/lib/Control/Fleet/OrderDispatcher.cpp
@@ -19,6 +19,9 @@
 /// seconds, and an order is never sent on a connection that may be closing.
 static constexpr milliseconds MaxConnectionIdle{1500};
 
+/// Interval between two checks whether this host may give orders again, while its lease has expired.
+static constexpr milliseconds SuspensionRecheckInterval{50};
+
 struct OrderDispatcher::Target
 {
     Target(ServerHeartbeat heartbeat, const asio::any_io_executor &executor)
@@ -137,7 +140,10 @@
     const auto id = target->server.identity.id;
     while (!target->stopped && m_active && m_fence == fence) {
         if (!m_hooks.mayGiveOrders()) {
-            break;
+            target->wake.expires_after(SuspensionRecheckInterval);
+            boost::system::error_code ignored;
+            co_await target->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
         }
         auto step = m_planner.nextStep(id, Clock::now());
         switch (step.kind) {
--- a/lib/Control/Replica/ReplicaDriver.cpp
+++ b/lib/Control/Replica/ReplicaDriver.cpp
@@ -182,16 +182,36 @@
 
 void ReplicaDriver::reportLeadership()
 {
-    const bool leading = leads();
-    if (leading == m_reportedAsLeader) {
+    const auto leadership = m_replica->leadership(Clock::now());
+    if (m_reportedTerm != m_replica->term()) {
+        reportLeadership(Leadership::None);
+        m_reportedTerm = m_replica->term();
+    }
+    reportLeadership(leadership);
+}
+
+static std::string_view leadershipEvent(Leadership leadership)
+{
+    switch (leadership) {
+    case Leadership::None:
+        return "leadership_lost";
+    case Leadership::Suspended:
+        return "leadership_suspended";
+    case Leadership::Held:
+        return "leadership_gained";
+    }
+    return "leadership_unknown";
+}
+
+void ReplicaDriver::reportLeadership(Leadership leadership)
+{
+    if (leadership == m_reportedLeadership) {
         return;
     }
-    m_reportedAsLeader = leading;
-    LogLine(LogLevel::Info, leading ? "leadership_gained" : "leadership_lost")
-        .add("replica", m_settings.name)
-        .add("term", m_replica->term());
+    m_reportedLeadership = leadership;
+    LogLine(LogLevel::Info, leadershipEvent(leadership)).add("replica", m_settings.name).add("term", m_reportedTerm);
     if (m_hooks.onLeadershipChange) {
-        m_hooks.onLeadershipChange(leading);
+        m_hooks.onLeadershipChange(leadership);
     }
 }
 
@@ -311,9 +331,7 @@
     LogLine(LogLevel::Error, "storage_failed").add("replica", m_settings.name).add("reason", error.detail);
     failWaiters();
     m_tickTimer.cancel();
-    if (m_hooks.onLeadershipChange && std::exchange(m_reportedAsLeader, false)) {
-        m_hooks.onLeadershipChange(false);
-    }
+    reportLeadership(Leadership::None);
     if (m_hooks.onFatal) {
         m_hooks.onFatal(error);
     }
--- a/lib/Control/Replica/ReplicaDriver.h
+++ b/lib/Control/Replica/ReplicaDriver.h
@@ -31,7 +31,7 @@
         /// Returns the endpoint of the administration API of the replica with this identity, if known.
         std::function<std::optional<Endpoint>(const ReplicaId &)> administration;
         std::function<void(StorageError)> onFatal;
-        std::function<void(bool)> onLeadershipChange;
+        std::function<void(Leadership)> onLeadershipChange;
         FileHooks files = FileHooks::system();
     };
 
@@ -81,6 +81,7 @@
     void step();
     void apply(const LogEntry &entry);
     void reportLeadership();
+    void reportLeadership(Leadership leadership);
     void failWaiters();
     void armTimer();
     void takeSnapshotIfDue();
@@ -109,7 +110,8 @@
     bool m_stepScheduled = false;
     bool m_storageFailed = false;
     bool m_diskFull = false;
-    bool m_reportedAsLeader = false;
+    Leadership m_reportedLeadership = Leadership::None;
+    Term m_reportedTerm = 0;
     LogIndex m_appliedIndex = 0;
     LogIndex m_lastSnapshotIndex = 0;
     std::map<LogIndex, WaiterPtr> m_pendingProposals;
--- a/unittests/Control/Replica/ReplicaGroupFixture.h
+++ b/unittests/Control/Replica/ReplicaGroupFixture.h
@@ -52,9 +52,9 @@
 /// The replica of one control process, without the servers for operators and entries.
 struct TestReplica
 {
-    TestReplica(boost::asio::io_context &io, ReplicaSettings settings)
+    TestReplica(boost::asio::io_context &io, ReplicaSettings settings, ReplicaTask::Hooks hooks = {})
         : supervisor(io.get_executor(), settings.name)
-        , task(supervisor, std::move(settings), stateMachine.hooks(), {})
+        , task(supervisor, std::move(settings), stateMachine.hooks(), std::move(hooks))
     {
         REQUIRE(task.open().has_value());
         task.start();
--- a/unittests/Control/Replica/ReplicaPeersTest.cpp
+++ b/unittests/Control/Replica/ReplicaPeersTest.cpp
@@ -11,7 +11,9 @@
 /// Three control processes on one thread, connected over loopback.
 struct ThreeReplicas
 {
-    ThreeReplicas()
+    /// `adjustSettings` is applied to the settings of each process.
+    explicit ThreeReplicas(std::function<void(ReplicaSettings &)> adjustSettings = {})
+        : adjust(std::move(adjustSettings))
     {
         // The settings of each process name the ports of the others, so the ports must be known before the first start:
         // the kernel chooses each port, and the acceptor that holds the port is closed.
@@ -38,7 +40,18 @@
                     {"c" + std::to_string(other), {"127.0.0.1", ports[static_cast<std::size_t>(other)]}});
             }
         }
-        replicas[static_cast<std::size_t>(index)] = std::make_unique<TestReplica>(io, std::move(settings));
+        if (adjust) {
+            adjust(settings);
+        }
+        ReplicaTask::Hooks hooks;
+        hooks.onLeadershipChange = [this, index](Leadership leadership) {
+            leaderships[static_cast<std::size_t>(index)].push_back(leadership);
+        };
+        hooks.allowsTraffic = [this, index](const std::string &) {
+            return index != cutOff;
+        };
+        replicas[static_cast<std::size_t>(index)]
+            = std::make_unique<TestReplica>(io, std::move(settings), std::move(hooks));
     }
 
     asio::awaitable<void> stop(int index)
@@ -87,6 +100,11 @@
     asio::io_context io;
     TemporaryFolder folder;
     std::array<std::uint16_t, 3> ports{};
+    std::function<void(ReplicaSettings &)> adjust;
+    /// The reported changes of leadership of each replica.
+    std::array<std::vector<Leadership>, 3> leaderships;
+    /// The replica whose frames are dropped in both directions; -1 for none.
+    int cutOff = -1;
     std::array<std::unique_ptr<TestReplica>, 3> replicas;
     int nextCommand = 0;
 };
@@ -164,3 +182,46 @@
         co_await group.stopAll();
     });
 }
+
+// Guards against a leader that starts over, with all its state, each time its lease expires for a moment under load.
+TEST_CASE("a leader whose lease expires and becomes valid again in the same term is suspended, but not replaced")
+{
+    ThreeReplicas group([](ReplicaSettings &settings) {
+        settings.leaderLease = milliseconds(200);
+        settings.minElectionTimeout = seconds(4);
+        settings.maxElectionTimeout = seconds(5);
+    });
+    run(group.io, [&]() -> asio::awaitable<void> {
+        co_await group.proposeMany(1);
+        const auto leader = group.leader();
+        const auto term = group.at(leader).log.status().term;
+        auto &reported = group.leaderships[static_cast<std::size_t>(leader)];
+        REQUIRE(reported.back() == Leadership::Held);
+        const auto before = reported.size();
+        group.cutOff = leader;
+        co_await eventually([&] { return reported.back() == Leadership::Suspended; });
+        CHECK_FALSE(group.at(leader).task.leads());
+        group.cutOff = -1;
+        co_await eventually([&] { return reported.back() == Leadership::Held; });
+        CHECK(reported.size() == before + 2);
+        CHECK(group.at(leader).log.status().term == term);
+        co_await group.proposeMany(1);
+        co_await group.stopAll();
+    });
+}
+
+TEST_CASE("a leader that another one has replaced while it was cut off reports that its leadership has ended")
+{
+    ThreeReplicas group;
+    run(group.io, [&]() -> asio::awaitable<void> {
+        co_await group.proposeMany(1);
+        const auto leader = group.leader();
+        auto &reported = group.leaderships[static_cast<std::size_t>(leader)];
+        group.cutOff = leader;
+        co_await eventually([&] { return group.leader() >= 0 && group.leader() != leader; });
+        CHECK(reported.back() == Leadership::Suspended);
+        group.cutOff = -1;
+        co_await eventually([&] { return reported.back() == Leadership::None; });
+        co_await group.stopAll();
+    });
+}
