Entry: leave a silent server only when its request can go on elsewhere

What callers saw: streams that ended in the middle although their server was still at work (LOST).

Cause: when a server was silent for twice the longest gap between events (or 1.5 times the goal for the first), the entry gave up the attempt, and only then asked for a retry of the budget and for another server. Without either it cut the stream. In the users' record two streams of one server end 1.2 s after it began to run them; 1.2 s is that limit.

Now the read goes on beyond its limit, checked every 50 ms, until another server is ready for the request and the budget grants the retry, which is taken at that moment; else until the deadline of the request.

The test cuts the stream before (status 0 instead of 200) and passes after.

--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -75,6 +75,11 @@
     [[nodiscard]] Step recordLostAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
                                         ServerOutcome outcome, std::string_view reason);
     [[nodiscard]] bool maySendAgain(const Exchange &exchange) const;
+    /// Takes a retry from the budget for the next attempt, unless one was taken already. Returns false if none is left.
+    [[nodiscard]] bool takeRetry(Exchange &exchange);
+    /// Lets reads from the server go on beyond their timeout until the request can go on at another server at once, or
+    /// until the deadline of the request: an answer is not given up for an attempt that cannot be made.
+    void setFailoverHook(Exchange &exchange, const ServerDirectory::Choice &choice, HttpConnection &connection);
     void logRouted(const Exchange &exchange) const;
     void logAdapterWait(const Exchange &exchange, Duration waited, std::string_view result) const;
     void logSent(const Exchange &exchange, const ServerDirectory::Choice &choice, milliseconds timeLeft) const;
--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -8,6 +8,7 @@
 #include "tamarackcove/Http/HttpResponse.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -39,6 +40,10 @@
     /// closed before the end of the body gives an error. Precondition: readHead() has succeeded.
     boost::asio::awaitable<Result<std::optional<std::string>, HttpError>> readPiece(milliseconds timeout);
 
+    /// Sets a hook that is called when a read has reached its timeout. It returns for how much longer the read waits;
+    /// zero lets it fail with TimedOut. An empty hook lets every read fail at its timeout.
+    void setSilenceHook(std::function<milliseconds()> onSilence);
+
     /// Sends a request and reads the whole response. The timeout applies to each write and read, not to their total.
     boost::asio::awaitable<Result<HttpResponse, HttpError>> exchange(HttpRequest request, milliseconds timeout);
 
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -144,6 +144,9 @@
     auto &servers = m_parts.view.servers();
     const auto &route = *exchange.route;
     const bool canFailOver = route.repeatable() && exchange.possibleRuns + 1 < route.maxServers;
+    if (canFailOver) {
+        setFailoverHook(exchange, choice, *connection);
+    }
     for (;;) {
         auto readTimeout = std::max(exchange.remainingTime(Clock::now()), milliseconds(1));
         if (canFailOver && route.eventGapGoal > milliseconds(0)) {
@@ -188,6 +191,7 @@
         }
     }
     exchange.watched.connection = nullptr;
+    connection->setSilenceHook({});
     m_parts.connections.release(choice.server, std::move(connection));
     servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Served, Clock::now());
     exchange.outcome = RequestOutcome::Answered;
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -52,6 +52,8 @@
     int sendCount = 0;
     /// Number of servers at which the request may have run.
     int possibleRuns = 0;
+    /// Whether a retry was already taken from the budget for the next attempt.
+    bool retryGranted = false;
     /// Number of attempts that ended without the request having run.
     int serverRefusals = 0;
     /// What the request adds to the request load of a server, in units of an ordinary request.
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -31,6 +31,8 @@
 /// restarted. A request that is refused before the configuration has arrived is lost for most callers, and the goals of
 /// routes allow for the wait.
 static constexpr milliseconds MaxConfigurationWait{600};
+/// Interval between two checks whether the request of a silent server can go on at another one.
+static constexpr milliseconds SilenceRecheckInterval{50};
 static constexpr milliseconds WriteTimeout{1000};
 static constexpr milliseconds RefusalRetryAfter{300};
 /// The entry refuses a request after this many attempts in which no server ran it.
@@ -99,22 +101,17 @@
 asio::awaitable<void> RequestRelay::tryServers(Exchange &exchange)
 {
     while (!exchange.watched.isCallerGone()) {
-        if (exchange.sendCount > 0) {
-            auto &budget = m_parts.view.retryBudget(exchange.service);
-            const bool granted = budget.takeRetry(Clock::now());
-            m_parts.metrics.count(Metrics::labelled(
-                "retries_total", {{"service", exchange.service.value()}, {"result", granted ? "granted" : "refused"}}));
-            if (!granted) {
-                exchange.failureDetail = "the retry budget is used up";
-                LogLine(LogLevel::Info, "retry_refused")
-                    .add("request", exchange.caller.attemptId)
-                    .add("service", exchange.service.value())
-                    .add("sent", exchange.sendCount)
-                    .add("budget_left", budget.remaining(Clock::now()))
-                    .add("reason", exchange.failureDetail);
-                break;
-            }
+        if (exchange.sendCount > 0 && !takeRetry(exchange)) {
+            exchange.failureDetail = "the retry budget is used up";
+            LogLine(LogLevel::Info, "retry_refused")
+                .add("request", exchange.caller.attemptId)
+                .add("service", exchange.service.value())
+                .add("sent", exchange.sendCount)
+                .add("budget_left", m_parts.view.retryBudget(exchange.service).remaining(Clock::now()))
+                .add("reason", exchange.failureDetail);
+            break;
         }
+        exchange.retryGranted = false;
         auto choice = co_await awaitServer(exchange);
         if (!choice) {
             break;
@@ -133,6 +130,44 @@
     co_await answerUnservedRequest(exchange);
 }
 
+bool RequestRelay::takeRetry(Exchange &exchange)
+{
+    if (exchange.retryGranted) {
+        return true;
+    }
+    const bool granted = m_parts.view.retryBudget(exchange.service).takeRetry(Clock::now());
+    m_parts.metrics.count(Metrics::labelled(
+        "retries_total", {{"service", exchange.service.value()}, {"result", granted ? "granted" : "refused"}}));
+    exchange.retryGranted = granted;
+    return granted;
+}
+
+void RequestRelay::setFailoverHook(Exchange &exchange, const ServerDirectory::Choice &choice,
+                                   HttpConnection &connection)
+{
+    connection.setSilenceHook([this, &exchange, silent = choice.server.id] {
+        const auto now = Clock::now();
+        const auto left = exchange.remainingTime(now);
+        if (left <= AnswerMargin || exchange.watched.isCallerGone()) {
+            return milliseconds(0);
+        }
+        ServerDirectory::Requirements requirements{.service = exchange.service,
+                                                   .model = exchange.caller.model,
+                                                   .adapter = exchange.caller.adapter,
+                                                   .excluded = exchange.excludedServers};
+        requirements.excluded.insert(silent);
+        if (requirements.adapter) {
+            requirements.minVersion = m_parts.view.requiredVersion(*requirements.adapter, now);
+        }
+        const auto other = m_parts.view.servers().choose(requirements, now);
+        if (other && other->readyAt <= now && m_parts.view.retryBudget(exchange.service).remaining(now) >= 1
+            && takeRetry(exchange)) {
+            return milliseconds(0);
+        }
+        return std::min(left, SilenceRecheckInterval);
+    });
+}
+
 bool RequestRelay::maySendAgain(const Exchange &exchange) const
 {
     return exchange.route->repeatable() && exchange.possibleRuns < exchange.route->maxServers
@@ -275,6 +310,7 @@
     auto readTimeout = exchange.remainingTime(Clock::now());
     const bool canFailOver = route.repeatable() && exchange.possibleRuns + 1 < route.maxServers;
     if (canFailOver && route.goal > milliseconds(0)) {
+        setFailoverHook(exchange, choice, *connection);
         readTimeout = std::min(readTimeout, route.kind == RequestKind::Stream ? route.goal * 3 / 2 : route.goal * 2);
     }
     const auto head = co_await connection->readHead(std::max(readTimeout, milliseconds(1)));
@@ -289,6 +325,7 @@
         co_return recordLostAnswer(exchange, choice, timedOut ? ServerOutcome::NoAnswer : ServerOutcome::Broken,
                                    head.error().detail);
     }
+    connection->setSilenceHook({});
     auto step = co_await relayAnswer(exchange, choice, std::move(connection), head.value());
     exchange.watched.connection = nullptr;
     co_return step;
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -201,6 +201,11 @@
     co_return std::optional<std::string>();
 }
 
+void HttpConnection::setSilenceHook(std::function<milliseconds()> onSilence)
+{
+    m_impl->socket.setExpiryHook(std::move(onSilence));
+}
+
 asio::awaitable<Result<HttpResponse, HttpError>> HttpConnection::exchange(HttpRequest request, milliseconds timeout)
 {
     BOOST_OUTCOME_CO_TRY(co_await writeRequest(std::move(request), timeout));
--- a/lib/Http/TimedSocket.cpp
+++ b/lib/Http/TimedSocket.cpp
@@ -24,6 +24,7 @@
     TimePoint deadline = TimePoint::max();
     /// When the pending timer wait ends; TimePoint::max() when none is pending.
     TimePoint timerExpiry = TimePoint::max();
+    std::function<milliseconds()> onExpiry;
     /// Whether a deadline has passed and the operation pending then was cancelled.
     bool expired = false;
     /// Whether the TimedSocket is destroyed.
@@ -68,6 +69,11 @@
     m_state->deadline = TimePoint::max();
 }
 
+void TimedSocket::setExpiryHook(std::function<milliseconds()> onExpiry)
+{
+    m_state->onExpiry = std::move(onExpiry);
+}
+
 void TimedSocket::startTimer(const std::shared_ptr<State> &state)
 {
     state->timerExpiry = state->deadline;
@@ -84,6 +90,12 @@
             startTimer(state);
             return;
         }
+        const auto extension = state->onExpiry ? state->onExpiry() : milliseconds(0);
+        if (extension > milliseconds(0)) {
+            state->deadline = Clock::now() + extension;
+            startTimer(state);
+            return;
+        }
         state->expired = true;
         boost::system::error_code ignored;
         state->socket.cancel(ignored);
--- a/lib/Http/TimedSocket.h
+++ b/lib/Http/TimedSocket.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/error_code.hpp>
+#include <functional>
 #include <memory>
 #include <string_view>
 
@@ -36,6 +37,9 @@
     void expireAfter(milliseconds timeout);
     /// Removes the deadline.
     void expireNever();
+    /// Sets a hook that is called when the deadline passes. It returns the time by which the deadline is extended; zero
+    /// lets it pass.
+    void setExpiryHook(std::function<milliseconds()> onExpiry);
     /// Maps the error of an operation: timed_out when the deadline has cancelled it, otherwise the same error.
     [[nodiscard]] boost::system::error_code translateError(const boost::system::error_code &error) const;
 
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -292,6 +292,32 @@
     });
 }
 
+// Guards against a stream that is cut because its server paused, when no other server could take it over.
+TEST_CASE("a stream whose server pauses is answered in full if no other server can take it over")
+{
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerInFull);
+    StandInServer::Behaviour pauses
+        = [](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        auto head = sealedResponse(request, 200);
+        head.headers.set("Content-Type", "text/event-stream");
+        (void)co_await responder.beginStream(std::move(head));
+        (void)co_await responder.writePiece("id: 1\ndata: x\n\n");
+        // Longer than twice the longest gap between events that the route allows.
+        asio::steady_timer timer(co_await asio::this_coro::executor, milliseconds(1500));
+        co_await timer.async_wait(asio::use_awaitable);
+        (void)co_await responder.writePiece("id: 2\ndata: x\n\n");
+        (void)co_await responder.endStream();
+    };
+    auto &only = deployment.addServer("s1", "engines", pauses);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto response = co_await deployment.call("POST", "/stream/x", "paused", "a1");
+        CHECK(response.status == 200);
+        CHECK(response.body == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+        CHECK(requestCount(only, "paused") == 1);
+    });
+}
+
 TEST_CASE("a not repeatable request is sent to another server only if the first one has not run it")
 {
     Deployment deployment;
