AdapterPlanner: do not repeat an unanswered load on a server that is full

Its load stayed unanswered three times (the server refused it, since its count of orders differed), the state was read again at 4.73 s and showed the old leader's adapter, and the unanswered load was repeated without a look at the slots, because its own had been reserved when a slot seemed free.

Now a repeated or replacing load needs a server that is not over its slots or memory; else an adapter is unloaded first. The test gets a load instead of an unload before.

--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -270,6 +270,9 @@
     [[nodiscard]] int inTransit(const Server &server, TimePoint now) const;
     /// Whether a slot and the memory for another adapter of the model are free.
     [[nodiscard]] bool hasRoom(const Server &server, const BaseModel &model) const;
+    /// Whether the known adapters and the unanswered loads of the server exceed its slots or its memory.
+    [[nodiscard]] bool isOverfull(const Server &server) const;
+    [[nodiscard]] static double usedMemoryMb(const Server &server);
     /// The adapter to unload so that another one can be loaded; nothing if every adapter of the server has requests in
     /// progress, was used or loaded too recently, is unloading, has an unanswered load order or has a queued load.
     [[nodiscard]] std::optional<AdapterKey> evictionCandidate(const Server &server, TimePoint now) const;
--- a/lib/Fleet/AdapterPlannerSteps.cpp
+++ b/lib/Fleet/AdapterPlannerSteps.cpp
@@ -13,9 +13,18 @@
 bool AdapterPlanner::hasRoom(const Server &server, const BaseModel &model) const
 {
     const auto *profile = server.profile.find(model);
-    if (profile == nullptr || static_cast<int>(server.adapters.size()) >= server.profile.adapterSlots) {
-        return false;
-    }
+    return profile != nullptr && static_cast<int>(server.adapters.size()) < server.profile.adapterSlots
+        && usedMemoryMb(server) + profile->adapterMb <= server.profile.weightsMb;
+}
+
+bool AdapterPlanner::isOverfull(const Server &server) const
+{
+    return static_cast<int>(server.adapters.size()) > server.profile.adapterSlots
+        || usedMemoryMb(server) > server.profile.weightsMb;
+}
+
+double AdapterPlanner::usedMemoryMb(const Server &server)
+{
     double usedMb = 0;
     for (const auto &[name, version] : server.models) {
         const auto *held = server.profile.find(name);
@@ -25,7 +34,7 @@
         const auto *profileOfAdapter = server.profile.find(adapter.model);
         usedMb += profileOfAdapter == nullptr ? 0 : profileOfAdapter->adapterMb;
     }
-    return usedMb + profile->adapterMb <= server.profile.weightsMb;
+    return usedMb;
 }
 
 std::optional<AdapterKey> AdapterPlanner::evictionCandidate(const Server &server, TimePoint now) const
@@ -202,7 +211,11 @@
     }
     const auto queuedLoad = *first;
     const auto held = server.adapters.find(queuedLoad.adapter);
-    if (held == server.adapters.end() && !hasRoom(server, queuedLoad.adapter.model)) {
+    // An adapter that the server holds in an older version, or whose load was not answered, has its slot already. But
+    // the server may hold adapters that this host has only learned of since then, from orders of its predecessor.
+    const bool needsEviction
+        = held == server.adapters.end() ? !hasRoom(server, queuedLoad.adapter.model) : isOverfull(server);
+    if (needsEviction) {
         const auto evicted = evictionCandidate(server, now);
         if (!evicted) {
             // No adapter of the server can be evicted; see evictionCandidate(). The end of an unload shows only in the
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -228,6 +228,38 @@
     CHECK(step.order.action == ServerOrder::Action::Load);
 }
 
+// Guards against a server that crashes because it is ordered to load more adapters than it has slots: a predecessor's
+// last order may not show in the first state that a new leader reads.
+TEST_CASE("an unanswered load is not ordered again while the server holds more adapters than were known")
+{
+    auto adapterPlanner = makePlanner({"a"}, 2);
+    const TargetId server("a");
+    const auto identity = heartbeat("a").identity;
+    adapterPlanner.applyReport(identity, stateWithModel({1}, 1), Start, Start);
+    REQUIRE(adapterPlanner.requestLoad(adapter(2), 0, LocalZone, 1, Start).has_value());
+    auto now = Start;
+    auto step = adapterPlanner.nextStep(server, now);
+    while (step.kind == Step::Kind::Order) {
+        REQUIRE(step.order.weights == adapter(2));
+        now += milliseconds(120);
+        adapterPlanner.applyOrderOutcome(step.order, OrderOutcome::Unknown, now);
+        step = adapterPlanner.nextStep(server, now);
+    }
+    // The state now shows adapter 3, which the predecessor had ordered: both slots are taken.
+    now += milliseconds(250);
+    REQUIRE(adapterPlanner.nextStep(server, now).kind == Step::Kind::ReadState);
+    adapterPlanner.applyReport(identity, stateWithModel({1, 3}, 2), now, now);
+    step = adapterPlanner.nextStep(server, now);
+    REQUIRE(step.kind == Step::Kind::Order);
+    CHECK(step.order.action == ServerOrder::Action::Unload);
+    adapterPlanner.applyOrderOutcome(step.order, OrderOutcome::Done, now);
+    (void)adapterPlanner.requestLoad(adapter(2), 0, LocalZone, 1, now);
+    step = adapterPlanner.nextStep(server, now);
+    REQUIRE(step.kind == Step::Kind::Order);
+    CHECK(step.order.action == ServerOrder::Action::Load);
+    CHECK(step.order.weights == adapter(2));
+}
+
 TEST_CASE("an adapter with a high request rate gets another copy")
 {
     auto adapterPlanner = makePlanner({"a", "b", "c"});
