--- a/include/tamarackcove/Control/Fleet/UpdateFeed.h
+++ b/include/tamarackcove/Control/Fleet/UpdateFeed.h
@@ -23,10 +23,9 @@
 class UpdateFeed
 {
 public:
-    /// How far an entry has followed the feed. The initial value stands for nothing.
-    class Position
+    /// How far an entry has followed the feed. The initial value stands for nothing; only the feed changes it.
+    struct Position
     {
-        friend class UpdateFeed;
         /// The number of the last update that was sent; 0 for none.
         std::uint64_t update = 0;
         /// See UpdateFeed::m_epoch.
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -303,8 +303,8 @@
         // Under load the lease may expire for some milliseconds several times a second. Starting over each time would
         // add to the load: the whole state to each entry, and a read of the state of each server.
         if (leading) {
-            root.startTemporary("suspension-" + std::to_string(++suspensionCount),
-                                [this, number = suspensionCount] { return awaitLease(number); });
+            const auto number = ++suspensionCount;
+            root.startTemporary("suspension-" + std::to_string(number), [this, number] { return awaitLease(number); });
         }
         return;
     case Leadership::Held:
--- a/unittests/Fleet/DemandTableTest.cpp
+++ b/unittests/Fleet/DemandTableTest.cpp
@@ -72,6 +72,7 @@
         CAPTURE(entries);
         DemandTable table({.refreshInterval = milliseconds(200)});
         std::vector<DemandTable::Demand> demands;
+        demands.reserve(Adapters);
         for (int i = 0; i < Adapters; ++i) {
             demands.push_back(demand("a" + std::to_string(i), 1));
         }
