--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -233,6 +233,9 @@
     gauge("configuration_version", log.state().configurationVersion());
     gauge("servers", registry.servers().size());
     gauge("entries_connected", links.size());
+    gauge("lease_suspensions", suspensionCount);
+    gauge("updates_encoded", feed.encodedFrames());
+    gauge("adapters_awaited", demands.size());
     const auto totals = planner.totals(Clock::now());
     gauge("adapters_held", totals.held);
     gauge("adapters_loading", totals.loading);
