Control: one limit for commands, refused as too large where they come in

What an operator saw: a configuration of 512 KiB and more was answered 503, which asks for a retry that can never succeed; on the product's own interface the same held between 512 and 768 KiB, because its limit was higher than the one of the log.

Now MaxCommandBytes stands beside the log's options and is the only limit; the platform's calls answer 413 with the size and the limit, as the product's already did.

--- a/include/tamarackcove/Consensus/ReplicaOptions.h
+++ b/include/tamarackcove/Consensus/ReplicaOptions.h
@@ -8,6 +8,10 @@
 
 namespace tamarackcove {
 
+/// Longest encoded command, in bytes. Longer ones are refused, so that every append message fits into one frame of at
+/// most 1 MiB. Whoever takes a command from outside checks this limit and names it in the refusal.
+inline constexpr std::size_t MaxCommandBytes = 512 * 1024;
+
 /// Timeouts and limits of a replica. All replicas of a group must use the same election timeouts and lease.
 struct ReplicaOptions
 {
@@ -27,8 +31,7 @@
     /// Limit of unanswered append messages with entries to one peer.
     int maxInFlight = 32;
     std::size_t snapshotChunkBytes = 512 * 1024;
-    /// Longest accepted command. Longer ones are refused, so that every append message fits into one frame.
-    std::size_t maxCommandBytes = 512 * 1024;
+    std::size_t maxCommandBytes = MaxCommandBytes;
     /// Entries before a snapshot that stay in memory, so that a replica which is only slightly behind needs no
     /// snapshot.
     std::uint64_t trailingEntries = 5000;
--- a/include/tamarackcove/Control/Fleet/FleetControl.h
+++ b/include/tamarackcove/Control/Fleet/FleetControl.h
@@ -28,6 +28,8 @@
     enum class RefusalCode {
         /// The request can never be accepted.
         Invalid,
+        /// The request is longer than a command of the log may be.
+        TooLarge,
         /// Another host is leader; `leader` is its address.
         NotLeader,
         /// The request was not accepted and may be accepted when it is sent again later: no leader is known, no
--- a/include/tamarackcove/Control/State/CommandCodec.h
+++ b/include/tamarackcove/Control/State/CommandCodec.h
@@ -10,9 +10,6 @@
 
 namespace tamarackcove {
 
-/// Longest encoded command, in bytes. The replicated log sends commands in frames of at most 1 MiB.
-inline constexpr std::size_t MaxCommandBytes = 768 * 1024;
-
 /// Encodes a command as the replicated log stores it. Thread safe.
 [[nodiscard]] std::string encodeCommand(const Command &command);
 /// Decodes the result of encodeCommand(). Thread safe.
--- a/lib/Control/Fleet/FleetControl.cpp
+++ b/lib/Control/Fleet/FleetControl.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Control/Fleet/FleetControl.h"
 
+#include "tamarackcove/Consensus/ReplicaOptions.h"
 #include "tamarackcove/Control/Fleet/FleetCodec.h"
 #include "tamarackcove/Control/LogStatus.h"
 #include "tamarackcove/Observe/LogLine.h"
@@ -38,6 +39,12 @@
 asio::awaitable<Result<void, FleetControl::Refusal>> FleetControl::propose(FleetCommand command)
 {
     auto bytes = encodeFleetCommand(command);
+    if (bytes.size() > MaxCommandBytes) {
+        co_return Refusal{.code = RefusalCode::TooLarge,
+                          .detail = fmt::format("the command has {} bytes, more than the {} bytes that the log accepts",
+                                                bytes.size(), MaxCommandBytes),
+                          .leader = std::nullopt};
+    }
     const auto answer = co_await m_log.propose(std::move(bytes));
     if (answer.has_error()) {
         co_return toRefusal(answer.error());
--- a/lib/Control/Operators/OperatorApi.cpp
+++ b/lib/Control/Operators/OperatorApi.cpp
@@ -1,6 +1,7 @@
 #include "tamarackcove/Control/Operators/OperatorApi.h"
 
 #include "tamarackcove/Base/Hash.h"
+#include "tamarackcove/Consensus/ReplicaOptions.h"
 #include "tamarackcove/Control/Operators/StatusPage.h"
 #include "tamarackcove/Control/State/CommandCodec.h"
 #include "tamarackcove/Control/State/IntentJson.h"
--- a/lib/Control/Watchers/EntryCalls.cpp
+++ b/lib/Control/Watchers/EntryCalls.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Control/Watchers/EntryCalls.h"
 
+#include "tamarackcove/Consensus/ReplicaOptions.h"
 #include "tamarackcove/Control/State/CommandCodec.h"
 #include "tamarackcove/Control/State/ReplicatedState.h"
 #include "tamarackcove/Control/Watchers/LeaderState.h"
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -107,6 +107,23 @@
         CHECK_MESSAGE(finished, "the deployment did not finish within RunTimeout");
     }
 
+    /// Sends a configuration of a higher version that is longer than this, and returns the answer.
+    asio::awaitable<HttpResponse> putLongConfiguration(std::size_t bytes)
+    {
+        auto document = configuration();
+        document["version"] = 8;
+        document["note"] = std::string(bytes, 'x');
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/Config.Replace";
+        request.body = document.dump();
+        Endpoint host{.host = "127.0.0.1", .port = m_control->apiPort()};
+        auto response = co_await httpExchange(std::move(host), std::move(request), CallTimeout);
+        HttpResponse failed;
+        failed.status = 0;
+        co_return response.has_value() ? std::move(response).value() : failed;
+    }
+
     asio::awaitable<HttpResponse> call(std::string method, std::string path, std::string id, std::string adapter = {})
     {
         HttpRequest request;
@@ -376,6 +393,20 @@
     });
 }
 
+// Guards against a refusal that asks for a retry which can never succeed.
+TEST_CASE("a configuration that is too long for the log is refused for good, with its size and the limit")
+{
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerInFull);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto refused = co_await deployment.putLongConfiguration(600 * 1024);
+        CHECK(refused.status == 413);
+        CHECK(refused.body.find("524288") != std::string::npos);
+        const auto accepted = co_await deployment.putLongConfiguration(500 * 1024);
+        CHECK(accepted.status == 200);
+    });
+}
+
 /// Captures all log lines of this process during its lifetime.
 class LogCapture
 {
