FleetNode: name the key of the settings when the port for entries is in use

What an operator saw: "key [entry_port]: cannot listen", while the settings have no such key; the port comes from internal_ports.

--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -586,7 +586,7 @@
     }
     const Endpoint entries{.host = impl.settings.host, .port = impl.settings.entryPort};
     if (const auto listening = impl.links.listen(entries); listening.has_error()) {
-        return "key [entry_port]: " + listening.error().detail;
+        return "key [internal_ports]: " + listening.error().detail;
     }
     if (const auto listening = impl.metricsEndpoint.listen(impl.settings.metricsListen); listening.has_error()) {
         return "key [metrics_listen]: " + listening.error().detail;
