ControlLinkTest: wait for leadership, and end the node when a check fails

Cause, from the logs of the hung runs: the tests send their first command before the control node leads. It answers 503 instead of 200, the test reads a plan from the error and throws. System::run() stops the node only after a client that returns, so the exception leaves the node running and io.run() never returns.

Ruled out: a node that does not become leader (the logs show leadership_gained shortly after the 503).

The fixture now waits until /v1/status says that leadership is confirmed, which the node says only with a valid lease, and then runs the client with the same checks as before. test::runThenStop() stops the fixture's tasks on any exit of the body and rethrows its exception.

--- a/unittests/Entry/ControlLinkTest.cpp
+++ b/unittests/Entry/ControlLinkTest.cpp
@@ -1,10 +1,10 @@
 #include "tamarackcove/Entry/Control/ControlLink.h"
 
+#include "../Supervision/RunThenStop.h"
 #include "tamarackcove/Control/ControlNode.h"
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -62,6 +62,15 @@
         co_return json::parse(response.value().body);
     }
 
+    asio::awaitable<bool> leadershipConfirmed()
+    {
+        HttpRequest request;
+        request.target = "/v1/status";
+        const auto response = co_await httpExchange(node->administrationEndpoint(), std::move(request), seconds(5));
+        REQUIRE(response.has_value());
+        co_return json::parse(response.value().body).at("current").get<bool>();
+    }
+
     /// Creates an intent with one adapter and confirms its plan.
     asio::awaitable<void> confirmAdapter(std::string name, std::string version)
     {
@@ -77,21 +86,33 @@
         (void)co_await post("/v1/plans/" + plan.at("plan").get<std::string>() + "/confirm", confirm);
     }
 
-    void run(std::function<asio::awaitable<void>()> client)
+    /// Waits until the control node leads: until then it refuses commands with status 503.
+    asio::awaitable<void> waitForLeadership()
     {
-        std::exception_ptr failure;
-        asio::co_spawn(
+        asio::steady_timer timer(io);
+        const auto deadline = Clock::now() + seconds(10);
+        bool leads = co_await leadershipConfirmed();
+        while (!leads) {
+            REQUIRE(Clock::now() < deadline);
+            timer.expires_after(milliseconds(5));
+            co_await timer.async_wait(asio::use_awaitable);
+            leads = co_await leadershipConfirmed();
+        }
+    }
+
+    /// Runs the client once the control node leads.
+    void run(const std::function<asio::awaitable<void>()> &client)
+    {
+        test::runThenStop(
             io,
             [&]() -> asio::awaitable<void> {
+                co_await waitForLeadership();
                 co_await client();
+            },
+            [this]() -> asio::awaitable<void> {
                 co_await entry.stop();
                 co_await node->shutDown();
-            },
-            [&](std::exception_ptr error) { failure = error; });
-        io.run();
-        if (failure) {
-            std::rethrow_exception(failure);
-        }
+            });
     }
 
     asio::io_context io;
