HttpServerTest: stop the server when a check fails

What was seen: a failed REQUIRE in HttpServerTest hangs. Cause: withServer() stops the server after a client that returns, and asio::detached drops the exception of the client. Evidence: with a wrong expected body the test hung before (ended after 15 s); now it fails at once.

--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -1,12 +1,12 @@
 #include "tamarackcove/Http/HttpServer.h"
+
+#include "../Supervision/RunThenStop.h"
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
 #include <array>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -27,14 +27,8 @@
     REQUIRE(server.listen({"127.0.0.1", 0}).has_value());
     supervisor.start("accept", [&server] { return server.run(); });
     const Endpoint endpoint{"127.0.0.1", server.port()};
-    asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            co_await client(endpoint);
-            co_await supervisor.stop();
-        },
-        asio::detached);
-    io.run();
+    test::runThenStop(
+        io, [&] { return client(endpoint); }, [&] { return supervisor.stop(); });
 }
 
 static asio::awaitable<void> streamThreePieces(const HttpRequest &, HttpResponder &responder)
