FramedConnectionTest: fail when the sender cannot connect

What was seen: readRaw() hangs when its sender fails. Found by reading, for the pattern of the ControlLinkTest hangs. Cause: asio::detached drops the exception of the sender, and the receiver waits for a connection that never comes. Evidence: with a sender that connects to a closed port the test hung before (ended after 15 s); now it fails at once with the error of the connect.

--- a/unittests/Wire/FramedConnectionTest.cpp
+++ b/unittests/Wire/FramedConnectionTest.cpp
@@ -1,11 +1,11 @@
 #include "tamarackcove/Wire/FramedConnection.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <exception>
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -18,21 +18,32 @@
     tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     tcp::socket sender(io);
     Result<Message, WireError> read = WireError{};
+    // A sender that fails ends the run, because the receiver would wait for its connection without end.
+    std::exception_ptr failure;
+    const auto endOnFailure = [&](const std::exception_ptr &error) {
+        if (error) {
+            failure = error;
+            io.stop();
+        }
+    };
     asio::co_spawn(
         io,
         [&]() -> asio::awaitable<void> {
             co_await sender.async_connect(acceptor.local_endpoint(), asio::use_awaitable);
             co_await asio::async_write(sender, asio::buffer(bytes), asio::use_awaitable);
         },
-        asio::detached);
+        endOnFailure);
     asio::co_spawn(
         io,
         [&]() -> asio::awaitable<void> {
             FramedConnection connection(co_await acceptor.async_accept(asio::use_awaitable));
             read = co_await connection.read(timeout);
         },
-        asio::detached);
+        endOnFailure);
     io.run();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
     return read;
 }
 
