ZoneFixture: keep the objects of a test until its tasks have ended

What was seen: a failed REQUIRE in ZoneMemberTest or ZonePeersTest ends the whole EntryTests process with SIGSEGV, so the tests after it do not run. Found by reading, for the pattern of the ControlLinkTest hangs. Cause: the entries and engines were local variables of the test body. An exception destroyed them before runZoneTest() stopped the tasks that use them. The tests now create them outside of the body; ZoneTest::run() stops the tasks on any exit. The checks are unchanged. Evidence: of four tests with one wrong expectation each, three ended with SIGSEGV before and one failed; now all four fail and the process goes on. All 21 EntryTests pass.

--- a/unittests/Entry/ZoneFixture.h
+++ b/unittests/Entry/ZoneFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../Supervision/RunThenStop.h"
 #include "tamarackcove/Entry/ZoneMember.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Http/HttpServer.h"
@@ -7,13 +8,10 @@
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Targets/ZoneView.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <exception>
 #include <functional>
 #include <map>
 #include <memory>
@@ -119,30 +117,24 @@
     ZoneAccess access;
 };
 
-/// Runs a test body on an io_context of its own and stops the children of `root` when the body ends. Rethrows the
-/// exception of the body.
-inline void runZoneTest(const std::function<boost::asio::awaitable<void>(Supervisor &root)> &body)
+/// An io_context and the supervisor of the tasks of one test. The objects that the tasks use are created outside of the
+/// test body, so that they exist until the tasks have ended.
+struct ZoneTest
 {
-    boost::asio::io_context io;
-    Supervisor root(io.get_executor(), "test");
-    std::exception_ptr failure;
-    boost::asio::co_spawn(
-        io,
-        [&]() -> boost::asio::awaitable<void> {
-            try {
-                co_await body(root);
-            } catch (...) {
-                failure = std::current_exception();
-            }
+    /// Runs the test body and then stops the children of `root`, also if the body throws. Rethrows the exception of the
+    /// body.
+    void run(const std::function<boost::asio::awaitable<void>()> &body)
+    {
+        test::runThenStop(io, body, [this]() -> boost::asio::awaitable<void> {
             co_await root.stop();
+            // The connections of the engines are not children of `root`.
             io.stop();
-        },
-        boost::asio::detached);
-    io.run();
-    if (failure) {
-        std::rethrow_exception(failure);
+        });
     }
-}
+
+    boost::asio::io_context io;
+    Supervisor root{io.get_executor(), "test"};
+};
 
 /// Waits until the condition holds. Returns false when it does not hold within the given time.
 inline boost::asio::awaitable<bool> eventually(std::function<bool()> condition, milliseconds within = seconds(5))
--- a/unittests/Entry/ZoneMemberTest.cpp
+++ b/unittests/Entry/ZoneMemberTest.cpp
@@ -34,10 +34,11 @@
 
 TEST_CASE("an entry without peers becomes coordinator at once and loads the adapters that requests wait for")
 {
-    runZoneTest([](Supervisor &root) -> asio::awaitable<void> {
-        ZoneEntry entry(singleEntryOptions());
-        startEntry(root, entry, "zone");
-        StubEngine engine(root, "t1", 1);
+    ZoneTest zoneTest;
+    ZoneEntry entry(singleEntryOptions());
+    startEntry(zoneTest.root, entry, "zone");
+    StubEngine engine(zoneTest.root, "t1", 1);
+    zoneTest.run([&]() -> asio::awaitable<void> {
         const auto started = Clock::now();
         CHECK(co_await eventually([&] { return entry.zone.isCoordinator(); }, milliseconds(500)));
         CHECK(entry.access.mayDispatch(Clock::now()));
@@ -51,16 +52,16 @@
         CHECK(co_await eventually([&] { return !entry.access.view().holders(Forms).empty(); }));
         CHECK(engine.unloads == 1);
         CHECK(entry.access.view().holders(Rules).empty());
-        co_await root.stop();
     });
 }
 
 TEST_CASE("an adapter that a request uses is not unloaded until the request ends")
 {
-    runZoneTest([](Supervisor &root) -> asio::awaitable<void> {
-        ZoneEntry entry(singleEntryOptions());
-        startEntry(root, entry, "zone");
-        StubEngine engine(root, "t1", 1);
+    ZoneTest zoneTest;
+    ZoneEntry entry(singleEntryOptions());
+    startEntry(zoneTest.root, entry, "zone");
+    StubEngine engine(zoneTest.root, "t1", 1);
+    zoneTest.run([&]() -> asio::awaitable<void> {
         CHECK(entry.zone.announce(engine.announcement()).status == 200);
         CHECK(co_await eventually([&] { return entry.zone.isCoordinator(); }));
         CHECK(entry.zone.announce(engine.announcement()).status == 200);
@@ -72,15 +73,15 @@
         entry.pins.unpin(TargetId("t1"), Rules);
         entry.access.demand(demandFor(Forms));
         CHECK(co_await eventually([&] { return !entry.access.view().holders(Forms).empty(); }));
-        co_await root.stop();
     });
 }
 
 TEST_CASE("an announcement with malformed JSON or of another zone is refused with status 400 and the reason")
 {
-    runZoneTest([](Supervisor &root) -> asio::awaitable<void> {
-        ZoneEntry entry(singleEntryOptions());
-        startEntry(root, entry, "zone");
+    ZoneTest zoneTest;
+    ZoneEntry entry(singleEntryOptions());
+    startEntry(zoneTest.root, entry, "zone");
+    zoneTest.run([&]() -> asio::awaitable<void> {
         HttpRequest request;
         request.body = "{";
         CHECK(entry.zone.announce(request).status == 400);
@@ -89,6 +90,6 @@
         const auto wrongZone = entry.zone.announce(request);
         CHECK(wrongZone.status == 400);
         CHECK(wrongZone.body.find("serves zone a") != std::string::npos);
-        co_await root.stop();
+        co_return;
     });
 }
--- a/unittests/Entry/ZonePeersTest.cpp
+++ b/unittests/Entry/ZonePeersTest.cpp
@@ -96,9 +96,10 @@
 
 TEST_CASE("three entries share one view, and an adapter that one of them has pinned is not unloaded")
 {
-    runZoneTest([](Supervisor &root) -> asio::awaitable<void> {
-        Entries entries(root, peers({{"e1", "a"}, {"e2", "a"}, {"e3", "a"}}));
-        StubEngine engine(root, "t1", 1);
+    ZoneTest zoneTest;
+    Entries entries(zoneTest.root, peers({{"e1", "a"}, {"e2", "a"}, {"e3", "a"}}));
+    StubEngine engine(zoneTest.root, "t1", 1);
+    zoneTest.run([&]() -> asio::awaitable<void> {
         CHECK(co_await eventually([&] { return entries.coordinator() != nullptr && entries.allMayDispatch(); },
                                   seconds(8)));
         auto *follower = entries.follower();
@@ -117,15 +118,15 @@
         follower->access.demand(demandFor(Forms));
         CHECK(co_await eventually([&] { return holds(*follower, Forms); }));
         CHECK(engine.unloads == 1);
-        co_await root.stop();
     });
 }
 
 TEST_CASE("when the coordinator stops without releasing its lease, another entry takes over and keeps the view")
 {
-    runZoneTest([](Supervisor &root) -> asio::awaitable<void> {
-        Entries entries(root, peers({{"e1", "a"}, {"e2", "a"}, {"e3", "a"}}));
-        StubEngine engine(root, "t1", 2);
+    ZoneTest zoneTest;
+    Entries entries(zoneTest.root, peers({{"e1", "a"}, {"e2", "a"}, {"e3", "a"}}));
+    StubEngine engine(zoneTest.root, "t1", 2);
+    zoneTest.run([&]() -> asio::awaitable<void> {
         CHECK(co_await eventually([&] { return entries.coordinator() != nullptr && entries.allMayDispatch(); },
                                   seconds(8)));
         auto *first = entries.coordinator();
@@ -136,7 +137,7 @@
             = static_cast<std::size_t>(std::find_if(entries.members.begin(), entries.members.end(),
                                                     [first](const auto &member) { return member.get() == first; })
                                        - entries.members.begin());
-        co_await root.stopChild(entries.allPeers[index].id.value());
+        co_await zoneTest.root.stopChild(entries.allPeers[index].id.value());
         const auto stoppedAt = Clock::now();
         auto *survivor = entries.members[index == 0 ? 1 : 0].get();
         CHECK(co_await eventually(
@@ -147,29 +148,29 @@
             seconds(6)));
         MESSAGE("takeover took " << duration_cast<milliseconds>(Clock::now() - stoppedAt).count() << " ms");
         CHECK(co_await eventually([&] { return holds(*survivor, Rules); }));
-        co_await root.stop();
     });
 }
 
 TEST_CASE("when the coordinator releases its lease, another entry takes over within 1.5 s")
 {
-    runZoneTest([](Supervisor &root) -> asio::awaitable<void> {
-        Entries entries(root, peers({{"e1", "a"}, {"e2", "a"}, {"e3", "a"}}));
+    ZoneTest zoneTest;
+    Entries entries(zoneTest.root, peers({{"e1", "a"}, {"e2", "a"}, {"e3", "a"}}));
+    zoneTest.run([&]() -> asio::awaitable<void> {
         CHECK(co_await eventually([&] { return entries.coordinator() != nullptr && entries.allMayDispatch(); },
                                   seconds(8)));
         auto *first = entries.coordinator();
         co_await first->zone.resignLease();
         CHECK(co_await eventually([&] { return entries.coordinator() != nullptr && entries.coordinator() != first; },
                                   milliseconds(1500)));
-        co_await root.stop();
     });
 }
 
 TEST_CASE("a zone learns which adapters are resident and which entries are alive in another zone")
 {
-    runZoneTest([](Supervisor &root) -> asio::awaitable<void> {
-        Entries entries(root, peers({{"e1", "a"}, {"f1", "b"}}));
-        StubEngine engine(root, "t1", 1);
+    ZoneTest zoneTest;
+    Entries entries(zoneTest.root, peers({{"e1", "a"}, {"f1", "b"}}));
+    StubEngine engine(zoneTest.root, "t1", 1);
+    zoneTest.run([&]() -> asio::awaitable<void> {
         auto &inA = *entries.members[0];
         auto &inB = *entries.members[1];
         CHECK(co_await eventually([&] { return inA.zone.isCoordinator() && inB.zone.isCoordinator(); }));
@@ -179,30 +180,30 @@
             [&] { return inB.access.view().remoteHolders(Rules) == std::vector<Zone>{Zone("a")}; }));
         CHECK(inB.access.reachableZones() == std::vector<Zone>{Zone("b"), Zone("a")});
         CHECK(inB.access.entries(Zone("a")) == std::vector<Endpoint>{entries.allPeers[0].http});
-        co_await root.stopChild("e1");
+        co_await zoneTest.root.stopChild("e1");
         CHECK(co_await eventually([&] { return inB.access.reachableZones().size() == 1; }, seconds(12)));
         CHECK(inB.access.view().remoteHolders(Rules).empty());
-        co_await root.stop();
     });
 }
 
 TEST_CASE("a revision is in force once a majority holds it, and a restarted entry fetches it from its peers")
 {
-    runZoneTest([](Supervisor &root) -> asio::awaitable<void> {
-        std::vector<Revision> activated;
-        std::string received;
-        ZoneHooks hooks;
-        hooks.heldConfiguration = [] {
-            return std::make_pair(Revision(7), std::string(1500000, 'x'));
-        };
-        auto allPeers = peers({{"e1", "a"}, {"e2", "a"}, {"e3", "a"}});
-        Entries entries(root, {}, {});
-        entries.allPeers = allPeers;
-        hooks.onActivate = [&activated](Revision revision) {
-            activated.push_back(revision);
-        };
-        entries.add(0, hooks);
-        entries.add(1, hooks);
+    ZoneTest zoneTest;
+    std::vector<Revision> activated;
+    std::string received;
+    ZoneHooks hooks;
+    hooks.heldConfiguration = [] {
+        return std::make_pair(Revision(7), std::string(1500000, 'x'));
+    };
+    auto allPeers = peers({{"e1", "a"}, {"e2", "a"}, {"e3", "a"}});
+    Entries entries(zoneTest.root, {}, {});
+    entries.allPeers = allPeers;
+    hooks.onActivate = [&activated](Revision revision) {
+        activated.push_back(revision);
+    };
+    entries.add(0, hooks);
+    entries.add(1, hooks);
+    zoneTest.run([&]() -> asio::awaitable<void> {
         entries.members[0]->zone.announceHeldRevision(Revision(7));
         CHECK_FALSE(co_await eventually([&] { return !activated.empty(); }, milliseconds(700)));
         entries.members[1]->zone.announceHeldRevision(Revision(7));
@@ -215,6 +216,5 @@
         CHECK_FALSE(entries.members[2]->zone.configurationReady());
         CHECK(co_await eventually([&] { return entries.members[2]->zone.configurationReady(); }));
         CHECK(received.size() == 1500000);
-        co_await root.stop();
     });
 }
