HttpConnection: skip interim responses, with a limit

Seen: a server that sends 100, 102 or 103 before its response had the interim response taken for the answer: an entry answered 502 (the answer has no attempt id), a control host counted the state as unread, and the response itself stayed on the connection, where the next exchange could read it as its own. A 101 was taken for an answer too. Cause: beast's parser treats an interim response as complete, and readHead() returned it. Ruled out: header fields without end, which beast stops at its 8 KB default; the limit is now a constant of ours, 16 KiB, as for the heads of callers. readHead() reads on until a final response, at most 16 interim responses, within the one timeout of the head. A 101 is Malformed, since no request asks for another protocol.

--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -8,6 +8,7 @@
 #include "tamarackcove/Http/HttpResponse.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -21,6 +22,15 @@
 class HttpConnection
 {
 public:
+    /// Limit on the head of one response, as for the heads of callers.
+    static constexpr std::size_t MaxHeadBytes = 16 * 1024;
+    /// Limit on the interim responses (1xx) before a response.
+    static constexpr int MaxInterimResponses = 16;
+    /// Limit on the size line of a chunk with its extensions, and on the trailer fields of a response.
+    static constexpr std::size_t MaxChunkFramingBytes = 16 * 1024;
+    /// Limit on the body of a response that exchange() returns, unless its caller sets another one.
+    static constexpr std::size_t MaxExchangeBodyBytes = 16 * 1024 * 1024;
+
     static boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>, HttpError>> connect(Endpoint endpoint,
                                                                                               milliseconds timeout);
     ~HttpConnection();
@@ -33,7 +43,9 @@
     /// The number of bytes of the last request that were handed to the kernel.
     [[nodiscard]] std::size_t requestBytesWritten() const;
 
-    /// Reads the head of the response. Precondition: writeRequest() has succeeded.
+    /// Reads the head of the response and skips the interim responses before it. The timeout applies to all of them
+    /// together. Fails with TooLarge if the head or the number of interim responses exceeds its limit.
+    /// Precondition: writeRequest() has succeeded.
     boost::asio::awaitable<Result<HttpResponse, HttpError>> readHead(milliseconds timeout);
 
     /// Reads the part of the body that has arrived, and returns nothing at the end of the body. A connection that is
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include "HttpConversion.h"
 #include "TimedSocket.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -11,7 +12,9 @@
 #include <boost/beast/http.hpp>
 #include <cassert>
 #include <charconv>
+#include <chrono>
 #include <fmt/format.h>
+#include <utility>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -22,6 +25,9 @@
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 static constexpr std::size_t ReadBytes = 8 * 1024;
+static constexpr unsigned SwitchingProtocols = 101;
+/// Responses with a lower status are interim responses: the response to the request follows them.
+static constexpr unsigned FirstFinalStatus = 200;
 
 struct HttpConnection::Impl
 {
@@ -38,8 +44,32 @@
     std::optional<seconds> keepAliveTimeout;
     bool unusable = false;
     bool inExchange = false;
+
+    void startParser();
+    /// Marks the connection as unusable and returns the error.
+    HttpError fail(HttpErrorCode code, std::string detail);
+    HttpError fail(const beast::error_code &error);
 };
 
+void HttpConnection::Impl::startParser()
+{
+    parser.emplace();
+    parser->header_limit(MaxHeadBytes);
+    parser->body_limit(boost::none);
+}
+
+HttpError HttpConnection::Impl::fail(HttpErrorCode code, std::string detail)
+{
+    unusable = true;
+    return HttpError{code, std::move(detail)};
+}
+
+HttpError HttpConnection::Impl::fail(const beast::error_code &error)
+{
+    unusable = true;
+    return toHttpError(socket.translateError(error));
+}
+
 /// The timeout of a field such as `Keep-Alive: timeout=5`.
 static std::optional<seconds> parseKeepAliveTimeout(const http::fields &fields)
 {
@@ -107,8 +137,7 @@
     auto &impl = *m_impl;
     assert(!impl.inExchange && "the previous response must be read to its end");
     impl.inExchange = true;
-    impl.parser.emplace();
-    impl.parser->body_limit(boost::none);
+    impl.startParser();
     const auto text = requestText(request);
     const auto error = co_await impl.socket.writeAll(text, timeout, impl.requestBytesWritten);
     if (error) {
@@ -127,11 +156,26 @@
 {
     auto &impl = *m_impl;
     impl.socket.expireAfter(timeout);
-    auto [error, bytes] = co_await http::async_read_header(impl.socket.socket(), impl.buffer, *impl.parser, UseTuple);
-    if (error) {
-        impl.unusable = true;
-        co_return toHttpError(impl.socket.translateError(error));
+    for (int interimResponses = 0;; ++interimResponses) {
+        const auto [error, bytes]
+            = co_await http::async_read_header(impl.socket.socket(), impl.buffer, *impl.parser, UseTuple);
+        if (error) {
+            co_return impl.fail(error);
+        }
+        const auto status = impl.parser->get().result_int();
+        if (status == SwitchingProtocols) {
+            co_return impl.fail(HttpErrorCode::Malformed, "status 101, although no other protocol was requested");
+        }
+        if (status >= FirstFinalStatus) {
+            break;
+        }
+        if (interimResponses == MaxInterimResponses) {
+            co_return impl.fail(HttpErrorCode::TooLarge,
+                                fmt::format("more than {} interim responses", MaxInterimResponses));
+        }
+        impl.startParser();
     }
+    impl.socket.expireNever();
     // Lets one call of the parser consume all chunks that have arrived.
     impl.parser->eager(true);
     impl.lastReadAt = Clock::now();
