HttpConnection: limit the framing of chunks, and the time of readPiece()

Seen: a chunk extension or trailer fields without end held the request, took memory for as long as the server sent, and kept a core busy: each read of 8 KB parsed and allocated all bytes before it again. Cause: beast limits the head only; each read restarted the timeout, so that one byte before each timeout went on for ever as well. The deadline ends with the read, so that the silence hook is no longer called while no read waits.

--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -49,7 +49,8 @@
     boost::asio::awaitable<Result<HttpResponse, HttpError>> readHead(milliseconds timeout);
 
     /// Reads the part of the body that has arrived, and returns nothing at the end of the body. A connection that is
-    /// closed before the end of the body gives an error. Precondition: readHead() has succeeded.
+    /// closed before the end of the body gives an error, as does chunk framing over its limit (TooLarge). The body has
+    /// no limit: the caller counts the bytes and the time of all pieces. Precondition: readHead() has succeeded.
     boost::asio::awaitable<Result<std::optional<std::string>, HttpError>> readPiece(milliseconds timeout);
 
     /// Sets a hook that is called when a read has reached its timeout. It returns for how much longer the read waits;
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -211,20 +211,32 @@
 {
     auto &impl = *m_impl;
     auto &parser = *impl.parser;
+    bool deadlineSet = false;
     while (!parser.is_done()) {
         beast::error_code error;
         if (impl.buffer.size() > 0) {
             auto piece = parseBuffered(parser, impl.buffer, error);
             if (!piece.empty()) {
+                impl.socket.expireNever();
                 co_return std::optional<std::string>(std::move(piece));
             }
             if (!error) {
                 continue;
             }
+            // The bytes that the parser leaves behind are an incomplete size line of a chunk or incomplete trailers.
+            if (error == http::error::need_more && impl.buffer.size() > MaxChunkFramingBytes) {
+                co_return impl.fail(HttpErrorCode::TooLarge,
+                                    fmt::format("chunk framing of more than {} bytes", MaxChunkFramingBytes));
+            }
         }
         if (!error || error == http::error::need_more) {
+            if (!std::exchange(deadlineSet, true)) {
+                impl.socket.expireAfter(timeout);
+            } else if (impl.socket.expired()) {
+                co_return impl.fail(asio::error::timed_out);
+            }
             std::size_t received = 0;
-            std::tie(error, received) = co_await impl.socket.readSome(impl.buffer.prepare(ReadBytes), timeout);
+            std::tie(error, received) = co_await impl.socket.readSome(impl.buffer.prepare(ReadBytes));
             impl.buffer.commit(received);
             impl.lastReadAt = Clock::now();
             if (error == asio::error::eof) {
@@ -233,10 +245,10 @@
             }
         }
         if (error) {
-            impl.unusable = true;
-            co_return toHttpError(impl.socket.translateError(error));
+            co_return impl.fail(error);
         }
     }
+    impl.socket.expireNever();
     impl.inExchange = false;
     // Bytes after the end of the response belong to no request, so the connection must not be reused.
     if (!parser.keep_alive() || impl.buffer.size() > 0) {
--- a/lib/Http/TimedSocket.cpp
+++ b/lib/Http/TimedSocket.cpp
@@ -25,7 +25,7 @@
     /// When the pending timer wait ends; TimePoint::max() when none is pending.
     TimePoint timerExpiry = TimePoint::max();
     std::function<milliseconds()> onExpiry;
-    /// Whether a deadline has passed and the operation pending then was cancelled.
+    /// Whether the present deadline has passed and the operation pending then was cancelled.
     bool expired = false;
     /// Whether the TimedSocket is destroyed.
     bool destroyed = false;
@@ -58,6 +58,7 @@
 void TimedSocket::expireAfter(milliseconds timeout)
 {
     auto &state = *m_state;
+    state.expired = false;
     state.deadline = Clock::now() + timeout;
     if (state.deadline < state.timerExpiry) {
         startTimer(m_state);
@@ -69,6 +70,11 @@
     m_state->deadline = TimePoint::max();
 }
 
+bool TimedSocket::expired() const
+{
+    return m_state->expired;
+}
+
 void TimedSocket::setExpiryHook(std::function<milliseconds()> onExpiry)
 {
     m_state->onExpiry = std::move(onExpiry);
--- a/lib/Http/TimedSocket.h
+++ b/lib/Http/TimedSocket.h
@@ -37,17 +37,19 @@
     void expireAfter(milliseconds timeout);
     /// Removes the deadline.
     void expireNever();
+    /// Whether the deadline that was set last has passed.
+    [[nodiscard]] bool expired() const;
     /// Sets a hook that is called when the deadline passes. It returns the time by which the deadline is extended; zero
     /// lets it pass.
     void setExpiryHook(std::function<milliseconds()> onExpiry);
     /// Maps the error of an operation: timed_out when the deadline has cancelled it, otherwise the same error.
     [[nodiscard]] boost::system::error_code translateError(const boost::system::error_code &error) const;
 
-    /// Reads the bytes that have arrived, and waits for at least one.
+    /// Reads the bytes that have arrived, and waits for at least one until the deadline. Precondition: the deadline has
+    /// not passed.
     template<typename Buffer>
-    [[nodiscard]] auto readSome(const Buffer &buffer, milliseconds timeout)
+    [[nodiscard]] auto readSome(const Buffer &buffer)
     {
-        expireAfter(timeout);
         return socket().async_read_some(buffer, boost::asio::as_tuple(boost::asio::use_awaitable));
     }
 
--- a/unittests/Http/HttpConnectionTest.cpp
+++ b/unittests/Http/HttpConnectionTest.cpp
@@ -133,3 +133,17 @@
     REQUIRE(received.response.has_error());
     CHECK(received.response.error().code == HttpErrorCode::Malformed);
 }
+
+// Guards against framing that has no body bytes and takes memory and time for as long as the server sends.
+TEST_CASE("chunk framing without end is given up at its size limit")
+{
+    SUBCASE("chunk extension")
+    {
+        checkTooLarge(exchangeWith({std::string(ChunkedHead) + "5;x=", repeat("value", 2048)}, seconds(20)));
+    }
+    SUBCASE("trailer fields")
+    {
+        checkTooLarge(
+            exchangeWith({std::string(ChunkedHead) + "0\r\n", repeat("x-field: value\r\n", 512)}, seconds(20)));
+    }
+}
