HttpConnection: limit the body and the total time of exchange()

Seen: a server, store or control host that answers an exchange with a body without end fills the memory of a control host, an entry, an engine or the operator tool, and a body that drips holds the exchange for ever. Cause: exchange() collected pieces without a limit, and its timeout was that of each read. The response must arrive within the timeout, and its body is limited to 16 MiB unless the caller sets less (TooLarge).

--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -57,8 +57,11 @@
     /// zero lets it fail with TimedOut. An empty hook lets every read fail at its timeout.
     void setSilenceHook(std::function<milliseconds()> onSilence);
 
-    /// Sends a request and reads the whole response. The timeout applies to each write and read, not to their total.
-    boost::asio::awaitable<Result<HttpResponse, HttpError>> exchange(HttpRequest request, milliseconds timeout);
+    /// Sends a request and reads the whole response. The response must arrive within the timeout; while the peer has
+    /// not accepted the request, the timeout applies to each wait for it. Fails with TooLarge if the body is longer
+    /// than `maxBodyBytes`.
+    boost::asio::awaitable<Result<HttpResponse, HttpError>> exchange(HttpRequest request, milliseconds timeout,
+                                                                     std::size_t maxBodyBytes = MaxExchangeBodyBytes);
 
     /// Whether another exchange may use this connection: it is open, no exchange is in progress, none has failed, and
     /// the last response did not close it.
@@ -80,8 +83,8 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-/// Opens a connection, does one exchange and closes the connection. The timeout applies to the connect and to each
-/// write and read, not to their total.
+/// Opens a connection, does one exchange and closes the connection. The timeout applies to the connect, and then to the
+/// exchange as described there.
 boost::asio::awaitable<Result<HttpResponse, HttpError>> httpExchange(Endpoint endpoint, HttpRequest request,
                                                                      milliseconds timeout);
 
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -262,15 +262,27 @@
     m_impl->socket.setExpiryHook(std::move(onSilence));
 }
 
-asio::awaitable<Result<HttpResponse, HttpError>> HttpConnection::exchange(HttpRequest request, milliseconds timeout)
+asio::awaitable<Result<HttpResponse, HttpError>> HttpConnection::exchange(HttpRequest request, milliseconds timeout,
+                                                                          std::size_t maxBodyBytes)
 {
+    const auto deadline = Clock::now() + timeout;
+    const auto timeLeft = [deadline] {
+        return std::chrono::ceil<milliseconds>(deadline - Clock::now());
+    };
     BOOST_OUTCOME_CO_TRY(co_await writeRequest(std::move(request), timeout));
-    BOOST_OUTCOME_CO_TRY(auto response, co_await readHead(timeout));
+    BOOST_OUTCOME_CO_TRY(auto response, co_await readHead(std::max(timeLeft(), milliseconds(1))));
     while (true) {
-        BOOST_OUTCOME_CO_TRY(auto piece, co_await readPiece(timeout));
+        // Without this check, bytes that arrive without a pause would never meet the timeout of a read.
+        if (timeLeft() <= milliseconds(0)) {
+            co_return m_impl->fail(asio::error::timed_out);
+        }
+        BOOST_OUTCOME_CO_TRY(auto piece, co_await readPiece(timeLeft()));
         if (!piece) {
             break;
         }
+        if (response.body.size() + piece->size() > maxBodyBytes) {
+            co_return m_impl->fail(HttpErrorCode::TooLarge, fmt::format("body of more than {} bytes", maxBodyBytes));
+        }
         response.body += *piece;
     }
     co_return response;
--- a/unittests/Http/HttpConnectionTest.cpp
+++ b/unittests/Http/HttpConnectionTest.cpp
@@ -147,3 +147,57 @@
             exchangeWith({std::string(ChunkedHead) + "0\r\n", repeat("x-field: value\r\n", 512)}, seconds(20)));
     }
 }
+
+// Guards against a body that fills the memory of the process.
+TEST_CASE("a response body without end is given up at its size limit")
+{
+    const auto body = std::string(65536, 'x');
+    SUBCASE("chunked")
+    {
+        const auto received = exchangeWith({std::string(ChunkedHead), "10000\r\n" + body + "\r\n"}, seconds(20));
+        REQUIRE(received.response.has_error());
+        CHECK(received.response.error().code == HttpErrorCode::TooLarge);
+        CHECK(received.sentBytes < HttpConnection::MaxExchangeBodyBytes + MaxKernelBytes);
+    }
+    SUBCASE("until the connection closes")
+    {
+        const auto received = exchangeWith({"HTTP/1.1 200 OK\r\n\r\n", body}, seconds(20));
+        REQUIRE(received.response.has_error());
+        CHECK(received.response.error().code == HttpErrorCode::TooLarge);
+        CHECK(received.sentBytes < HttpConnection::MaxExchangeBodyBytes + MaxKernelBytes);
+    }
+}
+
+// Guards against a server that sends a byte before each timeout and so holds the exchange open.
+TEST_CASE("the timeout of an exchange limits its total time, however often bytes arrive")
+{
+    constexpr milliseconds Timeout{200};
+    constexpr milliseconds Pause{20};
+    // Allows for stalls of a busy machine; without a limit on the total time, the exchange does not end.
+    constexpr seconds MaxTime{3};
+    Sent sent;
+    sent.pause = Pause;
+    SUBCASE("head")
+    {
+        sent.start = "HTTP/1.1 200 OK\r\nx-field: ";
+        sent.repeated = "v";
+    }
+    SUBCASE("interim responses")
+    {
+        sent.repeated = "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    SUBCASE("chunks")
+    {
+        sent.start = ChunkedHead;
+        sent.repeated = "1\r\nx\r\n";
+    }
+    SUBCASE("chunk extension")
+    {
+        sent.start = std::string(ChunkedHead) + "5;x=";
+        sent.repeated = "v";
+    }
+    const auto received = exchangeWith(sent, Timeout);
+    REQUIRE(received.response.has_error());
+    CHECK(received.response.error().code == HttpErrorCode::TimedOut);
+    CHECK(received.time < MaxTime);
+}
