Entry: limit the body of a refusal that is read

Seen: a server that refuses a request with "not run" and a body without end holds the request until the caller closes, although another server could serve it at once. Cause: handleNotRun() read the body, so that the connection can be reused, piece by piece with a timeout for each. Ruled out: the head of the refusal, which has its limit. The body is read up to 64 KiB and 100 ms in total; then the connection is closed, the log says refusal_body_unread with the bytes and the reason, and the request goes on at another server.

--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -67,6 +67,9 @@
                                              std::unique_ptr<HttpConnection> connection, HttpResponse head);
     boost::asio::awaitable<Step> handleNotRun(Exchange &exchange, const ServerDirectory::Choice &choice,
                                               std::unique_ptr<HttpConnection> connection, const ServerAnswer &answer);
+    /// Reads the rest of a refusal, so that the connection can be reused, within limits on its bytes and its time.
+    boost::asio::awaitable<void> readRefusalBody(const Exchange &exchange, const ServerDirectory::Choice &choice,
+                                                 HttpConnection &connection);
     /// Answers a request for which no server's answer was relayed.
     boost::asio::awaitable<void> answerUnservedRequest(Exchange &exchange);
     boost::asio::awaitable<void> refuse(Exchange &exchange, EntryRefusal refusal, milliseconds retryAfter);
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -7,6 +7,8 @@
 #include "tamarackcove/Observe/Metrics.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <string>
 
 namespace asio = boost::asio;
 
@@ -19,6 +21,8 @@
 static constexpr milliseconds MaxLoadOverrun{1500};
 /// Time limit for reading the short body of a refusal, which is read so that the connection can be reused.
 static constexpr milliseconds RefusalTimeout{100};
+/// Limit on the body of a refusal that is read for this purpose.
+static constexpr std::size_t MaxRefusalBytes = 64 * 1024;
 
 asio::awaitable<RequestRelay::Step> RequestRelay::relayAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
                                                               std::unique_ptr<HttpConnection> connection,
@@ -84,17 +88,43 @@
         .add("version", choice.version)
         .add("reason", reason)
         .add("sent", exchange.sendCount);
-    for (;;) {
-        const auto piece = co_await connection->readPiece(RefusalTimeout);
-        if (piece.has_error() || !piece.value()) {
-            break;
-        }
-    }
+    co_await readRefusalBody(exchange, choice, *connection);
     exchange.watched.connection = nullptr;
     m_parts.connections.release(choice.server, std::move(connection));
     co_return Step::NotRun;
 }
 
+asio::awaitable<void> RequestRelay::readRefusalBody(const Exchange &exchange, const ServerDirectory::Choice &choice,
+                                                    HttpConnection &connection)
+{
+    const auto endTime = Clock::now() + RefusalTimeout;
+    std::size_t bytes = 0;
+    std::string reason;
+    while (reason.empty()) {
+        const auto left = std::chrono::ceil<milliseconds>(endTime - Clock::now());
+        if (left <= milliseconds(0)) {
+            reason = "the body has not ended after " + std::to_string(RefusalTimeout.count()) + " ms";
+            break;
+        }
+        const auto piece = co_await connection.readPiece(left);
+        if (piece.has_error()) {
+            reason = piece.error().detail;
+        } else if (!piece.value()) {
+            co_return;
+        } else {
+            bytes += piece.value()->size();
+            if (bytes > MaxRefusalBytes) {
+                reason = "body of more than " + std::to_string(MaxRefusalBytes) + " bytes";
+            }
+        }
+    }
+    LogLine(LogLevel::Info, "refusal_body_unread")
+        .add("request", exchange.caller.attemptId)
+        .add("server", choice.server.id.value())
+        .add("bytes", static_cast<std::uint64_t>(bytes))
+        .add("reason", reason);
+}
+
 asio::awaitable<RequestRelay::Step> RequestRelay::relayCompleteAnswer(Exchange &exchange,
                                                                       const ServerDirectory::Choice &choice,
                                                                       std::unique_ptr<HttpConnection> connection,
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -11,7 +11,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <filesystem>
@@ -107,13 +109,15 @@
         CHECK_MESSAGE(finished, "the deployment did not finish within RunTimeout");
     }
 
-    asio::awaitable<HttpResponse> call(std::string method, std::string path, std::string id, std::string adapter = {})
+    asio::awaitable<HttpResponse> call(std::string method, std::string path, std::string id, std::string adapter = {},
+                                       milliseconds deadline = milliseconds(4000))
     {
         HttpRequest request;
         request.method = std::move(method);
         request.target = std::move(path);
-        request.headers
-            = {{"Host", "h.example"}, {"Tamarackcove-Attempt-Id", id}, {"Tamarackcove-Deadline-Ms", "4000"}};
+        request.headers = {{"Host", "h.example"},
+                           {"Tamarackcove-Attempt-Id", id},
+                           {"Tamarackcove-Deadline-Ms", std::to_string(deadline.count())}};
         if (!adapter.empty()) {
             request.headers.set("Tamarackcove-Model", "m/" + adapter);
         }
@@ -124,6 +128,12 @@
         co_return response.has_value() ? std::move(response).value() : failed;
     }
 
+    asio::awaitable<void> sleepFor(milliseconds time)
+    {
+        asio::steady_timer timer(m_io, time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
     /// The metrics of the entry and of the control host.
     asio::awaitable<std::pair<std::string, std::string>> metrics()
     {
@@ -179,12 +189,6 @@
         co_return response.has_value() ? response.value().status : 0;
     }
 
-    asio::awaitable<void> sleepFor(milliseconds time)
-    {
-        asio::steady_timer timer(m_io, time);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-
     asio::awaitable<void> runNodes(std::function<asio::awaitable<void>()> body)
     {
         FleetControlSettings controlSettings;
@@ -260,6 +264,26 @@
     (void)co_await responder.send(std::move(response));
 }
 
+/// Sends a body until the entry or control host closes the connection, and adds the bytes to `sentBytes`. Gives up
+/// after MaxSentBytes or MaxSendTime, so that the test ends if nobody closes the connection.
+static asio::awaitable<void> sendWithoutEnd(HttpResponse head, HttpResponder &responder, std::string piece,
+                                            std::size_t &sentBytes)
+{
+    constexpr std::size_t MaxSentBytes = 256 * 1024 * 1024;
+    constexpr seconds MaxSendTime{8};
+    const auto startTime = Clock::now();
+    auto written = co_await responder.beginStream(std::move(head));
+    while (written.has_value() && sentBytes < MaxSentBytes && Clock::now() - startTime < MaxSendTime) {
+        written = co_await responder.writePiece(piece);
+        sentBytes += piece.size();
+        // Lets the other tasks of this thread run also while the kernel accepts all bytes.
+        co_await asio::post(co_await asio::this_coro::executor, asio::use_awaitable);
+    }
+}
+
+/// What the sockets on both sides of a loopback connection hold at most beyond what the reader has read.
+static constexpr std::size_t MaxKernelBytes = 12 * 1024 * 1024;
+
 static int requestCount(const StandInServer &server, const std::string &id)
 {
     return static_cast<int>(std::count_if(server.requests.begin(), server.requests.end(), [&](const auto &request) {
@@ -471,3 +495,32 @@
     checkContains(cut, "event=stream_cut request=cut");
     checkContains(cut, "outcome: cut (not_resumed)");
 }
+
+// Guards against a request that its entry holds for as long as a server sends the body of a refusal.
+TEST_CASE("a request refused with a body without end goes on at another server")
+{
+    Deployment deployment;
+    std::size_t sentBytes = 0;
+    std::size_t refusals = 0;
+    StandInServer::Behaviour refusesWithoutEnd
+        = [&](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        if (request.headers.find("Tamarackcove-Attempt-Id") != "endless" || refusals > 0) {
+            co_await answerInFull(request, responder);
+            co_return;
+        }
+        ++refusals;
+        auto head = sealedResponse(request, 503);
+        head.headers.set("Tamarackcove-Not-Executed", "1");
+        co_await sendWithoutEnd(std::move(head), responder, std::string(4096, 'x'), sentBytes);
+    };
+    deployment.addServer("p1", "plain", refusesWithoutEnd);
+    deployment.addServer("p2", "plain", refusesWithoutEnd);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto startTime = Clock::now();
+        const auto response = co_await deployment.call("POST", "/once/x", "endless");
+        CHECK(response.status == 200);
+        CHECK(refusals == 1);
+        CHECK(Clock::now() - startTime < seconds(2));
+        CHECK(sentBytes < MaxKernelBytes);
+    });
+}
