Entry: limit the memory of answers that are collected

Seen: a complete answer without end fills the memory of the entry (160 MB) within a second, and with it ends every request of the entry. Cause: relayCompleteAnswer() collects the whole body before it sends it on, without a limit. An answer is given up after 16 MiB, or when all collected answers of the entry together would exceed 32 MiB (a string that grows and the copy that is sent take up to three times as much). The request may have run: a repeatable one goes to another server, any other one gets 502; the log line server_answer_lost has the limits and the bytes read. Evidence: on the code before, the entry collected all 256 MiB that the stand-in sends at most ("an answer without end is given up at its size limit and answered with 502").

--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -92,6 +92,8 @@
     Parts m_parts;
     std::mt19937_64 m_random;
     std::uint64_t m_requestCount = 0;
+    /// Bytes of the answers that are collected before they are sent on.
+    std::size_t m_bufferedBytes = 0;
 };
 
 } // namespace tamarackcove
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -131,6 +131,7 @@
                                                                       HttpResponse head)
 {
     auto &servers = m_parts.view.servers();
+    auto buffer = std::make_unique<AnswerBuffer>(m_bufferedBytes);
     for (;;) {
         const auto left = std::max(exchange.remainingTime(Clock::now()), milliseconds(1));
         const auto piece = co_await connection->readPiece(left);
@@ -140,6 +141,12 @@
         if (!piece.value()) {
             break;
         }
+        if (!buffer->add(piece.value()->size())) {
+            const auto reason = "the body exceeds " + std::to_string(AnswerBuffer::MaxAnswerBytes) + " bytes, or "
+                + std::to_string(AnswerBuffer::MaxTotalBytes) + " bytes with the other answers; read "
+                + std::to_string(buffer->size());
+            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, reason);
+        }
         head.body += *piece.value();
     }
     exchange.watched.connection = nullptr;
@@ -159,6 +166,7 @@
     if (failed && maySendAgain(exchange)) {
         exchange.excludedServers.insert(choice.server.id);
         exchange.failureResponse = std::move(head);
+        exchange.failureBuffer = std::move(buffer);
         co_return Step::MayHaveRun;
     }
     exchange.outcome = failed ? RequestOutcome::ServerFailed : RequestOutcome::Answered;
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tamarackcove/Fleet/RouteTable.h"
+#include "tamarackcove/Gateway/AnswerBuffer.h"
 #include "tamarackcove/Gateway/EventStreamSplitter.h"
 #include "tamarackcove/Gateway/RequestRelay.h"
 #include "tamarackcove/Http/CallerWatch.h"
@@ -67,6 +68,8 @@
     TimePoint lastProgressAt;
     /// A server's answer with a 5xx status, kept while another server is tried and relayed if none answers.
     std::optional<HttpResponse> failureResponse;
+    /// Counts the bytes of `failureResponse`.
+    std::unique_ptr<AnswerBuffer> failureBuffer;
     RequestOutcome outcome = RequestOutcome::CallerGone;
     /// Why the request was not answered: a fixed word, used as metric label and log value.
     std::string_view failureReason;
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -524,3 +524,35 @@
         CHECK(sentBytes < MaxKernelBytes);
     });
 }
+
+// Guards against an answer that fills the memory of the entry, and against a refusal that says that a request which may
+// have run has not.
+TEST_CASE("an answer without end is given up at its size limit and answered with 502")
+{
+    constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+    Deployment deployment;
+    std::size_t sentBytes = 0;
+    int endless = 0;
+    StandInServer::Behaviour answersWithoutEnd
+        = [&](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        const auto id = request.headers.find("Tamarackcove-Attempt-Id").value_or("");
+        if (id == "once" || (id == "again" && endless == 1)) {
+            ++endless;
+            co_await sendWithoutEnd(sealedResponse(request, 200), responder, std::string(65536, 'x'), sentBytes);
+            co_return;
+        }
+        co_await answerInFull(request, responder);
+    };
+    deployment.addServer("p1", "plain", answersWithoutEnd);
+    deployment.addServer("p2", "plain", answersWithoutEnd);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto once = co_await deployment.call("POST", "/once/x", "once");
+        CHECK(once.status == 502);
+        CHECK(endless == 1);
+        CHECK(sentBytes < MaxAnswerBytes + MaxKernelBytes);
+        const auto again = co_await deployment.call("GET", "/again/x", "again");
+        CHECK(again.status == 200);
+        CHECK(endless == 2);
+        CHECK(sentBytes < 2 * (MaxAnswerBytes + MaxKernelBytes));
+    });
+}
