Entry: end an answer that does not end at the deadline

Seen: a caller whose server sends without a pause gets neither an answer nor 504 at its deadline, and waits until it closes the connection itself. Cause: after the deadline, each read still waits 1 ms, so that bytes that have arrived are delivered late; bytes that arrive more often than every 1 ms never meet this timeout. Late bytes are read for 100 ms after the deadline. Then the answer is lost: 504 or, if a stream was begun, a cut stream, with a log line that says that the answer has not ended. Evidence: on the code before, the call of the test with a deadline of 700 ms ended at the 5 s of its own client.

--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -23,6 +23,8 @@
 static constexpr milliseconds RefusalTimeout{100};
 /// Limit on the body of a refusal that is read for this purpose.
 static constexpr std::size_t MaxRefusalBytes = 64 * 1024;
+/// Reason of an answer that is given up although its bytes still arrive.
+static constexpr std::string_view NotEnded = "the answer has not ended at the deadline of the request";
 
 asio::awaitable<RequestRelay::Step> RequestRelay::relayAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
                                                               std::unique_ptr<HttpConnection> connection,
@@ -133,8 +135,11 @@
     auto &servers = m_parts.view.servers();
     auto buffer = std::make_unique<AnswerBuffer>(m_bufferedBytes);
     for (;;) {
-        const auto left = std::max(exchange.remainingTime(Clock::now()), milliseconds(1));
-        const auto piece = co_await connection->readPiece(left);
+        const auto timeout = exchange.answerReadTimeout(Clock::now());
+        if (!timeout) {
+            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, NotEnded);
+        }
+        const auto piece = co_await connection->readPiece(*timeout);
         if (piece.has_error()) {
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, piece.error().detail);
         }
@@ -186,7 +191,12 @@
         setFailoverHook(exchange, choice, *connection);
     }
     for (;;) {
-        auto readTimeout = std::max(exchange.remainingTime(Clock::now()), milliseconds(1));
+        const auto timeout = exchange.answerReadTimeout(Clock::now());
+        if (!timeout) {
+            exchange.splitter.discardIncompleteEvent();
+            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, NotEnded);
+        }
+        auto readTimeout = *timeout;
         if (canFailOver && route.eventGapGoal > milliseconds(0)) {
             readTimeout = std::min(readTimeout, exchange.streamStarted ? route.eventGapGoal * 2 : route.goal * 3 / 2);
         }
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -6,6 +6,7 @@
 #include "tamarackcove/Gateway/RequestRelay.h"
 #include "tamarackcove/Http/CallerWatch.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -82,6 +83,17 @@
     /// Whether all steps of the request are logged, even if it succeeds at once.
     bool sampled = false;
 
+    /// How long the next read of an answer may wait. At the deadline, this is the shortest wait, so that bytes that
+    /// have arrived are still relayed; nothing once MaxLateAnswerTime has passed as well, when bytes arrive without a
+    /// pause.
+    [[nodiscard]] std::optional<milliseconds> answerReadTimeout(TimePoint now) const
+    {
+        constexpr milliseconds MaxLateAnswerTime{100};
+        if (now >= deadline + MaxLateAnswerTime) {
+            return std::nullopt;
+        }
+        return std::max(remainingTime(now), milliseconds(1));
+    }
     /// Time until the deadline; negative after it.
     [[nodiscard]] milliseconds remainingTime(TimePoint now) const
     {
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -556,3 +556,39 @@
         CHECK(sentBytes < 2 * (MaxAnswerBytes + MaxKernelBytes));
     });
 }
+
+// Guards against an answer whose bytes arrive without a pause, so that no read reaches its timeout after the deadline.
+TEST_CASE("an answer that has not ended at the deadline of its request is given up")
+{
+    constexpr milliseconds Deadline{700};
+    Deployment deployment;
+    std::size_t sentBytes = 0;
+    StandInServer::Behaviour sendsSlowly
+        = [&](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        const auto id = request.headers.find("Tamarackcove-Attempt-Id").value_or("");
+        if (id == "body") {
+            co_await sendWithoutEnd(sealedResponse(request, 200), responder, "x", sentBytes);
+            co_return;
+        }
+        if (id == "events") {
+            auto head = sealedResponse(request, 200);
+            head.headers.set("Content-Type", "text/event-stream");
+            co_await sendWithoutEnd(std::move(head), responder, "id: 1\ndata: x\n\n", sentBytes);
+            co_return;
+        }
+        co_await answerInFull(request, responder);
+    };
+    deployment.addServer("p1", "plain", sendsSlowly);
+    deployment.addServer("s1", "engines", sendsSlowly);
+    deployment.run([&]() -> asio::awaitable<void> {
+        auto startTime = Clock::now();
+        const auto body = co_await deployment.call("POST", "/once/x", "body", {}, Deadline);
+        CHECK(body.status == 504);
+        CHECK(Clock::now() - startTime < Deadline + seconds(2));
+        startTime = Clock::now();
+        const auto events = co_await deployment.call("POST", "/stream/x", "events", {}, Deadline);
+        // The entry has closed the connection, so that the caller sees an incomplete stream.
+        CHECK(events.status == 0);
+        CHECK(Clock::now() - startTime < Deadline + seconds(2));
+    });
+}
