Entry: limit the size of one event of a stream

Seen: a stream whose server sends bytes without an end of event holds its request until the deadline and fills the memory of the entry, although another server could resume the stream. Cause: EventStreamSplitter keeps the incomplete event without a limit; it also searched all of it after each read. An event over 256 KiB counts as a lost answer: the stream is resumed on another server or cut. Only the new bytes are searched for the end of the event. Evidence: on the code before, the caller of the test got no answer within 5 s; it now gets the resumed stream.

--- a/lib/Gateway/EventStreamSplitter.cpp
+++ b/lib/Gateway/EventStreamSplitter.cpp
@@ -1,12 +1,24 @@
 #include "tamarackcove/Gateway/EventStreamSplitter.h"
 
+#include <algorithm>
+
 namespace tamarackcove {
 
+/// The position of the last occurrence that begins at `begin` or later.
+static std::size_t findLast(std::string_view text, std::string_view part, std::size_t begin)
+{
+    const auto found = text.substr(begin).rfind(part);
+    return found == std::string_view::npos ? std::string::npos : begin + found;
+}
+
 std::string EventStreamSplitter::consume(std::string_view bytes)
 {
+    // A boundary that the new bytes complete begins at most two bytes before them. The bytes before have none, so that
+    // an event that arrives in many reads is not searched as a whole after each.
+    const std::size_t searchBegin = m_incompleteEvent.size() - std::min<std::size_t>(m_incompleteEvent.size(), 2);
     m_incompleteEvent += bytes;
-    const auto lfBoundary = m_incompleteEvent.rfind("\n\n");
-    const auto crlfBoundary = m_incompleteEvent.rfind("\n\r\n");
+    const auto lfBoundary = findLast(m_incompleteEvent, "\n\n", searchBegin);
+    const auto crlfBoundary = findLast(m_incompleteEvent, "\n\r\n", searchBegin);
     std::size_t end = 0;
     if (lfBoundary != std::string::npos) {
         end = lfBoundary + 2;
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -23,6 +23,8 @@
 static constexpr milliseconds RefusalTimeout{100};
 /// Limit on the body of a refusal that is read for this purpose.
 static constexpr std::size_t MaxRefusalBytes = 64 * 1024;
+/// Limit on one event of a stream, which has one token or the figures at its end.
+static constexpr std::size_t MaxEventBytes = 256 * 1024;
 /// Reason of an answer that is given up although its bytes still arrive.
 static constexpr std::string_view NotEnded = "the answer has not ended at the deadline of the request";
 
@@ -214,6 +216,11 @@
         const bool ended = !piece.value();
         auto events = ended ? exchange.splitter.incompleteEvent() : exchange.splitter.consume(*piece.value());
         if (events.empty() && !ended) {
+            if (exchange.splitter.incompleteEvent().size() > MaxEventBytes) {
+                exchange.splitter.discardIncompleteEvent();
+                co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken,
+                                           "event of more than " + std::to_string(MaxEventBytes) + " bytes");
+            }
             continue;
         }
         ++exchange.eventCount;
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -592,3 +592,36 @@
         CHECK(Clock::now() - startTime < Deadline + seconds(2));
     });
 }
+
+// Guards against an event that fills the memory of the entry until the deadline of its request.
+TEST_CASE("a stream whose server sends an event without end is resumed on another server")
+{
+    Deployment deployment;
+    std::size_t sentBytes = 0;
+    StandInServer::Behaviour sendsEndlessEvent
+        = [&](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        if (request.headers.find("Tamarackcove-Attempt-Id") != "event" || request.headers.find("Last-Event-Id")) {
+            co_await sendEvents(request, responder, 2, 2);
+            co_return;
+        }
+        auto head = sealedResponse(request, 200);
+        head.headers.set("Content-Type", "text/event-stream");
+        (void)co_await responder.beginStream(std::move(head));
+        (void)co_await responder.writePiece("id: 1\ndata: x\n\n");
+        Result<void, HttpError> written = ok();
+        while (written.has_value() && sentBytes < 64 * 1024 * 1024) {
+            written = co_await responder.writePiece(std::string(4096, 'x'));
+            sentBytes += 4096;
+            co_await asio::post(co_await asio::this_coro::executor, asio::use_awaitable);
+        }
+    };
+    deployment.addServer("p1", "plain", answerInFull);
+    deployment.addServer("s1", "engines", sendsEndlessEvent);
+    deployment.addServer("s2", "engines", sendsEndlessEvent);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto response = co_await deployment.call("POST", "/stream/x", "event");
+        CHECK(response.status == 200);
+        CHECK(response.body == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+        CHECK(sentBytes < MaxKernelBytes);
+    });
+}
