Control host: limit the answer to an order or a read of the state

Seen: a server whose state report has no end kept the task of this server on a control host for ever and filled its memory; the log had no reason for a state that was not read.

--- a/lib/Control/Fleet/OrderDispatcher.cpp
+++ b/lib/Control/Fleet/OrderDispatcher.cpp
@@ -15,6 +15,8 @@
 /// Servers answer an order at once, so this timeout only has to cover the round trip between zones. A server that does
 /// not answer in time may still carry out the order.
 static constexpr milliseconds ExchangeTimeout{120};
+/// Limit on the answer to an order or to a read of the state, which lists the adapters of one server.
+static constexpr std::size_t MaxReplyBytes = 1024 * 1024;
 /// Longest idle time of a connection on which an order is still sent. Servers close idle connections after some
 /// seconds, and an order is never sent on a connection that may be closing.
 static constexpr milliseconds MaxConnectionIdle{1500};
@@ -180,8 +182,11 @@
         }
         target.connection = std::move(connected).value();
     }
-    auto response = co_await target.connection->exchange(std::move(request), ExchangeTimeout);
+    auto response = co_await target.connection->exchange(std::move(request), ExchangeTimeout, MaxReplyBytes);
     if (response.has_error()) {
+        LogLine(LogLevel::Info, "server_reply_unread")
+            .add("server", target.server.identity.id.value())
+            .add("reason", response.error().detail);
         target.connection.reset();
         co_return std::nullopt;
     }
--- a/unittests/Platform/StandInServer.h
+++ b/unittests/Platform/StandInServer.h
@@ -57,6 +57,8 @@
 
     /// Requests in the order of arrival, except orders and reads of the state.
     std::vector<HttpRequest> requests;
+    /// Answers reads of the state, if set.
+    Behaviour reportBehaviour;
     /// The adapters that the server holds.
     std::set<std::string> adapters;
 
@@ -72,6 +74,10 @@
 
     boost::asio::awaitable<void> answer(const HttpRequest &request, HttpResponder &responder)
     {
+        if (request.path() == "/v1/report" && reportBehaviour) {
+            co_await reportBehaviour(request, responder);
+            co_return;
+        }
         if (request.path() == "/v1/report") {
             const nlohmann::json report{{"born", 1}, {"models", models()}, {"busy", false}, {"seq", m_orders}};
             (void)co_await responder.send(jsonResponse(200, report.dump()));
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -625,3 +625,32 @@
         CHECK(sentBytes < MaxKernelBytes);
     });
 }
+
+// Guards against a control host whose memory a server fills with its state, and whose task for this server never ends.
+TEST_CASE("a state report without end counts as not read, and other servers load adapters")
+{
+    Deployment deployment;
+    std::size_t sentBytes = 0;
+    int reads = 0;
+    StandInServer::Behaviour sendsEvents = [](const HttpRequest &request, HttpResponder &responder) {
+        return sendEvents(request, responder, 2, 2);
+    };
+    deployment.addServer("p1", "plain", answerInFull);
+    auto &broken = deployment.addServer("s1", "engines", sendsEvents);
+    broken.reportBehaviour = [&](const HttpRequest &, HttpResponder &responder) -> asio::awaitable<void> {
+        ++reads;
+        co_await sendWithoutEnd(jsonResponse(200, {}), responder, std::string(4096, ' '), sentBytes);
+    };
+    deployment.addServer("s2", "engines", sendsEvents);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto response = co_await deployment.call("POST", "/stream/x", "load", "a1");
+        CHECK(response.status == 200);
+        for (int i = 0; i < 100 && reads < 2; ++i) {
+            co_await deployment.sleepFor(milliseconds(50));
+        }
+        CHECK(reads >= 2);
+        CHECK(sentBytes < static_cast<std::size_t>(reads) * MaxKernelBytes);
+        const auto [entry, control] = co_await deployment.metrics();
+        checkContains(control, "tamarackcove_state_reads_failed_total");
+    });
+}
