HttpServer: count a request whose handler throws as ended

Seen: busyConnections() stays above zero after a handler ended with an error of its connection, and a drain that waits for it ends at its deadline only. Cause: ServerConnection::run() lowered the count after answer(), which passes system_error on.

--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -51,6 +51,30 @@
     bool draining = false;
 };
 
+/// Counts a connection as busy while in scope, also when the request ends with an exception.
+class BusyGuard
+{
+public:
+    BusyGuard(std::size_t &busyConnections, bool &busy)
+        : m_busyConnections(busyConnections)
+        , m_busy(busy)
+    {
+        ++m_busyConnections;
+        m_busy = true;
+    }
+    ~BusyGuard()
+    {
+        --m_busyConnections;
+        m_busy = false;
+    }
+    BusyGuard(const BusyGuard &) = delete;
+    BusyGuard &operator=(const BusyGuard &) = delete;
+
+private:
+    std::size_t &m_busyConnections;
+    bool &m_busy;
+};
+
 /// One caller connection. Reads requests one after the other and has the handler answer each, until either side closes
 /// the connection.
 class ServerConnection final : public HttpResponder
@@ -117,11 +141,8 @@
         if (!co_await readRequest(request)) {
             break;
         }
-        m_busy = true;
-        ++m_server.busy;
+        const BusyGuard guard(m_server.busy, m_busy);
         co_await answer(request);
-        --m_server.busy;
-        m_busy = false;
     }
     beast::error_code ignored;
     m_socket.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -7,11 +7,13 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/system/system_error.hpp>
 #include <doctest/doctest.h>
 
 namespace asio = boost::asio;
@@ -112,3 +114,30 @@
         CHECK(served.has_value());
     });
 }
+
+// Guards against a drain that waits for a request that has ended.
+TEST_CASE("a request whose handler throws an error of its connection is no longer counted as in progress")
+{
+    asio::io_context io;
+    Supervisor supervisor(io.get_executor(), "test");
+    const auto failing = [](const HttpRequest &, HttpResponder &) -> asio::awaitable<void> {
+        throw boost::system::system_error(asio::error::connection_reset);
+        co_return;
+    };
+    HttpServer server(supervisor, {}, failing);
+    REQUIRE(server.listen({"127.0.0.1", 0}).has_value());
+    supervisor.start("accept", [&server] { return server.run(); });
+    Endpoint endpoint{"127.0.0.1", server.port()};
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            HttpRequest request;
+            const auto response = co_await httpExchange(endpoint, std::move(request), seconds(5));
+            CHECK(response.has_error());
+            CHECK(server.openConnections() == 0);
+            CHECK(server.busyConnections() == 0);
+            co_await supervisor.stop();
+        },
+        asio::detached);
+    io.run();
+}
