--- a/unittests/Wire/FramedConnectionTest.cpp
+++ b/unittests/Wire/FramedConnectionTest.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <memory>
+#include <thread>
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -61,3 +63,29 @@
     other[3] = static_cast<std::uint8_t>(other.size() - 4);
     CHECK(readRaw(other, seconds(5)).error().code == WireErrorCode::UnsupportedVersion);
 }
+
+// Guards against a timer handler that uses the connection after it was destroyed, which the address sanitizer reports.
+TEST_CASE("a connection whose peer closes it at the moment of the timeout can be destroyed at once")
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    tcp::socket sender(io);
+    sender.connect(acceptor.local_endpoint());
+    auto connection = std::make_unique<FramedConnection>(acceptor.accept());
+    constexpr milliseconds Timeout{10};
+    Result<Message, WireError> read = WireError{};
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            read = co_await connection->read(Timeout);
+            connection.reset();
+        },
+        asio::detached);
+    io.poll();
+    // Both the end of the stream and the end of the timeout are pending when the thread runs handlers again.
+    sender.close();
+    std::this_thread::sleep_for(Timeout * 3);
+    io.run();
+    REQUIRE(read.has_error());
+    CHECK(read.error().code == WireErrorCode::Closed);
+}
