--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -8,6 +8,7 @@
 #include "tamarackcove/Http/HttpResponse.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -21,6 +22,15 @@
 class HttpConnection
 {
 public:
+    /// Limit on the head of one response, as for the heads of callers.
+    static constexpr std::size_t MaxHeadBytes = 16 * 1024;
+    /// Limit on the interim responses (1xx) before a response.
+    static constexpr int MaxInterimResponses = 16;
+    /// Limit on the size line of a chunk with its extensions, and on the trailer fields of a response.
+    static constexpr std::size_t MaxChunkFramingBytes = 16 * 1024;
+    /// Limit on the body of a response that exchange() returns, unless its caller sets another one.
+    static constexpr std::size_t MaxExchangeBodyBytes = 16 * 1024 * 1024;
+
     static boost::asio::awaitable<Result<std::unique_ptr<HttpConnection>, HttpError>> connect(Endpoint endpoint,
                                                                                               milliseconds timeout);
     ~HttpConnection();
@@ -33,19 +43,25 @@
     /// The number of bytes of the last request that were handed to the kernel.
     [[nodiscard]] std::size_t requestBytesWritten() const;
 
-    /// Reads the head of the response. Precondition: writeRequest() has succeeded.
+    /// Reads the head of the response and skips the interim responses before it. The timeout applies to all of them
+    /// together. Fails with TooLarge if the head or the number of interim responses exceeds its limit.
+    /// Precondition: writeRequest() has succeeded.
     boost::asio::awaitable<Result<HttpResponse, HttpError>> readHead(milliseconds timeout);
 
     /// Reads the part of the body that has arrived, and returns nothing at the end of the body. A connection that is
-    /// closed before the end of the body gives an error. Precondition: readHead() has succeeded.
+    /// closed before the end of the body gives an error, as does chunk framing over its limit (TooLarge). The body has
+    /// no limit: the caller counts the bytes and the time of all pieces. Precondition: readHead() has succeeded.
     boost::asio::awaitable<Result<std::optional<std::string>, HttpError>> readPiece(milliseconds timeout);
 
     /// Sets a hook that is called when a read has reached its timeout. It returns for how much longer the read waits;
     /// zero lets it fail with TimedOut. An empty hook lets every read fail at its timeout.
     void setSilenceHook(std::function<milliseconds()> onSilence);
 
-    /// Sends a request and reads the whole response. The timeout applies to each write and read, not to their total.
-    boost::asio::awaitable<Result<HttpResponse, HttpError>> exchange(HttpRequest request, milliseconds timeout);
+    /// Sends a request and reads the whole response. The response must arrive within the timeout; while the peer has
+    /// not accepted the request, the timeout applies to each wait for it. Fails with TooLarge if the body is longer
+    /// than `maxBodyBytes`.
+    boost::asio::awaitable<Result<HttpResponse, HttpError>> exchange(HttpRequest request, milliseconds timeout,
+                                                                     std::size_t maxBodyBytes = MaxExchangeBodyBytes);
 
     /// Whether another exchange may use this connection: it is open, no exchange is in progress, none has failed, and
     /// the last response did not close it.
@@ -67,8 +83,8 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-/// Opens a connection, does one exchange and closes the connection. The timeout applies to the connect and to each
-/// write and read, not to their total.
+/// Opens a connection, does one exchange and closes the connection. The timeout applies to the connect, and then to the
+/// exchange as described there.
 boost::asio::awaitable<Result<HttpResponse, HttpError>> httpExchange(Endpoint endpoint, HttpRequest request,
                                                                      milliseconds timeout);
 
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -7,6 +7,8 @@
 #include "tamarackcove/Observe/Metrics.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <string>
 
 namespace asio = boost::asio;
 
@@ -19,6 +21,12 @@
 static constexpr milliseconds MaxLoadOverrun{1500};
 /// Time limit for reading the short body of a refusal, which is read so that the connection can be reused.
 static constexpr milliseconds RefusalTimeout{100};
+/// Limit on the body of a refusal that is read for this purpose.
+static constexpr std::size_t MaxRefusalBytes = 64 * 1024;
+/// Limit on one event of a stream, which has one token or the figures at its end.
+static constexpr std::size_t MaxEventBytes = 256 * 1024;
+/// Reason of an answer that is given up although its bytes still arrive.
+static constexpr std::string_view NotEnded = "the answer has not ended at the deadline of the request";
 
 asio::awaitable<RequestRelay::Step> RequestRelay::relayAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
                                                               std::unique_ptr<HttpConnection> connection,
@@ -84,32 +92,68 @@
         .add("version", choice.version)
         .add("reason", reason)
         .add("sent", exchange.sendCount);
-    for (;;) {
-        const auto piece = co_await connection->readPiece(RefusalTimeout);
-        if (piece.has_error() || !piece.value()) {
-            break;
-        }
-    }
+    co_await readRefusalBody(exchange, choice, *connection);
     exchange.watched.connection = nullptr;
     m_parts.connections.release(choice.server, std::move(connection));
     co_return Step::NotRun;
 }
 
+asio::awaitable<void> RequestRelay::readRefusalBody(const Exchange &exchange, const ServerDirectory::Choice &choice,
+                                                    HttpConnection &connection)
+{
+    const auto endTime = Clock::now() + RefusalTimeout;
+    std::size_t bytes = 0;
+    std::string reason;
+    while (reason.empty()) {
+        const auto left = std::chrono::ceil<milliseconds>(endTime - Clock::now());
+        if (left <= milliseconds(0)) {
+            reason = "the body has not ended after " + std::to_string(RefusalTimeout.count()) + " ms";
+            break;
+        }
+        const auto piece = co_await connection.readPiece(left);
+        if (piece.has_error()) {
+            reason = piece.error().detail;
+        } else if (!piece.value()) {
+            co_return;
+        } else {
+            bytes += piece.value()->size();
+            if (bytes > MaxRefusalBytes) {
+                reason = "body of more than " + std::to_string(MaxRefusalBytes) + " bytes";
+            }
+        }
+    }
+    LogLine(LogLevel::Info, "refusal_body_unread")
+        .add("request", exchange.caller.attemptId)
+        .add("server", choice.server.id.value())
+        .add("bytes", static_cast<std::uint64_t>(bytes))
+        .add("reason", reason);
+}
+
 asio::awaitable<RequestRelay::Step> RequestRelay::relayCompleteAnswer(Exchange &exchange,
                                                                       const ServerDirectory::Choice &choice,
                                                                       std::unique_ptr<HttpConnection> connection,
                                                                       HttpResponse head)
 {
     auto &servers = m_parts.view.servers();
+    auto buffer = std::make_unique<AnswerBuffer>(m_bufferedBytes);
     for (;;) {
-        const auto left = std::max(exchange.remainingTime(Clock::now()), milliseconds(1));
-        const auto piece = co_await connection->readPiece(left);
+        const auto timeout = exchange.answerReadTimeout(Clock::now());
+        if (!timeout) {
+            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, NotEnded);
+        }
+        const auto piece = co_await connection->readPiece(*timeout);
         if (piece.has_error()) {
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, piece.error().detail);
         }
         if (!piece.value()) {
             break;
         }
+        if (!buffer->add(piece.value()->size())) {
+            const auto reason = "the body exceeds " + std::to_string(AnswerBuffer::MaxAnswerBytes) + " bytes, or "
+                + std::to_string(AnswerBuffer::MaxTotalBytes) + " bytes with the other answers; read "
+                + std::to_string(buffer->size());
+            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, reason);
+        }
         head.body += *piece.value();
     }
     exchange.watched.connection = nullptr;
@@ -129,6 +173,7 @@
     if (failed && maySendAgain(exchange)) {
         exchange.excludedServers.insert(choice.server.id);
         exchange.failureResponse = std::move(head);
+        exchange.failureBuffer = std::move(buffer);
         co_return Step::MayHaveRun;
     }
     exchange.outcome = failed ? RequestOutcome::ServerFailed : RequestOutcome::Answered;
@@ -148,7 +193,12 @@
         setFailoverHook(exchange, choice, *connection);
     }
     for (;;) {
-        auto readTimeout = std::max(exchange.remainingTime(Clock::now()), milliseconds(1));
+        const auto timeout = exchange.answerReadTimeout(Clock::now());
+        if (!timeout) {
+            exchange.splitter.discardIncompleteEvent();
+            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, NotEnded);
+        }
+        auto readTimeout = *timeout;
         if (canFailOver && route.eventGapGoal > milliseconds(0)) {
             readTimeout = std::min(readTimeout, exchange.streamStarted ? route.eventGapGoal * 2 : route.goal * 3 / 2);
         }
@@ -166,6 +216,11 @@
         const bool ended = !piece.value();
         auto events = ended ? exchange.splitter.incompleteEvent() : exchange.splitter.consume(*piece.value());
         if (events.empty() && !ended) {
+            if (exchange.splitter.incompleteEvent().size() > MaxEventBytes) {
+                exchange.splitter.discardIncompleteEvent();
+                co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken,
+                                           "event of more than " + std::to_string(MaxEventBytes) + " bytes");
+            }
             continue;
         }
         ++exchange.eventCount;
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "tamarackcove/Fleet/RouteTable.h"
+#include "tamarackcove/Gateway/AnswerBuffer.h"
 #include "tamarackcove/Gateway/EventStreamSplitter.h"
 #include "tamarackcove/Gateway/RequestRelay.h"
 #include "tamarackcove/Http/CallerWatch.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -67,6 +69,8 @@
     TimePoint lastProgressAt;
     /// A server's answer with a 5xx status, kept while another server is tried and relayed if none answers.
     std::optional<HttpResponse> failureResponse;
+    /// Counts the bytes of `failureResponse`.
+    std::unique_ptr<AnswerBuffer> failureBuffer;
     RequestOutcome outcome = RequestOutcome::CallerGone;
     /// Why the request was not answered: a fixed word, used as metric label and log value.
     std::string_view failureReason;
@@ -79,6 +83,17 @@
     /// Whether all steps of the request are logged, even if it succeeds at once.
     bool sampled = false;
 
+    /// How long the next read of an answer may wait. At the deadline, this is the shortest wait, so that bytes that
+    /// have arrived are still relayed; nothing once MaxLateAnswerTime has passed as well, when bytes arrive without a
+    /// pause.
+    [[nodiscard]] std::optional<milliseconds> answerReadTimeout(TimePoint now) const
+    {
+        constexpr milliseconds MaxLateAnswerTime{100};
+        if (now >= deadline + MaxLateAnswerTime) {
+            return std::nullopt;
+        }
+        return std::max(remainingTime(now), milliseconds(1));
+    }
     /// Time until the deadline; negative after it.
     [[nodiscard]] milliseconds remainingTime(TimePoint now) const
     {
