FleetControl: acknowledge the departure of an unknown server only as a confirmed leader

What servers saw: a departure that is acknowledged and then unknown to the leader, so that entries go on sending requests (DRAIN).

Cause: a host answered 200 to the departure of a server that its registry does not list, as long as its role was that of the leader. The registry is empty while the role is that of the leader but the leadership has not begun, or has ended after a suspension of 600 ms (endLeadership), so that a host that is cut off from the group acknowledged what nobody else learned. Now the call waits for a read barrier, looks again, and is refused if the barrier is.

Ruled out: draining heartbeats, which always wait for the command in the log.

Evidence: the new test, on the code before, gets an acknowledgement instead of the refusal.

--- a/lib/Control/Fleet/FleetControl.cpp
+++ b/lib/Control/Fleet/FleetControl.cpp
@@ -154,7 +154,15 @@
     BOOST_OUTCOME_CO_TRY(requireLeader());
     const auto *server = m_registry.find(id);
     if (server == nullptr) {
-        co_return ok();
+        // A host that is not yet, or no longer, confirmed as leader has no servers in its registry.
+        const auto barrier = co_await m_log.readBarrier();
+        if (barrier.has_error()) {
+            co_return toRefusal(barrier.error());
+        }
+        server = m_registry.find(id);
+        if (server == nullptr) {
+            co_return ok();
+        }
     }
     LogLine(LogLevel::Info, "server_leaves").add("server", id.value());
     const auto identity = server->lastHeartbeat.identity;
--- /dev/null
+++ b/unittests/Control/Fleet/FleetControlTest.cpp
@@ -0,0 +1,97 @@
+#include "tamarackcove/Control/Fleet/FleetControl.h"
+
+#include "tamarackcove/Observe/LogLine.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+namespace asio = boost::asio;
+using namespace tamarackcove;
+
+/// Fixture: the calls of servers at a host that has the role of the leader, with a stand-in for the log.
+class FleetControlFixture
+{
+public:
+    FleetControlFixture()
+    {
+        static const bool LogsSetUp = [] {
+            initLogging("fleet-control", LogLevel::Error);
+            return true;
+        }();
+        REQUIRE(LogsSetUp);
+    }
+
+    Result<void, FleetControl::Refusal> deregister(const std::string &id)
+    {
+        std::optional<Result<void, FleetControl::Refusal>> result;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void> {
+                TargetId target(id);
+                result = co_await control.deregister(std::move(target));
+            },
+            [](const std::exception_ptr &error) { REQUIRE_FALSE(error); });
+        io.restart();
+        io.run();
+        REQUIRE(result.has_value());
+        return *result;
+    }
+
+    LogClient client()
+    {
+        LogClient log;
+        log.propose = [this](std::string) -> asio::awaitable<Result<std::string, LogError>> {
+            ++proposals;
+            co_return std::string();
+        };
+        log.readBarrier = [this]() -> asio::awaitable<Result<void, LogError>> {
+            if (!confirmed) {
+                co_return LogError{.code = LogErrorCode::Unavailable, .detail = "no majority", .leader = std::nullopt};
+            }
+            if (onConfirmed) {
+                onConfirmed();
+            }
+            co_return ok();
+        };
+        log.status = [] {
+            LogStatus status;
+            status.role = "leader";
+            return status;
+        };
+        return log;
+    }
+
+    asio::io_context io{1};
+    /// Whether a majority confirms that this host is the leader.
+    bool confirmed = true;
+    std::function<void()> onConfirmed;
+    int proposals = 0;
+    FleetState state;
+    ServerRegistry registry{{}};
+    FleetControl control{client(),
+                         state,
+                         registry,
+                         {.address = {}, .readConfiguration = {}, .onServersChanged = [] {}, .onHeartbeat = {}}};
+};
+
+// Guards against a departure that is acknowledged by a host without the servers of the fleet, because it has just been
+// elected or has lost its majority: requests then still reach the server.
+TEST_CASE_FIXTURE(FleetControlFixture, "the departure of an unknown server is confirmed only by a confirmed leader")
+{
+    CHECK(deregister("s1").has_value());
+    confirmed = false;
+    const auto refused = deregister("s1");
+    REQUIRE(refused.has_error());
+    CHECK(refused.error().code == FleetControl::RefusalCode::Unavailable);
+    CHECK(proposals == 0);
+    // The host becomes leader while the call waits, and learns of the server from the log.
+    confirmed = true;
+    onConfirmed = [this] {
+        ServerHeartbeat server;
+        server.identity = {.id = TargetId("s1"), .startedAt = Incarnation(1)};
+        CHECK(registry.addUnannounced(server, false, Clock::now()));
+    };
+    CHECK(deregister("s1").has_value());
+    CHECK(proposals == 1);
+}
