Entry: do not leave a silent server for one that is avoided

What callers saw: a stream whose server paused was cut (LOST), because the entry left the server for one that it knew to be broken.

Cause: the hook that asks whether a silent request can go on elsewhere took any server that may be chosen. A server without an adapter to load, or with a single failure, is chosen as the last resort also while it is avoided. The attempt there was refused at once, no server was left, and the stream was cut.

Not removed: a server that looks sound and then refuses the request still ends it if no other server and no retry is left.

--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -82,6 +82,8 @@
         ServerIdentity server;
         Endpoint endpoint;
         Zone zone;
+        /// Whether the server is avoided, so that it is chosen only because no other server can take the request.
+        bool avoided = false;
         /// The version of the adapter that the server holds; 0 when the request names no adapter.
         std::uint64_t version = 0;
         /// While the server is loading the adapter: when to send the request. Otherwise a time in the past.
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -125,7 +125,10 @@
         return std::nullopt;
     }
     const auto &offered = best->server->offered;
-    Choice choice{.server = offered.identity, .endpoint = offered.endpoint, .zone = offered.zone};
+    Choice choice{.server = offered.identity,
+                  .endpoint = offered.endpoint,
+                  .zone = offered.zone,
+                  .avoided = best->server->avoidUntil > now};
     if (best->holding != nullptr) {
         choice.version = best->holding->version;
         choice.readyAt = best->holding->readyAt;
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -160,8 +160,8 @@
             requirements.minVersion = m_parts.view.requiredVersion(*requirements.adapter, now);
         }
         const auto other = m_parts.view.servers().choose(requirements, now);
-        if (other && other->readyAt <= now && m_parts.view.retryBudget(exchange.service).remaining(now) >= 1
-            && takeRetry(exchange)) {
+        if (other && !other->avoided && other->readyAt <= now
+            && m_parts.view.retryBudget(exchange.service).remaining(now) >= 1 && takeRetry(exchange)) {
             return milliseconds(0);
         }
         return std::min(left, SilenceRecheckInterval);
--- a/unittests/Fleet/ServerDirectoryTest.cpp
+++ b/unittests/Fleet/ServerDirectoryTest.cpp
@@ -113,8 +113,10 @@
     servers.startRequest(TargetId("broken"), 1);
     servers.endRequest(TargetId("broken"), 1, ServerOutcome::Broken, Start);
     CHECK(servers.choose(requirements(false), Start)->server.id == TargetId("far"));
+    CHECK_FALSE(servers.choose(requirements(false), Start)->avoided);
     servers.remove(TargetId("far"));
     CHECK(servers.choose(requirements(false), Start)->server.id == TargetId("broken"));
+    CHECK(servers.choose(requirements(false), Start)->avoided);
     servers.put(server("far", "elsewhere"));
     CHECK(servers.choose(requirements(false), Start + seconds(5))->server.id == TargetId("broken"));
 }
--- a/unittests/Platform/StandInServer.h
+++ b/unittests/Platform/StandInServer.h
@@ -37,6 +37,11 @@
     {
         m_connections.start("accept", [this] { return m_http.run(); });
     }
+    /// Makes the server unreachable: it refuses new connections and closes those that are idle.
+    void close()
+    {
+        m_http.beginDrain();
+    }
     boost::asio::awaitable<void> stop()
     {
         return m_connections.stop();
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -318,6 +318,48 @@
     });
 }
 
+// Guards against a stream that is cut because its server paused and the entry tried to move it to a server that it
+// knew to be unreachable.
+TEST_CASE("a stream whose server pauses is not moved to an unreachable server")
+{
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerInFull);
+    StandInServer::Behaviour pausesOrAnswers
+        = [](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        if (request.headers.find("Tamarackcove-Attempt-Id") != "paused") {
+            co_await sendEvents(request, responder, 2, 2);
+            co_return;
+        }
+        auto head = sealedResponse(request, 200);
+        head.headers.set("Content-Type", "text/event-stream");
+        (void)co_await responder.beginStream(std::move(head));
+        (void)co_await responder.writePiece("id: 1\ndata: x\n\n");
+        // Longer than twice the longest gap between events that the route allows.
+        asio::steady_timer timer(co_await asio::this_coro::executor, milliseconds(1500));
+        co_await timer.async_wait(asio::use_awaitable);
+        (void)co_await responder.writePiece("id: 2\ndata: x\n\n");
+        (void)co_await responder.endStream();
+    };
+    auto &running = deployment.addServer("s1", "engines", pausesOrAnswers);
+    auto &stopped = deployment.addServer("s2", "engines", pausesOrAnswers);
+    deployment.run([&]() -> asio::awaitable<void> {
+        stopped.close();
+        // The entry finds the stopped server unreachable four times, and then avoids it for three seconds.
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        const auto until = Clock::now() + milliseconds(3200);
+        for (int number = 0; Clock::now() < until; ++number) {
+            const auto other = co_await deployment.call("POST", "/stream/x", "other-" + std::to_string(number));
+            CHECK(other.status == 200);
+            timer.expires_after(milliseconds(20));
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        const auto paused = co_await deployment.call("POST", "/stream/x", "paused");
+        CHECK(paused.status == 200);
+        CHECK(paused.body == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+        CHECK(requestCount(running, "paused") == 1);
+    });
+}
+
 TEST_CASE("a not repeatable request is sent to another server only if the first one has not run it")
 {
     Deployment deployment;
