UpdateFeed: tell entries of servers without load after a change of the leader

What callers would see: requests that wait at loaded servers while an idle one gets none.

Cause: an entry keeps the load that the leader last sent for a server. A new leader, and the whole state for an entry that has reconnected or fallen behind, listed only servers with load, so that a server that had load under the earlier leader and has none now kept the old figure at every entry until some entry sent it a request. Now each server is listed once loads are known.

Evidence: the new test finds no load for the idle server on the code before, and zero after.

--- a/include/tamarackcove/Control/Fleet/UpdateFeed.h
+++ b/include/tamarackcove/Control/Fleet/UpdateFeed.h
@@ -56,6 +56,7 @@
 
 private:
     [[nodiscard]] ServerMessage toServerMessage(const ServerRegistry::Server &server) const;
+    [[nodiscard]] ServerLoadMessage toLoadMessage(const std::string &server) const;
     /// Adds the configuration and the versions of weights that are newer than those given.
     void addState(FleetUpdateMessage &update, std::uint64_t configurationVersion, Revision revision) const;
     void addCompleteList(FleetUpdateMessage &update) const;
@@ -78,6 +79,9 @@
     std::set<TargetId> m_pendingServers;
     std::map<std::pair<TargetId, AdapterKey>, AdapterPlanner::HoldingChange> m_pendingHoldings;
     std::map<std::string, double> m_loads;
+    /// Whether entries have reported loads since restart(). From then on a server without load is sent as such, because
+    /// entries may still have its load from an earlier leader.
+    bool m_loadsKnown = false;
     std::set<std::string> m_pendingLoads;
     /// The whole state, as of the update with the number m_snapshotUpdate; empty if it has not been encoded since then.
     std::vector<SharedFrame> m_snapshot;
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -30,6 +30,7 @@
     m_pendingServers.clear();
     m_pendingHoldings.clear();
     m_loads.clear();
+    m_loadsKnown = false;
     m_pendingLoads.clear();
     m_snapshot.clear();
 }
@@ -37,6 +38,11 @@
 void UpdateFeed::addServers(const std::set<TargetId> &ids)
 {
     m_pendingServers.insert(ids.begin(), ids.end());
+    if (m_loadsKnown) {
+        for (const auto &id : ids) {
+            m_pendingLoads.insert(id.value());
+        }
+    }
 }
 
 void UpdateFeed::addHoldings(const std::vector<AdapterPlanner::HoldingChange> &changes)
@@ -48,6 +54,12 @@
 
 void UpdateFeed::setLoads(const std::vector<ServerLoadMessage> &loads)
 {
+    if (!m_loadsKnown && !loads.empty()) {
+        m_loadsKnown = true;
+        for (const auto &[id, server] : m_registry.servers()) {
+            m_pendingLoads.insert(id.value());
+        }
+    }
     std::map<std::string, double> previous = std::exchange(m_loads, {});
     for (const auto &load : loads) {
         const auto known = previous.find(load.server);
@@ -127,6 +139,12 @@
     return std::make_shared<const std::vector<std::uint8_t>>(std::move(frame).value());
 }
 
+ServerLoadMessage UpdateFeed::toLoadMessage(const std::string &server) const
+{
+    const auto load = m_loads.find(server);
+    return {.server = server, .load = load == m_loads.end() ? 0 : load->second};
+}
+
 bool UpdateFeed::publish()
 {
     FleetUpdateMessage update;
@@ -143,8 +161,7 @@
         update.holdings.push_back(toHoldingMessage(change));
     }
     for (const auto &server : m_pendingLoads) {
-        const auto load = m_loads.find(server);
-        update.loads.push_back({.server = server, .load = load == m_loads.end() ? 0 : load->second});
+        update.loads.push_back(toLoadMessage(server));
     }
     if (m_serversComplete && !m_completeListPublished) {
         addCompleteList(update);
@@ -197,8 +214,10 @@
     if (m_serversComplete) {
         addCompleteList(update);
     }
-    for (const auto &[server, load] : m_loads) {
-        update.loads.push_back({.server = server, .load = load});
+    if (m_loadsKnown) {
+        for (const auto &[id, server] : m_registry.servers()) {
+            update.loads.push_back(toLoadMessage(id.value()));
+        }
     }
     for (const auto &holding : m_planner.holdings()) {
         update.holdings.push_back(toHoldingMessage(holding));
--- a/unittests/Control/Fleet/UpdateFeedTest.cpp
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -1,7 +1,9 @@
 #include "tamarackcove/Control/Fleet/UpdateFeed.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <memory>
+#include <optional>
 
 using namespace tamarackcove;
 
@@ -172,6 +174,27 @@
     CHECK(update.loads[1].load == 0);
 }
 
+// Guards against entries that avoid an idle server because of the load that an earlier leader has sent.
+TEST_CASE_FIXTURE(UpdateFeedFixture, "a server without load is listed after a change of the leader")
+{
+    const auto loadOfFirstServer = [](const FleetUpdateMessage &update) {
+        const auto found = std::find_if(update.loads.begin(), update.loads.end(),
+                                        [](const ServerLoadMessage &load) { return load.server == "s1"; });
+        return found == update.loads.end() ? std::nullopt : std::optional(found->load);
+    };
+    UpdateFeed::Position position;
+    feed.setLoads({{.server = "s1", .load = 8}});
+    feed.publish();
+    CHECK(loadOfFirstServer(receive(position)) == 8);
+    feed.restart();
+    CHECK_FALSE(loadOfFirstServer(receive(position)).has_value());
+    feed.setLoads({{.server = "s2", .load = 1}});
+    feed.publish();
+    CHECK(loadOfFirstServer(receive(position)) == 0);
+    UpdateFeed::Position later;
+    CHECK(loadOfFirstServer(receive(later)) == 0);
+}
+
 TEST_CASE_FIXTURE(UpdateFeedFixture, "the list of all servers is sent once they have had time to announce themselves")
 {
     UpdateFeed::Position position;
