FramedConnection: an expired deadline does not access a destroyed connection

Seen: a process that was stopped, or ran late, dies by SIGSEGV without a log line.

Cause: SocketDeadline passed references to the socket and to the flag of its owner to the handler of its timer. When one poll of the reactor finds both the end of the connection and the expiry, the end is handled first and destroys the connection; cancelling the timer does not withdraw a handler that is already queued, and it closes a socket in freed memory. Connections between control hosts, and between entries and control hosts, use it; two processes that resume together find the same state and end together.

Ruled out: the same fault in HttpConnection and HttpServer; TimedSocket shares its state with the handler.

Conclusion: the handler shares its state with the deadline, which clears the socket when the operation ends.

--- a/lib/Wire/FramedConnection.cpp
+++ b/lib/Wire/FramedConnection.cpp
@@ -15,32 +15,48 @@
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Closes the socket and sets `expired` when an operation on it exceeds its timeout. The constructor starts the timer,
-/// the destructor cancels it.
+/// Closes the socket when an operation on it exceeds its timeout. The constructor starts the timer, the destructor
+/// cancels it. Precondition: the socket and the timer outlive this object.
 class SocketDeadline
 {
 public:
-    SocketDeadline(tcp::socket &socket, asio::steady_timer &timer, milliseconds timeout, bool &expired)
+    SocketDeadline(tcp::socket &socket, asio::steady_timer &timer, milliseconds timeout)
         : m_timer(timer)
+        , m_state(std::make_shared<State>(State{.socket = &socket}))
     {
-        expired = false;
         timer.expires_after(timeout);
-        timer.async_wait([&socket, &expired](boost::system::error_code error) {
-            if (!error) {
-                expired = true;
-                socket.close(error);
+        // The handler shares the state: when the expiry and the end of the operation are found in one poll, it runs
+        // although the timer was cancelled, and possibly after the socket was destroyed.
+        timer.async_wait([state = m_state](boost::system::error_code error) {
+            if (!error && state->socket != nullptr) {
+                state->expired = true;
+                state->socket->close(error);
             }
         });
     }
     ~SocketDeadline()
     {
+        m_state->socket = nullptr;
         m_timer.cancel();
     }
     SocketDeadline(const SocketDeadline &) = delete;
     SocketDeadline &operator=(const SocketDeadline &) = delete;
 
+    [[nodiscard]] bool expired() const
+    {
+        return m_state->expired;
+    }
+
 private:
+    struct State
+    {
+        /// Null once the operation has ended.
+        tcp::socket *socket = nullptr;
+        bool expired = false;
+    };
+
     asio::steady_timer &m_timer;
+    std::shared_ptr<State> m_state;
 };
 
 struct FramedConnection::Impl
@@ -57,8 +73,6 @@
     tcp::socket socket;
     asio::steady_timer readTimer;
     asio::steady_timer writeTimer;
-    bool readExpired = false;
-    bool writeExpired = false;
     std::uint64_t bytesRead = 0;
     std::uint64_t bytesWritten = 0;
     std::vector<std::uint8_t> payload;
@@ -90,9 +104,8 @@
     if (error) {
         co_return WireError{WireErrorCode::ConnectFailed, endpoint.toString() + " is not an IP address and port"};
     }
-    bool expired = false;
     {
-        const SocketDeadline deadline(socket, timer, timeout, expired);
+        const SocketDeadline deadline(socket, timer, timeout);
         std::tie(error) = co_await socket.async_connect(address, UseTuple);
     }
     if (error) {
@@ -104,11 +117,11 @@
 asio::awaitable<Result<Message, WireError>> FramedConnection::read(milliseconds timeout)
 {
     auto &impl = *m_impl;
-    const SocketDeadline deadline(impl.socket, impl.readTimer, timeout, impl.readExpired);
+    const SocketDeadline deadline(impl.socket, impl.readTimer, timeout);
     std::array<std::uint8_t, 4> lengthField{};
     auto [lengthError, lengthRead] = co_await asio::async_read(impl.socket, asio::buffer(lengthField), UseTuple);
     if (lengthError) {
-        co_return connectionError(impl.readExpired, lengthError);
+        co_return connectionError(deadline.expired(), lengthError);
     }
     std::size_t length = 0;
     for (const auto byte : lengthField) {
@@ -122,7 +135,7 @@
     impl.payload.resize(length);
     auto [payloadError, payloadRead] = co_await asio::async_read(impl.socket, asio::buffer(impl.payload), UseTuple);
     if (payloadError) {
-        co_return connectionError(impl.readExpired, payloadError);
+        co_return connectionError(deadline.expired(), payloadError);
     }
     impl.bytesRead += lengthRead + payloadRead;
     co_return decodeFrame(impl.payload);
@@ -135,10 +148,10 @@
         co_return std::move(frame).error();
     }
     auto &impl = *m_impl;
-    const SocketDeadline deadline(impl.socket, impl.writeTimer, timeout, impl.writeExpired);
+    const SocketDeadline deadline(impl.socket, impl.writeTimer, timeout);
     auto [error, written] = co_await asio::async_write(impl.socket, asio::buffer(frame.value()), UseTuple);
     if (error) {
-        co_return connectionError(impl.writeExpired, error);
+        co_return connectionError(deadline.expired(), error);
     }
     impl.bytesWritten += written;
     co_return ok();
@@ -152,10 +165,10 @@
         buffers.emplace_back(asio::buffer(*frame));
     }
     auto &impl = *m_impl;
-    const SocketDeadline deadline(impl.socket, impl.writeTimer, timeout, impl.writeExpired);
+    const SocketDeadline deadline(impl.socket, impl.writeTimer, timeout);
     auto [error, written] = co_await asio::async_write(impl.socket, buffers, UseTuple);
     if (error) {
-        co_return connectionError(impl.writeExpired, error);
+        co_return connectionError(deadline.expired(), error);
     }
     impl.bytesWritten += written;
     co_return ok();
--- a/unittests/Wire/FramedConnectionTest.cpp
+++ b/unittests/Wire/FramedConnectionTest.cpp
@@ -3,9 +3,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <thread>
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -61,3 +63,29 @@
     other[3] = static_cast<std::uint8_t>(other.size() - 4);
     CHECK(readRaw(other, seconds(5)).error().code == WireErrorCode::UnsupportedVersion);
 }
+
+/// A process that was suspended finds the end of a connection and the expiry of its deadline in one poll of the
+/// reactor. The end of the connection is handled first and destroys it, and the expiry must not access it afterwards.
+TEST_CASE("a deadline that expires together with the end of its connection does not access the destroyed connection")
+{
+    constexpr milliseconds ReadTimeout{20};
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    tcp::socket sender(io);
+    Result<Message, WireError> read = WireError{};
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            co_await sender.async_connect(acceptor.local_endpoint(), asio::use_awaitable);
+            FramedConnection connection(co_await acceptor.async_accept(asio::use_awaitable));
+            asio::post(io, [&sender, ReadTimeout] {
+                sender.close();
+                std::this_thread::sleep_for(2 * ReadTimeout);
+            });
+            read = co_await connection.read(ReadTimeout);
+        },
+        asio::detached);
+    io.run();
+    REQUIRE(read.has_error());
+    CHECK(read.error().code == WireErrorCode::Closed);
+}
