--- a/unittests/Wire/FramedConnectionTest.cpp
+++ b/unittests/Wire/FramedConnectionTest.cpp
@@ -1,7 +1,9 @@
 #include "tamarackcove/Wire/FramedConnection.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -100,3 +102,29 @@
     REQUIRE(read.has_error());
     CHECK(read.error().code == WireErrorCode::Closed);
 }
+
+/// A process that was suspended finds the end of a connection and the expiry of its deadline in one poll of the
+/// reactor. The end of the connection is handled first and destroys it, and the expiry must not access it afterwards.
+TEST_CASE("a deadline that expires together with the end of its connection does not access the destroyed connection")
+{
+    constexpr milliseconds ReadTimeout{20};
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    tcp::socket sender(io);
+    Result<Message, WireError> read = WireError{};
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            co_await sender.async_connect(acceptor.local_endpoint(), asio::use_awaitable);
+            FramedConnection connection(co_await acceptor.async_accept(asio::use_awaitable));
+            asio::post(io, [&sender, ReadTimeout] {
+                sender.close();
+                std::this_thread::sleep_for(2 * ReadTimeout);
+            });
+            read = co_await connection.read(ReadTimeout);
+        },
+        asio::detached);
+    io.run();
+    REQUIRE(read.has_error());
+    CHECK(read.error().code == WireErrorCode::Closed);
+}
