Unit tests of a library that has a precompiled header use that header

Each file of these tests parsed Asio and JSON again. The test program now reuses the precompiled header of its library; tests of libraries without one stay as they are, since loading the header costs them more than it saves.

--- a/cmake/TamarackcoveTargets.cmake
+++ b/cmake/TamarackcoveTargets.cmake
@@ -32,8 +32,8 @@
     endif()
 endfunction()
 
-# Adds one test program per library, from the folder of the same name below unittests/. Further arguments are libraries
-# to link.
+# Adds one test program per library, from the folder of the same name below unittests/. It uses the precompiled header
+# of the library, if that has one. Further arguments are libraries to link.
 function(tamarackcove_unittest name)
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
     if(NOT sources OR NOT TARGET tamarackcove${name})
@@ -41,6 +41,10 @@
     endif()
     add_executable(${name}Tests ${sources} ${CMAKE_CURRENT_SOURCE_DIR}/TestMain.cpp)
     target_link_libraries(${name}Tests PRIVATE tamarackcove${name} ${ARGN})
+    get_target_property(pch tamarackcove${name} PRECOMPILE_HEADERS_REUSE_FROM)
+    if(pch)
+        target_precompile_headers(${name}Tests REUSE_FROM ${pch})
+    endif()
     # Passes over the test cases that KNOWN-RED.txt lists for this folder; a direct run of the binary runs all of them.
     set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
     file(STRINGS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt known_red REGEX "^unittests/${name}/")
