FleetNode: split the node by what its tasks do

Leadership and the order duty, and the reports and demands of entries, have files of their own; the functions are unchanged.

--- /dev/null
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "tamarackcove/Control/Fleet/EntryLinks.h"
+#include "tamarackcove/Control/Fleet/FleetLog.h"
+#include "tamarackcove/Control/Fleet/FleetNode.h"
+#include "tamarackcove/Control/Fleet/OrderDispatcher.h"
+#include "tamarackcove/Control/Fleet/UpdateFeed.h"
+#include "tamarackcove/Control/LogStatus.h"
+#include "tamarackcove/Control/Replica/ReplicaTask.h"
+#include "tamarackcove/Fleet/AdapterPlanner.h"
+#include "tamarackcove/Fleet/DemandTable.h"
+#include "tamarackcove/Http/MetricsEndpoint.h"
+#include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Observe/Metrics.h"
+#include "tamarackcove/Storage/DataFolder.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace tamarackcove {
+
+/// The root of the supervisor tree of a control host, and what its children share. Its functions are in FleetNode.cpp
+/// (calls, servers, replicated state), FleetNodeLeadership.cpp (leadership and the order duty) and FleetNodeReports.cpp
+/// (reports and demands of entries).
+struct FleetNode::Impl
+{
+    Impl(const boost::asio::any_io_executor &executor, FleetControlSettings nodeSettings, Hooks nodeHooks);
+
+    static HttpLimits limits()
+    {
+        HttpLimits limits;
+        limits.idleTimeout = seconds(30);
+        limits.requestTimeout = seconds(10);
+        return limits;
+    }
+
+    void reportFatal(std::string_view what, std::string_view detail) const
+    {
+        LogLine(LogLevel::Error, "control_fatal").add("reason", what).add("detail", detail);
+        hooks.onFatal(what, detail);
+    }
+
+    /// Names of the members of the control group, which are their IP addresses.
+    [[nodiscard]] std::vector<std::string> hosts()
+    {
+        std::vector<std::string> names;
+        for (const auto &member : replica.client().status().replicas) {
+            names.push_back(member.name);
+        }
+        return names;
+    }
+
+    void setGauges(Metrics &gauges);
+    /// Applies what a command has changed in the replicated state; everything if the command is null.
+    void handleStateChange(const FleetCommand *command);
+    void readConfigurationInForce();
+    void handleLeadershipChange(Leadership leadership);
+    void beginLeadership();
+    void endLeadership();
+    /// Ends the leadership if it is still suspended after MaxSuspension.
+    boost::asio::awaitable<void> awaitLease(std::uint64_t suspensionNumber);
+    void publishServers();
+    /// Proposes a NoteServer command if the replicated record of the server is outdated. `server` is its entry in the
+    /// registry; null if it was removed.
+    void proposeServerRecord(const TargetId &id, const ServerRegistry::Server *server);
+    void publishHoldings();
+    /// Passes a heartbeat to the planner and the dispatcher if this host holds the order duty.
+    void updatePlanner(const ServerHeartbeat &heartbeat);
+    void applyReport(const FleetReportMessage &report);
+    void applyDemands(const FleetReportMessage &report, TimePoint now);
+    /// Has the planner consider the demands of entries.
+    boost::asio::awaitable<void> planLoads();
+    /// Proposes TakeOrderDuty until the log accepts it or this leadership ends. Waits for the order lease first if
+    /// `awaitFormerHolder` says that the former holder still runs.
+    boost::asio::awaitable<void> acquireOrderDuty(std::uint64_t leadershipNumber, bool awaitFormerHolder);
+    boost::asio::awaitable<void> expireServers();
+
+    FleetControlSettings settings;
+    Hooks hooks;
+    Supervisor root;
+    Supervisor callConnections;
+    Supervisor entryConnections;
+    Supervisor orderTasks;
+    Metrics metrics;
+    FleetLog log;
+    const std::string replicaBoot;
+    ReplicaTask replica;
+    ServerRegistry registry;
+    AdapterPlanner planner;
+    DemandTable demands;
+    boost::asio::steady_timer planTimer;
+    UpdateFeed feed;
+    OrderDispatcher dispatcher;
+    FleetControl control;
+    HttpServer http;
+    EntryLinks links;
+    MetricsEndpoint metricsEndpoint;
+    std::shared_ptr<const DeploymentConfiguration> configuration;
+    /// Whether this host is leader, including the first MaxSuspension of a suspension.
+    bool leading = false;
+    /// Number of suspensions of leadership since the start of the process, and whether the last one lasts.
+    std::uint64_t suspensionCount = 0;
+    bool suspended = false;
+    TimePoint leadershipStartedAt;
+    /// Number of times that this host has become or ceased to be leader since the start of the process. A task compares
+    /// this number with the one at its own start to detect that the leadership in which it was started has ended.
+    std::uint64_t leadershipCount = 0;
+    /// Number of the last task started by proposeServerRecord(), used in its name.
+    std::uint64_t recordTaskCount = 0;
+    TimePoint loadsUpdatedAt;
+};
+
+} // namespace tamarackcove
--- /dev/null
+++ b/lib/Control/Fleet/FleetNodeReports.cpp
@@ -0,0 +1,127 @@
+#include "FleetNodeImpl.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+
+namespace tamarackcove {
+
+/// How long the planner treats a server as unreachable after an entry has reported it so; see
+/// AdapterPlanner::markUnreachable(). Entries repeat that report five times a second.
+static constexpr milliseconds SuspicionTime{500};
+/// Shortest interval at which the planner receives the request load of each server.
+static constexpr milliseconds LoadsInterval{100};
+/// Shortest time between two rounds in which the planner considers the demands of entries, and the largest number of
+/// demands of one round. They bound the CPU time of the leader however many requests wait.
+static constexpr milliseconds PlanInterval{10};
+static constexpr std::size_t MaxDemandsPerRound = 12;
+
+void FleetNode::Impl::applyReport(const FleetReportMessage &report)
+{
+    if (!leading) {
+        return;
+    }
+    for (const auto &server : report.servers) {
+        const auto endpoint = Endpoint::parse(server.endpoint);
+        ServerHeartbeat reportedServer;
+        reportedServer.identity = {.id = TargetId(server.id), .startedAt = Incarnation(server.startedAt)};
+        reportedServer.service = ServiceName(server.service);
+        reportedServer.zone = Zone(server.zone);
+        reportedServer.slots = server.slots;
+        for (const auto &model : server.models) {
+            reportedServer.models.push_back({.name = BaseModel(model), .version = 0, .adapters = {}});
+        }
+        if (!endpoint) {
+            continue;
+        }
+        reportedServer.endpoint = *endpoint;
+        if (registry.addUnannounced(reportedServer, server.draining, Clock::now())) {
+            updatePlanner(reportedServer);
+        }
+    }
+    if (!report.servers.empty()) {
+        publishServers();
+    }
+    if (!dispatcher.active()) {
+        return;
+    }
+    const auto now = Clock::now();
+    applyDemands(report, now);
+    if (report.onlyNewDemands) {
+        return;
+    }
+    if (now >= loadsUpdatedAt + LoadsInterval) {
+        loadsUpdatedAt = now;
+        for (const auto &load : links.totalLoads()) {
+            planner.setLoad(TargetId(load.server), load.load);
+        }
+    }
+    for (const auto &history : report.histories) {
+        std::vector<AdapterKey> adapters;
+        adapters.reserve(history.adapters.size());
+        for (const auto &name : history.adapters) {
+            adapters.push_back({BaseModel(history.model), name});
+        }
+        planner.addCachedAdapters({.id = TargetId(history.server), .startedAt = Incarnation(history.startedAt)},
+                                  adapters);
+    }
+    for (const auto &use : report.uses) {
+        const AdapterKey adapter{BaseModel(use.model), use.adapter};
+        if (use.missing) {
+            planner.handleMissingAdapter(TargetId(use.server), adapter, now);
+        } else if (use.overdueMs > 0) {
+            planner.recordLateLoad(TargetId(use.server), adapter, milliseconds(use.overdueMs), now);
+        } else {
+            planner.recordUse(TargetId(use.server), adapter, EntryId(report.entry), use.requests, use.running, now);
+        }
+    }
+    for (const auto &server : report.unreachable) {
+        planner.markUnreachable(TargetId(server), now + SuspicionTime);
+    }
+    publishHoldings();
+}
+
+void FleetNode::Impl::applyDemands(const FleetReportMessage &report, TimePoint now)
+{
+    std::vector<DemandTable::Demand> reported;
+    reported.reserve(report.demands.size());
+    for (const auto &demand : report.demands) {
+        reported.push_back({.adapter = {BaseModel(demand.model), demand.adapter},
+                            .waiting = demand.waiting,
+                            .version = demand.version,
+                            .failed = demand.failed,
+                            .zone = Zone(report.zone)});
+    }
+    if (report.onlyNewDemands) {
+        demands.put(EntryId(report.entry), reported, now);
+    } else {
+        demands.replace(EntryId(report.entry), reported, now);
+    }
+    if (demands.hasDue()) {
+        planTimer.cancel();
+    }
+}
+
+asio::awaitable<void> FleetNode::Impl::planLoads()
+{
+    TimePoint plannedAt;
+    for (;;) {
+        planTimer.expires_at(demands.hasDue() ? plannedAt + PlanInterval : TimePoint::max());
+        boost::system::error_code ignored;
+        co_await planTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const auto now = Clock::now();
+        if (!demands.hasDue() || now < plannedAt + PlanInterval) {
+            continue;
+        }
+        plannedAt = now;
+        for (const auto &demand : demands.takeDue(MaxDemandsPerRound, now)) {
+            // Each call queues one copy; many waiting requests need several.
+            while (planner.requestLoad(demand.adapter, demand.version, demand.zone, demand.waiting, now,
+                                       demand.failed)) { }
+        }
+        publishHoldings();
+    }
+}
+
+} // namespace tamarackcove
