ServerRegistryTest: the address of a removed server stays taken until a newer heartbeat

Question: remove() keeps the address in m_newestStartByAddress, so addUnannounced() refuses another server at the address of a removed one. Is that a fault?

Conclusion: no. The header says both: addUnannounced() refuses an address that any server announced or added since clear(), and the map is kept after the removal. What an entry lists is older than what this leader has heard at that address itself. No code changes.

No test held remove() to this, so one is added.

The cost of the rule: a new server at such an address is offered only from its first heartbeat to this leader on.

--- a/unittests/Fleet/ServerRegistryTest.cpp
+++ b/unittests/Fleet/ServerRegistryTest.cpp
@@ -100,3 +100,22 @@
     CHECK(registry.heartbeat(heartbeat("b", 2, 1), Start) == HeartbeatResult::Changed);
     CHECK(registry.find(TargetId("a")) == nullptr);
 }
+
+// Guards against an entry with an outdated list that makes the leader offer a server again that has stopped, or one
+// whose address another server has taken over since.
+TEST_CASE("the address of a removed server can be announced only by a heartbeat of a server that started later")
+{
+    ServerRegistry registry({.heartbeatTimeout = milliseconds(1000)});
+    (void)registry.heartbeat(heartbeat("old", 3, 70), Start);
+    (void)registry.heartbeat(heartbeat("new", 9, 1), Start);
+    const auto later = Start + milliseconds(1001);
+    registry.expire(later);
+    REQUIRE(registry.servers().empty());
+    CHECK_FALSE(registry.addUnannounced(heartbeat("old", 3, 0), false, later));
+    CHECK_FALSE(registry.addUnannounced(heartbeat("new", 9, 0), false, later));
+    CHECK_FALSE(registry.addUnannounced(heartbeat("newest", 12, 0), false, later));
+    CHECK(registry.heartbeat(heartbeat("old", 3, 71), later) == HeartbeatResult::Outdated);
+    CHECK(registry.servers().empty());
+    CHECK(registry.heartbeat(heartbeat("newest", 12, 1), later) == HeartbeatResult::Changed);
+    CHECK(registry.find(TargetId("newest")) != nullptr);
+}
