Replica tests: stop the replicas when a check fails

What was seen: a failed REQUIRE in ReplicaTaskTest or ReplicaPeersTest hangs. Cause: run() rethrows the exception of the body only after io.run() returns, and only the body stops the replicas. Evidence: with one wrong expectation each, a test of either file hung before (ended after 15 s); now it fails at once.

--- a/unittests/Control/Replica/ReplicaGroupFixture.h
+++ b/unittests/Control/Replica/ReplicaGroupFixture.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "../../Storage/TemporaryFolder.h"
+#include "../../Supervision/RunThenStop.h"
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -79,16 +78,4 @@
     CHECK(condition());
 }
 
-/// Runs the coroutine to its end and rethrows its exception.
-inline void run(boost::asio::io_context &io, std::function<boost::asio::awaitable<void>()> body)
-{
-    std::exception_ptr failure;
-    boost::asio::co_spawn(io, body(), [&](std::exception_ptr error) { failure = error; });
-    io.restart();
-    io.run();
-    if (failure) {
-        std::rethrow_exception(failure);
-    }
-}
-
 } // namespace tamarackcove::test
--- a/unittests/Control/Replica/ReplicaPeersTest.cpp
+++ b/unittests/Control/Replica/ReplicaPeersTest.cpp
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Runs the body and then stops all processes, also if the body throws. Rethrows the exception of the body.
+    void run(const std::function<asio::awaitable<void>()> &body)
+    {
+        runThenStop(io, body, [this] { return stopAll(); });
+    }
+
     [[nodiscard]] int leader() const
     {
         const auto found = std::find_if(replicas.begin(), replicas.end(),
@@ -113,7 +119,7 @@
     "three processes form a group, commit without the stopped leader, and tolerate one loss again after its restart")
 {
     ThreeReplicas group;
-    run(group.io, [&]() -> asio::awaitable<void> {
+    group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(10);
         co_await eventually([&] { return group.allApplied(10); });
         const auto oldLeader = group.leader();
@@ -130,14 +136,13 @@
         group.start(oldLeader);
         co_await eventually([&] { return group.allApplied(20); });
         co_await eventually([&] { return group.at(group.leader()).log.status().lossesTolerated == 1; });
-        co_await group.stopAll();
     });
 }
 
 TEST_CASE("a process whose data folder was emptied joins under a new identity and becomes a voter again")
 {
     ThreeReplicas group;
-    run(group.io, [&]() -> asio::awaitable<void> {
+    group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(120);
         const auto emptied = (group.leader() + 1) % 3;
         const auto oldIdentity = group.at(emptied).log.status().self;
@@ -155,7 +160,6 @@
                                [&](const auto &replica) { return replica.id == oldIdentity || !replica.voter; });
             return replaced && status.replicas.size() == 3 && status.lossesTolerated == 1 && group.allApplied(120);
         });
-        co_await group.stopAll();
     });
 }
 
@@ -163,7 +167,7 @@
     "a leader transfers leadership on request, and without a majority a proposal fails with an error that says so")
 {
     ThreeReplicas group;
-    run(group.io, [&]() -> asio::awaitable<void> {
+    group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(1);
         const auto formerLeader = group.leader();
         co_await eventually([&] { return group.at(formerLeader).log.status().lossesTolerated == 1; });
@@ -179,7 +183,6 @@
         CHECK(refused.error().code == LogErrorCode::Unavailable);
         CHECK(refused.error().detail.find("majority") != std::string::npos);
         CHECK(group.at(newLeader).log.status().lossesTolerated < 0);
-        co_await group.stopAll();
     });
 }
 
@@ -191,7 +194,7 @@
         settings.minElectionTimeout = seconds(4);
         settings.maxElectionTimeout = seconds(5);
     });
-    run(group.io, [&]() -> asio::awaitable<void> {
+    group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(1);
         const auto leader = group.leader();
         const auto term = group.at(leader).log.status().term;
@@ -206,14 +209,13 @@
         CHECK(reported.size() == before + 2);
         CHECK(group.at(leader).log.status().term == term);
         co_await group.proposeMany(1);
-        co_await group.stopAll();
     });
 }
 
 TEST_CASE("a leader that another one has replaced while it was cut off reports that its leadership has ended")
 {
     ThreeReplicas group;
-    run(group.io, [&]() -> asio::awaitable<void> {
+    group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(1);
         const auto leader = group.leader();
         auto &reported = group.leaderships[static_cast<std::size_t>(leader)];
@@ -222,6 +224,5 @@
         CHECK(reported.back() == Leadership::Suspended);
         group.cutOff = -1;
         co_await eventually([&] { return reported.back() == Leadership::None; });
-        co_await group.stopAll();
     });
 }
--- a/unittests/Control/Replica/ReplicaTaskTest.cpp
+++ b/unittests/Control/Replica/ReplicaTaskTest.cpp
@@ -19,7 +19,7 @@
     for (int start = 0; start < 2; ++start) {
         asio::io_context io;
         TestReplica replica(io, singleReplicaSettings(folder));
-        run(io, [&]() -> asio::awaitable<void> {
+        const auto body = [&]() -> asio::awaitable<void> {
             co_await eventually([&] { return replica.task.leads(); }, seconds(2));
             CHECK((co_await replica.log.readBarrier()).has_value());
             CHECK(replica.stateMachine.commands.size() == static_cast<std::size_t>(start));
@@ -27,8 +27,8 @@
             REQUIRE(answer.has_value());
             CHECK(answer.value() == "answer to command-" + std::to_string(start));
             CHECK(replica.log.status().lossesTolerated == 0);
-            co_await replica.supervisor.stop();
-        });
+        };
+        runThenStop(io, body, [&] { return replica.supervisor.stop(); });
     }
 }
 
@@ -40,15 +40,15 @@
     for (int start = 0; start < 3; ++start) {
         asio::io_context io;
         TestReplica replica(io, settings);
-        run(io, [&]() -> asio::awaitable<void> {
+        const auto body = [&]() -> asio::awaitable<void> {
             co_await eventually([&] { return replica.task.leads(); }, seconds(2));
             CHECK((co_await replica.log.readBarrier()).has_value());
             REQUIRE(replica.stateMachine.commands.size() == static_cast<std::size_t>(start) * 25);
             for (int i = 0; i < 25; ++i) {
                 REQUIRE((co_await replica.log.propose(std::to_string(start * 25 + i))).has_value());
             }
-            co_await replica.supervisor.stop();
-        });
+        };
+        runThenStop(io, body, [&] { return replica.supervisor.stop(); });
         for (std::size_t i = 0; i < replica.stateMachine.commands.size(); ++i) {
             CHECK(replica.stateMachine.commands[i] == std::to_string(i));
         }
