ReplicaPeersTest: wait for a leader before each use of one

Found by reading, for the pattern of a command that is sent before there is a leader. Cause: leader() returns -1 while no process leads, also for a moment after a lease expired under load, and at(leader()) or leaderships[leader()] then reads outside of its array. waitForLeader() waits for the state; the checks after it are unchanged. at() fails the test for a negative index.

--- a/unittests/Control/Replica/ReplicaPeersTest.cpp
+++ b/unittests/Control/Replica/ReplicaPeersTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <optional>
 
 namespace asio = boost::asio;
 using namespace tamarackcove;
@@ -83,16 +84,34 @@
         return found == replicas.end() ? -1 : static_cast<int>(found - replicas.begin());
     }
 
+    /// Waits until a process leads and returns its index.
+    asio::awaitable<int> waitForLeader()
+    {
+        co_await eventually([this] { return leader() >= 0; });
+        const auto index = leader();
+        REQUIRE(index >= 0);
+        co_return index;
+    }
+
+    /// The number of process losses that the leader tolerates; std::nullopt while there is no leader.
+    [[nodiscard]] std::optional<int> lossesTolerated() const
+    {
+        const auto index = leader();
+        return index < 0 ? std::nullopt
+                         : std::optional(replicas[static_cast<std::size_t>(index)]->log.status().lossesTolerated);
+    }
+
     TestReplica &at(int index)
     {
+        REQUIRE(index >= 0);
         return *replicas[static_cast<std::size_t>(index)];
     }
 
     asio::awaitable<void> proposeMany(int count)
     {
-        co_await eventually([this] { return leader() >= 0; });
         for (int i = 0; i < count; ++i) {
-            REQUIRE((co_await at(leader()).log.propose("command-" + std::to_string(nextCommand++))).has_value());
+            auto &proposer = at(co_await waitForLeader());
+            REQUIRE((co_await proposer.log.propose("command-" + std::to_string(nextCommand++))).has_value());
         }
     }
 
@@ -122,7 +141,7 @@
     group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(10);
         co_await eventually([&] { return group.allApplied(10); });
-        const auto oldLeader = group.leader();
+        const auto oldLeader = co_await group.waitForLeader();
         co_await eventually([&] { return group.at(oldLeader).log.status().lossesTolerated == 1; });
         const auto follower = (oldLeader + 1) % 3;
         const auto refused = co_await group.at(follower).log.propose("to a follower");
@@ -132,10 +151,10 @@
 
         co_await group.stop(oldLeader);
         co_await group.proposeMany(10);
-        CHECK(group.at(group.leader()).log.status().lossesTolerated == 0);
+        CHECK(group.lossesTolerated() == 0);
         group.start(oldLeader);
         co_await eventually([&] { return group.allApplied(20); });
-        co_await eventually([&] { return group.at(group.leader()).log.status().lossesTolerated == 1; });
+        co_await eventually([&] { return group.lossesTolerated() == 1; });
     });
 }
 
@@ -144,7 +163,8 @@
     ThreeReplicas group;
     group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(120);
-        const auto emptied = (group.leader() + 1) % 3;
+        const auto leader = co_await group.waitForLeader();
+        const auto emptied = (leader + 1) % 3;
         const auto oldIdentity = group.at(emptied).log.status().self;
         co_await group.stop(emptied);
         std::filesystem::remove_all(group.folder.path / ("c" + std::to_string(emptied)));
@@ -169,12 +189,12 @@
     ThreeReplicas group;
     group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(1);
-        const auto formerLeader = group.leader();
+        const auto formerLeader = co_await group.waitForLeader();
         co_await eventually([&] { return group.at(formerLeader).log.status().lossesTolerated == 1; });
         CHECK(co_await group.at(formerLeader).task.transferLeadership(seconds(2)));
         co_await eventually([&] { return group.leader() >= 0 && group.leader() != formerLeader; });
 
-        const auto newLeader = group.leader();
+        const auto newLeader = co_await group.waitForLeader();
         co_await group.stop((newLeader + 1) % 3);
         co_await group.stop((newLeader + 2) % 3);
         co_await eventually([&] { return !group.at(newLeader).task.leads(); }, seconds(2));
@@ -196,7 +216,7 @@
     });
     group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(1);
-        const auto leader = group.leader();
+        const auto leader = co_await group.waitForLeader();
         const auto term = group.at(leader).log.status().term;
         auto &reported = group.leaderships[static_cast<std::size_t>(leader)];
         REQUIRE(reported.back() == Leadership::Held);
@@ -217,7 +237,7 @@
     ThreeReplicas group;
     group.run([&]() -> asio::awaitable<void> {
         co_await group.proposeMany(1);
-        const auto leader = group.leader();
+        const auto leader = co_await group.waitForLeader();
         auto &reported = group.leaderships[static_cast<std::size_t>(leader)];
         group.cutOff = leader;
         co_await eventually([&] { return group.leader() >= 0 && group.leader() != leader; });
