Entry: limit the bytes and the time of the response of a target

Seen: an engine or an entry of another zone that answers with a body without end fills the memory of the entry; one that sends a byte before each timeout holds its call, of any kind, until the caller closes the connection. Cause: TargetCall buffers these responses without a limit, and its timeouts are those of each read. Ruled out: an event without end (EventScanner has a limit), tokens far ahead of the next one (StreamAssembler has one), and frames of peers (FramedConnection has a limit on bytes and on the time of the frame). A buffered response is limited to 16 MiB and 10 minutes, and any response ends 2 s after the deadline of its call, so that answers that are ready are delivered late. The outcome is unknown then, not "not run"; response_given_up has the reason.

--- a/include/tamarackcove/Entry/Targets/DispatchContext.h
+++ b/include/tamarackcove/Entry/Targets/DispatchContext.h
@@ -38,6 +38,12 @@
         std::size_t maxRecordedBytes = 512 * 1024;
         /// Responses of plain services are buffered up to this size; larger ones are relayed as they arrive.
         std::size_t maxBufferedBytes = 64 * 1024;
+        /// Responses of engines and of entries that are not streams are buffered whole; a longer one counts as lost.
+        std::size_t maxResponseBytes = 16 * 1024 * 1024;
+        /// A response of which bytes still arrive this long after the deadline of its call counts as lost.
+        milliseconds maxLateTime = seconds(2);
+        /// Longest time in which a response is buffered, for calls without a deadline.
+        milliseconds maxBufferingTime = seconds(600);
     };
 
     /// How the front end encodes a refusal, as a response or as an event of a started stream. Other front ends use
--- a/include/tamarackcove/Entry/Targets/StreamRelay.h
+++ b/include/tamarackcove/Entry/Targets/StreamRelay.h
@@ -30,6 +30,8 @@
         /// The peer sent an error instead of a token. The error was passed on to the caller and the stream was ended.
         PeerError,
         CallerGone,
+        /// Bytes still arrive after Options::endTime.
+        TooLate,
     };
 
     struct Options
@@ -38,6 +40,8 @@
         milliseconds progressTimeout = seconds(2);
         /// Limit of the recorded response in bytes; 0 records nothing.
         std::size_t recordLimit = 0;
+        /// No further bytes are read after this time.
+        TimePoint endTime = TimePoint::max();
     };
 
     struct Hooks
--- a/include/tamarackcove/Entry/Targets/TargetCall.h
+++ b/include/tamarackcove/Entry/Targets/TargetCall.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace tamarackcove {
 
@@ -61,7 +62,8 @@
         Complete,
         NotRun,
         Broken,
-        /// The response cannot be resumed: the target no longer knows the request, or resuming failed too often.
+        /// The response cannot be resumed: the target no longer knows the request, resuming failed too often, or the
+        /// response exceeds a limit.
         Unresumable,
         CallerGone,
     };
@@ -87,6 +89,10 @@
     [[nodiscard]] std::string attemptId() const;
     [[nodiscard]] HttpRequest attemptRequest() const;
     [[nodiscard]] milliseconds readTimeout() const;
+    /// The time after which a response that still arrives is given up.
+    [[nodiscard]] TimePoint responseEndTime() const;
+    /// Logs that the response exceeds a limit. Returns ReceiveEnd::Unresumable.
+    [[nodiscard]] ReceiveEnd giveUp(std::string_view reason) const;
     /// Whether the response says that the request did not run; if so, sets the reason.
     [[nodiscard]] bool checkNotRun(const HttpResponse &response);
     End endAsNotRun(Refusal reason);
--- a/lib/Entry/Targets/StreamRelay.cpp
+++ b/lib/Entry/Targets/StreamRelay.cpp
@@ -70,6 +70,9 @@
     m_scanner.reset();
     m_doneSeen = false;
     while (true) {
+        if (Clock::now() > m_options.endTime) {
+            co_return End::TooLate;
+        }
         auto piece = co_await connection.readPiece(m_options.progressTimeout);
         if (piece.has_error()) {
             co_return End::Broken;
--- a/lib/Entry/Targets/TargetCall.cpp
+++ b/lib/Entry/Targets/TargetCall.cpp
@@ -58,6 +58,7 @@
 {
     StreamRelay::Options options;
     options.progressTimeout = context.options.progressTimeout;
+    options.endTime = responseEndTime();
     options.recordLimit = !call.idempotencyKey.empty() && !call.repeatable ? context.options.maxRecordedBytes : 0;
     StreamRelay::Hooks hooks;
     hooks.onStreamStart = [&life] {
@@ -109,6 +110,11 @@
     return m_destination.kind == DestinationKind::Engine ? m_context.options.progressTimeout : m_call.responseTimeout;
 }
 
+TimePoint TargetCall::responseEndTime() const
+{
+    return m_call.deadline == TimePoint::max() ? TimePoint::max() : m_call.deadline + m_context.options.maxLateTime;
+}
+
 TargetCall::End TargetCall::endAsNotRun(Refusal reason)
 {
     m_reason = std::move(reason);
--- a/lib/Entry/Targets/TargetCallResponse.cpp
+++ b/lib/Entry/Targets/TargetCallResponse.cpp
@@ -11,6 +11,7 @@
 #include "tamarackcove/Requests/RequestLifecycle.h"
 #include "tamarackcove/Requests/UnreachableTargets.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -18,6 +19,8 @@
 
 namespace tamarackcove {
 
+static constexpr std::string_view StillArrives = "the response still arrives after its time limit";
+
 static bool isEventStream(const HttpResponse &head)
 {
     const auto type = head.headers.find("content-type");
@@ -46,6 +49,9 @@
     if (end == StreamRelay::End::Broken) {
         co_return ReceiveEnd::Broken;
     }
+    if (end == StreamRelay::End::TooLate) {
+        co_return giveUp(StillArrives);
+    }
     if (end == StreamRelay::End::CallerGone) {
         co_return ReceiveEnd::CallerGone;
     }
@@ -88,7 +94,11 @@
 asio::awaitable<TargetCall::ReceiveEnd> TargetCall::receiveBuffered(HttpResponse head, bool resumed)
 {
     auto response = std::move(head);
+    const auto endTime = std::min(responseEndTime(), Clock::now() + m_context.options.maxBufferingTime);
     while (true) {
+        if (Clock::now() > endTime) {
+            co_return giveUp(StillArrives);
+        }
         auto piece = co_await m_connection->readPiece(readTimeout());
         if (piece.has_error()) {
             co_return ReceiveEnd::Broken;
@@ -96,6 +106,9 @@
         if (!piece.value()) {
             break;
         }
+        if (response.body.size() + piece.value()->size() > m_context.options.maxResponseBytes) {
+            co_return giveUp("the response exceeds its size limit");
+        }
         response.body += *piece.value();
         if (m_destination.kind == DestinationKind::Service
             && response.body.size() > m_context.options.maxBufferedBytes) {
@@ -128,6 +141,9 @@
         co_return ReceiveEnd::CallerGone;
     }
     while (true) {
+        if (Clock::now() > responseEndTime()) {
+            co_return giveUp(StillArrives);
+        }
         auto piece = co_await m_connection->readPiece(readTimeout());
         if (piece.has_error()) {
             // The body cannot carry an error. The missing last chunk shows the caller that it was truncated.
@@ -144,6 +160,18 @@
     co_return ReceiveEnd::Complete;
 }
 
+TargetCall::ReceiveEnd TargetCall::giveUp(std::string_view reason) const
+{
+    LogLine(LogLevel::Warning, "response_given_up")
+        .add("request", m_call.id.value())
+        .add("target", m_destination.target.value())
+        .add("after_ms", duration_cast<milliseconds>(Clock::now() - m_dispatchedAt))
+        .add("tokens", m_relay->tokens())
+        .add("max_bytes", static_cast<std::uint64_t>(m_context.options.maxResponseBytes))
+        .add("reason", reason);
+    return ReceiveEnd::Unresumable;
+}
+
 asio::awaitable<void> TargetCall::recordResponse(int status, std::string contentType, std::string body)
 {
     const auto recorded = co_await m_context.control.completeCall(m_call.idempotencyKey, status, std::move(contentType),
