Log: the last line of a process says why it ends

Cause: an uncaught exception and a failed assertion write to standard error only, a fatal signal writes nothing, and a line such as control_fatal was dropped when the lines before it had used up the limit of the service log.

Ruled out: writing these lines through the logger. A signal handler can take no lock and allocate no memory, so it writes to the descriptor.

Conclusion: initLogging() and initServiceLogging() install handlers that write process_ended; control_fatal and start_failed are critical lines, exempt from the rate, which wait up to 0.5 s for the reader.

--- a/include/tamarackcove/Observe/LogLine.h
+++ b/include/tamarackcove/Observe/LogLine.h
@@ -12,6 +12,8 @@
     Info,
     Warning,
     Error,
+    /// The reason why this process is about to end. The limits of a service process do not apply to such a line.
+    Critical,
 };
 
 /// Builds one log line of key=value pairs for one event. The destructor writes the line:
@@ -42,12 +44,14 @@
     std::string m_line;
 };
 
-/// Sets up logging to standard error for this process. Precondition: no line has been written yet.
+/// Sets up logging to standard error for this process and calls reportProcessEnd(). Precondition: no line has been
+/// written yet.
 void initLogging(std::string_view process, LogLevel lowestLevel);
 
 /// Sets up logging to standard output for a long-running service process. The volume of lines is limited, and writing
-/// never blocks on a slow reader. Lines that cannot be written are dropped, and `log_lines_dropped` lines report how
-/// many. Precondition: no line has been written yet.
+/// never blocks on a slow reader, except for a bounded time for a Critical line. Lines that cannot be written are
+/// dropped, and `log_lines_dropped` lines report how many. Also calls reportProcessEnd(). Precondition: no line has
+/// been written yet.
 void initServiceLogging(std::string_view process, LogLevel lowestLevel);
 
 } // namespace tamarackcove
--- a/lib/Control/ControlNode.cpp
+++ b/lib/Control/ControlNode.cpp
@@ -75,7 +75,7 @@
 
     void fatal(std::string_view reason, std::string_view detail) const
     {
-        LogLine(LogLevel::Error, "control_fatal").add("reason", reason).add("detail", detail);
+        LogLine(LogLevel::Critical, "control_fatal").add("reason", reason).add("detail", detail);
         if (hooks.onFatal) {
             hooks.onFatal(reason, detail);
         }
--- a/lib/Control/ControlProcess.cpp
+++ b/lib/Control/ControlProcess.cpp
@@ -33,7 +33,7 @@
                          io.stop();
                      }});
     if (const auto opened = node.open(); opened.has_error()) {
-        LogLine(LogLevel::Error, "start_failed").add("reason", opened.error());
+        LogLine(LogLevel::Critical, "start_failed").add("reason", opened.error());
         return ExitFailure;
     }
     node.start();
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -139,7 +139,7 @@
 
     void reportFatal(std::string_view what, std::string_view detail) const
     {
-        LogLine(LogLevel::Error, "control_fatal").add("reason", what).add("detail", detail);
+        LogLine(LogLevel::Critical, "control_fatal").add("reason", what).add("detail", detail);
         hooks.onFatal(what, detail);
     }
 
--- a/lib/Observe/BoundedSink.cpp
+++ b/lib/Observe/BoundedSink.cpp
@@ -1,10 +1,10 @@
 #include "BoundedSink.h"
 
+#include "DescriptorWriter.h"
+
 #include <algorithm>
 #include <fmt/format.h>
-#include <poll.h>
 #include <string>
-#include <unistd.h>
 
 namespace tamarackcove {
 
@@ -25,19 +25,13 @@
     return m_dropped;
 }
 
-bool BoundedSink::writable() const
-{
-    pollfd state{.fd = m_descriptor, .events = POLLOUT, .revents = 0};
-    return ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
-}
-
 bool BoundedSink::writeLine(std::string_view line)
 {
-    if (static_cast<double>(line.size()) > m_budgetBytes || !writable()) {
+    if (static_cast<double>(line.size()) > m_budgetBytes || !writeWithin(m_descriptor, line, milliseconds(0))) {
         return false;
     }
     m_budgetBytes -= static_cast<double>(line.size());
-    return ::write(m_descriptor, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+    return true;
 }
 
 void BoundedSink::countDropped(std::string_view message)
@@ -88,7 +82,9 @@
     if (!m_unreportedDrops.empty()) {
         reportDropped();
     }
-    if (!writeLine(line)) {
+    const bool isFinal = message.level >= spdlog::level::critical;
+    const bool written = isFinal ? writeWithin(m_descriptor, line, FinalLineTimeout) : writeLine(line);
+    if (!written) {
         countDropped({message.payload.data(), message.payload.size()});
     }
 }
--- a/lib/Observe/BoundedSink.h
+++ b/lib/Observe/BoundedSink.h
@@ -14,7 +14,8 @@
 
 /// Writes log lines to a file descriptor without blocking on its reader, at a limited rate in bytes per second. Lines
 /// that exceed the rate or that the descriptor cannot accept are dropped and counted by event; the counts are written
-/// as a line of their own as soon as a line can be written again.
+/// as a line of their own as soon as a line can be written again. A line of level critical, after which the process
+/// ends, is exempt from the rate and waits up to FinalLineTimeout for the reader.
 ///
 /// Thread safety: used on one thread.
 class BoundedSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
@@ -36,8 +37,6 @@
     void flush_() override;
 
 private:
-    /// Whether a write of up to MaxLineBytes does not block.
-    [[nodiscard]] bool writable() const;
     /// Returns false when the line exceeds the remaining budget or was not written whole.
     [[nodiscard]] bool writeLine(std::string_view line);
     void countDropped(std::string_view message);
--- a/lib/Observe/LogLine.cpp
+++ b/lib/Observe/LogLine.cpp
@@ -1,6 +1,7 @@
 #include "tamarackcove/Observe/LogLine.h"
 
 #include "BoundedSink.h"
+#include "tamarackcove/Observe/FinalLine.h"
 
 #include <cassert>
 #include <fmt/format.h>
@@ -21,6 +22,8 @@
         return spdlog::level::warn;
     case LogLevel::Error:
         return spdlog::level::err;
+    case LogLevel::Critical:
+        return spdlog::level::critical;
     }
     return spdlog::level::info;
 }
@@ -115,12 +118,14 @@
 void initLogging(std::string_view process, LogLevel lowestLevel)
 {
     useLogger(spdlog::stderr_logger_st(std::string(process)), lowestLevel);
+    reportProcessEnd(process, STDERR_FILENO);
 }
 
 void initServiceLogging(std::string_view process, LogLevel lowestLevel)
 {
     auto sink = std::make_shared<BoundedSink>(STDOUT_FILENO, BoundedSink::Limits{});
     useLogger(std::make_shared<spdlog::logger>(std::string(process), std::move(sink)), lowestLevel);
+    reportProcessEnd(process, STDOUT_FILENO);
 }
 
 } // namespace tamarackcove
--- a/lib/Operator/RequestExplanation.cpp
+++ b/lib/Operator/RequestExplanation.cpp
@@ -15,9 +15,10 @@
 static constexpr milliseconds LookBackTime{5000};
 
 /// Events that change the state of a process independently of any request.
-static constexpr std::array<std::string_view, 12> ProcessEvents{
-    "started",  "drained",          "readiness",        "control_lost",           "control_connected", "control_leads",
-    "stopping", "order_duty_begun", "order_duty_ended", "configuration_in_force", "log_lines_dropped", "control_fatal",
+static constexpr std::array<std::string_view, 13> ProcessEvents{
+    "started",           "drained",       "readiness",        "control_lost",     "control_connected",
+    "control_leads",     "stopping",      "order_duty_begun", "order_duty_ended", "configuration_in_force",
+    "log_lines_dropped", "control_fatal", "process_ended",
 };
 
 RequestExplanation::RequestExplanation(std::string request)
--- a/lib/Supervision/NodeProcess.cpp
+++ b/lib/Supervision/NodeProcess.cpp
@@ -34,7 +34,7 @@
     // Registered before open(), because SIGHUP ends a process that does not handle it.
     asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     if (const auto opened = hooks.open(); opened.has_error()) {
-        LogLine(LogLevel::Error, "start_failed").add("reason", opened.error());
+        LogLine(LogLevel::Critical, "start_failed").add("reason", opened.error());
         return ExitFailure;
     }
     hooks.start();
