--- a/unittests/Consensus/RandomScheduleTest.cpp
+++ b/unittests/Consensus/RandomScheduleTest.cpp
@@ -182,6 +182,75 @@
     CHECK(coverage.wipedDisks > 0);
 }
 
+/// Runs the group while commands are proposed to its leader.
+static void runWithCommands(SimulatedGroup &group, milliseconds duration)
+{
+    constexpr milliseconds Interval{20};
+    for (const auto end = group.now() + duration; group.now() < end;) {
+        if (const auto leader = group.leader(); leader >= 0) {
+            (void)group.propose(leader);
+        }
+        group.run(Interval);
+    }
+}
+
+/// One node misses commands while it is cut off, another loses its disk, and the others are down until after the cut
+/// has ended; then nodes are suspended together. Returns the violation, or that the group did not recover.
+static std::string runCutAndReturn(std::uint64_t seed)
+{
+    SimulationOptions options;
+    options.nodes = 4;
+    options.maxVoters = 3;
+    options.dropProbability = 0.01;
+    options.duplicateProbability = 0.05;
+    options.maxNetworkDelay = seed % 5 == 0 ? milliseconds(150) : milliseconds(15);
+    options.maxSyncDuration = seed % 7 == 0 ? milliseconds(200) : milliseconds(5);
+    options.clockDrift = 0.05;
+    options.snapshotEvery = 10;
+    options.trailingEntries = 4;
+    SimulatedGroup group(options, seed);
+    group.bootstrap();
+    // All nodes start as voters. A node that is cut off for long enough is demoted as the surplus voter.
+    runWithCommands(group, milliseconds(500 + group.random(2500)));
+    const auto first = static_cast<int>(group.random(4));
+    const auto nodeAfter = [first](int distance) {
+        return (first + distance) % 4;
+    };
+    group.isolate(first);
+    runWithCommands(group, milliseconds(group.random(5000)));
+    group.replaceDisk(nodeAfter(1));
+    runWithCommands(group, milliseconds(group.random(300)));
+    group.crash(nodeAfter(2));
+    group.crash(nodeAfter(3));
+    group.unblockAllLinks();
+    runWithCommands(group, milliseconds(group.random(3000)));
+    group.restart(nodeAfter(2));
+    group.restart(nodeAfter(3));
+    runWithCommands(group, milliseconds(group.random(2000)));
+    for (int round = 0; round < 3; ++round) {
+        const milliseconds suspension(group.random(4000));
+        group.freeze(nodeAfter(static_cast<int>(group.random(4))), suspension);
+        group.freeze(nodeAfter(static_cast<int>(group.random(4))), suspension);
+        runWithCommands(group, milliseconds(group.random(4500)));
+    }
+    const bool recovered = recovers(group);
+    if (!group.violation().empty()) {
+        return group.violation();
+    }
+    return recovered ? "" : "the group did not recover after all faults had ended";
+}
+
+/// Guards against a replica that fails on a message after it was cut off or suspended while the members changed.
+TEST_CASE("the log stays consistent when a node is cut off, another loses its disk and others return and are suspended")
+{
+    int failures = 0;
+    for (auto seed = FirstSeed; seed < FirstSeed + Schedules / 5 && failures < 5; ++seed) {
+        const auto failure = runCutAndReturn(seed);
+        CHECK_MESSAGE(failure.empty(), "seed ", seed, ": ", failure);
+        failures += failure.empty() ? 0 : 1;
+    }
+}
+
 TEST_CASE("a voter that is silent beyond the replacement timeout is replaced and rejoins as a learner")
 {
     SimulationOptions options;
