Replica tests: show why a replica cannot be opened

With the reason shown, one further run says: "cannot listen for control peers on 127.0.0.1:39691: Address already in use". ThreeReplicas lets the kernel choose its ports and frees them before the replicas bind them, and one of the 15 other runs can take one in between. Not mended here: the settings of each replica must name the ports of the others.

--- a/unittests/Control/Replica/ReplicaGroupFixture.h
+++ b/unittests/Control/Replica/ReplicaGroupFixture.h
@@ -55,7 +55,8 @@
         : supervisor(io.get_executor(), settings.name)
         , task(supervisor, std::move(settings), stateMachine.hooks(), std::move(hooks))
     {
-        REQUIRE(task.open().has_value());
+        const auto opened = task.open();
+        REQUIRE_MESSAGE(opened.has_value(), (opened.has_error() ? opened.error().detail : std::string()));
         task.start();
         log = task.client();
     }
