UpdateFeed: have entries forget holdings that the whole state does not list

What callers would see: requests that go to a server which no longer has their adapter. Each gets 421 and costs a retry of the budget and time; without a retry it is refused.

Cause: an entry that reconnects, or is more than 64 updates behind, gets the whole state, and that names only the adapters that servers hold now. The removals that the entry has missed were never told, so it kept all holdings that had ended meanwhile. An entry that reconnected had this fault before the feed too; one that is merely behind has it since the feed (before, each connection kept its own list of changes).

Now the whole state names the servers whose state the planner knows, and the entry forgets their holdings before it adds the listed ones. Holdings of servers that a new leader has not read yet are kept, because requests need them until then.

Not removed: holdings that ended in the last 200 ms of an earlier leader stay until the first 421.

Evidence: the new test of the feed fails before (no server is named); the new test of the view fails without the line that forgets (without the field it does not compile). ControlTests without the tests of replicas, and GatewayTests pass.

--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -177,6 +177,8 @@
     /// All adapters that servers hold or load, each as a change. Sent to an entry that has not received holdings from
     /// this host yet.
     [[nodiscard]] std::vector<HoldingChange> holdings() const;
+    /// Servers whose state is known, so that holdings() lists all adapters that they hold.
+    [[nodiscard]] std::vector<TargetId> serversWithKnownState() const;
     [[nodiscard]] Totals totals(TimePoint now) const;
     [[nodiscard]] const StoreLoadWindow &storeLoadWindow() const;
     /// Adapter loads from the store that are expected to be in progress, over all servers.
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -104,6 +104,8 @@
     /// adapter.
     void setHolding(const TargetId &id, const AdapterKey &adapter, std::uint64_t version, TimePoint readyAt);
 
+    /// Removes all adapters that a server holds.
+    void clearHoldings(const TargetId &id);
     /// Sends no request for an adapter to a server before `until`, because the server is still loading the adapter
     /// after the expected end of the load. Has no effect if `until` is earlier than the present ready time.
     void postpone(const TargetId &id, const AdapterKey &adapter, TimePoint until);
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -119,6 +119,9 @@
     std::vector<WeightVersionMessage> versions;
     std::vector<ServerMessage> servers;
     std::vector<std::string> removed;
+    /// Servers of which the entry forgets all holdings before it applies `holdings`. Set in the whole state, which does
+    /// not name the adapters that a server has ceased to hold.
+    std::vector<std::string> relisted;
     std::vector<HoldingMessage> holdings;
     /// Whether `all` is set.
     bool complete = false;
@@ -128,7 +131,7 @@
     std::vector<ServerLoadMessage> loads;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, configurationVersion, document, versions, servers, removed,
-                                   holdings, complete, all, loads)
+                                   relisted, holdings, complete, all, loads)
 
 /// Requests that wait for an adapter.
 struct DemandMessage
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -219,6 +219,10 @@
             update.loads.push_back(toLoadMessage(id.value()));
         }
     }
+    // In the frame of the first holdings, so that none of them is forgotten.
+    for (const auto &id : m_planner.serversWithKnownState()) {
+        update.relisted.push_back(id.value());
+    }
     for (const auto &holding : m_planner.holdings()) {
         update.holdings.push_back(toHoldingMessage(holding));
         if (update.holdings.size() == MaxHoldingsPerFrame) {
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -395,6 +395,17 @@
     return all;
 }
 
+std::vector<TargetId> AdapterPlanner::serversWithKnownState() const
+{
+    std::vector<TargetId> ids;
+    for (const auto &[id, server] : m_servers) {
+        if (server.stateKnown) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 AdapterPlanner::Totals AdapterPlanner::totals(TimePoint now) const
 {
     Totals totals;
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -46,6 +46,14 @@
     found->second.holdings[adapter] = {.version = version, .readyAt = readyAt, .expectedAt = readyAt};
 }
 
+void ServerDirectory::clearHoldings(const TargetId &id)
+{
+    const auto found = m_servers.find(id);
+    if (found != m_servers.end()) {
+        found->second.holdings.clear();
+    }
+}
+
 void ServerDirectory::postpone(const TargetId &id, const AdapterKey &adapter, TimePoint until)
 {
     const auto found = m_servers.find(id);
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -105,6 +105,9 @@
         }
         m_servers.keepOnly(all);
     }
+    for (const auto &id : update.relisted) {
+        m_servers.clearHoldings(TargetId(id));
+    }
     for (const auto &holding : update.holdings) {
         const TargetId id(holding.server);
         const AdapterKey adapter{BaseModel(holding.model), holding.adapter};
--- a/unittests/Control/Fleet/UpdateFeedTest.cpp
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -64,6 +64,7 @@
             all.servers.insert(all.servers.end(), update.servers.begin(), update.servers.end());
             all.removed.insert(all.removed.end(), update.removed.begin(), update.removed.end());
             all.holdings.insert(all.holdings.end(), update.holdings.begin(), update.holdings.end());
+            all.relisted.insert(all.relisted.end(), update.relisted.begin(), update.relisted.end());
             all.loads.insert(all.loads.end(), update.loads.begin(), update.loads.end());
             all.complete = all.complete || update.complete;
         }
@@ -174,6 +175,28 @@
     CHECK(update.loads[1].load == 0);
 }
 
+// Guards against an entry that keeps the holdings which have ended while it was disconnected or far behind.
+TEST_CASE_FIXTURE(UpdateFeedFixture, "the whole state names the servers whose holdings it lists in full")
+{
+    EngineProfile profile;
+    profile.adapterSlots = 4;
+    for (const int number : {1, 2}) {
+        planner.updateServer(heartbeat(number), false, profile, now);
+    }
+    REQUIRE(planner.nextStep(TargetId("s1"), now).kind == AdapterPlanner::Step::Kind::ReadState);
+    ServerReport report;
+    report.startedAt = Incarnation(1);
+    report.models = {{.name = Model, .version = 1, .adapters = {{.adapter = "a1", .version = 1}}}};
+    planner.applyReport(heartbeat(1).identity, report, now, now);
+    UpdateFeed::Position position;
+    const auto wholeState = receive(position);
+    CHECK(wholeState.relisted == std::vector<std::string>{"s1"});
+    CHECK(wholeState.holdings.size() == 1);
+    feed.addHoldings(planner.takeChanges());
+    feed.publish();
+    CHECK(receive(position).relisted.empty());
+}
+
 // Guards against entries that avoid an idle server because of the load that an earlier leader has sent.
 TEST_CASE_FIXTURE(UpdateFeedFixture, "a server without load is listed after a change of the leader")
 {
--- a/unittests/Gateway/FleetViewTest.cpp
+++ b/unittests/Gateway/FleetViewTest.cpp
@@ -120,3 +120,44 @@
     // Nothing waits any more, so the demand ends with the next report.
     CHECK(view.takeReport(false, false).demands.empty());
 }
+
+// Guards against requests that are sent, each at the cost of a retry, to servers that have unloaded their adapter while
+// the entry was disconnected.
+TEST_CASE("holdings that the whole state does not list are forgotten at servers whose state the leader knows")
+{
+    FleetViewFixture fixture;
+    auto &view = fixture.view;
+    FleetUpdateMessage first;
+    for (const auto *id : {"s1", "s2"}) {
+        first.servers.push_back({.id = id,
+                                 .startedAt = 1,
+                                 .service = "engines",
+                                 .endpoint = "127.0.0.1:80",
+                                 .zone = "z",
+                                 .slots = 8,
+                                 .draining = false,
+                                 .models = {"m"}});
+        first.holdings.push_back({.server = id, .model = "m", .adapter = "old", .version = 1, .readyAtMs = 0});
+    }
+    const auto now = Clock::now();
+    view.apply(first, now, now);
+    FleetUpdateMessage wholeState;
+    wholeState.servers = first.servers;
+    wholeState.relisted = {"s1"};
+    wholeState.holdings = {{.server = "s1", .model = "m", .adapter = "new", .version = 1, .readyAtMs = 0}};
+    view.apply(wholeState, now, now);
+    const auto holds = [&](const std::string &adapter, const std::string &other) {
+        return view.servers()
+            .choose({.service = ServiceName("engines"),
+                     .model = BaseModel("m"),
+                     .adapter = AdapterKey{BaseModel("m"), adapter},
+                     .minVersion = 0,
+                     .excluded = {TargetId(other)}},
+                    now)
+            .has_value();
+    };
+    CHECK_FALSE(holds("old", "s2"));
+    CHECK(holds("new", "s2"));
+    // The leader has not read the state of this server yet.
+    CHECK(holds("old", "s1"));
+}
