Replica: refuse messages that contradict committed entries

Cause: receive() checked the group and the receiver of a message only.

Evidence: the new test aborts when the check is skipped.

Conclusion: receive() returns the reason, PeerLinks logs peer_message_refused and goes on with the connection.

--- a/include/tamarackcove/Consensus/Replica.h
+++ b/include/tamarackcove/Consensus/Replica.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace tamarackcove {
 
@@ -49,7 +50,9 @@
     /// replica and of all other members are empty.
     void bootstrap(ReplicaGroup group, TimePoint now);
 
-    void receive(const ReplicaMessage &message, TimePoint now);
+    /// Handles a message of another replica. Returns the reason when the message contradicts what this replica knows to
+    /// be certain, such as a committed entry; such a message changes nothing.
+    std::optional<std::string_view> receive(const ReplicaMessage &message, TimePoint now);
     /// Runs elections, heartbeats and membership changes that are due. The owner calls it when deadline() has passed;
     /// earlier calls are harmless.
     void tick(TimePoint now);
@@ -145,6 +148,9 @@
     [[nodiscard]] bool hasUnpersistedState() const;
     /// Whether a snapshot that was received from the leader is not on the disk yet.
     [[nodiscard]] bool installingSnapshot() const;
+    /// Why the message is refused; nothing when it may be handled.
+    [[nodiscard]] std::optional<std::string_view> refusalReason(const ReplicaMessage &message) const;
+    [[nodiscard]] std::optional<std::string_view> refusalReason(const AppendRequest &request) const;
     void setHardState(Term term, ReplicaId votedFor);
     void appendLocal(LogEntry entry);
     void collectPersist(ReplicaOutput &output);
--- a/lib/Consensus/Replica.cpp
+++ b/lib/Consensus/Replica.cpp
@@ -57,16 +57,64 @@
     m_electionDeadline = now;
 }
 
-void Replica::receive(const ReplicaMessage &message, TimePoint now)
+std::optional<std::string_view> Replica::refusalReason(const AppendRequest &request) const
+{
+    auto expected = request.previousIndex;
+    for (const auto &entry : request.entries) {
+        if (entry->index != ++expected) {
+            return "the entries do not follow each other";
+        }
+        if (entry->kind == EntryKind::Group && !entry->group) {
+            return "an entry of kind group has no group";
+        }
+        const bool committed = entry->index > m_log.base().index && entry->index <= m_commitIndex;
+        if (committed && m_log.termAt(entry->index) != entry->term) {
+            return "an entry would replace a committed one";
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string_view> Replica::refusalReason(const ReplicaMessage &message) const
+{
+    const auto *append = std::get_if<AppendRequest>(&message.body);
+    const auto *chunk = std::get_if<SnapshotChunk>(&message.body);
+    // A sender of an earlier term is answered with the current term instead, which makes it step down.
+    if (message.term < m_hardState.term) {
+        return std::nullopt;
+    }
+    const bool leadsTerm = role() == ReplicaRole::Leader && message.term == m_hardState.term;
+    if (leadsTerm && (append != nullptr || chunk != nullptr)) {
+        return "another replica claims to lead the term of this leader";
+    }
+    if (append != nullptr) {
+        return refusalReason(*append);
+    }
+    if (chunk != nullptr
+        && (chunk->offset > chunk->totalBytes || chunk->bytes.size() > chunk->totalBytes - chunk->offset)) {
+        return "a part of a snapshot exceeds its size";
+    }
+    // A former leader that has lost unsynced entries in a crash may still get replies to them.
+    const auto *reply = std::get_if<AppendReply>(&message.body);
+    if (reply != nullptr && leadsTerm && reply->accepted && reply->matchedIndex > m_log.lastIndex()) {
+        return "a reply acknowledges entries that this leader does not have";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string_view> Replica::receive(const ReplicaMessage &message, TimePoint now)
 {
     const auto &ownGroup = m_log.group().groupId;
     const bool fromOtherGroup = !ownGroup.empty() && !message.groupId.empty() && message.groupId != ownGroup;
     if (message.to != m_self || fromOtherGroup) {
-        return;
+        return std::nullopt;
+    }
+    if (const auto reason = refusalReason(message)) {
+        return reason;
     }
     if (const auto *request = std::get_if<VoteRequest>(&message.body)) {
         onVoteRequest(message, *request, now);
-        return;
+        return std::nullopt;
     }
     const auto *voteReply = std::get_if<VoteReply>(&message.body);
     // A voter that grants a pre-vote does not adopt the term of the request, so its own term may be lower.
@@ -79,7 +127,7 @@
             || std::holds_alternative<SnapshotChunk>(message.body)) {
             sendOncePersisted(message.from, AppendReply{});
         }
-        return;
+        return std::nullopt;
     }
     if (voteReply != nullptr) {
         onVoteReply(message, *voteReply, now);
@@ -94,6 +142,7 @@
     } else if (std::holds_alternative<TimeoutNow>(message.body)) {
         onTimeoutNow(message, now);
     }
+    return std::nullopt;
 }
 
 void Replica::tick(TimePoint now)
--- a/lib/Control/Replica/PeerLinks.cpp
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -412,7 +412,10 @@
         }
         decoded.value().from = from;
         decoded.value().to = m_driver.replica().self();
-        m_driver.replica().receive(decoded.value(), Clock::now());
+        if (const auto refused = m_driver.replica().receive(decoded.value(), Clock::now())) {
+            LogLine(LogLevel::Error, "peer_message_refused").add("peer", hello.value().name).add("reason", *refused);
+            continue;
+        }
         m_driver.scheduleStep();
     }
 }
--- a/unittests/Consensus/ReplicaRuleTest.cpp
+++ b/unittests/Consensus/ReplicaRuleTest.cpp
@@ -245,3 +245,27 @@
     while (replica.propose("x", {}, now).has_value()) { }
     CHECK(replica.propose("x", {}, now).error() == ReplicaError::TooManyUncommitted);
 }
+
+/// Such messages met only assertions: without them, committed entries were removed and the replica read past the end of
+/// its log.
+TEST_CASE("a message that contradicts committed entries is refused and the replica goes on")
+{
+    auto replica = restartedReplica({1, 1});
+    const auto later = Start + seconds(1);
+    const AppendRequest heartbeat{.previousIndex = 3, .previousTerm = 1, .commitIndex = 3};
+    CHECK_FALSE(replica.receive(messageFrom(Other, 2, heartbeat), later));
+    (void)replica.takeOutput(later);
+    REQUIRE(replica.commitIndex() == 3);
+    const AppendRequest replacing{
+        .previousIndex = 1, .previousTerm = 1, .commitIndex = 3, .entries = {entry(2, 2), entry(3, 2)}};
+    CHECK(replica.receive(messageFrom(Other, 3, replacing), later) == "an entry would replace a committed one");
+    CHECK(replica.term() == 2);
+    const AppendRequest gap{.previousIndex = 3, .previousTerm = 1, .commitIndex = 3, .entries = {entry(5, 2)}};
+    CHECK(replica.receive(messageFrom(Other, 2, gap), later) == "the entries do not follow each other");
+    const SnapshotChunk tooLong{.lastIndex = 9, .lastTerm = 2, .offset = 2, .totalBytes = 3, .bytes = "xyz"};
+    CHECK(replica.receive(messageFrom(Other, 2, tooLong), later) == "a part of a snapshot exceeds its size");
+    CHECK(replica.log().lastIndex() == 3);
+    const AppendRequest next{.previousIndex = 3, .previousTerm = 1, .commitIndex = 4, .entries = {entry(4, 2)}};
+    CHECK_FALSE(replica.receive(messageFrom(Other, 2, next), later));
+    CHECK(replica.commitIndex() == 4);
+}
--- a/unittests/Consensus/SimulatedGroup.cpp
+++ b/unittests/Consensus/SimulatedGroup.cpp
@@ -152,7 +152,7 @@
             if (receiver.frozenUntil) {
                 receiver.inbox.push_back(std::move(message));
             } else if (receiver.replica) {
-                receiver.replica->receive(message, localNow(receiver));
+                receive(receiver, message);
                 processOutput(receiver);
             }
         }
@@ -163,7 +163,7 @@
             if (each.frozenUntil && *each.frozenUntil <= m_now) {
                 each.frozenUntil.reset();
                 for (const auto &message : std::exchange(each.inbox, {})) {
-                    each.replica->receive(message, localNow(each));
+                    receive(each, message);
                 }
                 processOutput(each);
             }
@@ -181,6 +181,13 @@
     return false;
 }
 
+void SimulatedGroup::receive(SimulatedNode &node, const ReplicaMessage &message)
+{
+    if (const auto refused = node.replica->receive(message, localNow(node))) {
+        recordViolation(node.name + " refused a message of another replica: " + std::string(*refused));
+    }
+}
+
 void SimulatedGroup::exchangePeerIdentities()
 {
     for (int from = 0; from < size(); ++from) {
--- a/unittests/Consensus/SimulatedGroup.h
+++ b/unittests/Consensus/SimulatedGroup.h
@@ -128,6 +128,8 @@
     };
 
     void start(SimulatedNode &node);
+    /// Passes the message to the replica. A refusal is a violation, because all senders are correct.
+    void receive(SimulatedNode &node, const ReplicaMessage &message);
     /// Carries out the output of the replica and checks its guarantees.
     void processOutput(SimulatedNode &node);
     void transmit(int from, ReplicaMessage message);
