--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -80,7 +80,7 @@
     , http(callConnections, limits(), hooks.frontEnd(control))
     , links(entryConnections, feed, demands,
             {.leads = [this] { return leading; },
-             .term = [this] { return replica.client().status().term; },
+             .term = [this] { return leadershipTerm; },
              .hosts = [this] { return hosts(); },
              .serversAnnounced = [this] { return Clock::now() > leadershipStartedAt + settings.heartbeatInterval * 3; },
              .wantsHistory = [this] { return dispatcher.active(); },
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -102,6 +102,8 @@
     std::uint64_t suspensionCount = 0;
     bool suspended = false;
     TimePoint leadershipStartedAt;
+    /// The term of this leadership. The replica may have adopted a later one whose leader is another host.
+    std::uint64_t leadershipTerm = 0;
     /// Number of times that this host has become or ceased to be leader since the start of the process. A task compares
     /// this number with the one at its own start to detect that the leadership in which it was started has ended.
     std::uint64_t leadershipCount = 0;
--- a/lib/Control/Fleet/FleetNodeLeadership.cpp
+++ b/lib/Control/Fleet/FleetNodeLeadership.cpp
@@ -66,6 +66,7 @@
 void FleetNode::Impl::beginLeadership()
 {
     leading = true;
+    leadershipTerm = replica.client().status().term;
     ++leadershipCount;
     links.resendEverything();
     leadershipStartedAt = Clock::now();
--- a/lib/Control/Fleet/FleetNodeReports.cpp
+++ b/lib/Control/Fleet/FleetNodeReports.cpp
@@ -16,6 +16,8 @@
 /// demands of one round. They bound the CPU time of the leader however many requests wait.
 static constexpr milliseconds PlanInterval{10};
 static constexpr std::size_t MaxDemandsPerRound = 12;
+/// Largest number of copies of one adapter that are queued in one round.
+static constexpr int MaxCopiesPerRound = 4;
 
 void FleetNode::Impl::applyReport(const FleetReportMessage &report)
 {
@@ -117,8 +119,12 @@
         plannedAt = now;
         for (const auto &demand : demands.takeDue(MaxDemandsPerRound, now)) {
             // Each call queues one copy; many waiting requests need several.
-            while (planner.requestLoad(demand.adapter, demand.version, demand.zone, demand.waiting, now,
-                                       demand.failed)) { }
+            for (int copies = 0; copies < MaxCopiesPerRound; ++copies) {
+                if (!planner.requestLoad(demand.adapter, demand.version, demand.zone, demand.waiting, now,
+                                         demand.failed)) {
+                    break;
+                }
+            }
         }
         publishHoldings();
     }
--- a/lib/Control/Fleet/OrderDispatcher.cpp
+++ b/lib/Control/Fleet/OrderDispatcher.cpp
@@ -181,6 +181,10 @@
             co_return std::nullopt;
         }
         target.connection = std::move(connected).value();
+        // The connect can take longer than the lease lasts, and the task may have been ended meanwhile.
+        if (target.stopped || !m_hooks.mayGiveOrders()) {
+            co_return std::nullopt;
+        }
     }
     auto response = co_await target.connection->exchange(std::move(request), ExchangeTimeout, MaxReplyBytes);
     if (response.has_error()) {
@@ -212,7 +216,9 @@
         m_planner.handleReadFailure(identity, Clock::now());
         co_return;
     }
-    m_planner.applyReport(identity, *report, requestedAt, Clock::now());
+    if (!target.stopped) {
+        m_planner.applyReport(identity, *report, requestedAt, Clock::now());
+    }
 }
 
 asio::awaitable<void> OrderDispatcher::sendOrder(Target &target, ServerOrder order)
@@ -233,7 +239,10 @@
         .add("expected_orders", order.expectedAcceptedOrders)
         .add("fence", order.fence.value())
         .add("outcome", toString(outcome));
-    m_planner.applyOrderOutcome(order, outcome, Clock::now());
+    // The planner has been reset, or no longer knows the server, once the task has been ended.
+    if (!target.stopped) {
+        m_planner.applyOrderOutcome(order, outcome, Clock::now());
+    }
 }
 
 } // namespace tamarackcove
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -49,6 +49,8 @@
     bool nextReportHasHistory = false;
     /// Whether the next report is sent without waiting for the report interval.
     bool reportNow = false;
+    /// Whether its last status said that it leads in a term before that of the latest leader.
+    bool outdated = false;
     /// When the last report was sent, and the last one that was not only of new demands.
     TimePoint reportedAt;
     TimePoint fullReportAt;
@@ -122,7 +124,8 @@
     for (const auto &name : status.hosts) {
         addHost(name);
     }
-    if (!status.leads || status.term < m_term) {
+    host.outdated = status.leads && status.term < m_term;
+    if (!status.leads || host.outdated) {
         if (m_leader == &host) {
             m_leader = nullptr;
         }
@@ -172,9 +175,13 @@
             LogLine(LogLevel::Warning, "update_refused").add("reason", update.error().detail);
             co_return;
         }
+        if (host.outdated) {
+            // Should this host lead again, in a later term, it begins with its whole state.
+            continue;
+        }
         if (m_leader != &host) {
-            // A leader of an earlier term. The connection is closed because its next updates build on this one.
-            LogLine(LogLevel::Info, "update_outdated").add("host", host.name).add("term", m_term);
+            // The connection is closed because the next updates build on this one.
+            LogLine(LogLevel::Warning, "update_unexpected").add("host", host.name).add("term", m_term);
             co_return;
         }
         m_view.apply(update.value(), host.clockZero, Clock::now());
