--- /dev/null
+++ b/unittests/Platform/Deployment.h
@@ -0,0 +1,295 @@
+#pragma once
+
+#include "StandInServer.h"
+#include "platform/CallerCodec.h"
+#include "platform/ConfigurationCodec.h"
+#include "platform/ControlCalls.h"
+#include "platform/ServerCodec.h"
+#include "tamarackcove/Control/Fleet/FleetNode.h"
+#include "tamarackcove/Gateway/GatewayNode.h"
+#include "tamarackcove/Http/HttpConnection.h"
+#include "tamarackcove/Observe/LogLine.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+namespace tamarackcove::test {
+
+inline constexpr milliseconds CallTimeout{5000};
+/// Time limit for the run of one deployment. It is generous because it only detects a hang.
+inline constexpr seconds RunTimeout{20};
+
+inline HttpResponse sealedResponse(const HttpRequest &request, int status)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.set("Tamarackcove-Attempt-Id", request.headers.find("Tamarackcove-Attempt-Id").value_or(""));
+    response.headers.set("Tamarackcove-Server-Seal", "seal");
+    return response;
+}
+
+/// Sends the events that follow the one named in the request, up to event `upTo`. Breaks the stream off inside the next
+/// event unless `upTo` is the last one of `all`.
+inline boost::asio::awaitable<void> sendEvents(const HttpRequest &request, HttpResponder &responder, int upTo, int all)
+{
+    auto head = sealedResponse(request, 200);
+    head.headers.set("Content-Type", "text/event-stream");
+    (void)co_await responder.beginStream(std::move(head));
+    int next = 1;
+    if (const auto last = request.headers.find("Last-Event-Id")) {
+        next = std::stoi(std::string(*last)) + 1;
+    }
+    for (; next <= upTo; ++next) {
+        const auto event = "id: " + std::to_string(next) + "\ndata: x\n\n";
+        (void)co_await responder.writePiece(event);
+    }
+    if (upTo == all) {
+        (void)co_await responder.endStream();
+    } else {
+        (void)co_await responder.writePiece("id: torn");
+    }
+}
+
+inline boost::asio::awaitable<void> refuseWithoutRunning(const HttpRequest &request, HttpResponder &responder)
+{
+    auto response = sealedResponse(request, 503);
+    response.headers.set("Tamarackcove-Not-Executed", "1");
+    (void)co_await responder.send(std::move(response));
+}
+
+/// A control host, an entry and servers in one process. Sets the configuration as an operator does.
+class Deployment
+{
+public:
+    Deployment()
+        : m_folder(std::filesystem::temp_directory_path() / ("tamarackcove-path-" + std::to_string(::getpid())))
+    {
+        std::filesystem::remove_all(m_folder);
+    }
+    ~Deployment()
+    {
+        std::filesystem::remove_all(m_folder);
+    }
+    Deployment(const Deployment &) = delete;
+    Deployment &operator=(const Deployment &) = delete;
+
+    StandInServer &addServer(const std::string &id, const std::string &service, StandInServer::Behaviour behaviour)
+    {
+        m_servers.push_back({std::make_unique<StandInServer>(m_io.get_executor(), id, std::move(behaviour)), service});
+        return *m_servers.back().server;
+    }
+
+    /// Starts all nodes, runs the body once the entry is ready and has the servers, and stops all nodes.
+    void run(std::function<boost::asio::awaitable<void>()> body)
+    {
+        static const bool LogsSetUp = [] {
+            initLogging("whole-path", LogLevel::Error);
+            return true;
+        }();
+        REQUIRE(LogsSetUp);
+        bool finished = false;
+        boost::asio::co_spawn(m_io, runNodes(std::move(body)), [&](const std::exception_ptr &error) {
+            finished = !error;
+            m_io.stop();
+        });
+        m_io.run_for(RunTimeout);
+        CHECK_MESSAGE(finished, "the deployment did not finish within RunTimeout");
+    }
+
+    /// Sends a configuration of a higher version that is longer than this, and returns the answer.
+    boost::asio::awaitable<HttpResponse> putLongConfiguration(std::size_t bytes)
+    {
+        auto document = configuration();
+        document["version"] = 8;
+        document["note"] = std::string(bytes, 'x');
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/Config.Replace";
+        request.body = document.dump();
+        Endpoint host{.host = "127.0.0.1", .port = m_control->apiPort()};
+        auto response = co_await httpExchange(std::move(host), std::move(request), CallTimeout);
+        HttpResponse failed;
+        failed.status = 0;
+        co_return response.has_value() ? std::move(response).value() : failed;
+    }
+
+    boost::asio::awaitable<HttpResponse> call(std::string method, std::string path, std::string id,
+                                              std::string adapter = {}, milliseconds deadline = milliseconds(4000))
+    {
+        HttpRequest request;
+        request.method = std::move(method);
+        request.target = std::move(path);
+        request.headers = {{"Host", "h.example"},
+                           {"Tamarackcove-Attempt-Id", id},
+                           {"Tamarackcove-Deadline-Ms", std::to_string(deadline.count())}};
+        if (!adapter.empty()) {
+            request.headers.set("Tamarackcove-Model", "m/" + adapter);
+        }
+        Endpoint entry{.host = "127.0.0.1", .port = m_entry->callerPort()};
+        auto response = co_await httpExchange(std::move(entry), std::move(request), CallTimeout);
+        HttpResponse failed;
+        failed.status = 0;
+        co_return response.has_value() ? std::move(response).value() : failed;
+    }
+
+    boost::asio::awaitable<void> sleepFor(milliseconds time)
+    {
+        boost::asio::steady_timer timer(m_io, time);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+
+    /// The metrics of the entry and of the control host.
+    boost::asio::awaitable<std::pair<std::string, std::string>> metrics()
+    {
+        auto entry = co_await metricsAt(m_entry->metricsPort());
+        auto control = co_await metricsAt(m_control->metricsPort());
+        co_return std::pair(std::move(entry), std::move(control));
+    }
+
+private:
+    static boost::asio::awaitable<std::string> metricsAt(std::uint16_t port)
+    {
+        HttpRequest request;
+        request.target = "/metrics";
+        Endpoint endpoint{.host = "127.0.0.1", .port = port};
+        const auto response = co_await httpExchange(std::move(endpoint), std::move(request), CallTimeout);
+        co_return response.has_value() ? response.value().body : std::string();
+    }
+
+    struct Member
+    {
+        std::unique_ptr<StandInServer> server;
+        std::string service;
+    };
+
+    static nlohmann::json configuration()
+    {
+        const auto route = [](const char *path, const char *type, const char *service, int attempts, bool resumable) {
+            return nlohmann::json{{"name", path},     {"host", "h.example"},   {"pathPrefix", path},
+                                  {"type", type},     {"timeoutMs", 4000},     {"goalMs", 1000},
+                                  {"gapGoalMs", 600}, {"service", service},    {"attempts", attempts},
+                                  {"priority", 0},    {"resumable", resumable}};
+        };
+        const nlohmann::json engine{{"slots", 8},
+                                    {"adapterSlots", 4},
+                                    {"weightsMb", 1000},
+                                    {"loadsPerS", 3},
+                                    {"models", {{{"name", "m"}, {"weightsMb", 900}, {"adapterMb", 1}, {"loadS", 1}}}}};
+        return {
+            {"version", 7},
+            {"routes",
+             {route("/once/", "non_idempotent", "plain", 1, false), route("/again/", "idempotent", "plain", 2, false),
+              route("/stream/", "streaming", "engines", 2, true)}},
+            {"services", {{{"name", "plain"}}, {{"name", "engines"}, {"engine", engine}}}}};
+    }
+
+    boost::asio::awaitable<int> callControl(std::string method, std::string path, std::string body)
+    {
+        HttpRequest request;
+        request.method = std::move(method);
+        request.target = std::move(path);
+        request.body = std::move(body);
+        Endpoint host{.host = "127.0.0.1", .port = m_control->apiPort()};
+        const auto response = co_await httpExchange(std::move(host), std::move(request), CallTimeout);
+        co_return response.has_value() ? response.value().status : 0;
+    }
+
+    boost::asio::awaitable<void> runNodes(std::function<boost::asio::awaitable<void>()> body)
+    {
+        FleetControlSettings controlSettings;
+        controlSettings.name = "c1";
+        controlSettings.host = "127.0.0.1";
+        controlSettings.listen = {.host = "127.0.0.1", .port = 0};
+        controlSettings.metricsListen = Endpoint{.host = "127.0.0.1", .port = 0};
+        controlSettings.seeds = {"127.0.0.1"};
+        controlSettings.firstStart = true;
+        controlSettings.dataFolder = m_folder;
+        FleetNode::Hooks hooks;
+        hooks.readConfiguration = platform::readConfiguration;
+        hooks.dialect = platform::engineDialect();
+        hooks.frontEnd = platform::controlCalls;
+        hooks.onFatal = [](std::string_view, std::string_view) {
+        };
+        m_control = std::make_unique<FleetNode>(m_io.get_executor(), controlSettings, std::move(hooks));
+        REQUIRE(m_control->open().has_value());
+        m_control->start();
+        GatewaySettings entrySettings;
+        entrySettings.name = "e1";
+        entrySettings.zone = Zone("z");
+        entrySettings.listen = {.host = "127.0.0.1", .port = 0};
+        entrySettings.readyListen = {.host = "127.0.0.1", .port = 0};
+        entrySettings.metricsListen = Endpoint{.host = "127.0.0.1", .port = 0};
+        entrySettings.controlPort = m_control->entryPort();
+        entrySettings.seeds = {"127.0.0.1"};
+        entrySettings.retrySlack = 50;
+        m_entry = std::make_unique<GatewayNode>(m_io.get_executor(), entrySettings, platform::callerDialect());
+        REQUIRE(m_entry->open().has_value());
+        m_entry->start();
+        for (const auto &member : m_servers) {
+            member.server->start();
+        }
+        const auto before = co_await call("GET", "/again/x", "early");
+        CHECK(before.status == 503);
+        const auto document = configuration().dump();
+        while (co_await callControl("POST", "/v1/Config.Replace", document) != 200) {
+            co_await sleepFor(milliseconds(20));
+        }
+        for (const auto &member : m_servers) {
+            const auto beat = member.server->heartbeat(member.service).dump();
+            const auto status = co_await callControl("POST", "/v1/Instances.Heartbeat/" + member.server->id(), beat);
+            CHECK(status == 200);
+        }
+        for (;;) {
+            // The entry answers 200 once it has the configuration and the servers.
+            const auto response = co_await call("GET", "/again/ready", "probe");
+            if (response.status == 200) {
+                break;
+            }
+            co_await sleepFor(milliseconds(20));
+        }
+        co_await body();
+        co_await m_entry->shutDown();
+        co_await m_control->shutDown();
+        for (const auto &member : m_servers) {
+            co_await member.server->stop();
+        }
+    }
+
+    boost::asio::io_context m_io{1};
+    std::filesystem::path m_folder;
+    std::vector<Member> m_servers;
+    std::unique_ptr<FleetNode> m_control;
+    std::unique_ptr<GatewayNode> m_entry;
+};
+
+inline boost::asio::awaitable<void> answerInFull(const HttpRequest &request, HttpResponder &responder)
+{
+    auto response = sealedResponse(request, 200);
+    response.body = "whole";
+    (void)co_await responder.send(std::move(response));
+}
+
+inline int requestCount(const StandInServer &server, const std::string &id)
+{
+    return static_cast<int>(std::count_if(server.requests.begin(), server.requests.end(), [&](const auto &request) {
+        return request.headers.find("Tamarackcove-Attempt-Id") == id;
+    }));
+}
+
+inline void checkContains(const std::string &text, const std::string &part)
+{
+    INFO(text);
+    CHECK_MESSAGE(text.find(part) != std::string::npos, part);
+}
+
+} // namespace tamarackcove::test
