Consensus: elections that outlast slow disks

Cause: a candidate whose sync takes longer than the election timeout (300 to 600 ms) started the next election, in a higher term, before its own vote was on disk, and a voter that was still writing the vote it had granted campaigned itself. No group of any size elected a leader for as long as syncs took about a second.

Now a replica starts no election while its vote is being written, and then gives the others twice the time of its slowest recent vote write, at most 5 s.

Tests: a group whose syncs take 0.7 to 1 s elects and replaces a leader; a stall of a minute does not delay the next election for minutes. Both failed before.

--- a/include/tamarackcove/Consensus/Replica.h
+++ b/include/tamarackcove/Consensus/Replica.h
@@ -151,7 +151,11 @@
     /// Why the message is refused; nothing when it may be handled.
     [[nodiscard]] std::optional<std::string_view> refusalReason(const ReplicaMessage &message) const;
     [[nodiscard]] std::optional<std::string_view> refusalReason(const AppendRequest &request) const;
-    void setHardState(Term term, ReplicaId votedFor);
+    void setHardState(Term term, ReplicaId votedFor, TimePoint now);
+    /// Whether the current term and vote are on disk.
+    [[nodiscard]] bool hardStatePersisted() const;
+    /// Gives an election time for the disks of the other voters, after this replica has written its own vote.
+    void allowForVoteWrites(TimePoint now);
     void appendLocal(LogEntry entry);
     void collectPersist(ReplicaOutput &output);
     void collectCommitted(ReplicaOutput &output);
@@ -222,6 +226,9 @@
     /// Sequence of the last persist request that takeOutput() returned.
     std::uint64_t m_issuedSequence = 0;
     bool m_hardStateDirty = false;
+    TimePoint m_hardStateChangedAt;
+    /// Time that this replica needed to write a vote; decreases by a quarter with each faster write.
+    Duration m_slowestVoteWrite{0};
     /// Index of the first entry that the next persist request carries; 0 if that request carries no entries.
     LogIndex m_firstUnpersistedIndex = 0;
     std::optional<SnapshotImage> m_unpersistedSnapshot;
--- a/lib/Consensus/Replica.cpp
+++ b/lib/Consensus/Replica.cpp
@@ -51,7 +51,7 @@
 void Replica::bootstrap(ReplicaGroup group, TimePoint now)
 {
     assert(m_log.lastIndex() == 0 && m_hardState.term == 0 && "only an empty replica may form a group");
-    setHardState(1, {});
+    setHardState(1, {}, now);
     appendLocal({.kind = EntryKind::Group, .group = std::move(group)});
     updateVoterRole();
     m_electionDeadline = now;
@@ -159,6 +159,12 @@
         return;
     }
     if (role() != ReplicaRole::Learner && now >= m_electionDeadline) {
+        // A vote that is being written still counts. With a sync that takes longer than the election timeout, a
+        // further election in a higher term would end each one before its votes are counted.
+        if (!m_hardState.votedFor.empty() && !hardStatePersisted()) {
+            resetElectionDeadline(now);
+            return;
+        }
         m_role.handle(RoleEvent::ElectionTimeout);
         campaign(true, false, now);
     }
@@ -220,11 +226,15 @@
 void Replica::markPersisted(std::uint64_t sequence, TimePoint now)
 {
     assert(sequence <= m_issuedSequence && "only issued requests can be persisted");
+    const bool hardStateWasPersisted = hardStatePersisted();
     while (!m_inFlightPersists.empty() && m_inFlightPersists.front().sequence <= sequence) {
         m_persistedIndex = std::max(m_persistedIndex, m_inFlightPersists.front().lastIndex);
         m_inFlightPersists.pop_front();
     }
     m_persistedSequence = std::max(m_persistedSequence, sequence);
+    if (!hardStateWasPersisted && hardStatePersisted() && !m_hardState.votedFor.empty()) {
+        allowForVoteWrites(now);
+    }
     while (!m_deferredMessages.empty() && m_deferredMessages.front().sequence <= m_persistedSequence) {
         // The receiver would refuse a message of an earlier term.
         if (m_deferredMessages.front().message.term >= m_hardState.term) {
@@ -323,10 +333,16 @@
     m_deferredMessages.push_back({.sequence = sequence, .message = compose(to, std::move(body))});
 }
 
-void Replica::setHardState(Term term, ReplicaId votedFor)
+void Replica::setHardState(Term term, ReplicaId votedFor, TimePoint now)
 {
     m_hardState = {.term = term, .votedFor = std::move(votedFor)};
     m_hardStateDirty = true;
+    m_hardStateChangedAt = now;
+}
+
+bool Replica::hardStatePersisted() const
+{
+    return !m_hardStateDirty && m_hardStateSequence <= m_persistedSequence;
 }
 
 void Replica::appendLocal(LogEntry entry)
--- a/lib/Consensus/ReplicaElection.cpp
+++ b/lib/Consensus/ReplicaElection.cpp
@@ -4,6 +4,10 @@
 
 namespace tamarackcove {
 
+/// Longest time that an election is given for the disks of other voters; a longer stall of a disk does not keep this
+/// replica from a further election.
+static constexpr milliseconds MaxVoteWriteAllowance{5000};
+
 void Replica::resetElectionDeadline(TimePoint now)
 {
     const auto spread
@@ -12,13 +16,21 @@
     m_electionDeadline = now + m_options.minElectionTimeout + extra;
 }
 
+void Replica::allowForVoteWrites(TimePoint now)
+{
+    // Keeps three quarters of the longest earlier write, since the disk of another voter may be as slow as that.
+    m_slowestVoteWrite = std::max(now - m_hardStateChangedAt, m_slowestVoteWrite * 3 / 4);
+    const auto allowance = std::min<Duration>(m_slowestVoteWrite * 2, MaxVoteWriteAllowance);
+    m_electionDeadline = std::max(m_electionDeadline, now + allowance);
+}
+
 void Replica::campaign(bool preVote, bool transfer, TimePoint now)
 {
     m_votes.clear();
     m_leader = {};
     resetElectionDeadline(now);
     if (!preVote) {
-        setHardState(m_hardState.term + 1, m_self);
+        setHardState(m_hardState.term + 1, m_self, now);
         m_ownVoteSequence = m_issuedSequence + 1;
     }
     for (const auto &member : m_log.group().members) {
@@ -89,7 +101,7 @@
 
 void Replica::adoptTerm(Term term, TimePoint now)
 {
-    setHardState(term, {});
+    setHardState(term, {}, now);
     m_leader = {};
     if (role() != ReplicaRole::Follower && role() != ReplicaRole::Learner) {
         stepDown(now);
@@ -131,7 +143,7 @@
     const bool voteAvailable = m_hardState.votedFor.empty() || m_hardState.votedFor == message.from;
     if (message.term == m_hardState.term && voteAvailable && upToDate) {
         if (m_hardState.votedFor.empty()) {
-            setHardState(m_hardState.term, message.from);
+            setHardState(m_hardState.term, message.from, now);
         }
         resetElectionDeadline(now);
         reply.granted = true;
--- a/lib/Consensus/ReplicaReplication.cpp
+++ b/lib/Consensus/ReplicaReplication.cpp
@@ -32,8 +32,7 @@
     const auto last = previous + request.entries.size();
     m_commitIndex = std::max(m_commitIndex, std::min(request.commitIndex, last));
     AppendReply reply{.accepted = true, .matchedIndex = last, .sentAt = request.sentAt};
-    const bool termPersisted = !m_hardStateDirty && m_hardStateSequence <= m_persistedSequence;
-    if (request.entries.empty() && termPersisted) {
+    if (request.entries.empty() && hardStatePersisted()) {
         // A heartbeat is answered without waiting for the disk: a slow sync must not cost the leader its lease.
         reply.matchedIndex = std::min(last, m_persistedIndex);
         send(message.from, reply);
--- a/unittests/Consensus/ReplicaFaultTest.cpp
+++ b/unittests/Consensus/ReplicaFaultTest.cpp
@@ -48,6 +48,44 @@
     int leader = -1;
 };
 
+// Guards against a group whose elections all end before their votes are on disk: each next election starts in a higher
+// term, so that no leader is elected for as long as the disks are slow.
+TEST_CASE("a group whose syncs take longer than an election timeout elects a leader and replaces it")
+{
+    // Two elections: the vote of the candidate, those of the others and the first entry of the term are synced one
+    // after the other, and a sync that has begun before can delay each of them.
+    constexpr seconds MaxTimeWithoutLeaderOnSlowDisks{13};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SimulationOptions options;
+        options.nodes = seed % 2 == 0 ? 3 : 1;
+        options.minSyncDuration = milliseconds(700);
+        options.maxSyncDuration = milliseconds(1000);
+        SimulatedGroup group(options, seed);
+        group.bootstrap();
+        REQUIRE(group.runUntil([&] { return group.leader() >= 0; }, MaxTimeWithoutLeaderOnSlowDisks));
+        const auto first = group.leader();
+        group.crash(first);
+        if (options.nodes == 1) {
+            group.restart(first);
+        }
+        CHECK(group.runUntil([&] { return group.leader() >= 0; }, MaxTimeWithoutLeaderOnSlowDisks));
+        CHECK_MESSAGE(group.violation().empty(), group.violation());
+    }
+}
+
+// Guards against a replica that starts no election for as long as an earlier stall of its disk took.
+TEST_CASE("a replica whose disk stalled for a minute can be elected within seconds")
+{
+    SimulationOptions options;
+    options.nodes = 1;
+    options.minSyncDuration = seconds(60);
+    options.maxSyncDuration = seconds(61);
+    SimulatedGroup group(options, 1);
+    group.bootstrap();
+    CHECK(group.runUntil([&] { return group.leader() >= 0; }, seconds(61) * 3 + seconds(13)));
+    CHECK_MESSAGE(group.violation().empty(), group.violation());
+}
+
 TEST_CASE("a killed leader is replaced within two election timeouts")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/unittests/Consensus/SimulatedGroup.h
+++ b/unittests/Consensus/SimulatedGroup.h
@@ -21,6 +21,7 @@
     double duplicateProbability = 0;
     milliseconds minNetworkDelay{1};
     milliseconds maxNetworkDelay{2};
+    milliseconds minSyncDuration{0};
     milliseconds maxSyncDuration{2};
     /// Largest deviation of the rate of a clock, as a fraction.
     double clockDrift = 0;
