--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -5,12 +5,12 @@
 #include "tamarackcove/Control/Fleet/UpdateFeed.h"
 #include "tamarackcove/Fleet/DemandTable.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Wire/FleetMessages.h"
 #include "tamarackcove/Wire/WireError.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <set>
@@ -105,7 +105,7 @@
     /// Connections whose entries await a change that is not published yet.
     std::set<Link *> m_awaitingLinks;
     std::uint64_t m_acceptedConnections = 0;
-    boost::asio::steady_timer m_publicationTimer;
+    Timer m_publicationTimer;
     /// When the next publication is due.
     TimePoint m_publicationAt;
     /// When all entries were last woken.
--- a/include/tamarackcove/Control/Fleet/FleetNode.h
+++ b/include/tamarackcove/Control/Fleet/FleetNode.h
@@ -4,6 +4,7 @@
 #include "tamarackcove/Control/Fleet/FleetControl.h"
 #include "tamarackcove/Control/Fleet/FleetControlSettings.h"
 #include "tamarackcove/Http/HttpServer.h"
+#include "tamarackcove/Storage/FileHooks.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -30,6 +31,8 @@
         /// Called on a failure from which the node cannot recover; the process must then stop without acknowledging
         /// anything more.
         std::function<void(std::string_view what, std::string_view detail)> onFatal;
+        /// How the files of the data folder are written; tests inject slow and failing disks.
+        FileHooks files = FileHooks::system();
     };
 
     FleetNode(boost::asio::any_io_executor executor, FleetControlSettings settings, Hooks hooks);
--- a/include/tamarackcove/Control/Fleet/OrderDispatcher.h
+++ b/include/tamarackcove/Control/Fleet/OrderDispatcher.h
@@ -3,9 +3,9 @@
 #include "tamarackcove/Control/Fleet/EngineDialect.h"
 #include "tamarackcove/Fleet/AdapterPlanner.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
--- a/include/tamarackcove/Control/Replica/ReplicaTask.h
+++ b/include/tamarackcove/Control/Replica/ReplicaTask.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Control/LogClient.h"
 #include "tamarackcove/Control/Replica/ReplicaSettings.h"
 #include "tamarackcove/Control/StateMachineHooks.h"
+#include "tamarackcove/Storage/FileHooks.h"
 #include "tamarackcove/Storage/StorageError.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -38,6 +39,8 @@
         /// Returns whether frames to and from this peer are delivered; when the hook is not set, all are. Other frames
         /// are dropped without an error, as on a connection that loses all packets. For measurements and tests.
         std::function<bool(const std::string &peer)> allowsTraffic;
+        /// How the files of the data folder are written; tests inject slow and failing disks.
+        FileHooks files = FileHooks::system();
     };
 
     /// Precondition: the supervisor outlives this object, and is stopped before this object is destroyed.
--- a/include/tamarackcove/Control/State/ReplicatedState.h
+++ b/include/tamarackcove/Control/State/ReplicatedState.h
@@ -4,10 +4,10 @@
 #include "tamarackcove/Base/Time.h"
 #include "tamarackcove/Configuration/ConfigurationState.h"
 #include "tamarackcove/Control/StateMachineHooks.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <set>
 #include <string>
 
@@ -39,7 +39,7 @@
     boost::asio::any_io_executor m_executor;
     ConfigurationState m_state;
     /// Timers of the coroutines in waitForNewer(); cancelled at each new revision.
-    std::set<boost::asio::steady_timer *> m_waiters;
+    std::set<Timer *> m_waiters;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Entry/Callers/LoadWait.h
+++ b/include/tamarackcove/Entry/Callers/LoadWait.h
@@ -4,10 +4,10 @@
 #include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Requests/Call.h"
 #include "tamarackcove/Requests/LoadWaitQueue.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 
 namespace tamarackcove {
@@ -76,7 +76,7 @@
     TimePoint m_demandReportedAt;
     /// Wakes run() to check the zone view and to report demand. Does not expire while no request waits and no arrival
     /// is unreported; the first request or arrival cancels it.
-    boost::asio::steady_timer m_runTimer;
+    Timer m_runTimer;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Entry/Peers/PeerLink.h
+++ b/include/tamarackcove/Entry/Peers/PeerLink.h
@@ -2,11 +2,11 @@
 
 #include "tamarackcove/Base/Ids.h"
 #include "tamarackcove/Base/Time.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Wire/Message.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -81,7 +81,7 @@
     Options m_options;
     Hooks m_hooks;
     /// Wakes the write loop: expires when the next heartbeat is due, and is cancelled when a message is queued.
-    boost::asio::steady_timer m_wake;
+    Timer m_wake;
     std::deque<Message> m_queue;
     TimePoint m_nextHeartbeatAt;
     std::uint64_t m_lastHeartbeatNumber = 0;
--- a/include/tamarackcove/Gateway/FleetLink.h
+++ b/include/tamarackcove/Gateway/FleetLink.h
@@ -2,9 +2,9 @@
 
 #include "tamarackcove/Gateway/GatewaySettings.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <string>
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -4,10 +4,10 @@
 #include "tamarackcove/Fleet/RetryWindow.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Fleet/ServerDirectory.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <set>
@@ -74,10 +74,10 @@
     };
     /// Waits until the configuration, the servers or their holdings have changed, or until `wait.until`. The timer
     /// belongs to the request; the wait also ends when the timer is cancelled.
-    boost::asio::awaitable<void> waitForAdapter(Wait wait, boost::asio::steady_timer &timer);
+    boost::asio::awaitable<void> waitForAdapter(Wait wait, Timer &timer);
     /// Waits until there is a configuration, or until the given time. The timer belongs to the request; cancelling the
     /// timer makes the wait check again whether there is a configuration.
-    boost::asio::awaitable<void> waitForConfiguration(TimePoint until, boost::asio::steady_timer &timer);
+    boost::asio::awaitable<void> waitForConfiguration(TimePoint until, Timer &timer);
     /// Count the requests for an adapter that are in progress at a server. Each beginUse() is followed by one endUse().
     void beginUse(const TargetId &server, const AdapterKey &adapter);
     void endUse(const TargetId &server, const AdapterKey &adapter);
@@ -135,7 +135,7 @@
     std::map<std::pair<TargetId, AdapterKey>, Use> m_uses;
     std::set<std::pair<TargetId, AdapterKey>> m_missingAdapters;
     std::map<std::pair<TargetId, AdapterKey>, milliseconds> m_overdueLoads;
-    std::set<boost::asio::steady_timer *> m_waiters;
+    std::set<Timer *> m_waiters;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Http/CallerWatch.h
+++ b/include/tamarackcove/Http/CallerWatch.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "tamarackcove/Supervision/Timer.h"
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <set>
 
 namespace tamarackcove {
@@ -32,7 +33,7 @@
         /// caller has disconnected, or `timer`, which the watch then cancels. Each is null while the request does not
         /// wait for it.
         HttpConnection *connection = nullptr;
-        boost::asio::steady_timer *timer = nullptr;
+        Timer *timer = nullptr;
 
         /// Whether the last check found that the caller has disconnected.
         [[nodiscard]] bool isCallerGone() const;
@@ -57,7 +58,7 @@
 
     std::set<WatchedRequest *> m_watchedRequests;
     /// Suspends run() while no request is in progress. Never expires; the first request cancels it.
-    boost::asio::steady_timer m_timer;
+    Timer m_timer;
 };
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -2,13 +2,13 @@
 
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Supervision/Listening.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Wire/Codec.h"
 #include "tamarackcove/Wire/FramedConnection.h"
 
 #include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
@@ -52,7 +52,7 @@
     }
 
     FramedConnection connection;
-    asio::steady_timer wake;
+    Timer wake;
     /// Name of the entry; empty until its first report.
     std::string entry;
     UpdateFeed::Position position;
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -53,10 +53,8 @@
     , replica(
           root, replicaSettings(settings, replicaBoot), log.hooks(),
           {.onFatal = [this](const StorageError &error) { reportFatal("cannot use the data folder", error.detail); },
-           .onLeadershipChange =
-               [this](Leadership leadership) {
-                   handleLeadershipChange(leadership);
-               }})
+           .onLeadershipChange = [this](Leadership leadership) { handleLeadershipChange(leadership); },
+           .files = hooks.files})
     , registry({.heartbeatTimeout = settings.heartbeatInterval * 9 / 2})
     , planner({})
     , demands({})
@@ -241,7 +239,7 @@
 
 asio::awaitable<void> FleetNode::Impl::expireServers()
 {
-    asio::steady_timer timer(root.executor());
+    Timer timer(root.executor());
     for (;;) {
         timer.expires_after(ExpiryInterval);
         co_await timer.async_wait(asio::use_awaitable);
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -14,8 +14,7 @@
 #include "tamarackcove/Observe/Metrics.h"
 #include "tamarackcove/Storage/DataFolder.h"
 #include "tamarackcove/Supervision/Supervisor.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "tamarackcove/Supervision/Timer.h"
 
 namespace tamarackcove {
 
@@ -88,7 +87,7 @@
     ServerRegistry registry;
     AdapterPlanner planner;
     DemandTable demands;
-    boost::asio::steady_timer planTimer;
+    Timer planTimer;
     UpdateFeed feed;
     OrderDispatcher dispatcher;
     FleetControl control;
--- a/lib/Control/Fleet/FleetNodeLeadership.cpp
+++ b/lib/Control/Fleet/FleetNodeLeadership.cpp
@@ -45,7 +45,7 @@
 
 asio::awaitable<void> FleetNode::Impl::awaitLease(std::uint64_t suspensionNumber)
 {
-    asio::steady_timer timer(root.executor(), MaxSuspension);
+    Timer timer(root.executor(), MaxSuspension);
     co_await timer.async_wait(asio::use_awaitable);
     if (leading && suspended && suspensionCount == suspensionNumber) {
         endLeadership();
@@ -93,7 +93,7 @@
 {
     const auto host = settings.host;
     const auto boot = replicaBoot;
-    asio::steady_timer timer(root.executor());
+    Timer timer(root.executor());
     if (awaitFormerHolder) {
         // The former holder may have sent its last order as late as the moment when this host became leader.
         timer.expires_after(settings.orderLease + LeaseMargin);
--- a/lib/Control/Fleet/OrderDispatcher.cpp
+++ b/lib/Control/Fleet/OrderDispatcher.cpp
@@ -33,7 +33,7 @@
     }
 
     ServerHeartbeat server;
-    asio::steady_timer wake;
+    Timer wake;
     std::unique_ptr<HttpConnection> connection;
     /// Set to end the task of this server.
     bool stopped = false;
--- a/lib/Control/Replica/PeerLinks.cpp
+++ b/lib/Control/Replica/PeerLinks.cpp
@@ -2,11 +2,11 @@
 
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Supervision/Listening.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
@@ -48,7 +48,7 @@
     /// Whether the hello of the peer on the connection that this replica opened named no group.
     bool uninitialised = false;
     std::deque<ReplicaMessage> queue;
-    asio::steady_timer wakeTimer;
+    Timer wakeTimer;
 };
 
 PeerLinks::PeerLinks(Supervisor &supervisor, ReplicaDriver &driver, const ReplicaSettings &settings,
@@ -277,7 +277,7 @@
         }
         peer.connected = false;
         peer.queue.clear();
-        asio::steady_timer timer(m_supervisor.executor(), backoff);
+        Timer timer(m_supervisor.executor(), backoff);
         backoff = std::min(2 * backoff, MaxBackoff);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/lib/Control/Replica/ReplicaDriver.cpp
+++ b/lib/Control/Replica/ReplicaDriver.cpp
@@ -321,7 +321,7 @@
 
 asio::awaitable<void> ReplicaDriver::delayStorageRetry()
 {
-    asio::steady_timer timer(m_executor, FullDiskRetryInterval);
+    Timer timer(m_executor, FullDiskRetryInterval);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
--- a/lib/Control/Replica/ReplicaDriver.h
+++ b/lib/Control/Replica/ReplicaDriver.h
@@ -4,9 +4,9 @@
 #include "tamarackcove/Control/LogError.h"
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 #include "tamarackcove/Storage/DataFolder.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <deque>
 #include <map>
@@ -71,7 +71,7 @@
             : timer(executor)
         {
         }
-        boost::asio::steady_timer timer;
+        Timer timer;
         /// Term of the proposed entry; not used for a read barrier.
         Term term = 0;
         std::optional<Result<std::string, LogError>> result;
@@ -105,8 +105,8 @@
 
     std::deque<PersistRequest> m_pendingPersists;
     std::optional<SnapshotImage> m_pendingSnapshot;
-    boost::asio::steady_timer m_storageWakeTimer;
-    boost::asio::steady_timer m_tickTimer;
+    Timer m_storageWakeTimer;
+    Timer m_tickTimer;
     bool m_stepScheduled = false;
     bool m_storageFailed = false;
     bool m_diskFull = false;
--- a/lib/Control/Replica/ReplicaTask.cpp
+++ b/lib/Control/Replica/ReplicaTask.cpp
@@ -3,8 +3,8 @@
 #include "PeerLinks.h"
 #include "ReplicaDriver.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
@@ -20,7 +20,8 @@
                  {.send = [this](ReplicaMessage message) { links.send(std::move(message)); },
                   .administration = [this](const ReplicaId &id) { return links.administrationOf(id); },
                   .onFatal = std::move(hooks.onFatal),
-                  .onLeadershipChange = std::move(hooks.onLeadershipChange)})
+                  .onLeadershipChange = std::move(hooks.onLeadershipChange),
+                  .files = std::move(hooks.files)})
         , links(owner, driver, settings, std::move(hooks.allowsTraffic))
     {
     }
@@ -122,7 +123,7 @@
     const auto deadline = Clock::now() + timeout;
     auto impl = m_impl;
     auto &replica = impl->driver.replica();
-    asio::steady_timer timer(impl->supervisor.executor());
+    Timer timer(impl->supervisor.executor());
     while (replica.role() == ReplicaRole::Leader && Clock::now() < deadline) {
         (void)replica.transferLeadership(Clock::now());
         impl->driver.scheduleStep();
--- a/lib/Control/State/ReplicatedState.cpp
+++ b/lib/Control/State/ReplicatedState.cpp
@@ -67,15 +67,15 @@
     // Removes the timer from the set, also when the coroutine is destroyed while it waits.
     struct Registration
     {
-        std::set<asio::steady_timer *> &waiters;
-        asio::steady_timer *waiter;
+        std::set<Timer *> &waiters;
+        Timer *waiter;
         ~Registration()
         {
             waiters.erase(waiter);
         }
     };
     const auto deadline = Clock::now() + timeout;
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     while (m_state.servingConfiguration().revision <= knownRevision && Clock::now() < deadline) {
         timer.expires_at(deadline);
         m_waiters.insert(&timer);
--- a/lib/Control/Watchers/WatcherServer.cpp
+++ b/lib/Control/Watchers/WatcherServer.cpp
@@ -7,12 +7,12 @@
 #include "tamarackcove/Observe/Metrics.h"
 #include "tamarackcove/Supervision/Listening.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Wire/ControlMessages.h"
 #include "tamarackcove/Wire/DeltaCodec.h"
 #include "tamarackcove/Wire/FramedConnection.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
@@ -56,7 +56,7 @@
 asio::awaitable<bool> WatcherServer::waitForCalls(TimePoint deadline)
 {
     constexpr milliseconds PollInterval{10};
-    asio::steady_timer timer(m_connections.executor());
+    Timer timer(m_connections.executor());
     while (m_callsInProgress > 0 && Clock::now() < deadline) {
         timer.expires_after(PollInterval);
         co_await timer.async_wait(asio::use_awaitable);
--- a/lib/ControlBench/BenchEntries.cpp
+++ b/lib/ControlBench/BenchEntries.cpp
@@ -5,8 +5,8 @@
 #include "tamarackcove/Gateway/FleetLink.h"
 #include "tamarackcove/Gateway/FleetView.h"
 #include "tamarackcove/Gateway/GatewaySettings.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
@@ -75,7 +75,7 @@
 asio::awaitable<void> BenchEntries::produceRequests(Entry &entry)
 {
     std::exponential_distribution<double> gap(m_options.requestsPerSecond / m_options.entries);
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     for (;;) {
         timer.expires_after(duration_cast<Duration>(std::chrono::duration<double>(gap(m_random))));
         co_await timer.async_wait(asio::use_awaitable);
@@ -93,7 +93,7 @@
     const AdapterKey adapter{model, "a" + std::to_string(m_adapter(m_random))};
     const ServerDirectory::Requirements requirements{
         .service = service.name, .model = model, .adapter = adapter, .minVersion = 0, .excluded = {}};
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     const auto deadline = Clock::now() + MaxAdapterWait;
     for (;;) {
         const auto now = Clock::now();
--- a/lib/ControlBench/ChangeBench.cpp
+++ b/lib/ControlBench/ChangeBench.cpp
@@ -4,11 +4,11 @@
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Operator/ControlApi.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fstream>
 #include <random>
@@ -100,7 +100,7 @@
 
 asio::awaitable<void> ChangeBench::sleep(milliseconds time)
 {
-    asio::steady_timer timer(m_io, time);
+    Timer timer(m_io, time);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
--- a/lib/ControlBench/LeaderBench.cpp
+++ b/lib/ControlBench/LeaderBench.cpp
@@ -5,11 +5,11 @@
 #include "tamarackcove/Control/Fleet/FleetNode.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <ctime>
@@ -105,7 +105,7 @@
 /// Sends the heartbeats of all engines, spread evenly over the heartbeat interval. Runs on the thread of the leader.
 static asio::awaitable<void> sendHeartbeats(FleetControl &control, std::vector<ServerHeartbeat> heartbeats)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     const auto gap = Duration(HeartbeatInterval) / static_cast<int>(heartbeats.size());
     for (std::uint64_t sequence = 1;; ++sequence) {
         for (auto &heartbeat : heartbeats) {
@@ -119,7 +119,7 @@
 
 static asio::awaitable<void> putConfiguration(FleetControl &control)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     for (;;) {
         const auto accepted = co_await control.putConfiguration("{}");
         if (accepted.has_value()) {
--- a/lib/Engine/Announcer.cpp
+++ b/lib/Engine/Announcer.cpp
@@ -64,7 +64,7 @@
 asio::awaitable<void> announce(EngineState &state, std::uint16_t port)
 {
     const auto &entries = state.settings.announceTo;
-    asio::steady_timer timer(state.executor);
+    Timer timer(state.executor);
     std::size_t nextEntry = 0;
     auto nextAnnouncement = Clock::now();
     bool previousAccepted = true;
--- a/lib/Engine/EngineApi.cpp
+++ b/lib/Engine/EngineApi.cpp
@@ -31,7 +31,7 @@
 asio::awaitable<bool> EngineApi::waitWhileSilenced(HttpResponder &responder)
 {
     constexpr milliseconds CheckInterval{50};
-    asio::steady_timer timer(m_state.executor);
+    Timer timer(m_state.executor);
     while (m_state.faults.silenceOpenConnections && responder.connectionNumber() < m_state.firstUnsilencedConnection) {
         if (responder.callerGone()) {
             co_return false;
@@ -293,7 +293,7 @@
     }
     if (m_state.settings.serviceTime > milliseconds(0)) {
         ++m_state.requestsInService;
-        asio::steady_timer timer(m_state.executor, m_state.settings.serviceTime);
+        Timer timer(m_state.executor, m_state.settings.serviceTime);
         co_await timer.async_wait(asio::use_awaitable);
         --m_state.requestsInService;
     }
--- a/lib/Engine/EngineProcess.cpp
+++ b/lib/Engine/EngineProcess.cpp
@@ -71,7 +71,7 @@
     auto &state = m_impl->state;
     state.leaving = true;
     const auto deadline = Clock::now() + timeout;
-    asio::steady_timer timer(state.executor);
+    Timer timer(state.executor);
     // Entries keep sending requests until an announcement tells them that the target is leaving, so the wait lasts at
     // least two announcement intervals even without requests.
     const auto earliestDrainEnd = Clock::now() + std::min<milliseconds>(timeout, 2 * state.settings.announceInterval);
@@ -91,7 +91,7 @@
 
 asio::awaitable<void> EngineProcess::Impl::runBatch()
 {
-    asio::steady_timer timer(state.executor);
+    Timer timer(state.executor);
     auto stepEnd = Clock::now();
     while (true) {
         while (!state.batch.hasWork()) {
--- a/lib/Engine/EngineState.h
+++ b/lib/Engine/EngineState.h
@@ -7,8 +7,8 @@
 #include "tamarackcove/Engine/PrefixCache.h"
 #include "tamarackcove/Engine/TokenFunction.h"
 #include "tamarackcove/Observe/Metrics.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <random>
@@ -56,7 +56,7 @@
     JobState state = JobState::Active;
     TimePoint endedAt;
     /// Never expires; cancelled to wake its waiters when `produced` or `state` changes.
-    boost::asio::steady_timer changed;
+    Timer changed;
 };
 
 /// State that the tasks of a simulated engine share.
@@ -99,9 +99,9 @@
     /// Tests check it for repeated executions.
     std::map<std::string, int> executions;
     /// Never expires; cancelled to wake the batch task when a request is added to the batch.
-    boost::asio::steady_timer workArrived;
+    Timer workArrived;
     /// Never expires; cancelled to wake its waiters when an adapter load ends.
-    boost::asio::steady_timer loadEnded;
+    Timer loadEnded;
 };
 
 } // namespace tamarackcove
--- a/lib/Engine/StreamWriter.cpp
+++ b/lib/Engine/StreamWriter.cpp
@@ -38,7 +38,7 @@
         co_return false;
     }
     if (m_state.faults.pieceDelay > milliseconds(0)) {
-        asio::steady_timer timer(m_state.executor, m_state.faults.pieceDelay);
+        Timer timer(m_state.executor, m_state.faults.pieceDelay);
         co_await timer.async_wait(asio::use_awaitable);
     }
     const auto written = co_await m_responder.writePiece(event);
@@ -66,7 +66,7 @@
 
 asio::awaitable<void> StreamWriter::stall()
 {
-    asio::steady_timer timer(m_state.executor);
+    Timer timer(m_state.executor);
     while (!m_responder.callerGone()) {
         timer.expires_after(CallerCheckInterval);
         co_await timer.async_wait(asio::use_awaitable);
--- a/lib/Entry/Callers/AdmissionGate.cpp
+++ b/lib/Entry/Callers/AdmissionGate.cpp
@@ -1,7 +1,7 @@
 #include "tamarackcove/Entry/Callers/AdmissionGate.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
@@ -31,7 +31,7 @@
 
     AdmissionGate &gate;
     Admission::Ticket ticket;
-    asio::steady_timer timer;
+    Timer timer;
     bool admitted = false;
     bool displaced = false;
     bool slotIssued = false;
--- a/lib/Entry/Callers/LoadWait.cpp
+++ b/lib/Entry/Callers/LoadWait.cpp
@@ -32,7 +32,7 @@
 
     LoadWait &loadWait;
     LoadWaitQueue::Ticket ticket;
-    asio::steady_timer timer;
+    Timer timer;
     bool displaced = false;
 };
 
--- a/lib/Entry/Callers/RequestPath.cpp
+++ b/lib/Entry/Callers/RequestPath.cpp
@@ -14,10 +14,10 @@
 #include "tamarackcove/Requests/RequestLifecycle.h"
 #include "tamarackcove/Routing/Router.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Targets/ZoneView.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
@@ -232,7 +232,7 @@
 
 asio::awaitable<void> RequestPath::pause(Progress &progress, milliseconds length)
 {
-    asio::steady_timer timer(m_executor, length);
+    Timer timer(m_executor, length);
     progress.watched.timer = &timer;
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/lib/Entry/Control/CallChannel.cpp
+++ b/lib/Entry/Control/CallChannel.cpp
@@ -1,12 +1,12 @@
 #include "tamarackcove/Entry/Control/CallChannel.h"
 
 #include "tamarackcove/Entry/Control/ControlHosts.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Wire/Codec.h"
 #include "tamarackcove/Wire/ControlMessages.h"
 #include "tamarackcove/Wire/FramedConnection.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -86,7 +86,7 @@
 {
     const auto deadline = Clock::now() + timeout;
     ControlError error{.code = ControlErrorCode::Unavailable, .detail = "no control host is configured"};
-    asio::steady_timer pause(co_await asio::this_coro::executor);
+    Timer pause(co_await asio::this_coro::executor);
     while (m_hosts.count() > 0 && Clock::now() < deadline) {
         const auto host = m_hosts.selectNext();
         auto attempted = co_await attempt(host, message, deadline);
--- a/lib/Entry/Control/ControlLink.cpp
+++ b/lib/Entry/Control/ControlLink.cpp
@@ -3,13 +3,13 @@
 #include "ControlLinkImpl.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Wire/Codec.h"
 #include "tamarackcove/Wire/ControlMessages.h"
 #include "tamarackcove/Wire/DeltaCodec.h"
 #include "tamarackcove/Wire/FramedConnection.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -32,7 +32,7 @@
 
 static asio::awaitable<void> sleepFor(milliseconds time)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    Timer timer(co_await asio::this_coro::executor, time);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
--- a/lib/Entry/Coordinator/CoordinatorTask.cpp
+++ b/lib/Entry/Coordinator/CoordinatorTask.cpp
@@ -14,12 +14,12 @@
 #include "tamarackcove/Membership/PriorReleases.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Targets/TargetRegistry.h"
 #include "tamarackcove/Wire/Codec.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
@@ -67,8 +67,8 @@
     ViewPublisher publisher;
     StorePermitRenewer permitRenewer;
     PlannerHooks planner;
-    asio::steady_timer publishTimer;
-    asio::steady_timer planTimer;
+    Timer publishTimer;
+    Timer planTimer;
     bool publishUrgent = false;
     bool planUrgent = false;
     /// Adapters that requests wait for, with the time of the last demand for each.
--- a/lib/Entry/Coordinator/ReleaseRounds.cpp
+++ b/lib/Entry/Coordinator/ReleaseRounds.cpp
@@ -2,10 +2,10 @@
 
 #include "tamarackcove/Entry/Peers/PeerMessages.h"
 #include "tamarackcove/Membership/PriorReleases.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -27,7 +27,7 @@
     }
 
     ReleaseRound round;
-    asio::steady_timer wake;
+    Timer wake;
 };
 
 ReleaseRounds::ReleaseRounds(const ZoneOptions &options, FencingNumber number, TimePoint termStart, Hooks hooks)
--- a/lib/Entry/Coordinator/StorePermitRenewer.h
+++ b/lib/Entry/Coordinator/StorePermitRenewer.h
@@ -3,10 +3,10 @@
 #include "tamarackcove/Base/Ids.h"
 #include "tamarackcove/Entry/ControlCalls.h"
 #include "tamarackcove/Residency/ZoneLoadLimiter.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 
 namespace tamarackcove {
@@ -40,7 +40,7 @@
     ZoneLoadLimiter m_loadLimiter;
     std::uint64_t m_permitsReceived = 0;
     std::function<void()> m_onRequestEnded;
-    boost::asio::steady_timer m_wake;
+    Timer m_wake;
     int m_wantedLoads = 0;
     int m_requestedLoads = 0;
 };
--- a/lib/Entry/Coordinator/TargetOrders.cpp
+++ b/lib/Entry/Coordinator/TargetOrders.cpp
@@ -3,11 +3,11 @@
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Targets/TargetRegistry.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -31,7 +31,7 @@
     }
 
     /// Cancelled to make the task read the target's state.
-    asio::steady_timer wake;
+    Timer wake;
     bool stateReadRequested = true;
     bool stateReadAfterFencing = false;
     Incarnation incarnation;
@@ -234,7 +234,7 @@
 asio::awaitable<std::optional<bool>> TargetOrders::determineResidency(TargetId target, AdapterRef adapter,
                                                                       TimePoint deadline)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     while (m_registry.contains(target)) {
         if (const auto report = co_await fetchState(target)) {
             const auto engineAdapter = std::find_if(report->adapters.begin(), report->adapters.end(),
@@ -328,7 +328,7 @@
         unloaded = resident.has_value() && !*resident;
         if (!unloaded) {
             // The order may still take effect until its deadline, so no request may use the adapter before that.
-            asio::steady_timer timer(co_await asio::this_coro::executor, deadline);
+            Timer timer(co_await asio::this_coro::executor, deadline);
             co_await timer.async_wait(asio::use_awaitable);
             unloaded = !(co_await determineResidency(target, adapter, deadline)).value_or(true);
         }
--- a/lib/Entry/EntryProcess.cpp
+++ b/lib/Entry/EntryProcess.cpp
@@ -15,13 +15,13 @@
 #include "tamarackcove/Requests/PinTable.h"
 #include "tamarackcove/Routing/Router.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Targets/ZoneView.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <optional>
@@ -294,7 +294,7 @@
 
 asio::awaitable<void> EntryProcess::Impl::logWhenReady()
 {
-    asio::steady_timer timer(io);
+    Timer timer(io);
     while (!notReadyReason().empty()) {
         timer.expires_after(ReadyCheckInterval);
         co_await timer.async_wait(asio::use_awaitable);
@@ -304,7 +304,7 @@
 
 asio::awaitable<void> EntryProcess::Impl::expireConnections()
 {
-    asio::steady_timer timer(io);
+    Timer timer(io);
     while (true) {
         timer.expires_after(ConnectionSweepInterval);
         co_await timer.async_wait(asio::use_awaitable);
--- a/lib/Entry/Peers/PeerNetwork.cpp
+++ b/lib/Entry/Peers/PeerNetwork.cpp
@@ -2,12 +2,12 @@
 
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Wire/Codec.h"
 #include "tamarackcove/Wire/FramedConnection.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -120,7 +120,7 @@
 
 asio::awaitable<void> PeerNetwork::maintainLink(ZonePeer peer)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     auto reconnectDelay = MinReconnectDelay;
     while (true) {
         auto handshake = co_await connectWithHello(peer.peer);
--- a/lib/Entry/Peers/TaskWaits.cpp
+++ b/lib/Entry/Peers/TaskWaits.cpp
@@ -1,7 +1,8 @@
 #include "TaskWaits.h"
 
+#include "tamarackcove/Supervision/Timer.h"
+
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -11,7 +12,7 @@
 
 asio::awaitable<void> waitUntilCancelled()
 {
-    asio::steady_timer never(co_await asio::this_coro::executor, TimePoint::max());
+    Timer never(co_await asio::this_coro::executor, TimePoint::max());
     co_await asio::this_coro::throw_if_cancelled(false);
     boost::system::error_code ignored;
     co_await never.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -21,7 +22,7 @@
 
 asio::awaitable<void> pause(Duration duration)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    Timer timer(co_await asio::this_coro::executor, duration);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
--- a/lib/Entry/Targets/TargetCallRecovery.cpp
+++ b/lib/Entry/Targets/TargetCallRecovery.cpp
@@ -12,9 +12,9 @@
 #include "tamarackcove/Requests/CrashLedger.h"
 #include "tamarackcove/Requests/RequestLifecycle.h"
 #include "tamarackcove/Requests/UnreachableTargets.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -38,7 +38,7 @@
     m_failedResumes = lastResumeProgressed ? 0 : m_failedResumes + 1;
     while (m_failedResumes < m_context.options.maxResumeFailures) {
         if (m_failedResumes > 0) {
-            asio::steady_timer pause(co_await asio::this_coro::executor, m_context.options.resumePause);
+            Timer pause(co_await asio::this_coro::executor, m_context.options.resumePause);
             co_await pause.async_wait(asio::use_awaitable);
         }
         if (m_watched.isCallerGone()) {
--- a/lib/Entry/ZoneMember.cpp
+++ b/lib/Entry/ZoneMember.cpp
@@ -125,8 +125,8 @@
 Result<void, std::string> ZoneMember::listen(const asio::any_io_executor &executor)
 {
     m_impl->supervisor = std::make_unique<Supervisor>(executor, "zone");
-    m_impl->electionWake = std::make_unique<asio::steady_timer>(executor);
-    m_impl->demandWake = std::make_unique<asio::steady_timer>(executor);
+    m_impl->electionWake = std::make_unique<Timer>(executor);
+    m_impl->demandWake = std::make_unique<Timer>(executor);
     return m_impl->network.listen(executor);
 }
 
--- a/lib/Entry/ZoneMemberImpl.h
+++ b/lib/Entry/ZoneMemberImpl.h
@@ -11,8 +11,8 @@
 #include "tamarackcove/Membership/ZoneElection.h"
 #include "tamarackcove/Membership/ZoneVoter.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -75,8 +75,8 @@
     AnnouncementRelay relay;
     PeerNetwork network;
     std::unique_ptr<Supervisor> supervisor;
-    std::unique_ptr<boost::asio::steady_timer> electionWake;
-    std::unique_ptr<boost::asio::steady_timer> demandWake;
+    std::unique_ptr<Timer> electionWake;
+    std::unique_ptr<Timer> demandWake;
     std::unique_ptr<CoordinatorTask> coordinator;
     /// Demand that has not been sent to the coordinator yet.
     std::map<AdapterRef, LoadDemand> demand;
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -41,7 +41,7 @@
     }
 
     std::string name;
-    asio::steady_timer wake;
+    Timer wake;
     bool connected = false;
     /// Whether the next report includes the servers that this entry knows.
     bool nextReportHasServers = false;
@@ -108,7 +108,7 @@
             m_leader = nullptr;
         }
         updateReachability(Clock::now());
-        asio::steady_timer pause(m_tasks.executor(), backoff);
+        Timer pause(m_tasks.executor(), backoff);
         backoff = std::min(2 * backoff, MaxBackoff);
         co_await pause.async_wait(asio::use_awaitable);
     }
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -299,14 +299,14 @@
     return all;
 }
 
-asio::awaitable<void> FleetView::waitForAdapter(Wait wait, asio::steady_timer &timer)
+asio::awaitable<void> FleetView::waitForAdapter(Wait wait, Timer &timer)
 {
     // Removes the wait from m_waiters and from its demand, also when the coroutine is destroyed while it waits.
     struct Registration
     {
         FleetView &view;
         const Wait &wait;
-        asio::steady_timer *timer;
+        Timer *timer;
         ~Registration()
         {
             view.m_waiters.erase(timer);
@@ -339,13 +339,13 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-asio::awaitable<void> FleetView::waitForConfiguration(TimePoint until, asio::steady_timer &timer)
+asio::awaitable<void> FleetView::waitForConfiguration(TimePoint until, Timer &timer)
 {
     // Removes the timer from m_waiters, also when the coroutine is destroyed while it waits.
     struct Registration
     {
-        std::set<asio::steady_timer *> &waiters;
-        asio::steady_timer *timer;
+        std::set<Timer *> &waiters;
+        Timer *timer;
         ~Registration()
         {
             waiters.erase(timer);
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -11,8 +11,8 @@
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
@@ -122,7 +122,7 @@
 
 asio::awaitable<void> GatewayNode::Impl::runHousekeeping()
 {
-    asio::steady_timer timer(root.executor());
+    Timer timer(root.executor());
     for (;;) {
         timer.expires_after(HousekeepingInterval);
         co_await timer.async_wait(asio::use_awaitable);
@@ -207,7 +207,7 @@
     const auto deadline = startTime + impl.settings.gracePeriod - ExitMargin;
     impl.stopping = true;
     impl.callers.setCloseAfterResponse(true);
-    asio::steady_timer timer(impl.root.executor(), BalancerNoticeTime);
+    Timer timer(impl.root.executor(), BalancerNoticeTime);
     co_await timer.async_wait(asio::use_awaitable);
     impl.callers.beginDrain();
     const bool finished = co_await impl.callerConnections.waitForChildren(deadline);
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -9,8 +9,8 @@
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -91,7 +91,7 @@
 
 asio::awaitable<void> RequestRelay::awaitConfiguration(Exchange &exchange)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     exchange.watched.timer = &timer;
     const auto maxWait = std::min(MaxConfigurationWait, exchange.caller.callerTimeout.value_or(MaxConfigurationWait));
     co_await m_parts.view.waitForConfiguration(exchange.arrivedAt + maxWait, timer);
@@ -183,7 +183,7 @@
                                                .excluded = exchange.excludedServers};
     const auto startTime = Clock::now();
     const auto maxWaitDeadline = std::min(exchange.deadline - AnswerMargin, startTime + MaxAdapterWait);
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     bool waited = false;
     const auto recordWait = [&](std::string_view result, TimePoint now) {
         if (waited) {
--- a/lib/Http/CallerWatch.cpp
+++ b/lib/Http/CallerWatch.cpp
@@ -48,7 +48,7 @@
             m_timer.expires_at(TimePoint::max());
             co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
-        asio::steady_timer pause(co_await asio::this_coro::executor, CheckInterval);
+        Timer pause(co_await asio::this_coro::executor, CheckInterval);
         co_await pause.async_wait(asio::use_awaitable);
         checkCallers();
     }
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -7,10 +7,10 @@
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Supervision/Listening.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -345,7 +345,7 @@
             // The process has no file descriptors left, or the connection limit is reached, in which case `socket`
             // closes the accepted connection. The pause keeps a persistent error from becoming a busy loop.
             LogLine(LogLevel::Warning, "connection_refused").add("open", static_cast<std::uint64_t>(impl.open.size()));
-            asio::steady_timer pause(impl.connections.executor(), AcceptRetryDelay);
+            Timer pause(impl.connections.executor(), AcceptRetryDelay);
             co_await pause.async_wait(asio::use_awaitable);
             continue;
         }
--- a/lib/Http/TimedSocket.cpp
+++ b/lib/Http/TimedSocket.cpp
@@ -1,8 +1,9 @@
 #include "TimedSocket.h"
 
+#include "tamarackcove/Supervision/Timer.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -20,7 +21,7 @@
     }
 
     tcp::socket socket;
-    asio::steady_timer timer;
+    Timer timer;
     TimePoint deadline = TimePoint::max();
     /// When the pending timer wait ends; TimePoint::max() when none is pending.
     TimePoint timerExpiry = TimePoint::max();
--- a/lib/Load/LoadRunner.cpp
+++ b/lib/Load/LoadRunner.cpp
@@ -3,8 +3,8 @@
 #include "RequestTask.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -45,7 +45,7 @@
     std::mt19937_64 random(m_settings.trace.seed);
     std::uniform_real_distribution<double> share(0, 1);
     ConnectionPool pool;
-    asio::steady_timer timer(m_requests.executor());
+    Timer timer(m_requests.executor());
     const auto begin = Clock::now();
     std::size_t number = 0;
     for (const auto &request : trace) {
--- a/lib/Load/RequestTask.cpp
+++ b/lib/Load/RequestTask.cpp
@@ -3,8 +3,8 @@
 #include "AnswerReader.h"
 #include "tamarackcove/Base/Hash.h"
 #include "tamarackcove/Load/AnswerChecker.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
@@ -254,7 +254,7 @@
     m_record.stream = m_request.stream && !m_request.service;
     m_record.at = m_request.at;
     auto wait = FirstRetryWait;
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     for (auto index = firstIndex;; ++index) {
         const auto next = co_await attempt(endpoints[index % endpoints.size()]);
         if (next == Next::RetryNow) {
--- a/lib/LogBench/BenchGroup.cpp
+++ b/lib/LogBench/BenchGroup.cpp
@@ -1,7 +1,8 @@
 #include "BenchGroup.h"
 
+#include "tamarackcove/Supervision/Timer.h"
+
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <stdexcept>
 
@@ -102,7 +103,7 @@
 
 asio::awaitable<int> BenchGroup::waitForLeader(int excluded)
 {
-    asio::steady_timer timer(m_io);
+    Timer timer(m_io);
     for (const auto deadline = Clock::now() + LeaderTimeout; Clock::now() < deadline;) {
         for (int i = 0; i < static_cast<int>(m_replicas.size()); ++i) {
             const auto &replica = m_replicas[static_cast<std::size_t>(i)];
@@ -118,7 +119,7 @@
 
 asio::awaitable<void> BenchGroup::waitUntilCaughtUp(int leader)
 {
-    asio::steady_timer timer(m_io);
+    Timer timer(m_io);
     const auto fullTolerance = (static_cast<int>(m_ports.size()) - 1) / 2;
     while (at(leader).task.leads() && at(leader).log.status().lossesTolerated < fullTolerance) {
         timer.expires_after(PollInterval);
--- a/lib/LogBench/LogBench.cpp
+++ b/lib/LogBench/LogBench.cpp
@@ -1,10 +1,10 @@
 #include "tamarackcove/LogBench/LogBench.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include "BenchGroup.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <sys/resource.h>
@@ -48,7 +48,7 @@
 
 static asio::awaitable<void> sleepFor(Duration duration)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    Timer timer(co_await asio::this_coro::executor, duration);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
--- a/lib/Operator/ControlApi.cpp
+++ b/lib/Operator/ControlApi.cpp
@@ -1,8 +1,8 @@
 #include "tamarackcove/Operator/ControlApi.h"
 
 #include "tamarackcove/Http/HttpConnection.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cassert>
@@ -42,7 +42,7 @@
 asio::awaitable<Result<HttpResponse, UnreachableError>> ControlApi::send(HttpRequest request)
 {
     const auto deadline = Clock::now() + m_options.timeout;
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     UnreachableError error;
     std::size_t next = 0;
     int redirects = 0;
--- a/lib/Proxy/ProxyLink.cpp
+++ b/lib/Proxy/ProxyLink.cpp
@@ -128,7 +128,7 @@
     auto &from = toTarget ? connection.caller : connection.target;
     auto &to = toTarget ? connection.target : connection.caller;
     std::vector<char> buffer(BufferBytes);
-    asio::steady_timer timer(m_connections.executor());
+    Timer timer(m_connections.executor());
     while (true) {
         auto [error, size] = co_await from.async_read_some(asio::buffer(buffer), UseTuple);
         co_await waitUntilForwardable(connection, direction);
--- a/lib/Proxy/ProxyLink.h
+++ b/lib/Proxy/ProxyLink.h
@@ -2,10 +2,10 @@
 
 #include "tamarackcove/Proxy/LinkFaults.h"
 #include "tamarackcove/Proxy/ProxyProcess.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <set>
 
 namespace tamarackcove {
@@ -48,7 +48,7 @@
     LinkFaults m_faults;
     boost::asio::ip::tcp::acceptor m_acceptor;
     /// Never expires; cancelled to wake its waiters when the faults change.
-    boost::asio::steady_timer m_faultsChanged;
+    Timer m_faultsChanged;
     std::set<Connection *> m_openConnections;
     std::uint64_t m_acceptedConnections = 0;
 };
--- a/lib/Store/StoreProcess.cpp
+++ b/lib/Store/StoreProcess.cpp
@@ -6,8 +6,8 @@
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Settings/SettingsFile.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -99,7 +99,7 @@
     constexpr int Unavailable = 503;
     const auto loadDuration = duration_cast<Duration>(slowFactor * model.beginLoad(Clock::now()));
     const bool fails = injectFailure();
-    asio::steady_timer timer(root.executor(), loadDuration);
+    Timer timer(root.executor(), loadDuration);
     co_await timer.async_wait(asio::use_awaitable);
     model.endLoad(fails);
     (void)co_await responder.send(jsonResponse(fails ? Unavailable : 200, "{}"));
--- a/lib/Supervision/Listening.cpp
+++ b/lib/Supervision/Listening.cpp
@@ -1,9 +1,9 @@
 #include "tamarackcove/Supervision/Listening.h"
 
 #include "tamarackcove/Base/Time.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
@@ -40,7 +40,7 @@
             break;
         }
         if (error) {
-            asio::steady_timer pause(acceptor.get_executor(), AcceptRetryDelay);
+            Timer pause(acceptor.get_executor(), AcceptRetryDelay);
             co_await pause.async_wait(asio::use_awaitable);
             continue;
         }
--- a/lib/Supervision/Supervisor.cpp
+++ b/lib/Supervision/Supervisor.cpp
@@ -1,6 +1,7 @@
 #include "tamarackcove/Supervision/Supervisor.h"
 
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -8,7 +9,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
@@ -35,7 +35,7 @@
     RestartPolicy policy;
     asio::cancellation_signal cancel;
     /// A timer that never expires. It is cancelled when the child has ended, which completes the waits of endChild().
-    asio::steady_timer endedEvent;
+    Timer endedEvent;
     bool hasEnded = false;
     bool stopping = false;
     milliseconds nextBackoff{0};
@@ -124,7 +124,7 @@
         }
         co_return false;
     }
-    asio::steady_timer timer(m_executor, child.nextBackoff);
+    Timer timer(m_executor, child.nextBackoff);
     child.nextBackoff = std::min(child.nextBackoff * 2, child.policy.maxBackoff);
     co_await timer.async_wait(asio::use_awaitable);
     co_return true;
@@ -160,7 +160,7 @@
 asio::awaitable<bool> Supervisor::waitForChildren(TimePoint deadline)
 {
     constexpr milliseconds PollInterval{10};
-    asio::steady_timer timer(m_executor);
+    Timer timer(m_executor);
     while (!m_children.empty() && Clock::now() < deadline) {
         timer.expires_after(PollInterval);
         co_await timer.async_wait(asio::use_awaitable);
--- a/lib/Wire/FramedConnection.cpp
+++ b/lib/Wire/FramedConnection.cpp
@@ -1,9 +1,9 @@
 #include "tamarackcove/Wire/FramedConnection.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -20,7 +20,7 @@
 class SocketDeadline
 {
 public:
-    SocketDeadline(tcp::socket &socket, asio::steady_timer &timer, milliseconds timeout)
+    SocketDeadline(tcp::socket &socket, Timer &timer, milliseconds timeout)
         : m_timer(timer)
         , m_state(std::make_shared<State>(State{.socket = &socket}))
     {
@@ -55,7 +55,7 @@
         bool expired = false;
     };
 
-    asio::steady_timer &m_timer;
+    Timer &m_timer;
     std::shared_ptr<State> m_state;
 };
 
@@ -71,8 +71,8 @@
     }
 
     tcp::socket socket;
-    asio::steady_timer readTimer;
-    asio::steady_timer writeTimer;
+    Timer readTimer;
+    Timer writeTimer;
     std::uint64_t bytesRead = 0;
     std::uint64_t bytesWritten = 0;
     std::vector<std::uint8_t> payload;
@@ -98,7 +98,7 @@
 {
     const auto executor = co_await asio::this_coro::executor;
     tcp::socket socket(executor);
-    asio::steady_timer timer(executor);
+    Timer timer(executor);
     boost::system::error_code error;
     const tcp::endpoint address(asio::ip::make_address(endpoint.host, error), endpoint.port);
     if (error) {
--- a/tools/tamarackcove-zonebench/ZoneBench.cpp
+++ b/tools/tamarackcove-zonebench/ZoneBench.cpp
@@ -5,6 +5,7 @@
 #include "tamarackcove/Http/HttpServer.h"
 #include "tamarackcove/Requests/PinTable.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Targets/ZoneView.h"
 
 #include <algorithm>
@@ -12,7 +13,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
 #include <map>
@@ -161,7 +161,7 @@
 
     asio::awaitable<void> sleep(Duration duration)
     {
-        asio::steady_timer timer(m_root.executor(), duration);
+        Timer timer(m_root.executor(), duration);
         co_await timer.async_wait(asio::use_awaitable);
     }
 
--- a/unittests/Control/Replica/ReplicaGroupFixture.h
+++ b/unittests/Control/Replica/ReplicaGroupFixture.h
@@ -4,9 +4,9 @@
 #include "../../Supervision/RunThenStop.h"
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <filesystem>
@@ -70,7 +70,7 @@
 /// Waits until the condition is true; fails the test after the timeout.
 inline boost::asio::awaitable<void> eventually(std::function<bool()> condition, milliseconds timeout = seconds(10))
 {
-    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    Timer timer(co_await boost::asio::this_coro::executor);
     const auto deadline = Clock::now() + timeout;
     while (!condition() && Clock::now() < deadline) {
         timer.expires_after(milliseconds(5));
--- a/unittests/Entry/ControlLinkTest.cpp
+++ b/unittests/Entry/ControlLinkTest.cpp
@@ -4,9 +4,9 @@
 #include "tamarackcove/Control/ControlNode.h"
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <filesystem>
@@ -89,7 +89,7 @@
     /// Waits until the control node leads: until then it refuses commands with status 503.
     asio::awaitable<void> waitForLeadership()
     {
-        asio::steady_timer timer(io);
+        Timer timer(io);
         const auto deadline = Clock::now() + seconds(10);
         bool leads = co_await leadershipConfirmed();
         while (!leads) {
@@ -123,7 +123,7 @@
 
 asio::awaitable<void> waitUntil(std::function<bool()> condition)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     const auto deadline = Clock::now() + seconds(10);
     while (!condition()) {
         REQUIRE(Clock::now() < deadline);
--- a/unittests/Entry/TargetCallTest.cpp
+++ b/unittests/Entry/TargetCallTest.cpp
@@ -15,11 +15,11 @@
 #include "tamarackcove/Requests/RequestLifecycle.h"
 #include "tamarackcove/Requests/UnreachableTargets.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 
@@ -92,7 +92,7 @@
     Supervisor supervisor(io.get_executor(), "test");
     HttpServer server(supervisor, {}, [&](const HttpRequest &, HttpResponder &responder) -> asio::awaitable<void> {
         const auto startTime = Clock::now();
-        asio::steady_timer timer(io);
+        Timer timer(io);
         auto written = co_await responder.beginStream(streamHead(pieces.contentType));
         while (written.has_value() && Clock::now() - startTime < MaxSendTime) {
             written = co_await responder.writePiece(pieces.piece);
--- a/unittests/Entry/ZoneFixture.h
+++ b/unittests/Entry/ZoneFixture.h
@@ -6,11 +6,11 @@
 #include "tamarackcove/Http/HttpServer.h"
 #include "tamarackcove/Requests/PinTable.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Targets/ZoneView.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <functional>
 #include <map>
@@ -140,7 +140,7 @@
 inline boost::asio::awaitable<bool> eventually(std::function<bool()> condition, milliseconds within = seconds(5))
 {
     const auto end = Clock::now() + within;
-    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    Timer timer(co_await boost::asio::this_coro::executor);
     while (!condition()) {
         if (Clock::now() >= end) {
             co_return false;
--- a/unittests/Gateway/FleetViewTest.cpp
+++ b/unittests/Gateway/FleetViewTest.cpp
@@ -37,7 +37,7 @@
     {
         const auto startTime = Clock::now();
         Duration waited{0};
-        asio::steady_timer arrival(io);
+        Timer arrival(io);
         if (arrivesAfter) {
             arrival.expires_after(*arrivesAfter);
             arrival.async_wait([this](const boost::system::error_code &) {
@@ -50,7 +50,7 @@
         asio::co_spawn(
             io,
             [&]() -> asio::awaitable<void> {
-                asio::steady_timer timer(io);
+                Timer timer(io);
                 co_await view.waitForConfiguration(startTime + atMost, timer);
                 waited = Clock::now() - startTime;
             },
@@ -97,7 +97,7 @@
     asio::co_spawn(
         fixture.io,
         [&]() -> asio::awaitable<void> {
-            asio::steady_timer timer(fixture.io);
+            Timer timer(fixture.io);
             for (; waits < 10; ++waits) {
                 FleetView::Wait wait{
                     .adapter = adapter, .version = 0, .requestsLoad = true, .failedServers = 0, .until = end};
--- a/unittests/Http/HttpConnectionTest.cpp
+++ b/unittests/Http/HttpConnectionTest.cpp
@@ -1,12 +1,12 @@
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Http/HttpResponder.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -38,7 +38,7 @@
     std::string request(4096, '\0');
     (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
     auto [error, count] = co_await asio::async_write(socket, asio::buffer(sent.start), UseTuple);
-    asio::steady_timer timer(socket.get_executor());
+    Timer timer(socket.get_executor());
     while (!error && sentBytes < MaxSentBytes && !sent.repeated.empty()) {
         std::tie(error, count) = co_await asio::async_write(socket, asio::buffer(sent.repeated), UseTuple);
         sentBytes += count;
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -9,11 +9,11 @@
 #include "tamarackcove/Gateway/GatewayNode.h"
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Observe/LogLine.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <filesystem>
@@ -144,7 +144,7 @@
 
     boost::asio::awaitable<void> sleepFor(milliseconds time)
     {
-        boost::asio::steady_timer timer(m_io, time);
+        Timer timer(m_io, time);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 
@@ -156,6 +156,9 @@
         co_return std::pair(std::move(entry), std::move(control));
     }
 
+    /// How the control host writes its files. Set before run().
+    FileHooks files = FileHooks::system();
+
 private:
     static boost::asio::awaitable<std::string> metricsAt(std::uint16_t port)
     {
@@ -220,6 +223,7 @@
         hooks.frontEnd = platform::controlCalls;
         hooks.onFatal = [](std::string_view, std::string_view) {
         };
+        hooks.files = files;
         m_control = std::make_unique<FleetNode>(m_io.get_executor(), controlSettings, std::move(hooks));
         REQUIRE(m_control->open().has_value());
         m_control->start();
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -46,7 +46,7 @@
         (void)co_await responder.beginStream(std::move(head));
         (void)co_await responder.writePiece("id: 1\ndata: x\n\n");
         // Longer than twice the longest gap between events that the route allows.
-        asio::steady_timer timer(co_await asio::this_coro::executor, milliseconds(1500));
+        Timer timer(co_await asio::this_coro::executor, milliseconds(1500));
         co_await timer.async_wait(asio::use_awaitable);
         (void)co_await responder.writePiece("id: 2\ndata: x\n\n");
         (void)co_await responder.endStream();
@@ -77,7 +77,7 @@
         (void)co_await responder.beginStream(std::move(head));
         (void)co_await responder.writePiece("id: 1\ndata: x\n\n");
         // Longer than twice the longest gap between events that the route allows.
-        asio::steady_timer timer(co_await asio::this_coro::executor, milliseconds(1500));
+        Timer timer(co_await asio::this_coro::executor, milliseconds(1500));
         co_await timer.async_wait(asio::use_awaitable);
         (void)co_await responder.writePiece("id: 2\ndata: x\n\n");
         (void)co_await responder.endStream();
@@ -87,7 +87,7 @@
     deployment.run([&]() -> asio::awaitable<void> {
         stopped.close();
         // The entry finds the stopped server unreachable four times, and then avoids it for three seconds.
-        asio::steady_timer timer(co_await asio::this_coro::executor);
+        Timer timer(co_await asio::this_coro::executor);
         const auto until = Clock::now() + milliseconds(3200);
         for (int number = 0; Clock::now() < until; ++number) {
             const auto other = co_await deployment.call("POST", "/stream/x", "other-" + std::to_string(number));
--- a/unittests/Supervision/RunThenStopTest.cpp
+++ b/unittests/Supervision/RunThenStopTest.cpp
@@ -2,8 +2,8 @@
 
 #include "tamarackcove/Base/Time.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <stdexcept>
@@ -17,7 +17,7 @@
     asio::io_context io;
     Supervisor supervisor(io.get_executor(), "test");
     supervisor.start("endless", [&]() -> asio::awaitable<void> {
-        asio::steady_timer timer(io, TimePoint::max());
+        Timer timer(io, TimePoint::max());
         co_await timer.async_wait(asio::use_awaitable);
     });
     const auto fail = []() -> asio::awaitable<void> {
@@ -32,7 +32,7 @@
 TEST_CASE("an exception of stop ends the run although tasks are left, and is rethrown")
 {
     asio::io_context io;
-    asio::steady_timer endless(io, TimePoint::max());
+    Timer endless(io, TimePoint::max());
     endless.async_wait([](const boost::system::error_code &) {});
     const auto nothing = []() -> asio::awaitable<void> {
         co_return;
--- a/unittests/Supervision/SupervisorTest.cpp
+++ b/unittests/Supervision/SupervisorTest.cpp
@@ -1,9 +1,9 @@
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <stdexcept>
@@ -14,7 +14,7 @@
 
 static asio::awaitable<void> waitForever()
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, TimePoint::max());
+    Timer timer(co_await asio::this_coro::executor, TimePoint::max());
     co_await timer.async_wait(asio::use_awaitable);
 }
 
@@ -63,7 +63,7 @@
     asio::co_spawn(
         io,
         [&]() -> asio::awaitable<void> {
-            asio::steady_timer timer(io, milliseconds(5));
+            Timer timer(io, milliseconds(5));
             co_await timer.async_wait(asio::use_awaitable);
             co_await supervisor.stop();
         },
