Crash ledger: blame requests for crashes that other entries report

Cause: an entry blamed a request only for crashes that it had seen itself, twice. When the second crash went through another entry, only the quarantine of the control group stopped the third one, and with syncs of seconds that decision comes after several more attempts (3 and 4 crashes of a prompt where 2 are the bound). Now an entry that gets a report of a crash compares it with the crashes that it knows of, and refuses the request that alone is in two of them.

--- a/include/tamarackcove/Entry/Callers/RequestPath.h
+++ b/include/tamarackcove/Entry/Callers/RequestPath.h
@@ -81,8 +81,9 @@
     /// Refuses requests from callers from now on; requests forwarded by other entries are still served.
     void beginDrain();
 
-    /// Records the fingerprints of requests that another entry of the zone suspects of crashing targets.
-    void noteSuspects(const std::vector<std::uint64_t> &fingerprints);
+    /// Records a crash that another entry of the zone has reported, with the requests that it had in flight there.
+    void noteReportedCrash(const TargetId &target, Incarnation incarnation,
+                           const std::vector<std::uint64_t> &fingerprints);
 
     [[nodiscard]] std::size_t inFlight() const;
     void writeMetrics(Metrics &metrics) const;
--- a/include/tamarackcove/Requests/CrashLedger.h
+++ b/include/tamarackcove/Requests/CrashLedger.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -67,16 +68,29 @@
     /// Whether this entry blamed the request within the last blameLifetime. After that time, the control group has had
     /// time to decide from the reports of all entries whether to quarantine the request.
     [[nodiscard]] bool isBlamed(Fingerprint fingerprint, TimePoint now) const;
-    /// Adds suspects, for instance those that another entry reported, or restarts the suspectLifetime of existing ones.
-    void noteSuspects(const std::vector<Fingerprint> &fingerprints, TimePoint now);
+    /// Records a crash that another entry has reported, with the requests that it had in flight there, and makes them
+    /// suspects. Blames the request that is a suspect because of another crash, if there is exactly one, so that this
+    /// entry refuses it before the control group has decided. Returns the blamed request, if any.
+    std::optional<Fingerprint> noteReportedCrash(const TargetId &target, Incarnation incarnation,
+                                                 const std::vector<Fingerprint> &fingerprints, TimePoint now);
     /// Removes suspects and blamed requests whose lifetime has ended, and the oldest suspects beyond maxSuspects.
     void expire(TimePoint now);
 
 private:
+    /// The last crash with the suspect in flight.
+    struct Suspicion
+    {
+        TimePoint notedAt;
+        TargetId target;
+        Incarnation incarnation;
+    };
+
+    void noteSuspects(const std::vector<Fingerprint> &fingerprints, const Suspicion &suspicion);
+
     Options m_options;
     /// Number of requests in flight by target and fingerprint.
     std::map<TargetId, std::map<Fingerprint, int>> m_inFlight;
-    std::map<Fingerprint, TimePoint> m_suspects;
+    std::map<Fingerprint, Suspicion> m_suspects;
     std::map<Fingerprint, TimePoint> m_blamed;
     std::map<TargetId, Incarnation> m_lastCrashedIncarnation;
 };
--- a/lib/Entry/Callers/RequestPath.cpp
+++ b/lib/Entry/Callers/RequestPath.cpp
@@ -8,6 +8,7 @@
 #include "tamarackcove/Entry/ZoneAccess.h"
 #include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Http/HttpResponder.h"
+#include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
 #include "tamarackcove/Requests/Call.h"
 #include "tamarackcove/Requests/PinTable.h"
@@ -343,9 +344,16 @@
     m_draining = true;
 }
 
-void RequestPath::noteSuspects(const std::vector<std::uint64_t> &fingerprints)
+void RequestPath::noteReportedCrash(const TargetId &target, Incarnation incarnation,
+                                    const std::vector<std::uint64_t> &fingerprints)
 {
-    m_crashes.noteSuspects(fingerprints, Clock::now());
+    if (const auto blamed = m_crashes.noteReportedCrash(target, incarnation, fingerprints, Clock::now())) {
+        LogLine(LogLevel::Warning, "reported_crash_blamed")
+            .add("target", target.value())
+            .add("incarnation", incarnation.value())
+            .add("in_flight", static_cast<std::uint64_t>(fingerprints.size()))
+            .add("blamed", *blamed);
+    }
 }
 
 std::size_t RequestPath::inFlight() const
--- a/lib/Entry/EntryProcess.cpp
+++ b/lib/Entry/EntryProcess.cpp
@@ -197,9 +197,10 @@
             LogLine(LogLevel::Warning, "peer_configuration_refused").add("revision", revision.value());
         }
     };
-    hooks.onCrash = [this](const TargetId &, Incarnation, const std::vector<std::uint64_t> &fingerprints) {
-        path.noteSuspects(fingerprints);
-    };
+    hooks.onCrash
+        = [this](const TargetId &target, Incarnation incarnation, const std::vector<std::uint64_t> &fingerprints) {
+              path.noteReportedCrash(target, incarnation, fingerprints);
+          };
     zoneMember.emplace(std::move(zoneOptions), std::move(hooks), pins);
     zone = zoneMember->access();
     control = controlLink->calls();
--- a/lib/Requests/CrashLedger.cpp
+++ b/lib/Requests/CrashLedger.cpp
@@ -78,10 +78,30 @@
     for (const auto fingerprint : crash.blamed) {
         m_blamed.insert_or_assign(fingerprint, now);
     }
-    noteSuspects(crash.inFlight, now);
+    noteSuspects(crash.inFlight, {.notedAt = now, .target = target, .incarnation = incarnation});
     return crash;
 }
 
+std::optional<CrashLedger::Fingerprint> CrashLedger::noteReportedCrash(const TargetId &target, Incarnation incarnation,
+                                                                       const std::vector<Fingerprint> &fingerprints,
+                                                                       TimePoint now)
+{
+    std::vector<Fingerprint> inOtherCrashes;
+    for (const auto fingerprint : fingerprints) {
+        const auto suspect = m_suspects.find(fingerprint);
+        if (suspect != m_suspects.end()
+            && (suspect->second.target != target || suspect->second.incarnation != incarnation)) {
+            inOtherCrashes.push_back(fingerprint);
+        }
+    }
+    noteSuspects(fingerprints, {.notedAt = now, .target = target, .incarnation = incarnation});
+    if (inOtherCrashes.size() != 1) {
+        return std::nullopt;
+    }
+    m_blamed.insert_or_assign(inOtherCrashes.front(), now);
+    return inOtherCrashes.front();
+}
+
 bool CrashLedger::isSuspect(Fingerprint fingerprint) const
 {
     return m_suspects.contains(fingerprint);
@@ -93,23 +113,24 @@
     return found != m_blamed.end() && now - found->second <= m_options.blameLifetime;
 }
 
-void CrashLedger::noteSuspects(const std::vector<Fingerprint> &fingerprints, TimePoint now)
+void CrashLedger::noteSuspects(const std::vector<Fingerprint> &fingerprints, const Suspicion &suspicion)
 {
     for (const auto fingerprint : fingerprints) {
-        m_suspects.insert_or_assign(fingerprint, now);
+        m_suspects.insert_or_assign(fingerprint, suspicion);
     }
-    expire(now);
+    expire(suspicion.notedAt);
 }
 
 void CrashLedger::expire(TimePoint now)
 {
     std::erase_if(m_suspects,
-                  [this, now](const auto &entry) { return now - entry.second > m_options.suspectLifetime; });
+                  [this, now](const auto &entry) { return now - entry.second.notedAt > m_options.suspectLifetime; });
     std::erase_if(m_blamed, [this, now](const auto &entry) { return now - entry.second > m_options.blameLifetime; });
     while (m_suspects.size() > m_options.maxSuspects) {
         m_suspects.erase(
-            std::min_element(m_suspects.begin(), m_suspects.end(),
-                             [](const auto &left, const auto &right) { return left.second < right.second; }));
+            std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &left, const auto &right) {
+                return left.second.notedAt < right.second.notedAt;
+            }));
     }
 }
 
--- a/unittests/Requests/CrashLedgerTest.cpp
+++ b/unittests/Requests/CrashLedgerTest.cpp
@@ -65,3 +65,29 @@
     CHECK(one != CrashLedger::fingerprint(AdapterRef("a", "2"), "body"));
     CHECK(one != CrashLedger::fingerprint(AdapterRef("a", "1"), "other"));
 }
+
+// Guards against a further crash through another entry while the control group, whose disks may be slow, has not yet
+// decided on the quarantine of the request.
+TEST_CASE("a request that is a suspect of another crash is blamed for a crash that another entry reports")
+{
+    auto ledger = crashedOnce();
+    constexpr CrashLedger::Fingerprint ConcurrentRequest = 3;
+    CHECK(ledger.noteReportedCrash(SecondTarget, Incarnation(1), {ConcurrentRequest, CrashingRequest}, Start)
+          == CrashingRequest);
+    CHECK(ledger.isBlamed(CrashingRequest, Start));
+    CHECK_FALSE(ledger.isBlamed(ConcurrentRequest, Start));
+    CHECK(ledger.isSuspect(ConcurrentRequest));
+}
+
+// Guards against blame for requests that two entries had in flight on the same crashed target.
+TEST_CASE("the report of a crash that this entry has seen itself blames no request")
+{
+    auto ledger = crashedOnce();
+    CHECK_FALSE(
+        ledger.noteReportedCrash(FirstTarget, Incarnation(1), {CrashingRequest, HarmlessRequest}, Start).has_value());
+    // The target has restarted and crashed again with both suspects, so that neither can be told from the other.
+    CHECK_FALSE(
+        ledger.noteReportedCrash(FirstTarget, Incarnation(2), {CrashingRequest, HarmlessRequest}, Start).has_value());
+    CHECK_FALSE(ledger.isBlamed(CrashingRequest, Start));
+    CHECK(ledger.noteReportedCrash(FirstTarget, Incarnation(3), {CrashingRequest}, Start) == CrashingRequest);
+}
