Answers: servers that leave, servers that want no requests, refusals and streams that prove nothing

The header Server-Leaving and the Retry-After of a 503 were not read at all. Cause and change of each: - Leaving: a server that says in an answer that it is leaving was chosen until its heartbeat said so. It is not chosen again in that start, whatever the control host says later; entries report it to the leader, which notes the departure in the log. When no server is left, callers are refused at once and told when the first one returns. The connection is given back only once the request has ended. - REFUSED: a refusal without the id of the request was believed. The check in CodecTest that read a 421 without an id as 'not run' was wrong for that reason; it now has the id, and a test demands that the same answer without it proves nothing. - ORDER: a stream whose server ended it inside an event ended as if it were complete, and events of a server that ignored Last-Event-Id were passed on again. Both count as broken off now.

--- a/include/tamarackcove/Control/Fleet/EngineDialect.h
+++ b/include/tamarackcove/Control/Fleet/EngineDialect.h
@@ -18,6 +18,11 @@
     std::function<HttpRequest(const ServerIdentity &)> stateRequest;
     /// Reads the state of a server from its answer to stateRequest; nothing if the answer does not contain one.
     std::function<std::optional<ServerReport>(const HttpResponse &)> readReport;
+    /// Whether the answer states that the server is about to stop. The answer of another server with the address does
+    /// not count.
+    std::function<bool(const HttpResponse &)> saysLeaving;
+    /// For how long the server wants no further requests; nothing if the answer does not say.
+    std::function<std::optional<milliseconds>(const HttpResponse &)> retryAfter;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Control/Fleet/OrderDispatcher.h
+++ b/include/tamarackcove/Control/Fleet/OrderDispatcher.h
@@ -30,6 +30,8 @@
         std::function<bool()> mayGiveOrders;
         /// Called after each step, which may have changed the holdings of servers.
         std::function<void()> onChange;
+        /// Called when a server has stated in an answer that it is leaving.
+        std::function<void(const ServerIdentity &)> onLeaving;
     };
 
     /// Precondition: planner and metrics outlive this object; the supervisor is stopped before it is destroyed.
@@ -57,6 +59,8 @@
     boost::asio::awaitable<void> readState(Target &target);
     boost::asio::awaitable<void> sendOrder(Target &target, ServerOrder order);
     boost::asio::awaitable<std::optional<HttpResponse>> exchange(Target &target, HttpRequest request);
+    /// Applies what an answer states about its server: that it is leaving, or wants no requests for a while.
+    void applyStatements(Target &target, const HttpResponse &response);
 
     Supervisor &m_tasks;
     AdapterPlanner &m_planner;
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -62,6 +62,12 @@
         /// avoided for a quarter of firstAvoidance.
         milliseconds firstAvoidance{400};
         milliseconds maxAvoidance{3000};
+        /// Longest time for which a server gets no requests because it has asked for that.
+        milliseconds maxPause{30000};
+        /// Largest random addition to such a time, as a fraction of it and at most: entries that were refused together
+        /// do not return together.
+        double pauseSpread = 0.2;
+        milliseconds maxPauseSpread{500};
         std::uint64_t seed = 1;
     };
     /// What a request needs of a server.
@@ -109,6 +115,17 @@
     /// Sends no request for an adapter to a server before `until`, because the server is still loading the adapter
     /// after the expected end of the load. Has no effect if `until` is earlier than the present ready time.
     void postpone(const TargetId &id, const AdapterKey &adapter, TimePoint until);
+    /// Records that this start of a server has stated that it is leaving. It is not chosen any more, whatever the
+    /// control host says of it later. Returns whether that is new.
+    bool recordLeaving(const ServerIdentity &server, TimePoint now);
+    /// The servers that have stated that they are leaving and are not known to the control host as draining.
+    [[nodiscard]] std::vector<OfferedServer> unannouncedLeaving() const;
+    /// Sends no request to this start of a server for the time that it has asked for, and a random part of that longer.
+    /// Returns the time that is kept, which is at most maxPause plus the addition.
+    milliseconds pause(const ServerIdentity &server, milliseconds time, TimePoint now);
+    /// When the first of the paused servers that could otherwise serve the request gets requests again; nothing if
+    /// none is paused.
+    [[nodiscard]] std::optional<TimePoint> earliestReturn(const Requirements &requirements, TimePoint now) const;
     /// Sets the request load of a server: the weight of the requests that all entries together have in progress there,
     /// as last sent by the control host.
     void setLoad(const TargetId &id, double load);
@@ -155,16 +172,32 @@
         /// Broken or missing answers in a row.
         int consecutiveFailures = 0;
         TimePoint avoidUntil;
+        /// Whether this start of the server has stated that it is leaving.
+        bool leaving = false;
+        /// The server has asked for no requests before this time.
+        TimePoint pausedUntil;
+    };
+    /// What a start of a server has stated about itself. Kept apart from the servers, because the control host may
+    /// remove a server and offer the same start again.
+    struct Statement
+    {
+        bool leaving = false;
+        TimePoint statedAt;
+        TimePoint pausedUntil;
     };
 
     /// Request load of the server: weight of the requests in progress, plus otherZonePenalty for another zone, divided
     /// by the number of slots.
     [[nodiscard]] double load(const Server &server) const;
     [[nodiscard]] static bool unreachable(const Server &server, TimePoint now);
+    /// Whether the server offers what the request needs, and wants new requests apart from a pause.
+    [[nodiscard]] static bool suits(const Server &server, const Requirements &requirements);
+    void forgetExpiredStatements(TimePoint now);
 
     Options m_options;
     std::mt19937_64 m_random;
     std::map<TargetId, Server> m_servers;
+    std::map<ServerIdentity, Statement> m_statements;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -52,6 +52,10 @@
     TargetId server;
     /// Whether the body of the answer is an event stream.
     bool eventStream = false;
+    /// Whether the server states that it is about to stop and wants no further requests.
+    bool leaving = false;
+    /// For how long a server that refuses a request wants no further ones; absent if the answer does not say.
+    std::optional<milliseconds> retryAfter;
 };
 
 /// Why the entry answers a request itself instead of relaying a server's answer.
--- a/include/tamarackcove/Gateway/EventStreamSplitter.h
+++ b/include/tamarackcove/Gateway/EventStreamSplitter.h
@@ -19,6 +19,10 @@
     /// The received bytes of the event that is not whole yet; empty if there is none.
     [[nodiscard]] const std::string &incompleteEvent() const;
     void discardIncompleteEvent();
+    /// Begins the bytes of a further server, which must go on after the last whole event so far.
+    void beginRun();
+    /// Whether the present server has sent an event that is not after those of the servers before it, by its id.
+    [[nodiscard]] bool repeatsEvents() const;
     /// The id of the last whole event.
     [[nodiscard]] const std::optional<std::string> &lastId() const;
 
@@ -27,6 +31,9 @@
 
     std::string m_incompleteEvent;
     std::optional<std::string> m_lastId;
+    /// The last id when the present server began; nothing once it has sent an event with an id.
+    std::optional<std::string> m_resumedAfter;
+    bool m_repeatsEvents = false;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -70,6 +70,11 @@
     /// Reads the rest of a refusal, so that the connection can be reused, within limits on its bytes and its time.
     boost::asio::awaitable<void> readRefusalBody(const Exchange &exchange, const ServerDirectory::Choice &choice,
                                                  HttpConnection &connection);
+    /// Applies what the head of an answer states about its server besides the answer to the request.
+    void applyServerStatements(const Exchange &exchange, const ServerDirectory::Choice &choice,
+                               const ServerAnswer &answer);
+    /// When a caller whose request no server can take should send it again.
+    [[nodiscard]] milliseconds retryAfterFor(const Exchange &exchange) const;
     /// Answers a request for which no server's answer was relayed.
     boost::asio::awaitable<void> answerUnservedRequest(Exchange &exchange);
     boost::asio::awaitable<void> refuse(Exchange &exchange, EntryRefusal refusal, milliseconds retryAfter);
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -203,12 +203,14 @@
     std::vector<ServerLoadMessage> loads;
     /// Servers that the entry cannot reach.
     std::vector<std::string> unreachable;
+    /// Servers that have stated in an answer that they are leaving, and that the leader still offers.
+    std::vector<ServerMessage> leaving;
     /// The servers that the entry knows; only in its first report to a new leader.
     std::vector<ServerMessage> servers;
     /// Sent only when the control host has asked for it with `wantsHistory`.
     std::vector<HistoryMessage> histories;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, onlyNewDemands, demands, uses,
-                                   loads, unreachable, servers, histories)
+                                   loads, unreachable, leaving, servers, histories)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -62,9 +62,10 @@
     , feed(log.state(), registry, planner)
     , dispatcher(orderTasks, planner, hooks.dialect, metrics,
                  {.mayGiveOrders = [this] { return replica.leads(); },
-                  .onChange =
-                      [this] {
-                          publishHoldings();
+                  .onChange = [this] { publishHoldings(); },
+                  .onLeaving =
+                      [this](const ServerIdentity &server) {
+                          noteLeaving(server, settings.name);
                       }})
     , control(replica.client(), log.state(), registry,
               {.address = settings.listen,
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -67,6 +67,9 @@
     void updatePlanner(const ServerHeartbeat &heartbeat);
     void applyReport(const FleetReportMessage &report);
     void applyDemands(const FleetReportMessage &report, TimePoint now);
+    /// Makes a server that has stated that it is leaving a draining one, for all entries and for later leaders. Has no
+    /// effect for an earlier start of the server.
+    void noteLeaving(const ServerIdentity &identity, std::string_view reportedBy);
     /// Has the planner consider the demands of entries.
     boost::asio::awaitable<void> planLoads();
     /// Proposes TakeOrderDuty until the log accepts it or this leadership ends. Waits for the order lease first if
--- a/lib/Control/Fleet/FleetNodeReports.cpp
+++ b/lib/Control/Fleet/FleetNodeReports.cpp
@@ -1,4 +1,6 @@
 #include "FleetNodeImpl.h"
+#include "tamarackcove/Control/Fleet/FleetCodec.h"
+#include "tamarackcove/Observe/LogLine.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -45,6 +47,9 @@
     if (!report.servers.empty()) {
         publishServers();
     }
+    for (const auto &server : report.leaving) {
+        noteLeaving({.id = TargetId(server.id), .startedAt = Incarnation(server.startedAt)}, report.entry);
+    }
     if (!dispatcher.active()) {
         return;
     }
@@ -84,6 +89,28 @@
     publishHoldings();
 }
 
+void FleetNode::Impl::noteLeaving(const ServerIdentity &identity, std::string_view reportedBy)
+{
+    const auto *server = registry.find(identity.id);
+    if (!leading || server == nullptr || server->lastHeartbeat.identity != identity || server->draining) {
+        return;
+    }
+    LogLine(LogLevel::Info, "server_draining")
+        .add("server", identity.id.value())
+        .add("started_at", identity.startedAt.value())
+        .add("reported_by", reportedBy);
+    const auto heartbeat = server->lastHeartbeat;
+    registry.applyDeparture(identity, false);
+    updatePlanner(heartbeat);
+    publishServers();
+    // Nobody waits for this command. If it is lost with this leader, the entry reports the server to the next one.
+    const FleetCommand departure = NoteDeparture{.server = identity, .service = heartbeat.service, .gone = false};
+    root.startTemporary("leaving-" + std::to_string(++recordTaskCount),
+                        [this, bytes = encodeFleetCommand(departure)]() -> asio::awaitable<void> {
+                            (void)co_await replica.client().propose(bytes);
+                        });
+}
+
 void FleetNode::Impl::applyDemands(const FleetReportMessage &report, TimePoint now)
 {
     std::vector<DemandTable::Demand> reported;
--- a/lib/Control/Fleet/OrderDispatcher.cpp
+++ b/lib/Control/Fleet/OrderDispatcher.cpp
@@ -21,6 +21,8 @@
 /// seconds, and an order is never sent on a connection that may be closing.
 static constexpr milliseconds MaxConnectionIdle{1500};
 
+/// Longest time for which a server gets no orders because it has asked for that.
+static constexpr milliseconds MaxPause{30000};
 /// Interval between two checks whether this host may give orders again, while its lease has expired.
 static constexpr milliseconds SuspensionRecheckInterval{50};
 
@@ -35,6 +37,8 @@
     ServerHeartbeat server;
     Timer wake;
     std::unique_ptr<HttpConnection> connection;
+    /// The server has asked for no requests before this time.
+    TimePoint pausedUntil;
     /// Set to end the task of this server.
     bool stopped = false;
 };
@@ -147,6 +151,12 @@
             co_await target->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
             continue;
         }
+        if (target->pausedUntil > Clock::now()) {
+            target->wake.expires_at(target->pausedUntil);
+            boost::system::error_code ignored;
+            co_await target->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
+        }
         auto step = m_planner.nextStep(id, Clock::now());
         switch (step.kind) {
         case AdapterPlanner::Step::Kind::Wait: {
@@ -194,9 +204,25 @@
         target.connection.reset();
         co_return std::nullopt;
     }
+    applyStatements(target, response.value());
     co_return std::move(response).value();
 }
 
+void OrderDispatcher::applyStatements(Target &target, const HttpResponse &response)
+{
+    if (const auto pause = m_dialect.retryAfter(response)) {
+        target.pausedUntil = Clock::now() + std::min(*pause, MaxPause);
+        LogLine(LogLevel::Info, "server_paused")
+            .add("server", target.server.identity.id.value())
+            .add("asked_ms", *pause)
+            .add("status", response.status);
+    }
+    constexpr int WrongServerStatus = 421;
+    if (!target.stopped && response.status != WrongServerStatus && m_dialect.saysLeaving(response)) {
+        m_hooks.onLeaving(ServerIdentity(target.server.identity));
+    }
+}
+
 asio::awaitable<void> OrderDispatcher::readState(Target &target)
 {
     const auto requestedAt = Clock::now();
--- a/lib/ControlBench/BenchEngines.cpp
+++ b/lib/ControlBench/BenchEngines.cpp
@@ -111,6 +111,12 @@
         report.ordersAccepted = json::parse(response.body).at("seq").get<std::uint64_t>();
         return report;
     };
+    dialect.saysLeaving = [](const HttpResponse &) {
+        return false;
+    };
+    dialect.retryAfter = [](const HttpResponse &) {
+        return std::optional<milliseconds>();
+    };
     return dialect;
 }
 
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -1,9 +1,13 @@
 #include "tamarackcove/Fleet/ServerDirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarackcove {
 
+/// Time for which the statements of a server are kept. A server that is leaving has ended by then.
+static constexpr std::chrono::minutes StatementLifetime{10};
+
 ServerDirectory::ServerDirectory(Options options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
@@ -18,6 +22,10 @@
         const auto inFlight = server.inFlight;
         server = Server{};
         server.inFlight = inFlight;
+        if (const auto stated = m_statements.find(offered.identity); stated != m_statements.end()) {
+            server.leaving = stated->second.leaving;
+            server.pausedUntil = stated->second.pausedUntil;
+        }
     }
     server.offered = std::move(offered);
 }
@@ -66,6 +74,71 @@
     }
 }
 
+void ServerDirectory::forgetExpiredStatements(TimePoint now)
+{
+    std::erase_if(m_statements, [now](const auto &item) { return item.second.statedAt + StatementLifetime < now; });
+}
+
+bool ServerDirectory::recordLeaving(const ServerIdentity &server, TimePoint now)
+{
+    forgetExpiredStatements(now);
+    auto &statement = m_statements[server];
+    statement.statedAt = now;
+    const bool isNew = !std::exchange(statement.leaving, true);
+    const auto found = m_servers.find(server.id);
+    if (found != m_servers.end() && found->second.offered.identity == server) {
+        found->second.leaving = true;
+    }
+    return isNew;
+}
+
+std::vector<OfferedServer> ServerDirectory::unannouncedLeaving() const
+{
+    std::vector<OfferedServer> all;
+    for (const auto &[id, server] : m_servers) {
+        if (server.leaving && !server.offered.draining) {
+            all.push_back(server.offered);
+        }
+    }
+    return all;
+}
+
+milliseconds ServerDirectory::pause(const ServerIdentity &server, milliseconds time, TimePoint now)
+{
+    forgetExpiredStatements(now);
+    auto kept = std::clamp(time, milliseconds(0), m_options.maxPause);
+    const auto spread = std::min(duration_cast<milliseconds>(kept * m_options.pauseSpread), m_options.maxPauseSpread);
+    kept += milliseconds(std::uniform_int_distribution<milliseconds::rep>(0, spread.count())(m_random));
+    auto &statement = m_statements[server];
+    statement.statedAt = now;
+    statement.pausedUntil = std::max(statement.pausedUntil, now + kept);
+    const auto found = m_servers.find(server.id);
+    if (found != m_servers.end() && found->second.offered.identity == server) {
+        found->second.pausedUntil = statement.pausedUntil;
+    }
+    return kept;
+}
+
+bool ServerDirectory::suits(const Server &server, const Requirements &requirements)
+{
+    const auto &offered = server.offered;
+    return offered.service == requirements.service && !offered.draining && !server.leaving
+        && !requirements.excluded.contains(offered.identity.id)
+        && (!requirements.model
+            || std::find(offered.models.begin(), offered.models.end(), *requirements.model) != offered.models.end());
+}
+
+std::optional<TimePoint> ServerDirectory::earliestReturn(const Requirements &requirements, TimePoint now) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &[id, server] : m_servers) {
+        if (server.pausedUntil > now && suits(server, requirements)) {
+            earliest = std::min(earliest.value_or(server.pausedUntil), server.pausedUntil);
+        }
+    }
+    return earliest;
+}
+
 double ServerDirectory::load(const Server &server) const
 {
     const double zonePenalty = server.offered.zone == m_options.zone ? 0 : m_options.otherZonePenalty;
@@ -102,13 +175,7 @@
     std::optional<Candidate> best;
     std::uniform_real_distribution<double> tieBreak(0, 0.01);
     for (const auto &[id, server] : m_servers) {
-        if (server.offered.service != requirements.service || server.offered.draining
-            || requirements.excluded.contains(id)) {
-            continue;
-        }
-        if (requirements.model
-            && std::find(server.offered.models.begin(), server.offered.models.end(), *requirements.model)
-                == server.offered.models.end()) {
+        if (server.pausedUntil > now || !suits(server, requirements)) {
             continue;
         }
         Candidate candidate{.server = &server};
@@ -147,11 +214,8 @@
 
 bool ServerDirectory::offers(const ServiceName &service, const std::optional<BaseModel> &model) const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &item) {
-        const auto &offered = item.second.offered;
-        return offered.service == service && !offered.draining
-            && (!model || std::find(offered.models.begin(), offered.models.end(), *model) != offered.models.end());
-    });
+    return std::any_of(m_servers.begin(), m_servers.end(),
+                       [&](const auto &item) { return suits(item.second, {.service = service, .model = model}); });
 }
 
 void ServerDirectory::startRequest(const TargetId &id, double weight)
--- a/lib/Gateway/EventStreamSplitter.cpp
+++ b/lib/Gateway/EventStreamSplitter.cpp
@@ -1,6 +1,9 @@
 #include "tamarackcove/Gateway/EventStreamSplitter.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <utility>
 
 namespace tamarackcove {
 
@@ -35,6 +38,31 @@
     return events;
 }
 
+/// Whether an event with the id comes after one with the earlier id. Ids that are not both numbers have no order, so
+/// that only equal ones are known not to.
+static bool isAfter(std::string_view id, std::string_view earlier)
+{
+    std::uint64_t value = 0;
+    std::uint64_t earlierValue = 0;
+    const auto [end, error] = std::from_chars(id.data(), id.data() + id.size(), value);
+    const auto [earlierEnd, earlierError]
+        = std::from_chars(earlier.data(), earlier.data() + earlier.size(), earlierValue);
+    const bool numbers = error == std::errc() && end == id.data() + id.size() && earlierError == std::errc()
+        && earlierEnd == earlier.data() + earlier.size();
+    return numbers ? value > earlierValue : id != earlier;
+}
+
+void EventStreamSplitter::beginRun()
+{
+    m_resumedAfter = m_lastId;
+    m_repeatsEvents = false;
+}
+
+bool EventStreamSplitter::repeatsEvents() const
+{
+    return m_repeatsEvents;
+}
+
 void EventStreamSplitter::noteIds(std::string_view events)
 {
     std::size_t begin = 0;
@@ -55,6 +83,9 @@
         if (line.ends_with('\r')) {
             line.remove_suffix(1);
         }
+        if (m_resumedAfter && !isAfter(line, *std::exchange(m_resumedAfter, std::nullopt))) {
+            m_repeatsEvents = true;
+        }
         m_lastId = std::string(line);
     }
 }
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -200,6 +200,9 @@
     for (const auto &id : m_servers.unreachable(Clock::now())) {
         report.unreachable.push_back(id.value());
     }
+    for (const auto &server : m_servers.unannouncedLeaving()) {
+        report.leaving.push_back(toServerMessage(server));
+    }
     if (withServers) {
         for (const auto &server : m_servers.offered()) {
             report.servers.push_back(toServerMessage(server));
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -33,6 +33,7 @@
                                                               HttpResponse head)
 {
     const auto answer = m_parts.dialect.readAnswer(exchange.caller, head);
+    applyServerStatements(exchange, choice, answer);
     if (answer.notRun) {
         co_return co_await handleNotRun(exchange, choice, std::move(connection), answer);
     }
@@ -49,6 +50,38 @@
     co_return co_await relayCompleteAnswer(exchange, choice, std::move(connection), std::move(head));
 }
 
+static bool answeredByOtherServer(const ServerDirectory::Choice &choice, const ServerAnswer &answer)
+{
+    return answer.wrongServer && !answer.server.empty() && answer.server != choice.server.id;
+}
+
+void RequestRelay::applyServerStatements(const Exchange &exchange, const ServerDirectory::Choice &choice,
+                                         const ServerAnswer &answer)
+{
+    if (answeredByOtherServer(choice, answer)) {
+        return;
+    }
+    auto &servers = m_parts.view.servers();
+    const auto now = Clock::now();
+    if (answer.leaving && servers.recordLeaving(choice.server, now)) {
+        m_parts.metrics.count("servers_leaving_total");
+        LogLine(LogLevel::Info, "server_leaving")
+            .add("request", exchange.caller.attemptId)
+            .add("server", choice.server.id.value())
+            .add("started_at", choice.server.startedAt.value())
+            .add("zone", choice.zone.value());
+    }
+    if (answer.retryAfter) {
+        const auto pause = servers.pause(choice.server, *answer.retryAfter, now);
+        m_parts.metrics.count("server_pauses_total");
+        LogLine(LogLevel::Info, "server_paused")
+            .add("request", exchange.caller.attemptId)
+            .add("server", choice.server.id.value())
+            .add("asked_ms", *answer.retryAfter)
+            .add("paused_ms", pause);
+    }
+}
+
 asio::awaitable<RequestRelay::Step> RequestRelay::handleNotRun(Exchange &exchange,
                                                                const ServerDirectory::Choice &choice,
                                                                std::unique_ptr<HttpConnection> connection,
@@ -57,11 +90,10 @@
     const auto now = Clock::now();
     auto &servers = m_parts.view.servers();
     const auto &adapter = exchange.caller.adapter;
-    const bool answeredByOtherServer
-        = answer.wrongServer && !answer.server.empty() && answer.server != choice.server.id;
+    const bool isOtherServer = answeredByOtherServer(choice, answer);
     // The server counts as still loading the adapter if the expected end of the load is recent, or if the server
     // refuses requests while it replaces an older version of the adapter.
-    const bool loading = adapter && !answeredByOtherServer
+    const bool loading = adapter && !isOtherServer
         && (choice.expectedAt + MaxLoadOverrun > now
             || (!answer.wrongServer && choice.version < m_parts.view.latestVersion(*adapter)));
     servers.endRequest(choice.server.id, exchange.weight,
@@ -75,7 +107,7 @@
                                            duration_cast<milliseconds>(now - choice.expectedAt));
         }
         servers.postpone(choice.server.id, *adapter, now + LoadingRetryDelay * (1 + exchange.serverRefusals));
-    } else if (adapter && answer.wrongServer && !answeredByOtherServer) {
+    } else if (adapter && answer.wrongServer && !isOtherServer) {
         servers.setHolding(choice.server.id, *adapter, 0, now);
         m_parts.view.recordMissingAdapter(choice.server.id, *adapter);
     } else {
@@ -94,7 +126,11 @@
         .add("sent", exchange.sendCount);
     co_await readRefusalBody(exchange, choice, *connection);
     exchange.watched.connection = nullptr;
-    m_parts.connections.release(choice.server, std::move(connection));
+    if (exchange.excludedServers.contains(choice.server.id)) {
+        m_parts.connections.release(choice.server, std::move(connection));
+    } else {
+        exchange.refusedConnections.emplace_back(choice.server, std::move(connection));
+    }
     co_return Step::NotRun;
 }
 
@@ -192,6 +228,7 @@
     if (canFailOver) {
         setFailoverHook(exchange, choice, *connection);
     }
+    exchange.splitter.beginRun();
     for (;;) {
         const auto timeout = exchange.answerReadTimeout(Clock::now());
         if (!timeout) {
@@ -214,7 +251,16 @@
                                        piece.error().detail);
         }
         const bool ended = !piece.value();
-        auto events = ended ? exchange.splitter.incompleteEvent() : exchange.splitter.consume(*piece.value());
+        if (ended && !exchange.splitter.incompleteEvent().empty()) {
+            exchange.splitter.discardIncompleteEvent();
+            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, "the stream ended inside an event");
+        }
+        auto events = ended ? std::string() : exchange.splitter.consume(*piece.value());
+        if (exchange.splitter.repeatsEvents()) {
+            exchange.splitter.discardIncompleteEvent();
+            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken,
+                                       "the server did not resume the stream after the last event");
+        }
         if (events.empty() && !ended) {
             if (exchange.splitter.incompleteEvent().size() > MaxEventBytes) {
                 exchange.splitter.discardIncompleteEvent();
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -5,11 +5,14 @@
 #include "tamarackcove/Gateway/EventStreamSplitter.h"
 #include "tamarackcove/Gateway/RequestRelay.h"
 #include "tamarackcove/Http/CallerWatch.h"
+#include "tamarackcove/Http/HttpConnection.h"
 
 #include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace tamarackcove {
 
@@ -60,6 +63,10 @@
     int serverRefusals = 0;
     /// What the request adds to the request load of a server, in units of an ordinary request.
     double weight = 1;
+    /// Connections on which a server that may get this request again has refused it. They are given back once the
+    /// request has ended: a refusal that the server writes once more has the id of this request, so that it could not
+    /// be told from the answer to the next attempt.
+    std::vector<std::pair<ServerIdentity, std::unique_ptr<HttpConnection>>> refusedConnections;
     EventStreamSplitter splitter;
     /// Whether the head of the stream was sent to the caller.
     bool streamStarted = false;
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -86,6 +86,9 @@
     m_parts.view.retryBudget(exchange.service).noteRequest(exchange.arrivedAt);
     logRouted(exchange);
     co_await tryServers(exchange);
+    for (auto &[server, connection] : exchange.refusedConnections) {
+        m_parts.connections.release(server, std::move(connection));
+    }
     recordEnd(exchange);
 }
 
@@ -391,7 +394,19 @@
         co_await refuse(exchange, late ? EntryRefusal::TimedOut : EntryRefusal::OutcomeUnknown, milliseconds(0));
         co_return;
     }
-    co_await refuse(exchange, EntryRefusal::NoServer, RefusalRetryAfter);
+    co_await refuse(exchange, EntryRefusal::NoServer, retryAfterFor(exchange));
+}
+
+milliseconds RequestRelay::retryAfterFor(const Exchange &exchange) const
+{
+    const auto now = Clock::now();
+    const ServerDirectory::Requirements requirements{.service = exchange.service, .model = exchange.caller.model};
+    const auto returnsAt = m_parts.view.servers().earliestReturn(requirements, now);
+    // A server that wants requests before that may have been full, or may load the adapter.
+    if (!returnsAt || m_parts.view.servers().choose(requirements, now)) {
+        return RefusalRetryAfter;
+    }
+    return std::max(RefusalRetryAfter, std::chrono::ceil<milliseconds>(*returnsAt - now));
 }
 
 static std::string_view toString(EntryRefusal refusal)
--- a/unittests/Gateway/EventStreamSplitterTest.cpp
+++ b/unittests/Gateway/EventStreamSplitterTest.cpp
@@ -27,3 +27,24 @@
     CHECK(events.consume("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     CHECK(events.lastId() == "2");
 }
+
+// Guards against a server that ignores where a stream is to be resumed: its caller would get events twice.
+TEST_CASE("events of a further server that do not follow the last event are detected")
+{
+    EventStreamSplitter events;
+    events.beginRun();
+    (void)events.consume("id: 9\ndata: a\n\nid: 10\ndata: b\n\n");
+    CHECK_FALSE(events.repeatsEvents());
+    events.beginRun();
+    (void)events.consume("id: 11\ndata: c\n\n");
+    CHECK_FALSE(events.repeatsEvents());
+    events.beginRun();
+    (void)events.consume("id: 11\ndata: c\n\n");
+    CHECK(events.repeatsEvents());
+    EventStreamSplitter restarted;
+    restarted.beginRun();
+    (void)restarted.consume("id: 10\ndata: b\n\n");
+    restarted.beginRun();
+    (void)restarted.consume("id: 9\ndata: a\n\n");
+    CHECK(restarted.repeatsEvents());
+}
--- a/unittests/Platform/CodecTest.cpp
+++ b/unittests/Platform/CodecTest.cpp
@@ -174,12 +174,64 @@
     CHECK_FALSE(dialect.readAnswer(caller, head).authentic);
     head.headers.set("Tamarackcove-Not-Executed", "1");
     CHECK(dialect.readAnswer(caller, head).notRun);
-    head = {.status = 421, .headers = {{"Tamarackcove-Instance-Id", "i-2"}}, .body = {}};
+    head = {
+        .status = 421, .headers = {{"Tamarackcove-Attempt-Id", "x1"}, {"Tamarackcove-Instance-Id", "i-2"}}, .body = {}};
     CHECK(dialect.readAnswer(caller, head).server == TargetId("i-2"));
     CHECK(dialect.readAnswer(caller, head).notRun);
     CHECK(dialect.readAnswer(caller, head).wrongServer);
 }
 
+// Guards against a request that is answered "not run", or sent to another server, because of a refusal that a server
+// wrote for an earlier request on the connection.
+TEST_CASE("a refusal without the id of the request does not prove that the request has not run")
+{
+    const auto dialect = platform::callerDialect();
+    CallerRequest caller;
+    caller.attemptId = "x1";
+    HttpResponse head{.status = 503, .headers = {{"Tamarackcove-Not-Executed", "1"}}, .body = {}};
+    CHECK_FALSE(dialect.readAnswer(caller, head).notRun);
+    head = {.status = 421, .headers = {{"Tamarackcove-Instance-Id", "i-2"}}, .body = {}};
+    CHECK_FALSE(dialect.readAnswer(caller, head).notRun);
+    CHECK_FALSE(dialect.readAnswer(caller, head).wrongServer);
+    // A request without an id is refused without one.
+    caller.attemptId = "";
+    CHECK(dialect.readAnswer(caller, head).notRun);
+}
+
+// Guards against a time of absurd length or form that keeps a server without requests, or that is not obeyed at all.
+TEST_CASE("an answer tells that its server is leaving, and how long it wants no requests")
+{
+    const auto dialect = platform::callerDialect();
+    CallerRequest caller;
+    caller.attemptId = "x1";
+    HttpResponse head{.status = 503, .headers = {{"Tamarackcove-Attempt-Id", "x1"}}, .body = {}};
+    CHECK_FALSE(dialect.readAnswer(caller, head).leaving);
+    CHECK_FALSE(dialect.readAnswer(caller, head).retryAfter.has_value());
+    head.headers.set("Server-Leaving", "1");
+    CHECK(dialect.readAnswer(caller, head).leaving);
+    const auto retryAfter = [&](std::string_view value) {
+        head.headers.set("Retry-After", value);
+        return dialect.readAnswer(caller, head).retryAfter;
+    };
+    CHECK(retryAfter("2") == milliseconds(2000));
+    CHECK(retryAfter("0.25") == milliseconds(250));
+    CHECK(retryAfter("0") == milliseconds(0));
+    CHECK(retryAfter("1e300") == std::chrono::hours(24));
+    CHECK(retryAfter("1e999") == std::chrono::hours(24));
+    for (const auto *invalid : {"", "-1", "nan", "2 s", "Sat, 05 Dec 2026 00:00:00 GMT", "1, 2"}) {
+        CAPTURE(invalid);
+        CHECK_FALSE(retryAfter(invalid).has_value());
+    }
+    head.headers.set("Retry-After", "2");
+    head.status = 200;
+    CHECK_FALSE(dialect.readAnswer(caller, head).retryAfter.has_value());
+    // The late answer to another request says nothing.
+    head.status = 503;
+    head.headers.set("Tamarackcove-Attempt-Id", "x2");
+    CHECK_FALSE(dialect.readAnswer(caller, head).leaving);
+    CHECK_FALSE(dialect.readAnswer(caller, head).retryAfter.has_value());
+}
+
 TEST_CASE("a request that may have run is never refused with a status that says it has not run")
 {
     const auto dialect = platform::callerDialect();
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -89,6 +89,29 @@
         return *m_servers.back().server;
     }
 
+    /// Adds a server that the test runs itself: the control host gets this heartbeat of it.
+    void addExternalServer(const std::string &id, nlohmann::json heartbeat)
+    {
+        m_externalServers.emplace_back(id, std::move(heartbeat));
+    }
+    [[nodiscard]] boost::asio::any_io_executor executor()
+    {
+        return m_io.get_executor();
+    }
+
+    /// Sends the next heartbeat of a server to the control host.
+    boost::asio::awaitable<void> sendHeartbeat(const StandInServer &server)
+    {
+        for (const auto &member : m_servers) {
+            if (member.server.get() == &server) {
+                const auto beat = member.server->heartbeat(member.service).dump();
+                const auto status
+                    = co_await callControl("POST", "/v1/Instances.Heartbeat/" + member.server->id(), beat);
+                CHECK(status == 200);
+            }
+        }
+    }
+
     /// Starts all nodes, runs the body once the entry is ready and has the servers, and stops all nodes.
     void run(std::function<boost::asio::awaitable<void>()> body)
     {
@@ -249,8 +272,10 @@
             co_await sleepFor(milliseconds(20));
         }
         for (const auto &member : m_servers) {
-            const auto beat = member.server->heartbeat(member.service).dump();
-            const auto status = co_await callControl("POST", "/v1/Instances.Heartbeat/" + member.server->id(), beat);
+            co_await sendHeartbeat(*member.server);
+        }
+        for (const auto &[id, heartbeat] : m_externalServers) {
+            const auto status = co_await callControl("POST", "/v1/Instances.Heartbeat/" + id, heartbeat.dump());
             CHECK(status == 200);
         }
         for (;;) {
@@ -272,6 +297,7 @@
     boost::asio::io_context m_io{1};
     std::filesystem::path m_folder;
     std::vector<Member> m_servers;
+    std::vector<std::pair<std::string, nlohmann::json>> m_externalServers;
     std::unique_ptr<FleetNode> m_control;
     std::unique_ptr<GatewayNode> m_entry;
 };
