Tests keep their files in memory

Slow disks have tests of their own, with the time of a sync injected: SlowDiskTest, and two in ReplicaFaultTest.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -9,7 +9,7 @@
 build() { cmake --preset "$1" > /dev/null && cmake --build --preset "$1"; }
 unit_tests() {
     grep '^unittests/' KNOWN-RED.txt | sed 's/^/known red, deselected: /' || true
-    ctest --preset "$1"
+    (. scripts/test-folder.sh && ctest --preset "$1")
 }
 unit_tests_of_both_builds() {
     step "release unit tests" unit_tests release && step "sanitizer unit tests" unit_tests sanitize
--- a/scripts/integration.sh
+++ b/scripts/integration.sh
@@ -16,4 +16,5 @@
         esac
     done < KNOWN-RED.txt
 fi
+. scripts/test-folder.sh
 exec /usr/bin/python3 -m pytest -q -p no:cacheprovider test "${skipped[@]}" "$@"
