--- a/unittests/Platform/AnswerWithoutEndTest.cpp
+++ b/unittests/Platform/AnswerWithoutEndTest.cpp
@@ -185,3 +185,27 @@
         checkContains(control, "tamarackcove_state_reads_failed_total");
     });
 }
+
+// Guards against a server that gets no orders for seconds because one of its state reports came too late.
+TEST_CASE("a state report that comes too late is read again soon")
+{
+    Deployment deployment;
+    int reads = 0;
+    StandInServer::Behaviour sendsEvents = [](const HttpRequest &request, HttpResponder &responder) {
+        return sendEvents(request, responder, 2, 2);
+    };
+    deployment.addServer("p1", "plain", answerInFull);
+    auto &late = deployment.addServer("s1", "engines", sendsEvents);
+    late.reportBehaviour = [&](const HttpRequest &, HttpResponder &responder) -> asio::awaitable<void> {
+        if (++reads <= 2) {
+            co_await deployment.sleepFor(milliseconds(300));
+        }
+        const auto report = late.report().dump();
+        (void)co_await responder.send(jsonResponse(200, report));
+    };
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto response = co_await deployment.call("POST", "/stream/x", "load", "a1");
+        CHECK(response.status == 200);
+        CHECK(reads >= 3);
+    });
+}
--- a/unittests/Platform/StandInServer.h
+++ b/unittests/Platform/StandInServer.h
@@ -55,6 +55,11 @@
                 {"state", "ready"},   {"seq", ++m_heartbeats},
                 {"born", 1},          {"models", models()}};
     }
+    /// The state of this server.
+    [[nodiscard]] nlohmann::json report() const
+    {
+        return {{"born", 1}, {"models", models()}, {"busy", false}, {"seq", m_orders}};
+    }
     [[nodiscard]] const std::string &id() const
     {
         return m_id;
@@ -84,8 +89,7 @@
             co_return;
         }
         if (request.path() == "/v1/report") {
-            const nlohmann::json report{{"born", 1}, {"models", models()}, {"busy", false}, {"seq", m_orders}};
-            (void)co_await responder.send(jsonResponse(200, report.dump()));
+            (void)co_await responder.send(jsonResponse(200, report().dump()));
             co_return;
         }
         if (request.path() == "/v1/order") {
