--- a/include/tamarackcove/Base/Time.h
+++ b/include/tamarackcove/Base/Time.h
@@ -4,9 +4,9 @@
 
 namespace tamarackcove {
 
-/// The clock of every deadline and lease: CLOCK_BOOTTIME. It is monotonic, so a change of the wall clock neither extends
-/// nor shortens a lease. Unlike std::chrono::steady_clock it counts the time for which the machine was suspended, so
-/// that a lease that expired meanwhile is not used afterwards.
+/// The clock of every deadline and lease: CLOCK_BOOTTIME. It is monotonic, so a change of the wall clock neither
+/// extends nor shortens a lease. Unlike std::chrono::steady_clock it counts the time for which the machine was
+/// suspended, so that a lease that expired meanwhile is not used afterwards.
 ///
 /// Thread safety: can be used on any thread.
 struct Clock
--- a/unittests/Consensus/SimulatedGroup.cpp
+++ b/unittests/Consensus/SimulatedGroup.cpp
@@ -207,8 +207,8 @@
     const auto self = static_cast<int>(&node - m_nodes.data());
     if (output.persist) {
         const microseconds spread = m_options.maxSyncDuration - m_options.minSyncDuration;
-        auto completesAt = m_now + m_options.minSyncDuration
-            + microseconds(random(static_cast<std::uint64_t>(spread.count())) + 1);
+        auto completesAt
+            = m_now + m_options.minSyncDuration + microseconds(random(static_cast<std::uint64_t>(spread.count())) + 1);
         if (!node.pendingPersists.empty()) {
             completesAt = std::max(completesAt, node.pendingPersists.back().completesAt);
         }
