Entries: ask for a load elsewhere when the holders of an adapter want no requests

Requests for an adapter whose only holder has sent Retry-After waited for it, and were refused if it asked for more than 1.5 s; the planner gives no further copy while a holder has failed nobody.

--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -126,6 +126,8 @@
     /// When the first of the paused servers that could otherwise serve the request gets requests again; nothing if
     /// none is paused.
     [[nodiscard]] std::optional<TimePoint> earliestReturn(const Requirements &requirements, TimePoint now) const;
+    /// Number of paused servers that hold the adapter of the request and could otherwise serve it.
+    [[nodiscard]] int pausedHolders(const Requirements &requirements, TimePoint now) const;
     /// Sets the request load of a server: the weight of the requests that all entries together have in progress there,
     /// as last sent by the control host.
     void setLoad(const TargetId &id, double load);
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -68,7 +68,7 @@
         /// Whether the next report asks the control host to load the adapter for this request. False while a load is in
         /// progress.
         bool requestsLoad = false;
-        /// Servers that have failed this request so far.
+        /// Servers that have failed this request so far, or hold the adapter and want no requests for now.
         int failedServers = 0;
         TimePoint until;
     };
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -139,6 +139,18 @@
     return earliest;
 }
 
+int ServerDirectory::pausedHolders(const Requirements &requirements, TimePoint now) const
+{
+    if (!requirements.adapter) {
+        return 0;
+    }
+    return static_cast<int>(std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &item) {
+        const auto &server = item.second;
+        return server.pausedUntil > now && server.holdings.contains(*requirements.adapter)
+            && suits(server, requirements);
+    }));
+}
+
 double ServerDirectory::load(const Server &server) const
 {
     const double zonePenalty = server.offered.zone == m_options.zone ? 0 : m_options.otherZonePenalty;
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -218,7 +218,9 @@
             co_return choice;
         }
         if (!requirements.adapter || !view.servers().offers(exchange.service, requirements.model)) {
-            exchange.failureDetail = "no other server offers the service and model";
+            exchange.failureDetail = view.servers().earliestReturn(requirements, now)
+                ? "all servers have asked for no requests for now"
+                : "no other server offers the service and model";
             recordWait("no_server", now);
             co_return std::nullopt;
         }
@@ -233,7 +235,8 @@
         FleetView::Wait wait{.adapter = *requirements.adapter,
                              .version = view.latestVersion(*requirements.adapter),
                              .requestsLoad = !choice,
-                             .failedServers = static_cast<int>(exchange.excludedServers.size()),
+                             .failedServers = static_cast<int>(exchange.excludedServers.size())
+                                 + view.servers().pausedHolders(requirements, now),
                              .until = until};
         exchange.watched.timer = &timer;
         co_await view.waitForAdapter(std::move(wait), timer);
--- a/unittests/Fleet/ServerStatementsTest.cpp
+++ b/unittests/Fleet/ServerStatementsTest.cpp
@@ -95,6 +95,29 @@
     CHECK_FALSE(servers.earliestReturn(Request, Start).has_value());
 }
 
+// Guards against requests that wait for the only holder of their adapter while other servers could load it.
+TEST_CASE("paused holders of an adapter are counted, so that it is loaded elsewhere")
+{
+    const AdapterKey adapter{BaseModel("m"), "a1"};
+    auto servers = directory();
+    for (const auto *id : {"a", "b"}) {
+        servers.put(server(id));
+        servers.setHolding(TargetId(id), adapter, 1, Start);
+    }
+    servers.put(server("c"));
+    auto request = Request;
+    request.adapter = adapter;
+    CHECK(servers.pausedHolders(request, Start) == 0);
+    (void)servers.pause(server("a").identity, seconds(2), Start);
+    (void)servers.pause(server("c").identity, seconds(2), Start);
+    CHECK(servers.pausedHolders(request, Start) == 1);
+    CHECK(servers.pausedHolders(request, Start + seconds(3)) == 0);
+    CHECK(servers.pausedHolders(Request, Start) == 0);
+    // Counted by the request already as a server that has failed it.
+    request.excluded.insert(TargetId("a"));
+    CHECK(servers.pausedHolders(request, Start) == 0);
+}
+
 // Guards against entries that were refused in the same burst and all return in the same instant.
 TEST_CASE("entries return to a paused server at different moments, and never before its time")
 {
