Drain: answer requests that have just arrived; streams: bytes that complete no event are no progress

Planned stop: when a server of ours began to drain, it reset the connections in its listen queue, and cancelled those on which a request had begun to arrive or had arrived unread, so that requests that had just been accepted were cut off. It now takes the listen queue, answers what has begun to arrive, and gives connections without a request yet 0.5 s. Test in HttpServerTest: 'connection reset by peer' before.

The limit runs from the last whole event now; the stream goes on at another server if one is ready and the budget grants it. Slow streams that send whole events in time are not touched.

--- a/include/tamarackcove/Http/HttpServer.h
+++ b/include/tamarackcove/Http/HttpServer.h
@@ -42,8 +42,9 @@
     void setLimits(HttpLimits limits);
     /// While set, each response has `connection: close` and ends its connection; connections are still accepted.
     void setCloseAfterResponse(bool closeAfterResponse);
-    /// Stops accepting connections, closes idle ones, and closes each other one after its current request, whose
-    /// response has `connection: close`.
+    /// Stops accepting connections, after those in the listen queue, and closes idle ones. Each other one is closed
+    /// after its current request, whose response has `connection: close`; a request that has begun to arrive counts,
+    /// and a connection that has had none yet gets a moment to send one.
     void beginDrain();
 
     /// The bound port. Precondition: listen() has succeeded.
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -229,6 +229,8 @@
         setFailoverHook(exchange, choice, *connection);
     }
     exchange.splitter.beginRun();
+    // Bytes that complete no event are no progress: a server may stall and still send one now and then.
+    auto progressAt = Clock::now();
     for (;;) {
         const auto timeout = exchange.answerReadTimeout(Clock::now());
         if (!timeout) {
@@ -237,7 +239,9 @@
         }
         auto readTimeout = *timeout;
         if (canFailOver && route.eventGapGoal > milliseconds(0)) {
-            readTimeout = std::min(readTimeout, exchange.streamStarted ? route.eventGapGoal * 2 : route.goal * 3 / 2);
+            const auto maxSilence = exchange.streamStarted ? route.eventGapGoal * 2 : route.goal * 3 / 2;
+            const auto left = duration_cast<milliseconds>(progressAt + maxSilence - Clock::now());
+            readTimeout = std::min(readTimeout, std::max(left, milliseconds(1)));
         }
         auto piece = co_await connection->readPiece(readTimeout);
         if (exchange.watched.isCallerGone()) {
@@ -270,7 +274,7 @@
             continue;
         }
         ++exchange.eventCount;
-        exchange.lastProgressAt = Clock::now();
+        progressAt = exchange.lastProgressAt = Clock::now();
         if (!exchange.streamStarted) {
             exchange.streamStarted = true;
             exchange.firstEventAt = exchange.lastProgressAt;
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -18,6 +18,7 @@
 #include <fmt/format.h>
 #include <iterator>
 #include <set>
+#include <utility>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -28,6 +29,10 @@
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
+/// How long a connection that has sent nothing yet when the server begins to drain may take to begin its request. Its
+/// caller has just opened it for one.
+static constexpr milliseconds FirstRequestDrainTime{500};
+
 class ServerConnection;
 
 struct HttpServer::Impl
@@ -40,6 +45,11 @@
     {
     }
 
+    /// Starts the task of an accepted connection.
+    void startConnection(tcp::socket socket);
+    /// Accepts the connections in the listen queue without waiting.
+    void acceptQueued();
+
     Supervisor &connections;
     HttpLimits limits;
     Handler handler;
@@ -96,7 +106,9 @@
     ServerConnection &operator=(const ServerConnection &) = delete;
 
     asio::awaitable<void> run();
-    void closeIfIdle();
+    /// Closes the connection unless a request is in progress or has begun to arrive. A connection on which no request
+    /// was answered yet stays open unless `includeNew` is set.
+    void closeIfIdle(bool includeNew);
 
     asio::awaitable<Result<void, HttpError>> send(HttpResponse response) override;
     asio::awaitable<Result<void, HttpError>> beginStream(HttpResponse head) override;
@@ -132,16 +144,21 @@
     /// Whether the head of the last response had `connection: close`.
     mutable bool m_closeSent = false;
     bool m_busy = false;
+    /// Whether bytes of a request have been read that is not answered yet.
+    bool m_requestBegun = false;
+    bool m_isNew = true;
 };
 
 asio::awaitable<void> ServerConnection::run()
 {
-    while (m_keepAlive && !m_closeSent && !m_server.draining) {
+    while (m_keepAlive && !m_closeSent && (!m_server.draining || m_isNew)) {
         HttpRequest request;
         if (!co_await readRequest(request)) {
             break;
         }
         const BusyGuard guard(m_server.busy, m_busy);
+        m_isNew = false;
+        m_requestBegun = false;
         co_await answer(request);
     }
     beast::error_code ignored;
@@ -166,6 +183,7 @@
         }
         m_buffer.commit(count);
     }
+    m_requestBegun = true;
     m_socket.expireAfter(m_server.limits.headerTimeout);
     auto [error, headerBytes] = co_await http::async_read_header(m_socket.socket(), m_buffer, parser, UseTuple);
     if (!error) {
@@ -307,11 +325,39 @@
     return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-void ServerConnection::closeIfIdle()
+void ServerConnection::closeIfIdle(bool includeNew)
 {
-    if (!m_busy) {
-        beast::error_code ignored;
-        m_socket.socket().cancel(ignored);
+    char byte = 0;
+    const bool requestArrived = ::recv(m_socket.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    if (m_busy || m_requestBegun || requestArrived || (m_isNew && !includeNew)) {
+        return;
+    }
+    beast::error_code ignored;
+    m_socket.socket().cancel(ignored);
+}
+
+void HttpServer::Impl::startConnection(tcp::socket socket)
+{
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    const auto number = ++accepted;
+    connections.startTemporary(fmt::format("connection-{}", number), [this, shared, number]() -> asio::awaitable<void> {
+        ServerConnection connection(*this, std::move(*shared), number);
+        co_await connection.run();
+    });
+}
+
+void HttpServer::Impl::acceptQueued()
+{
+    beast::error_code error;
+    acceptor.non_blocking(true, error);
+    for (auto count = open.size(); !error && count < limits.maxConnections; ++count) {
+        tcp::socket socket(connections.executor());
+        acceptor.accept(socket, error);
+        if (!error) {
+            startConnection(std::move(socket));
+        }
     }
 }
 
@@ -349,15 +395,7 @@
             co_await pause.async_wait(asio::use_awaitable);
             continue;
         }
-        beast::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        auto shared = std::make_shared<tcp::socket>(std::move(socket));
-        const auto number = ++impl.accepted;
-        impl.connections.startTemporary(fmt::format("connection-{}", number),
-                                        [&impl, shared, number]() -> asio::awaitable<void> {
-                                            ServerConnection connection(impl, std::move(*shared), number);
-                                            co_await connection.run();
-                                        });
+        impl.startConnection(std::move(socket));
     }
 }
 
@@ -373,12 +411,23 @@
 
 void HttpServer::beginDrain()
 {
-    m_impl->draining = true;
+    auto &impl = *m_impl;
+    if (std::exchange(impl.draining, true)) {
+        return;
+    }
+    impl.acceptQueued();
     beast::error_code ignored;
-    m_impl->acceptor.close(ignored);
-    for (auto *connection : m_impl->open) {
-        connection->closeIfIdle();
+    impl.acceptor.close(ignored);
+    for (auto *connection : impl.open) {
+        connection->closeIfIdle(false);
     }
+    impl.connections.startTemporary("drain", [&impl]() -> asio::awaitable<void> {
+        Timer timer(impl.connections.executor(), FirstRequestDrainTime);
+        co_await timer.async_wait(asio::use_awaitable);
+        for (auto *connection : impl.open) {
+            connection->closeIfIdle(true);
+        }
+    });
 }
 
 std::uint16_t HttpServer::port() const
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -4,6 +4,7 @@
 #include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Supervision/Supervisor.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <array>
 #include <boost/asio/as_tuple.hpp>
@@ -137,3 +138,80 @@
         asio::detached);
     io.run();
 }
+
+/// Sends the bytes without waiting, so that no other task of the thread runs before.
+static asio::ip::tcp::socket connectAndSend(const asio::any_io_executor &executor, std::uint16_t port,
+                                            std::string_view bytes)
+{
+    asio::ip::tcp::socket socket(executor);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    if (!bytes.empty()) {
+        asio::write(socket, asio::buffer(bytes));
+    }
+    return socket;
+}
+
+static asio::awaitable<std::string> readToEnd(asio::ip::tcp::socket &socket)
+{
+    std::string all;
+    std::array<char, 1024> buffer{};
+    for (;;) {
+        const auto [error, count]
+            = co_await socket.async_read_some(asio::buffer(buffer), asio::as_tuple(asio::use_awaitable));
+        if (error) {
+            co_return all + (error == asio::error::eof ? "" : "(" + error.message() + ")");
+        }
+        all.append(buffer.data(), count);
+    }
+}
+
+// Guards against a planned stop that cuts off requests without an answer: those in the listen queue, those whose head
+// has begun, and those of connections that were opened just before.
+TEST_CASE("requests that have just arrived when the server begins to drain are answered")
+{
+    asio::io_context io;
+    Supervisor supervisor(io.get_executor(), "test");
+    HttpServer server(supervisor, {}, streamThreePieces);
+    REQUIRE(server.listen({"127.0.0.1", 0}).has_value());
+    supervisor.start("accept", [&server] { return server.run(); });
+    const auto client = [&]() -> asio::awaitable<void> {
+        constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        const auto port = server.port();
+        const auto executor = io.get_executor();
+        auto pause = [&](milliseconds time) -> asio::awaitable<void> {
+            Timer timer(io, time);
+            co_await timer.async_wait(asio::use_awaitable);
+        };
+        auto begun = connectAndSend(executor, port, Request.substr(0, 10));
+        auto opened = connectAndSend(executor, port, "");
+        auto silent = connectAndSend(executor, port, "");
+        Endpoint endpoint{"127.0.0.1", port};
+        auto idle = co_await HttpConnection::connect(std::move(endpoint), seconds(5));
+        REQUIRE(idle.has_value());
+        HttpRequest first;
+        const auto firstAnswer = co_await idle.value()->exchange(std::move(first), seconds(5));
+        REQUIRE(firstAnswer.has_value());
+        REQUIRE(server.acceptedConnections() == 4);
+        auto arrived = connectAndSend(executor, port, "");
+        co_await pause(milliseconds(20));
+        asio::write(arrived, asio::buffer(Request));
+        auto queued = connectAndSend(executor, port, Request);
+        auto queuedEmpty = connectAndSend(executor, port, "");
+        server.beginDrain();
+        co_await pause(milliseconds(20));
+        asio::write(begun, asio::buffer(Request.substr(10)));
+        asio::write(opened, asio::buffer(Request));
+        asio::write(queuedEmpty, asio::buffer(Request));
+        CHECK(idle.value()->peerClosed());
+        for (auto *socket : {&begun, &opened, &arrived, &queued, &queuedEmpty}) {
+            const auto answer = co_await readToEnd(*socket);
+            CAPTURE(answer);
+            CHECK(answer.starts_with("HTTP/1.1 200"));
+            CHECK(answer.find("connection: close") != std::string::npos);
+            CHECK(answer.ends_with("0\r\n\r\n"));
+        }
+        const auto silentAnswer = co_await readToEnd(silent);
+        CHECK(silentAnswer == "");
+    };
+    test::runThenStop(io, client, [&] { return supervisor.stop(); });
+}
--- a/unittests/Platform/ServerAnswerTest.cpp
+++ b/unittests/Platform/ServerAnswerTest.cpp
@@ -266,3 +266,35 @@
         CHECK(starts == 2);
     });
 }
+
+// Guards against a stalled stream that is held until its deadline because its server sends a byte now and then.
+TEST_CASE("a stream whose server sends bytes but completes no event goes on at another server")
+{
+    Deployment deployment;
+    int stalls = 0;
+    StandInServer::Behaviour sendsBytes
+        = [&](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        if (request.headers.find("Tamarackcove-Attempt-Id") != "stalls" || request.headers.find("Last-Event-Id")) {
+            co_await sendEvents(request, responder, 3, 3);
+            co_return;
+        }
+        ++stalls;
+        auto head = sealedResponse(request, 200);
+        head.headers.set("Content-Type", "text/event-stream");
+        (void)co_await responder.beginStream(std::move(head));
+        auto written = co_await responder.writePiece("id: 1\ndata: x\n\nid: 2\ndata: ");
+        for (int i = 0; written.has_value() && i < 60; ++i) {
+            co_await deployment.sleepFor(milliseconds(100));
+            written = co_await responder.writePiece("x");
+        }
+    };
+    deployment.addServer("p1", "plain", answerInFull);
+    deployment.addServer("s1", "engines", sendsBytes);
+    deployment.addServer("s2", "engines", sendsBytes);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto response = co_await deployment.call("POST", "/stream/x", "stalls");
+        CHECK(response.status == 200);
+        CHECK(response.body == "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+        CHECK(stalls == 1);
+    });
+}
