--- a/include/tamarackcove/Gateway/EventStreamSplitter.h
+++ b/include/tamarackcove/Gateway/EventStreamSplitter.h
@@ -23,7 +23,7 @@
     void beginRun();
     /// Whether the present server has sent an event that is not after those of the servers before it, by its id.
     [[nodiscard]] bool repeatsEvents() const;
-    /// The id of the last whole event.
+    /// The id of the last whole event, apart from events that are not to be passed on because repeatsEvents() is true.
     [[nodiscard]] const std::optional<std::string> &lastId() const;
 
 private:
--- a/lib/Control/Fleet/OrderDispatcher.cpp
+++ b/lib/Control/Fleet/OrderDispatcher.cpp
@@ -210,15 +210,21 @@
 
 void OrderDispatcher::applyStatements(Target &target, const HttpResponse &response)
 {
+    // What an earlier start of the server has stated does not hold for the present one.
+    if (target.stopped) {
+        return;
+    }
     if (const auto pause = m_dialect.retryAfter(response)) {
         target.pausedUntil = Clock::now() + std::min(*pause, MaxPause);
+        // Adapters that requests wait for meanwhile are loaded on other servers.
+        m_planner.markUnreachable(target.server.identity.id, target.pausedUntil);
         LogLine(LogLevel::Info, "server_paused")
             .add("server", target.server.identity.id.value())
             .add("asked_ms", *pause)
             .add("status", response.status);
     }
     constexpr int WrongServerStatus = 421;
-    if (!target.stopped && response.status != WrongServerStatus && m_dialect.saysLeaving(response)) {
+    if (response.status != WrongServerStatus && m_dialect.saysLeaving(response)) {
         m_hooks.onLeaving(ServerIdentity(target.server.identity));
     }
 }
--- a/lib/Gateway/EventStreamSplitter.cpp
+++ b/lib/Gateway/EventStreamSplitter.cpp
@@ -86,6 +86,9 @@
         if (m_resumedAfter && !isAfter(line, *std::exchange(m_resumedAfter, std::nullopt))) {
             m_repeatsEvents = true;
         }
+        if (m_repeatsEvents) {
+            continue;
+        }
         m_lastId = std::string(line);
     }
 }
--- a/unittests/Gateway/EventStreamSplitterTest.cpp
+++ b/unittests/Gateway/EventStreamSplitterTest.cpp
@@ -45,6 +45,8 @@
     restarted.beginRun();
     (void)restarted.consume("id: 10\ndata: b\n\n");
     restarted.beginRun();
-    (void)restarted.consume("id: 9\ndata: a\n\n");
+    (void)restarted.consume("id: 9\ndata: a\n\nid: 11\ndata: c\n\n");
     CHECK(restarted.repeatsEvents());
+    // The next server goes on after the last event that was passed on.
+    CHECK(restarted.lastId() == "10");
 }
