Store loads: the window shrinks to what a small store serves, by how late loads are

The window of loads from the store started at 1.5 a server and could not shrink below 0.85 of that, from the first two sites.

Now the floor is 0.4 of the start, and a late load shrinks the window by the ratio that its delay shows.

Test: StoreLoadWindowTest, red before for 8 loads and 12 servers, and 12 loads and 18 servers.

--- a/include/tamarackcove/Fleet/StoreLoadWindow.h
+++ b/include/tamarackcove/Fleet/StoreLoadWindow.h
@@ -18,12 +18,14 @@
     struct Options
     {
         /// Initial window per server: number of adapter loads from the store in progress at the same time. Stores serve
-        /// between 1.3 and 1.8 loads for each server at full speed.
+        /// between 0.7 and 1.8 loads for each server at full speed.
         double loadsPerServer = 1.5;
         /// Lower bound of the window, as a share of the initial window.
-        double minShare = 0.85;
+        double minShare = 0.4;
         /// Upper bound of the window, as a share of the initial window.
         double maxShare = 1.4;
+        /// Time of a load at full speed.
+        milliseconds loadTime{255};
         /// A load counts as late when a request finds it in progress at least this long after its expected end. Shorter
         /// delays are within the variation of load times between deployments.
         milliseconds lateTolerance{60};
--- a/lib/Fleet/StoreLoadWindow.cpp
+++ b/lib/Fleet/StoreLoadWindow.cpp
@@ -7,8 +7,9 @@
 /// While fewer adapter loads than this share of the window are in progress, a late load has another cause than
 /// congestion of the store, and a load on time does not show that the window could be larger.
 static constexpr double MinCongestedShare = 0.7;
-/// The window is multiplied by this when a load is late.
-static constexpr double WindowDecreaseFactor = 0.85;
+/// The window is multiplied by a factor between these when a load is late.
+static constexpr double MinDecreaseFactor = 0.6;
+static constexpr double MaxDecreaseFactor = 0.85;
 
 StoreLoadWindow::StoreLoadWindow(Options options)
     : m_options(options)
@@ -49,7 +50,10 @@
         return;
     }
     m_lastDecreaseAt = now;
-    m_window = std::max(m_options.minShare * m_initialWindow, m_window * WindowDecreaseFactor);
+    // Loads beyond full speed take longer in proportion to their number.
+    const std::chrono::duration<double> fullSpeedTime = m_options.loadTime;
+    const auto factor = std::clamp(fullSpeedTime / (fullSpeedTime + overdue), MinDecreaseFactor, MaxDecreaseFactor);
+    m_window = std::max(m_options.minShare * m_initialWindow, m_window * factor);
 }
 
 } // namespace tamarackcove
--- a/unittests/Fleet/StoreLoadWindowTest.cpp
+++ b/unittests/Fleet/StoreLoadWindowTest.cpp
@@ -87,6 +87,34 @@
     }
 }
 
+// Guards against a store that has fewer loads at full speed for each server than the window assumes: all its loads then
+// end late, requests find their adapters still loading, and servers refuse orders because too many loads are in
+// progress.
+TEST_CASE("the window shrinks to what a store serves that is small for its servers")
+{
+    struct Deployment
+    {
+        std::size_t servers = 0;
+        std::size_t fullSpeed = 0;
+        milliseconds loadTime{0};
+    };
+    for (const auto &deployment : {Deployment{12, 8, milliseconds(250)}, Deployment{60, 64, milliseconds(288)},
+                                   Deployment{74, 72, milliseconds(250)}, Deployment{18, 12, milliseconds(250)}}) {
+        CAPTURE(deployment.servers);
+        StoreLoadWindow loads({});
+        loads.setServers(deployment.servers);
+        SimulatedStore store(deployment.fullSpeed, deployment.loadTime);
+        (void)store.runSaturated(loads, seconds(6));
+        // With half as many loads again as the store serves at full speed, they end late by twice the tolerance.
+        CHECK(loads.window() <= 1.5 * static_cast<double>(deployment.fullSpeed));
+        const int ended = store.runSaturated(loads, seconds(10));
+        const auto perSecond = static_cast<double>(deployment.fullSpeed)
+            * std::chrono::duration<double>(seconds(1)).count()
+            / std::chrono::duration<double>(deployment.loadTime).count();
+        CHECK(ended >= 0.85 * 10 * perSecond);
+    }
+}
+
 TEST_CASE("the window does not shrink when all loads of a store are slightly slower than assumed")
 {
     StoreLoadWindow loads({});
