--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -171,6 +171,13 @@
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 
+    /// Stops the control host, so that the entry has no leader and keeps what it knows.
+    boost::asio::awaitable<void> stopControl()
+    {
+        m_controlStopped = true;
+        return m_control->shutDown();
+    }
+
     /// The metrics of the entry and of the control host.
     boost::asio::awaitable<std::pair<std::string, std::string>> metrics()
     {
@@ -288,7 +295,9 @@
         }
         co_await body();
         co_await m_entry->shutDown();
-        co_await m_control->shutDown();
+        if (!m_controlStopped) {
+            co_await m_control->shutDown();
+        }
         for (const auto &member : m_servers) {
             co_await member.server->stop();
         }
@@ -300,6 +309,7 @@
     std::vector<std::pair<std::string, nlohmann::json>> m_externalServers;
     std::unique_ptr<FleetNode> m_control;
     std::unique_ptr<GatewayNode> m_entry;
+    bool m_controlStopped = false;
 };
 
 inline boost::asio::awaitable<void> answerInFull(const HttpRequest &request, HttpResponder &responder)
