Entry: leave a silent server only once another one has taken the request over

Cause: the entry closed the connection to a server that had been silent for twice the longest pause of its route as soon as another one seemed able to take the request over, before that one had accepted it. When the other server refused the request or could not be reached, there was no way back. Without a connected leader no further adapter load can be ordered, so the request waited for 400 ms and was cut. Class: giving up what works before its replacement is certain.

Change: the attempt at the silent server stays open (Exchange::silentAttempt) until another server has sent the head of its answer. If that one refuses, breaks off or cannot be reached, the entry reads on from the silent server, and asks the next one 300 ms later at the earliest. A read of HttpConnection that has timed out may be repeated for that. What was granted from the retry budget for an attempt that is not made is kept for the next one.

--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include "tamarackcove/Fleet/ServerDirectory.h"
 #include "tamarackcove/Gateway/CallerDialect.h"
+#include "tamarackcove/Http/HttpError.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -41,6 +42,7 @@
     boost::asio::awaitable<void> serve(const HttpRequest &request, HttpResponder &responder);
 
 private:
+    struct Attempt;
     struct Exchange;
     /// Result of one attempt to send a request to a server.
     enum class Step {
@@ -50,23 +52,32 @@
         NotRun,
         /// The request may have run at this server; maySendAgain() decides whether another server is tried.
         MayHaveRun,
+        /// The server has fallen silent, and the attempt is kept open in Exchange::silentAttempt while another server
+        /// is asked to take the request over.
+        Silent,
+        /// No server can be tried.
+        NoServer,
     };
 
     boost::asio::awaitable<void> awaitConfiguration(Exchange &exchange);
     /// Sends the request to one server after the other until it is answered or may not be sent again.
     boost::asio::awaitable<void> tryServers(Exchange &exchange);
+    boost::asio::awaitable<Step> tryNextServer(Exchange &exchange);
     /// Waits for a server that can run the request now. Returns nothing if no server can before the wait limit or the
-    /// deadline of the request, or if the caller has disconnected.
+    /// deadline of the request, or if the caller has disconnected. Does not wait while a silent attempt is open.
     boost::asio::awaitable<std::optional<ServerDirectory::Choice>> awaitServer(Exchange &exchange);
+    /// Sends the request to a server.
     boost::asio::awaitable<Step> attempt(Exchange &exchange, ServerDirectory::Choice choice);
-    boost::asio::awaitable<Step> relayAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                             std::unique_ptr<HttpConnection> connection, HttpResponse head);
-    boost::asio::awaitable<Step> relayCompleteAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                                     std::unique_ptr<HttpConnection> connection, HttpResponse head);
-    boost::asio::awaitable<Step> relayStream(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                             std::unique_ptr<HttpConnection> connection, HttpResponse head);
-    boost::asio::awaitable<Step> handleNotRun(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                              std::unique_ptr<HttpConnection> connection, const ServerAnswer &answer);
+    boost::asio::awaitable<Step> awaitAnswer(Exchange &exchange, std::unique_ptr<Attempt> attempt);
+    boost::asio::awaitable<Result<HttpResponse, HttpError>> awaitHead(Exchange &exchange, Attempt &attempt);
+    boost::asio::awaitable<Step> relayAnswer(Exchange &exchange, std::unique_ptr<Attempt> attempt, HttpResponse head);
+    boost::asio::awaitable<Step> relayCompleteAnswer(Exchange &exchange, std::unique_ptr<Attempt> attempt,
+                                                     HttpResponse head);
+    boost::asio::awaitable<Step> relayStream(Exchange &exchange, std::unique_ptr<Attempt> attempt);
+    /// Reads on from the silent server, after no other one has taken the request over.
+    boost::asio::awaitable<Step> returnToSilentServer(Exchange &exchange);
+    boost::asio::awaitable<Step> handleNotRun(Exchange &exchange, std::unique_ptr<Attempt> attempt,
+                                              ServerAnswer answer);
     /// Reads the rest of a refusal, so that the connection can be reused, within limits on its bytes and its time.
     boost::asio::awaitable<void> readRefusalBody(const Exchange &exchange, const ServerDirectory::Choice &choice,
                                                  HttpConnection &connection);
@@ -85,9 +96,17 @@
     [[nodiscard]] bool maySendAgain(const Exchange &exchange) const;
     /// Takes a retry from the budget for the next attempt, unless one was taken already. Returns false if none is left.
     [[nodiscard]] bool takeRetry(Exchange &exchange);
-    /// Lets reads from the server go on beyond their timeout until the request can go on at another server at once, or
-    /// until the deadline of the request: an answer is not given up for an attempt that cannot be made.
-    void setFailoverHook(Exchange &exchange, const ServerDirectory::Choice &choice, HttpConnection &connection);
+    /// Whether another server may be asked to take over a request that has one open attempt.
+    [[nodiscard]] bool mayBeTakenOver(const Exchange &exchange) const;
+    /// Lets reads from the server go on beyond their timeout until another server can be asked to take the request
+    /// over, or until the deadline of the request.
+    void setTakeoverHook(Exchange &exchange, const Attempt &attempt);
+    /// Whether a read has timed out because another server is to be asked to take the request over.
+    [[nodiscard]] bool takeoverDue(const Exchange &exchange, const HttpError &error) const;
+    /// Keeps the attempt at a silent server open while another one is asked.
+    [[nodiscard]] Step keepSilentAttempt(Exchange &exchange, std::unique_ptr<Attempt> attempt);
+    /// Gives up the attempt at the silent server, if there is one.
+    void endSilentAttempt(Exchange &exchange, std::string_view reason);
     void logRouted(const Exchange &exchange) const;
     void logAdapterWait(const Exchange &exchange, Duration waited, std::string_view result) const;
     void logSent(const Exchange &exchange, const ServerDirectory::Choice &choice, milliseconds timeLeft) const;
--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -44,13 +44,14 @@
     [[nodiscard]] std::size_t requestBytesWritten() const;
 
     /// Reads the head of the response and skips the interim responses before it. The timeout applies to all of them
-    /// together. Fails with TooLarge if the head or the number of interim responses exceeds its limit.
-    /// Precondition: writeRequest() has succeeded.
+    /// together. Fails with TooLarge if the head or the number of interim responses exceeds its limit. After TimedOut it
+    /// may be called again. Precondition: writeRequest() has succeeded.
     boost::asio::awaitable<Result<HttpResponse, HttpError>> readHead(milliseconds timeout);
 
     /// Reads the part of the body that has arrived, and returns nothing at the end of the body. A connection that is
     /// closed before the end of the body gives an error, as does chunk framing over its limit (TooLarge). The body has
-    /// no limit: the caller counts the bytes and the time of all pieces. Precondition: readHead() has succeeded.
+    /// no limit: the caller counts the bytes and the time of all pieces. After TimedOut it may be called again.
+    /// Precondition: readHead() has succeeded.
     boost::asio::awaitable<Result<std::optional<std::string>, HttpError>> readPiece(milliseconds timeout);
 
     /// Sets a hook that is called when a read has reached its timeout. It returns for how much longer the read waits;
@@ -71,6 +72,8 @@
     /// When the last read of a response head or body ended, or, before the first read, when the connection was opened.
     /// The peer of a connection without traffic for a long time may be gone without a notification by the kernel.
     [[nodiscard]] TimePoint lastReadAt() const;
+    /// Whether bytes of the response have arrived that no read has returned. Does not wait.
+    [[nodiscard]] bool hasUnreadBytes() const;
     /// Whether the peer has closed its side or sent unsolicited bytes. Does not wait.
     /// Precondition: no exchange is in progress.
     [[nodiscard]] bool peerClosed() const;
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -28,26 +28,30 @@
 /// Reason of an answer that is given up although its bytes still arrive.
 static constexpr std::string_view NotEnded = "the answer has not ended at the deadline of the request";
 
-asio::awaitable<RequestRelay::Step> RequestRelay::relayAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                                              std::unique_ptr<HttpConnection> connection,
+asio::awaitable<RequestRelay::Step> RequestRelay::relayAnswer(Exchange &exchange, std::unique_ptr<Attempt> attempt,
                                                               HttpResponse head)
 {
-    const auto answer = m_parts.dialect.readAnswer(exchange.caller, head);
+    auto answer = m_parts.dialect.readAnswer(exchange.caller, head);
+    const auto &choice = attempt->choice;
     applyServerStatements(exchange, choice, answer);
     if (answer.notRun) {
-        co_return co_await handleNotRun(exchange, choice, std::move(connection), answer);
+        co_return co_await handleNotRun(exchange, std::move(attempt), std::move(answer));
     }
     if (!answer.authentic) {
         co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken,
                                    "the answer does not belong to this request");
     }
     if (answer.eventStream && head.status == 200) {
-        co_return co_await relayStream(exchange, choice, std::move(connection), std::move(head));
+        endSilentAttempt(exchange, "another server has taken the request over");
+        exchange.splitter.beginRun();
+        attempt->streamHead = std::move(head);
+        attempt->progressAt = Clock::now();
+        co_return co_await relayStream(exchange, std::move(attempt));
     }
     if (exchange.streamStarted) {
         co_return recordLostAnswer(exchange, choice, ServerOutcome::Failed, "the server did not resume the stream");
     }
-    co_return co_await relayCompleteAnswer(exchange, choice, std::move(connection), std::move(head));
+    co_return co_await relayCompleteAnswer(exchange, std::move(attempt), std::move(head));
 }
 
 static bool answeredByOtherServer(const ServerDirectory::Choice &choice, const ServerAnswer &answer)
@@ -82,11 +86,10 @@
     }
 }
 
-asio::awaitable<RequestRelay::Step> RequestRelay::handleNotRun(Exchange &exchange,
-                                                               const ServerDirectory::Choice &choice,
-                                                               std::unique_ptr<HttpConnection> connection,
-                                                               const ServerAnswer &answer)
+asio::awaitable<RequestRelay::Step> RequestRelay::handleNotRun(Exchange &exchange, std::unique_ptr<Attempt> attempt,
+                                                               ServerAnswer answer)
 {
+    const auto &choice = attempt->choice;
     const auto now = Clock::now();
     auto &servers = m_parts.view.servers();
     const auto &adapter = exchange.caller.adapter;
@@ -124,12 +127,12 @@
         .add("version", choice.version)
         .add("reason", reason)
         .add("sent", exchange.sendCount);
-    co_await readRefusalBody(exchange, choice, *connection);
+    co_await readRefusalBody(exchange, choice, *attempt->connection);
     exchange.watched.connection = nullptr;
     if (exchange.excludedServers.contains(choice.server.id)) {
-        m_parts.connections.release(choice.server, std::move(connection));
+        m_parts.connections.release(choice.server, std::move(attempt->connection));
     } else {
-        exchange.refusedConnections.emplace_back(choice.server, std::move(connection));
+        exchange.refusedConnections.emplace_back(choice.server, std::move(attempt->connection));
     }
     co_return Step::NotRun;
 }
@@ -165,11 +168,10 @@
         .add("reason", reason);
 }
 
-asio::awaitable<RequestRelay::Step> RequestRelay::relayCompleteAnswer(Exchange &exchange,
-                                                                      const ServerDirectory::Choice &choice,
-                                                                      std::unique_ptr<HttpConnection> connection,
-                                                                      HttpResponse head)
+asio::awaitable<RequestRelay::Step>
+RequestRelay::relayCompleteAnswer(Exchange &exchange, std::unique_ptr<Attempt> attempt, HttpResponse head)
 {
+    const auto &choice = attempt->choice;
     auto &servers = m_parts.view.servers();
     auto buffer = std::make_unique<AnswerBuffer>(m_bufferedBytes);
     for (;;) {
@@ -177,7 +179,7 @@
         if (!timeout) {
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, NotEnded);
         }
-        const auto piece = co_await connection->readPiece(*timeout);
+        const auto piece = co_await attempt->connection->readPiece(*timeout);
         if (piece.has_error()) {
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, piece.error().detail);
         }
@@ -193,7 +195,7 @@
         head.body += *piece.value();
     }
     exchange.watched.connection = nullptr;
-    m_parts.connections.release(choice.server, std::move(connection));
+    m_parts.connections.release(choice.server, std::move(attempt->connection));
     const bool failed = head.status >= 500;
     servers.endRequest(choice.server.id, exchange.weight, failed ? ServerOutcome::Failed : ServerOutcome::Served,
                        Clock::now());
@@ -206,7 +208,7 @@
             .add("status", head.status)
             .add("sent", exchange.sendCount);
     }
-    if (failed && maySendAgain(exchange)) {
+    if (failed && (exchange.silentAttempt || maySendAgain(exchange))) {
         exchange.excludedServers.insert(choice.server.id);
         exchange.failureResponse = std::move(head);
         exchange.failureBuffer = std::move(buffer);
@@ -218,19 +220,19 @@
     co_return Step::Finished;
 }
 
-asio::awaitable<RequestRelay::Step> RequestRelay::relayStream(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                                              std::unique_ptr<HttpConnection> connection,
-                                                              HttpResponse head)
+asio::awaitable<RequestRelay::Step> RequestRelay::relayStream(Exchange &exchange, std::unique_ptr<Attempt> attempt)
 {
+    const auto &choice = attempt->choice;
+    auto &connection = *attempt->connection;
+    exchange.watched.connection = &connection;
     auto &servers = m_parts.view.servers();
     const auto &route = *exchange.route;
-    const bool canFailOver = route.repeatable() && exchange.possibleRuns + 1 < route.maxServers;
-    if (canFailOver) {
-        setFailoverHook(exchange, choice, *connection);
+    const bool canBeTakenOver = mayBeTakenOver(exchange);
+    if (canBeTakenOver) {
+        setTakeoverHook(exchange, *attempt);
+    } else {
+        connection.setSilenceHook({});
     }
-    exchange.splitter.beginRun();
-    // Bytes that complete no event are no progress: a server may stall and still send one now and then.
-    auto progressAt = Clock::now();
     for (;;) {
         const auto timeout = exchange.answerReadTimeout(Clock::now());
         if (!timeout) {
@@ -238,16 +240,21 @@
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, NotEnded);
         }
         auto readTimeout = *timeout;
-        if (canFailOver && route.eventGapGoal > milliseconds(0)) {
+        if (canBeTakenOver && route.eventGapGoal > milliseconds(0)) {
             const auto maxSilence = exchange.streamStarted ? route.eventGapGoal * 2 : route.goal * 3 / 2;
-            const auto left = duration_cast<milliseconds>(progressAt + maxSilence - Clock::now());
+            // Bytes that complete no event are no progress: a server may stall and still send one now and then.
+            const auto left = duration_cast<milliseconds>(attempt->progressAt + maxSilence - Clock::now());
             readTimeout = std::min(readTimeout, std::max(left, milliseconds(1)));
         }
-        auto piece = co_await connection->readPiece(readTimeout);
+        auto piece = co_await connection.readPiece(readTimeout);
         if (exchange.watched.isCallerGone()) {
             servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
             co_return Step::Finished;
         }
+        if (piece.has_error() && takeoverDue(exchange, piece.error())) {
+            exchange.watched.connection = nullptr;
+            co_return keepSilentAttempt(exchange, std::move(attempt));
+        }
         if (piece.has_error()) {
             exchange.splitter.discardIncompleteEvent();
             const bool timedOut = piece.error().code == HttpErrorCode::TimedOut;
@@ -274,11 +281,11 @@
             continue;
         }
         ++exchange.eventCount;
-        progressAt = exchange.lastProgressAt = Clock::now();
+        attempt->progressAt = exchange.lastProgressAt = Clock::now();
         if (!exchange.streamStarted) {
             exchange.streamStarted = true;
             exchange.firstEventAt = exchange.lastProgressAt;
-            const auto started = co_await exchange.responder.beginStream(head);
+            const auto started = co_await exchange.responder.beginStream(*attempt->streamHead);
             if (started.has_error()) {
                 servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
                 co_return Step::Finished;
@@ -296,8 +303,8 @@
         }
     }
     exchange.watched.connection = nullptr;
-    connection->setSilenceHook({});
-    m_parts.connections.release(choice.server, std::move(connection));
+    connection.setSilenceHook({});
+    m_parts.connections.release(choice.server, std::move(attempt->connection));
     servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Served, Clock::now());
     exchange.outcome = RequestOutcome::Answered;
     (void)co_await exchange.responder.endStream();
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdapterUse.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Gateway/AnswerBuffer.h"
 #include "tamarackcove/Gateway/EventStreamSplitter.h"
@@ -29,6 +30,27 @@
     CallerGone,
 };
 
+/// One attempt of a request at a server, from the moment at which it is sent until its answer has ended or is given up.
+///
+/// Thread safety: used by the coroutine of its request.
+struct RequestRelay::Attempt
+{
+    Attempt(ServerDirectory::Choice chosen, std::unique_ptr<HttpConnection> openConnection)
+        : choice(std::move(chosen))
+        , connection(std::move(openConnection))
+    {
+    }
+
+    ServerDirectory::Choice choice;
+    std::unique_ptr<HttpConnection> connection;
+    std::optional<AdapterUse> adapterUse;
+    TimePoint sentAt;
+    /// The head of the event stream that the server sends; absent until it has arrived.
+    std::optional<HttpResponse> streamHead;
+    /// When the head of the stream or the last whole event arrived.
+    TimePoint progressAt;
+};
+
 /// State of one request while it is served: its route, the servers that were tried, and the progress of its answer.
 ///
 /// Thread safety: used by the coroutine of its request.
@@ -41,6 +63,9 @@
     {
     }
 
+    /// The entry refuses a request after this many attempts in which no server ran it.
+    static constexpr int MaxRefusals = 6;
+
     const HttpRequest &request;
     HttpResponder &responder;
     CallerWatch::WatchedRequest watched;
@@ -55,8 +80,12 @@
     std::set<TargetId> excludedServers;
     /// How often the request was sent to a server.
     int sendCount = 0;
-    /// Number of servers at which the request may have run.
+    /// Number of servers at which the request may have run, apart from attempts that are still open.
     int possibleRuns = 0;
+    /// The attempt at a server that has fallen silent, kept open until another server has taken the request over.
+    std::unique_ptr<Attempt> silentAttempt;
+    /// When the next server may be asked to take the request over.
+    TimePoint nextTakeoverAt;
     /// Whether a retry was already taken from the budget for the next attempt.
     bool retryGranted = false;
     /// Number of attempts that ended without the request having run.
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -31,12 +31,8 @@
 /// restarted. A request that is refused before the configuration has arrived is lost for most callers, and the goals of
 /// routes allow for the wait.
 static constexpr milliseconds MaxConfigurationWait{600};
-/// Interval between two checks whether the request of a silent server can go on at another one.
-static constexpr milliseconds SilenceRecheckInterval{50};
 static constexpr milliseconds WriteTimeout{1000};
 static constexpr milliseconds RefusalRetryAfter{300};
-/// The entry refuses a request after this many attempts in which no server ran it.
-static constexpr int MaxRefusals = 6;
 /// One in this many requests has all its steps logged. Logging all requests would write several MB/s at the planned
 /// size.
 static constexpr std::uint64_t SampleInterval = 64;
@@ -86,6 +82,7 @@
     m_parts.view.retryBudget(exchange.service).noteRequest(exchange.arrivedAt);
     logRouted(exchange);
     co_await tryServers(exchange);
+    endSilentAttempt(exchange, "the request has ended");
     for (auto &[server, connection] : exchange.refusedConnections) {
         m_parts.connections.release(server, std::move(connection));
     }
@@ -104,35 +101,44 @@
 asio::awaitable<void> RequestRelay::tryServers(Exchange &exchange)
 {
     while (!exchange.watched.isCallerGone()) {
-        if (exchange.sendCount > 0 && !takeRetry(exchange)) {
-            exchange.failureDetail = "the retry budget is used up";
-            LogLine(LogLevel::Info, "retry_refused")
-                .add("request", exchange.caller.attemptId)
-                .add("service", exchange.service.value())
-                .add("sent", exchange.sendCount)
-                .add("budget_left", m_parts.view.retryBudget(exchange.service).remaining(Clock::now()))
-                .add("reason", exchange.failureDetail);
-            break;
-        }
-        exchange.retryGranted = false;
-        auto choice = co_await awaitServer(exchange);
-        if (!choice) {
-            break;
+        auto step = co_await tryNextServer(exchange);
+        if (exchange.silentAttempt && step != Step::Silent && step != Step::Finished) {
+            step = co_await returnToSilentServer(exchange);
         }
-        const auto step = co_await attempt(exchange, std::move(*choice));
         if (step == Step::Finished) {
             co_return;
         }
-        if (step == Step::MayHaveRun && !maySendAgain(exchange)) {
-            break;
-        }
-        if (step == Step::NotRun && ++exchange.serverRefusals >= MaxRefusals) {
+        if (step == Step::NoServer || (step == Step::MayHaveRun && !maySendAgain(exchange))
+            || (step == Step::NotRun && exchange.serverRefusals >= Exchange::MaxRefusals)) {
             break;
         }
     }
     co_await answerUnservedRequest(exchange);
 }
 
+asio::awaitable<RequestRelay::Step> RequestRelay::tryNextServer(Exchange &exchange)
+{
+    if (exchange.sendCount > 0 && !takeRetry(exchange)) {
+        exchange.failureDetail = "the retry budget is used up";
+        LogLine(LogLevel::Info, "retry_refused")
+            .add("request", exchange.caller.attemptId)
+            .add("service", exchange.service.value())
+            .add("sent", exchange.sendCount)
+            .add("budget_left", m_parts.view.retryBudget(exchange.service).remaining(Clock::now()))
+            .add("reason", exchange.failureDetail);
+        co_return Step::NoServer;
+    }
+    auto choice = co_await awaitServer(exchange);
+    if (!choice) {
+        co_return Step::NoServer;
+    }
+    const auto step = co_await attempt(exchange, std::move(*choice));
+    if (step == Step::NotRun) {
+        ++exchange.serverRefusals;
+    }
+    co_return step;
+}
+
 bool RequestRelay::takeRetry(Exchange &exchange)
 {
     if (exchange.retryGranted) {
@@ -145,32 +151,6 @@
     return granted;
 }
 
-void RequestRelay::setFailoverHook(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                   HttpConnection &connection)
-{
-    connection.setSilenceHook([this, &exchange, silent = choice.server.id] {
-        const auto now = Clock::now();
-        const auto left = exchange.remainingTime(now);
-        if (left <= AnswerMargin || exchange.watched.isCallerGone()) {
-            return milliseconds(0);
-        }
-        ServerDirectory::Requirements requirements{.service = exchange.service,
-                                                   .model = exchange.caller.model,
-                                                   .adapter = exchange.caller.adapter,
-                                                   .excluded = exchange.excludedServers};
-        requirements.excluded.insert(silent);
-        if (requirements.adapter) {
-            requirements.minVersion = m_parts.view.requiredVersion(*requirements.adapter, now);
-        }
-        const auto other = m_parts.view.servers().choose(requirements, now);
-        if (other && !other->avoided && other->readyAt <= now
-            && m_parts.view.retryBudget(exchange.service).remaining(now) >= 1 && takeRetry(exchange)) {
-            return milliseconds(0);
-        }
-        return std::min(left, SilenceRecheckInterval);
-    });
-}
-
 bool RequestRelay::maySendAgain(const Exchange &exchange) const
 {
     return exchange.route->repeatable() && exchange.possibleRuns < exchange.route->maxServers
@@ -184,6 +164,9 @@
                                                .model = exchange.caller.model,
                                                .adapter = exchange.caller.adapter,
                                                .excluded = exchange.excludedServers};
+    if (exchange.silentAttempt) {
+        requirements.excluded.insert(exchange.silentAttempt->choice.server.id);
+    }
     const auto startTime = Clock::now();
     const auto maxWaitDeadline = std::min(exchange.deadline - AnswerMargin, startTime + MaxAdapterWait);
     Timer timer(co_await asio::this_coro::executor);
@@ -224,6 +207,10 @@
             recordWait("no_server", now);
             co_return std::nullopt;
         }
+        if (exchange.silentAttempt) {
+            exchange.failureDetail = "no other server can take the request over";
+            co_return std::nullopt;
+        }
         if (!std::exchange(waited, true)) {
             m_parts.metrics.count(
                 Metrics::labelled("adapter_misses_total", {{"state", choice ? "loading" : "not_held"}}));
@@ -274,65 +261,58 @@
             dispatch.minVersion = required;
         }
     }
-    // Calls endUse() at the end of the attempt, also when the coroutine is destroyed while it waits.
-    struct UseGuard
-    {
-        FleetView &view;
-        const TargetId server;
-        const std::optional<AdapterKey> &adapter;
-        ~UseGuard()
-        {
-            if (adapter) {
-                view.endUse(server, *adapter);
-            }
-        }
-    };
+    auto attempt = std::make_unique<Attempt>(std::move(choice), std::move(connection));
+    attempt->sentAt = startTime;
     if (exchange.caller.adapter) {
-        m_parts.view.beginUse(choice.server.id, *exchange.caller.adapter);
+        attempt->adapterUse.emplace(m_parts.view, attempt->choice.server.id, *exchange.caller.adapter);
     }
-    const UseGuard useGuard{m_parts.view, choice.server.id, exchange.caller.adapter};
     if (exchange.streamStarted) {
         dispatch.lastEventId = exchange.splitter.lastId();
     }
     auto request = m_parts.dialect.serverRequest(exchange.request, dispatch);
     ++exchange.sendCount;
-    exchange.lastServer = choice.server.id;
-    logSent(exchange, choice, dispatch.timeLeft);
+    exchange.retryGranted = false;
+    exchange.lastServer = attempt->choice.server.id;
+    logSent(exchange, attempt->choice, dispatch.timeLeft);
     exchange.lastProgressAt = startTime;
-    servers.startRequest(choice.server.id, exchange.weight);
-    exchange.watched.connection = connection.get();
-    const auto written = co_await connection->writeRequest(std::move(request), WriteTimeout);
+    servers.startRequest(attempt->choice.server.id, exchange.weight);
+    exchange.watched.connection = attempt->connection.get();
+    const auto written = co_await attempt->connection->writeRequest(std::move(request), WriteTimeout);
     if (written.has_error()) {
         exchange.watched.connection = nullptr;
-        if (connection->requestBytesWritten() > 0) {
-            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, written.error().detail);
+        if (attempt->connection->requestBytesWritten() > 0) {
+            co_return recordLostAnswer(exchange, attempt->choice, ServerOutcome::Broken, written.error().detail);
         }
-        servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Broken, Clock::now());
-        exchange.excludedServers.insert(choice.server.id);
+        servers.endRequest(attempt->choice.server.id, exchange.weight, ServerOutcome::Broken, Clock::now());
+        exchange.excludedServers.insert(attempt->choice.server.id);
         co_return Step::NotRun;
     }
-    // Fails over from a server that sends no answer within 1.5 times (streams) or twice (other requests) the latency
-    // goal, while another one may still answer in time.
-    auto readTimeout = exchange.remainingTime(Clock::now());
-    const bool canFailOver = route.repeatable() && exchange.possibleRuns + 1 < route.maxServers;
-    if (canFailOver && route.goal > milliseconds(0)) {
-        setFailoverHook(exchange, choice, *connection);
-        readTimeout = std::min(readTimeout, route.kind == RequestKind::Stream ? route.goal * 3 / 2 : route.goal * 2);
-    }
-    const auto head = co_await connection->readHead(std::max(readTimeout, milliseconds(1)));
+    co_return co_await awaitAnswer(exchange, std::move(attempt));
+}
+
+asio::awaitable<RequestRelay::Step> RequestRelay::awaitAnswer(Exchange &exchange, std::unique_ptr<Attempt> attempt)
+{
+    const auto &choice = attempt->choice;
+    exchange.watched.connection = attempt->connection.get();
+    auto head = co_await awaitHead(exchange, *attempt);
     if (exchange.watched.isCallerGone()) {
         exchange.watched.connection = nullptr;
-        servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
+        m_parts.view.servers().endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
         co_return Step::Finished;
     }
     if (head.has_error()) {
         exchange.watched.connection = nullptr;
-        const bool timedOut = head.error().code == HttpErrorCode::TimedOut;
-        co_return recordLostAnswer(exchange, choice, timedOut ? ServerOutcome::NoAnswer : ServerOutcome::Broken,
-                                   head.error().detail);
+        if (takeoverDue(exchange, head.error())) {
+            co_return keepSilentAttempt(exchange, std::move(attempt));
+        }
+        // A server that was given less time than a silent one may be sound.
+        const auto outcome = head.error().code != HttpErrorCode::TimedOut ? ServerOutcome::Broken
+            : exchange.silentAttempt                                      ? ServerOutcome::Unrelated
+                                                                          : ServerOutcome::NoAnswer;
+        co_return recordLostAnswer(exchange, choice, outcome, head.error().detail);
     }
-    connection->setSilenceHook({});
-    auto step = co_await relayAnswer(exchange, choice, std::move(connection), head.value());
+    attempt->connection->setSilenceHook({});
+    const auto step = co_await relayAnswer(exchange, std::move(attempt), std::move(head).value());
     exchange.watched.connection = nullptr;
     co_return step;
 }
@@ -341,6 +321,7 @@
                                                   ServerOutcome outcome, std::string_view reason)
 {
     const auto now = Clock::now();
+    const bool silent = outcome == ServerOutcome::NoAnswer || outcome == ServerOutcome::Unrelated;
     m_parts.view.servers().endRequest(choice.server.id, exchange.weight,
                                       exchange.watched.isCallerGone() ? ServerOutcome::Unrelated : outcome, now);
     if (exchange.watched.isCallerGone()) {
@@ -350,8 +331,7 @@
     exchange.excludedServers.insert(choice.server.id);
     exchange.failureDetail = "the answer of a server was lost";
     m_parts.metrics.count(Metrics::labelled(
-        "server_answers_lost_total",
-        {{"service", exchange.service.value()}, {"how", outcome == ServerOutcome::NoAnswer ? "silent" : "broken"}}));
+        "server_answers_lost_total", {{"service", exchange.service.value()}, {"how", silent ? "silent" : "broken"}}));
     LogLine(LogLevel::Info, "server_answer_lost")
         .add("request", exchange.caller.attemptId)
         .add("route", exchange.route->name)
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -66,8 +66,11 @@
 
 HttpError HttpConnection::Impl::fail(const beast::error_code &error)
 {
-    unusable = true;
-    return toHttpError(socket.translateError(error));
+    const auto translated = socket.translateError(error);
+    // A read that has timed out may be repeated. Until the response has ended, `inExchange` keeps the connection from
+    // being reused.
+    unusable = unusable || translated != asio::error::timed_out;
+    return toHttpError(translated);
 }
 
 /// The timeout of a field such as `Keep-Alive: timeout=5`.
@@ -303,6 +306,13 @@
     return m_impl->lastReadAt;
 }
 
+bool HttpConnection::hasUnreadBytes() const
+{
+    char byte = 0;
+    return m_impl->buffer.size() > 0
+        || ::recv(m_impl->socket.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool HttpConnection::peerClosed() const
 {
     char byte = 0;
