Takeover: read on from a silent server for longer, and only if it has really gone on

New test: the next server answers after 600 ms. - A stream was left after 1.2 s although sound servers may be silent for a second or so. It is late by then in any case, so another server is asked after 1.5 s of silence at the earliest. - Requests without a stream may run at two servers: their silent server is no longer given up for time alone. - A server that goes on while the connection to the next one is opened is read on from, and the retry is kept. - At most three takeovers a request, so that one hung server cannot use up the retry budget of its service. - A silent server is avoided from the moment at which it is silent; quiet_ms counts from its own last event.

The pauses in three tests are longer than the new limit now, so that they still test what their titles say.

--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -98,6 +98,8 @@
     [[nodiscard]] bool takeRetry(Exchange &exchange);
     /// Whether another server may be asked to take over a request that has one open attempt.
     [[nodiscard]] bool mayBeTakenOver(const Exchange &exchange) const;
+    /// How long a server may send nothing before another one is asked to take the request over.
+    [[nodiscard]] static milliseconds maxSilence(const Exchange &exchange);
     /// Lets reads from the server go on beyond their timeout until another server can be asked to take the request
     /// over, or until the deadline of the request.
     void setTakeoverHook(Exchange &exchange, const Attempt &attempt);
@@ -105,8 +107,10 @@
     [[nodiscard]] bool takeoverDue(const Exchange &exchange, const HttpError &error) const;
     /// Keeps the attempt at a silent server open while another one is asked.
     [[nodiscard]] Step keepSilentAttempt(Exchange &exchange, std::unique_ptr<Attempt> attempt);
-    /// Gives up the attempt at the silent server, if there is one.
-    void endSilentAttempt(Exchange &exchange, std::string_view reason);
+    /// Gives up the attempt at the silent server, if there is one, in favour of another one.
+    void giveUpSilentAttempt(Exchange &exchange, std::string_view reason);
+    /// Ends the attempt at the silent server, if there is one, because the request has ended.
+    void endSilentAttempt(Exchange &exchange);
     void logRouted(const Exchange &exchange) const;
     void logAdapterWait(const Exchange &exchange, Duration waited, std::string_view result) const;
     void logSent(const Exchange &exchange, const ServerDirectory::Choice &choice, milliseconds timeLeft) const;
--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -72,7 +72,7 @@
     /// When the last read of a response head or body ended, or, before the first read, when the connection was opened.
     /// The peer of a connection without traffic for a long time may be gone without a notification by the kernel.
     [[nodiscard]] TimePoint lastReadAt() const;
-    /// Whether bytes of the response have arrived that no read has returned. Does not wait.
+    /// Whether bytes have arrived since a read has timed out. Does not wait. Precondition: the last read has timed out.
     [[nodiscard]] bool hasUnreadBytes() const;
     /// Whether the peer has closed its side or sent unsolicited bytes. Does not wait.
     /// Precondition: no exchange is in progress.
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -42,7 +42,7 @@
                                    "the answer does not belong to this request");
     }
     if (answer.eventStream && head.status == 200) {
-        endSilentAttempt(exchange, "another server has taken the request over");
+        giveUpSilentAttempt(exchange, "another server has taken the request over");
         exchange.splitter.beginRun();
         attempt->streamHead = std::move(head);
         attempt->progressAt = Clock::now();
@@ -214,6 +214,7 @@
         exchange.failureBuffer = std::move(buffer);
         co_return Step::MayHaveRun;
     }
+    endSilentAttempt(exchange);
     exchange.outcome = failed ? RequestOutcome::ServerFailed : RequestOutcome::Answered;
     exchange.failureReason = failed ? "server_error" : "";
     (void)co_await exchange.responder.send(std::move(head));
@@ -241,9 +242,8 @@
         }
         auto readTimeout = *timeout;
         if (canBeTakenOver && route.eventGapGoal > milliseconds(0)) {
-            const auto maxSilence = exchange.streamStarted ? route.eventGapGoal * 2 : route.goal * 3 / 2;
             // Bytes that complete no event are no progress: a server may stall and still send one now and then.
-            const auto left = duration_cast<milliseconds>(attempt->progressAt + maxSilence - Clock::now());
+            const auto left = duration_cast<milliseconds>(attempt->progressAt + maxSilence(exchange) - Clock::now());
             readTimeout = std::min(readTimeout, std::max(left, milliseconds(1)));
         }
         auto piece = co_await connection.readPiece(readTimeout);
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -47,8 +47,10 @@
     TimePoint sentAt;
     /// The head of the event stream that the server sends; absent until it has arrived.
     std::optional<HttpResponse> streamHead;
-    /// When the head of the stream or the last whole event arrived.
+    /// When the request was sent, or the head of the stream or its last whole event arrived.
     TimePoint progressAt;
+    /// Whether the server was recorded as giving no answer when it fell silent.
+    bool silenceRecorded = false;
 };
 
 /// State of one request while it is served: its route, the servers that were tried, and the progress of its answer.
@@ -84,6 +86,8 @@
     int possibleRuns = 0;
     /// The attempt at a server that has fallen silent, kept open until another server has taken the request over.
     std::unique_ptr<Attempt> silentAttempt;
+    /// How often another server was to take the request over from a silent one.
+    int takeoverCount = 0;
     /// When the next server may be asked to take the request over.
     TimePoint nextTakeoverAt;
     /// Whether a retry was already taken from the budget for the next attempt.
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -82,7 +82,7 @@
     m_parts.view.retryBudget(exchange.service).noteRequest(exchange.arrivedAt);
     logRouted(exchange);
     co_await tryServers(exchange);
-    endSilentAttempt(exchange, "the request has ended");
+    endSilentAttempt(exchange);
     for (auto &[server, connection] : exchange.refusedConnections) {
         m_parts.connections.release(server, std::move(connection));
     }
@@ -244,9 +244,15 @@
             .add("server", choice.server.id.value())
             .add("reason", acquired.error().detail);
         exchange.excludedServers.insert(choice.server.id);
+        exchange.failureDetail = "the server cannot be reached";
         co_return Step::NotRun;
     }
     auto connection = std::move(acquired).value();
+    if (exchange.silentAttempt && exchange.silentAttempt->connection->hasUnreadBytes()) {
+        m_parts.connections.release(choice.server, std::move(connection));
+        exchange.failureDetail = "the silent server has gone on";
+        co_return Step::NoServer;
+    }
     if (exchange.watched.isCallerGone()) {
         m_parts.connections.release(choice.server, std::move(connection));
         co_return Step::Finished;
@@ -262,7 +268,7 @@
         }
     }
     auto attempt = std::make_unique<Attempt>(std::move(choice), std::move(connection));
-    attempt->sentAt = startTime;
+    attempt->sentAt = attempt->progressAt = startTime;
     if (exchange.caller.adapter) {
         attempt->adapterUse.emplace(m_parts.view, attempt->choice.server.id, *exchange.caller.adapter);
     }
--- a/lib/Gateway/RequestTakeover.cpp
+++ b/lib/Gateway/RequestTakeover.cpp
@@ -12,18 +12,30 @@
 
 /// Interval between two checks whether another server can take over the request of a silent one.
 static constexpr milliseconds SilenceRecheckInterval{50};
-/// Time between two attempts to have a request taken over. Each of them costs a retry.
+/// Time between two attempts to have a request taken over, and their largest number. Each of them costs a retry.
 static constexpr milliseconds TakeoverInterval{300};
+static constexpr int MaxTakeovers = 3;
 /// How long a request may be open at a silent server after it was sent to another one. The platform allows 400 ms in
 /// which both run it; the rest is for the way to the servers.
 static constexpr milliseconds MaxOverlap{250};
+/// How long the servers of streams may be silent although they are sound.
+static constexpr milliseconds SoundSilence{1500};
 /// The least time before the deadline that makes another attempt worthwhile.
 static constexpr milliseconds MinTakeoverTime{25};
 
 bool RequestRelay::mayBeTakenOver(const Exchange &exchange) const
 {
     return exchange.route->repeatable() && exchange.possibleRuns + 1 < exchange.route->maxServers
-        && exchange.serverRefusals < Exchange::MaxRefusals;
+        && exchange.takeoverCount < MaxTakeovers;
+}
+
+milliseconds RequestRelay::maxSilence(const Exchange &exchange)
+{
+    const auto &route = *exchange.route;
+    if (route.kind != RequestKind::Stream) {
+        return route.goal * 2;
+    }
+    return std::max(exchange.streamStarted ? route.eventGapGoal * 2 : route.goal * 3 / 2, SoundSilence);
 }
 
 void RequestRelay::setTakeoverHook(Exchange &exchange, const Attempt &attempt)
@@ -69,18 +81,35 @@
         .add("events", exchange.eventCount)
         .add("quiet_ms", duration_cast<milliseconds>(Clock::now() - exchange.lastProgressAt))
         .add("left_ms", exchange.remainingTime(Clock::now()));
+    // The server is avoided from now on, not only once the attempt has ended.
+    if (!std::exchange(attempt->silenceRecorded, true)) {
+        auto &servers = m_parts.view.servers();
+        servers.startRequest(attempt->choice.server.id, 0);
+        servers.endRequest(attempt->choice.server.id, 0, ServerOutcome::NoAnswer, Clock::now());
+    }
+    ++exchange.takeoverCount;
     exchange.silentAttempt = std::move(attempt);
     return Step::Silent;
 }
 
-void RequestRelay::endSilentAttempt(Exchange &exchange, std::string_view reason)
+void RequestRelay::giveUpSilentAttempt(Exchange &exchange, std::string_view reason)
 {
     const auto attempt = std::exchange(exchange.silentAttempt, nullptr);
     if (!attempt) {
         return;
     }
     exchange.splitter.discardIncompleteEvent();
-    (void)recordLostAnswer(exchange, attempt->choice, ServerOutcome::NoAnswer, reason);
+    const auto lastProgressAt = std::exchange(exchange.lastProgressAt, attempt->progressAt);
+    (void)recordLostAnswer(exchange, attempt->choice, ServerOutcome::Unrelated, reason);
+    exchange.lastProgressAt = lastProgressAt;
+}
+
+void RequestRelay::endSilentAttempt(Exchange &exchange)
+{
+    if (const auto attempt = std::exchange(exchange.silentAttempt, nullptr)) {
+        m_parts.view.servers().endRequest(attempt->choice.server.id, exchange.weight, ServerOutcome::Unrelated,
+                                          Clock::now());
+    }
 }
 
 asio::awaitable<RequestRelay::Step> RequestRelay::returnToSilentServer(Exchange &exchange)
@@ -88,6 +117,7 @@
     auto attempt = std::exchange(exchange.silentAttempt, nullptr);
     exchange.nextTakeoverAt = Clock::now() + TakeoverInterval;
     exchange.lastServer = attempt->choice.server.id;
+    exchange.lastProgressAt = attempt->progressAt;
     LogLine(LogLevel::Info, "silent_server_kept")
         .add("request", exchange.caller.attemptId)
         .add("server", attempt->choice.server.id.value())
@@ -108,21 +138,23 @@
     const auto atLeastOne = [](milliseconds time) {
         return std::max(time, milliseconds(1));
     };
-    if (exchange.silentAttempt) {
+    while (exchange.silentAttempt) {
         const auto left = exchange.remainingTime(Clock::now());
         auto head = co_await connection.readHead(atLeastOne(std::min(left, MaxOverlap)));
         const bool timedOut = head.has_error() && head.error().code == HttpErrorCode::TimedOut;
-        if (!timedOut || exchange.watched.isCallerGone() || exchange.silentAttempt->connection->hasUnreadBytes()) {
+        if (!timedOut || exchange.watched.isCallerGone() || left <= MaxOverlap
+            || exchange.silentAttempt->connection->hasUnreadBytes()) {
             co_return head;
         }
-        endSilentAttempt(exchange, "silent while another server was asked");
+        // Two servers may go on running a request without a stream: it may run more than once.
+        if (exchange.route->kind == RequestKind::Stream) {
+            giveUpSilentAttempt(exchange, "silent while another server was asked");
+        }
     }
     auto timeout = exchange.remainingTime(Clock::now());
-    const auto &route = *exchange.route;
-    if (mayBeTakenOver(exchange) && route.goal > milliseconds(0)) {
+    if (mayBeTakenOver(exchange) && exchange.route->goal > milliseconds(0)) {
         setTakeoverHook(exchange, attempt);
-        const auto maxSilence = route.kind == RequestKind::Stream ? route.goal * 3 / 2 : route.goal * 2;
-        timeout = std::min(timeout, duration_cast<milliseconds>(attempt.sentAt + maxSilence - Clock::now()));
+        timeout = std::min(timeout, duration_cast<milliseconds>(attempt.sentAt + maxSilence(exchange) - Clock::now()));
     }
     co_return co_await connection.readHead(atLeastOne(timeout));
 }
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -66,11 +66,10 @@
 
 HttpError HttpConnection::Impl::fail(const beast::error_code &error)
 {
-    const auto translated = socket.translateError(error);
-    // A read that has timed out may be repeated. Until the response has ended, `inExchange` keeps the connection from
-    // being reused.
-    unusable = unusable || translated != asio::error::timed_out;
-    return toHttpError(translated);
+    // A read that has reached its own timeout may be repeated. Until the response has ended, `inExchange` keeps the
+    // connection from being reused.
+    unusable = unusable || !socket.expired();
+    return toHttpError(socket.translateError(error));
 }
 
 /// The timeout of a field such as `Keep-Alive: timeout=5`.
@@ -308,9 +307,9 @@
 
 bool HttpConnection::hasUnreadBytes() const
 {
+    // The buffer holds nothing that a read would return: what is left there has to be completed by further bytes.
     char byte = 0;
-    return m_impl->buffer.size() > 0
-        || ::recv(m_impl->socket.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return ::recv(m_impl->socket.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 bool HttpConnection::peerClosed() const
--- a/unittests/Platform/SilentServerTest.cpp
+++ b/unittests/Platform/SilentServerTest.cpp
@@ -6,8 +6,8 @@
 using namespace tamarackcove;
 using namespace tamarackcove::test;
 
-/// Longer than twice the longest pause between events that the route allows, after which a silent server may be left.
-static constexpr milliseconds LongPause{1700};
+/// Longer than the silence after which another server may be asked to take a stream over.
+static constexpr milliseconds LongPause{2000};
 static constexpr std::string_view FirstEvent = "id: 1\ndata: x\n\n";
 static constexpr std::string_view SecondEvent = "id: 2\ndata: x\n\n";
 
@@ -135,8 +135,8 @@
     deployment.addServer("p1", "plain", answerInFull);
     int attempts = 0;
     const StandInServer::Behaviour goesOnSoon = [](const HttpRequest &request, HttpResponder &responder) {
-        // The next server is asked 1200 ms after the first event.
-        return streamWithPause(request, responder, milliseconds(1300));
+        // The next server is asked 1500 ms after the first event.
+        return streamWithPause(request, responder, milliseconds(1600));
     };
     const StandInServer::Behaviour neverAnswers = [](const HttpRequest &, HttpResponder &) -> asio::awaitable<void> {
         co_await pauseFor(milliseconds(3000));
@@ -154,6 +154,34 @@
     });
 }
 
+// Guards against a stream that stays at a server that has stopped because the next one needs some time to answer: what
+// is left of the framing of the last event must not count as a sign of life.
+TEST_CASE("a stream whose server stays silent goes on at a server that answers late")
+{
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerInFull);
+    int attempts = 0;
+    const StandInServer::Behaviour staysSilent = [](const HttpRequest &request, HttpResponder &responder) {
+        return streamWithPause(request, responder, milliseconds(5000));
+    };
+    const StandInServer::Behaviour answersLate
+        = [](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        co_await pauseFor(milliseconds(600));
+        co_await sendEvents(request, responder, 2, 2);
+    };
+    const auto behaviour = firstAndLaterAttempts(attempts, staysSilent, answersLate);
+    deployment.addServer("s1", "engines", behaviour);
+    deployment.addServer("s2", "engines", behaviour);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto startTime = Clock::now();
+        const auto paused = co_await deployment.call("POST", "/stream/x", "paused");
+        CHECK(paused.status == 200);
+        CHECK(paused.body == wholeStream());
+        CHECK(attempts == 2);
+        CHECK(Clock::now() - startTime < seconds(3));
+    });
+}
+
 // Guards against a stream that is never finished because its entry waits for a server that has stopped, and against a
 // run that its first server continues long after another one has taken it over.
 TEST_CASE("a stream whose server stays silent goes on at the server that takes it over, and is ended at the first")
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -45,8 +45,8 @@
         head.headers.set("Content-Type", "text/event-stream");
         (void)co_await responder.beginStream(std::move(head));
         (void)co_await responder.writePiece("id: 1\ndata: x\n\n");
-        // Longer than twice the longest gap between events that the route allows.
-        Timer timer(co_await asio::this_coro::executor, milliseconds(1500));
+        // Longer than the silence after which another server may be asked to take the stream over.
+        Timer timer(co_await asio::this_coro::executor, milliseconds(2000));
         co_await timer.async_wait(asio::use_awaitable);
         (void)co_await responder.writePiece("id: 2\ndata: x\n\n");
         (void)co_await responder.endStream();
@@ -76,8 +76,8 @@
         head.headers.set("Content-Type", "text/event-stream");
         (void)co_await responder.beginStream(std::move(head));
         (void)co_await responder.writePiece("id: 1\ndata: x\n\n");
-        // Longer than twice the longest gap between events that the route allows.
-        Timer timer(co_await asio::this_coro::executor, milliseconds(1500));
+        // Longer than the silence after which another server may be asked to take the stream over.
+        Timer timer(co_await asio::this_coro::executor, milliseconds(2000));
         co_await timer.async_wait(asio::use_awaitable);
         (void)co_await responder.writePiece("id: 2\ndata: x\n\n");
         (void)co_await responder.endStream();
