Quarantine parts of prompts that crash servers

Cause: the platform path kept no record of crashes at all, and the parts of prompts were not read. A record of whole requests, as in the product's own CrashLedger, would not have helped: no two of these requests are alike.

Change: entries report at once which requests a server has broken off before it began to answer, and which parts servers have answered lately. The leader (CrashAttribution, a module without network) blames each crash on one part: the one that explains the most crashes since it was last answered, at the third crash. Parts that were answered before need 250 ms without a further answer, so that what sound requests share is never blamed for long; entries have 60 ms to object to the others. Convicted parts are in the replicated log, survive leaders and restarts, and reach all entries with the next update. Entries refuse requests with them at once, as not run and with a Retry-After of 5 minutes, also before a further attempt.

--- a/include/tamarackcove/Fleet/FleetState.h
+++ b/include/tamarackcove/Fleet/FleetState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackcove/Fleet/PromptPart.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
 
 #include <chrono>
@@ -54,7 +55,14 @@
     bool registered = true;
 };
 
-using FleetCommand = std::variant<PutConfiguration, PutWeightVersion, NoteDeparture, TakeOrderDuty, NoteServer>;
+/// Quarantines a part of prompts that crashes servers: requests with it are refused.
+struct QuarantinePromptPart
+{
+    PromptPart part;
+};
+
+using FleetCommand
+    = std::variant<PutConfiguration, PutWeightVersion, NoteDeparture, TakeOrderDuty, NoteServer, QuarantinePromptPart>;
 
 /// The replicated state of the control hosts: the configuration in force, the newest versions of weights, the servers
 /// and their departures, and which control host orders servers. Each replica applies the same commands in the same
@@ -85,6 +93,9 @@
     /// How long a departure is kept, counted from the log time of its command. A server ends a few seconds after it has
     /// announced that it drains, and a delayed heartbeat of it arrives a few seconds later at most.
     static constexpr std::chrono::minutes DepartureRetention{5};
+    /// How long a part of prompts stays in quarantine, counted from the log time of its command. The next crashes put
+    /// it there again.
+    static constexpr std::chrono::minutes QuarantineTime{30};
 
     /// Applies the command at this log index. The time is that of the log entry, the same on each replica.
     void apply(std::uint64_t index, std::chrono::system_clock::time_point time, const FleetCommand &command);
@@ -98,6 +109,8 @@
     [[nodiscard]] const std::map<AdapterKey, std::uint64_t> &weightVersions() const;
     [[nodiscard]] const std::map<ServerIdentity, Departure> &departures() const;
     [[nodiscard]] const OrderDuty &duty() const;
+    /// The parts of prompts in quarantine, with the log time of their commands.
+    [[nodiscard]] const std::map<PromptPart, std::chrono::system_clock::time_point> &quarantinedParts() const;
     /// The servers by id, so that a new leader need not wait for their heartbeats.
     [[nodiscard]] const std::map<TargetId, ServerHeartbeat> &servers() const;
 
@@ -111,6 +124,7 @@
         std::map<ServerIdentity, Departure> departures;
         OrderDuty duty;
         std::map<TargetId, ServerHeartbeat> servers;
+        std::map<PromptPart, std::chrono::system_clock::time_point> quarantinedParts;
     };
     [[nodiscard]] const Image &image() const;
     void restore(Image image);
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -2,6 +2,7 @@
 
 #include "tamarackcove/Base/Result.h"
 #include "tamarackcove/Fleet/DeploymentConfiguration.h"
+#include "tamarackcove/Fleet/PromptPart.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
 #include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Http/HttpResponse.h"
@@ -10,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tamarackcove {
 
@@ -24,6 +26,8 @@
     std::optional<AdapterKey> adapter;
     /// Length of the prompt; 0 if the request does not say.
     int promptTokens = 0;
+    /// The parts of the prompt in their order; empty if the request does not say.
+    std::vector<PromptPart> promptParts;
 };
 
 /// Values that the entry adds to a request when it sends it to a server.
@@ -66,6 +70,8 @@
     NotReady,
     /// No server can take the request in time; it has not run.
     NoServer,
+    /// The prompt of the request has a part that crashes servers; the request has not run.
+    Quarantined,
     /// The request may have run, and its answer was lost.
     OutcomeUnknown,
     /// The request may have run; no answer came before its deadline.
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -4,6 +4,7 @@
 #include "tamarackcove/Fleet/RetryWindow.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Fleet/ServerDirectory.h"
+#include "tamarackcove/Gateway/PromptPartWatch.h"
 #include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -41,12 +42,13 @@
     /// Returns the report for the time since the last call and resets the counts in it. Optionally includes the servers
     /// that this entry knows, and the adapter history of each server.
     [[nodiscard]] FleetReportMessage takeReport(bool withServers, bool withHistory);
-    /// A report of the demands that are new since the previous report.
+    /// A report of the demands, crashes and answered prompt parts that are new since the previous report.
     [[nodiscard]] FleetReportMessage takeNewDemands();
 
     /// Null before the first configuration.
     [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
     [[nodiscard]] ServerDirectory &servers();
+    [[nodiscard]] PromptPartWatch &promptParts();
     [[nodiscard]] RetryWindow &retryBudget(const ServiceName &service);
     /// The lowest version of an adapter on which requests may run; 0 if any version may be used.
     [[nodiscard]] std::uint64_t requiredVersion(const AdapterKey &adapter, TimePoint now) const;
@@ -116,6 +118,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     TimePoint m_updatedAt;
     ServerDirectory m_servers;
+    PromptPartWatch m_promptParts;
     AdapterHistory m_history;
     std::unordered_map<AdapterKey, AnnouncedVersion> m_versions;
     std::map<ServiceName, RetryWindow> m_retryBudgets;
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -94,6 +94,8 @@
     [[nodiscard]] Step recordLostAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
                                         ServerOutcome outcome, std::string_view reason);
     [[nodiscard]] bool maySendAgain(const Exchange &exchange) const;
+    /// The part of the prompt that crashes servers; null if no part is known to.
+    [[nodiscard]] const PromptPart *quarantinedPart(const Exchange &exchange) const;
     /// Takes a retry from the budget for the next attempt, unless one was taken already. Returns false if none is left.
     [[nodiscard]] bool takeRetry(Exchange &exchange);
     /// Whether another server may be asked to take over a request that has one open attempt.
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -129,9 +129,16 @@
     std::vector<std::string> all;
     /// The load of the requests in progress, summed over all entries, at each server where it has changed.
     std::vector<ServerLoadMessage> loads;
+    /// Whether the two lists that follow replace those of the entry.
+    bool listsPromptParts = false;
+    /// Parts of prompts of which the entry reports when a server answers them.
+    std::vector<std::string> watchedParts;
+    /// Parts of prompts that crash servers. The entry refuses requests with them.
+    std::vector<std::string> quarantinedParts;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, configurationVersion, document, versions, servers, removed,
-                                   relisted, holdings, complete, all, loads)
+                                   relisted, holdings, complete, all, loads, listsPromptParts, watchedParts,
+                                   quarantinedParts)
 
 /// Requests that wait for an adapter.
 struct DemandMessage
@@ -189,12 +196,33 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HistoryMessage, server, startedAt, model, adapters)
 
+/// A start of a server that has broken off requests before it began to answer them.
+struct CrashMessage
+{
+    std::string server;
+    std::uint64_t startedAt = 0;
+    /// The parts of the prompts of these requests.
+    std::vector<std::string> parts;
+};
+inline void to_json(nlohmann::json &json, const CrashMessage &message)
+{
+    json = toArray(message.server, message.startedAt, message.parts);
+}
+inline void from_json(const nlohmann::json &json, CrashMessage &message)
+{
+    fromArray(json, message.server, message.startedAt, message.parts);
+}
+
 struct FleetReportMessage
 {
     static constexpr std::string_view Type = "fleet_report";
     std::string entry;
     std::string zone;
     std::uint64_t configurationVersion = 0;
+    /// Crashes that requests of the entry have met since its previous report.
+    std::vector<CrashMessage> crashes;
+    /// Parts of prompts that the leader watches or that are in `crashes`, and that servers have answered lately.
+    std::vector<std::string> answeredParts;
     /// Whether the report only adds demands to those of the previous report. The fields after `demands` are then empty
     /// and say nothing.
     bool onlyNewDemands = false;
@@ -210,7 +238,7 @@
     /// Sent only when the control host has asked for it with `wantsHistory`.
     std::vector<HistoryMessage> histories;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, onlyNewDemands, demands, uses,
-                                   loads, unreachable, leaving, servers, histories)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, crashes, answeredParts,
+                                   onlyNewDemands, demands, uses, loads, unreachable, leaving, servers, histories)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/FleetCodec.cpp
+++ b/lib/Control/Fleet/FleetCodec.cpp
@@ -73,6 +73,9 @@
     if (const auto *noted = std::get_if<NoteServer>(&command)) {
         return pack({{"t", "server"}, {"server", serverJson(noted->server)}, {"known", noted->registered}});
     }
+    if (const auto *quarantine = std::get_if<QuarantinePromptPart>(&command)) {
+        return pack({{"t", "quarantine"}, {"part", quarantine->part.value()}});
+    }
     const auto &duty = std::get<TakeOrderDuty>(command);
     return pack({{"t", "duty"}, {"holder", duty.holder}, {"boot", duty.boot}});
 }
@@ -97,6 +100,9 @@
     if (type == "server") {
         return NoteServer{.server = serverFrom(value.at("server")), .registered = value.at("known").get<bool>()};
     }
+    if (type == "quarantine") {
+        return QuarantinePromptPart{.part = PromptPart(value.at("part").get<std::string>())};
+    }
     return TakeOrderDuty{.holder = value.at("holder").get<std::string>(), .boot = value.at("boot").get<std::string>()};
 }
 
@@ -125,7 +131,13 @@
     for (const auto &[id, server] : image.servers) {
         servers.push_back(serverJson(server));
     }
+    auto quarantined = json::array();
+    for (const auto &[part, time] : image.quarantinedParts) {
+        const auto at = std::chrono::duration_cast<milliseconds>(time.time_since_epoch());
+        quarantined.push_back(json::array({part.value(), at.count()}));
+    }
     return pack({{"servers", std::move(servers)},
+                 {"quarantined", std::move(quarantined)},
                  {"revision", image.revision.value()},
                  {"version", image.configurationVersion},
                  {"document", image.document ? json(*image.document) : json(nullptr)},
@@ -159,6 +171,11 @@
         const auto id = server.identity.id;
         image.servers[id] = std::move(server);
     }
+    // A snapshot of an earlier release has no quarantined parts.
+    for (const auto &item : value.value("quarantined", json::array())) {
+        image.quarantinedParts[PromptPart(item.at(0).get<std::string>())]
+            = std::chrono::system_clock::time_point(milliseconds(item.at(1).get<std::int64_t>()));
+    }
     image.duty = {.holder = value.at("holder").get<std::string>(),
                   .boot = value.at("boot").get<std::string>(),
                   .fence = FencingNumber(value.at("fence").get<std::uint64_t>())};
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -59,6 +59,8 @@
     , planner({})
     , demands({})
     , planTimer(executor)
+    , crashes({})
+    , crashTimer(executor)
     , feed(log.state(), registry, planner)
     , dispatcher(orderTasks, planner, hooks.dialect, metrics,
                  {.mayGiveOrders = [this] { return replica.leads(); },
@@ -116,6 +118,7 @@
     gauge("lease_suspensions", suspensionCount);
     gauge("updates_encoded", feed.encodedFrames());
     gauge("adapters_awaited", demands.size());
+    gauge("prompt_parts_quarantined", log.state().quarantinedParts().size());
     const auto totals = planner.totals(Clock::now());
     gauge("adapters_held", totals.held);
     gauge("adapters_loading", totals.loading);
@@ -148,6 +151,10 @@
         // Neither entries nor the planner depend on these; a new leader reads them from the state.
         return;
     }
+    if (command != nullptr && std::holds_alternative<QuarantinePromptPart>(*command)) {
+        publishPromptParts();
+        return;
+    }
     if (const auto *departure = command == nullptr ? nullptr : std::get_if<NoteDeparture>(command)) {
         registry.applyDeparture(departure->server, departure->gone);
         if (const auto *server = registry.find(departure->server.id); leading && server != nullptr) {
@@ -171,6 +178,8 @@
         dispatcher.wakeChangedServers();
         links.scheduleStateUpdate();
     }
+    crashes.setConvicted(quarantinedParts());
+    publishPromptParts();
 }
 
 void FleetNode::Impl::updatePlanner(const ServerHeartbeat &heartbeat)
@@ -286,6 +295,7 @@
     impl.root.start("entry-links", [&impl] { return impl.links.run(); });
     impl.root.start("entry-updates", [&impl] { return impl.links.publishUpdates(); });
     impl.root.start("plan-loads", [&impl] { return impl.planLoads(); });
+    impl.root.start("attribute-crashes", [&impl] { return impl.attributeCrashes(); });
     impl.metricsEndpoint.start(impl.root);
     impl.root.start("calls", [&impl] { return impl.http.run(); });
     impl.root.start("expiry", [&impl] { return impl.expireServers(); });
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -8,6 +8,7 @@
 #include "tamarackcove/Control/LogStatus.h"
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 #include "tamarackcove/Fleet/AdapterPlanner.h"
+#include "tamarackcove/Fleet/CrashAttribution.h"
 #include "tamarackcove/Fleet/DemandTable.h"
 #include "tamarackcove/Http/MetricsEndpoint.h"
 #include "tamarackcove/Observe/LogLine.h"
@@ -70,6 +71,14 @@
     /// Makes a server that has stated that it is leaving a draining one, for all entries and for later leaders. Has no
     /// effect for an earlier start of the server.
     void noteLeaving(const ServerIdentity &identity, std::string_view reportedBy);
+    /// Passes the crashes and the answered prompt parts of a report on to the attribution of crashes.
+    void applyCrashes(const FleetReportMessage &report);
+    /// The parts of prompts in quarantine by the replicated state.
+    [[nodiscard]] std::set<PromptPart> quarantinedParts() const;
+    /// Quarantines the parts of prompts that are convicted, and tells entries which parts are watched.
+    void publishPromptParts();
+    /// Convicts parts of prompts when their time has come.
+    boost::asio::awaitable<void> attributeCrashes();
     /// Has the planner consider the demands of entries.
     boost::asio::awaitable<void> planLoads();
     /// Proposes TakeOrderDuty until the log accepts it or this leadership ends. Waits for the order lease first if
@@ -91,6 +100,8 @@
     AdapterPlanner planner;
     DemandTable demands;
     Timer planTimer;
+    CrashAttribution crashes;
+    Timer crashTimer;
     UpdateFeed feed;
     OrderDispatcher dispatcher;
     FleetControl control;
--- a/lib/Control/Fleet/FleetNodeLeadership.cpp
+++ b/lib/Control/Fleet/FleetNodeLeadership.cpp
@@ -59,6 +59,7 @@
     dispatcher.end();
     planner.reset();
     demands.clear();
+    crashes.clear();
     registry.clear();
     links.resendEverything();
 }
--- a/lib/Control/Fleet/FleetNodeReports.cpp
+++ b/lib/Control/Fleet/FleetNodeReports.cpp
@@ -50,6 +50,7 @@
     for (const auto &server : report.leaving) {
         noteLeaving({.id = TargetId(server.id), .startedAt = Incarnation(server.startedAt)}, report.entry);
     }
+    applyCrashes(report);
     if (!dispatcher.active()) {
         return;
     }
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -81,6 +81,28 @@
     m_serversComplete = true;
 }
 
+bool UpdateFeed::setPromptParts(std::set<PromptPart> watched, std::set<PromptPart> quarantined)
+{
+    if (watched == m_watchedParts && quarantined == m_quarantinedParts) {
+        return false;
+    }
+    m_watchedParts = std::move(watched);
+    m_quarantinedParts = std::move(quarantined);
+    m_promptPartsPending = true;
+    return true;
+}
+
+void UpdateFeed::addPromptParts(FleetUpdateMessage &update) const
+{
+    update.listsPromptParts = true;
+    for (const auto &part : m_watchedParts) {
+        update.watchedParts.push_back(part.value());
+    }
+    for (const auto &part : m_quarantinedParts) {
+        update.quarantinedParts.push_back(part.value());
+    }
+}
+
 static HoldingMessage toHoldingMessage(const AdapterPlanner::HoldingChange &change)
 {
     return {.server = change.server.value(),
@@ -166,14 +188,19 @@
     if (m_serversComplete && !m_completeListPublished) {
         addCompleteList(update);
     }
-    const bool empty = update.document.empty() && update.versions.empty() && update.removed.empty()
-        && update.servers.empty() && update.holdings.empty() && update.loads.empty() && !update.complete;
+    if (m_promptPartsPending) {
+        addPromptParts(update);
+    }
+    const bool empty = !update.listsPromptParts && update.document.empty() && update.versions.empty()
+        && update.removed.empty() && update.servers.empty() && update.holdings.empty() && update.loads.empty()
+        && !update.complete;
     m_publishedConfigurationVersion = m_state.configurationVersion();
     m_publishedRevision = m_state.revision();
     m_completeListPublished = m_serversComplete;
     m_pendingServers.clear();
     m_pendingHoldings.clear();
     m_pendingLoads.clear();
+    m_promptPartsPending = false;
     if (empty) {
         return false;
     }
@@ -207,6 +234,7 @@
         update.configurationVersion = m_state.configurationVersion();
     };
     addState(update, 0, Revision());
+    addPromptParts(update);
     addFrame();
     for (const auto &[id, server] : m_registry.servers()) {
         update.servers.push_back(toServerMessage(server));
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -38,6 +38,11 @@
         // The revision stays the same: a higher one makes the leader send the versions of weights to entries again.
         // Entries learn of servers from the registry of the leader, not from this record.
         return;
+    } else if (const auto *quarantine = std::get_if<QuarantinePromptPart>(&command)) {
+        std::erase_if(m_image.quarantinedParts, [&](const auto &item) { return item.second + QuarantineTime < time; });
+        m_image.quarantinedParts[quarantine->part] = time;
+        // The revision stays the same, for the same reason.
+        return;
     }
     m_image.revision = Revision(index);
 }
@@ -72,6 +77,11 @@
     return m_image.duty;
 }
 
+const std::map<PromptPart, std::chrono::system_clock::time_point> &FleetState::quarantinedParts() const
+{
+    return m_image.quarantinedParts;
+}
+
 const std::map<TargetId, ServerHeartbeat> &FleetState::servers() const
 {
     return m_image.servers;
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -120,6 +120,10 @@
     for (const auto &load : update.loads) {
         m_servers.setLoad(TargetId(load.server), load.load);
     }
+    if (update.listsPromptParts) {
+        m_promptParts.setLists(update.watchedParts, update.quarantinedParts, now);
+        changed = true;
+    }
     if (changed) {
         wakeWaiters();
     }
@@ -186,6 +190,7 @@
 {
     auto report = makeReportHeader();
     report.onlyNewDemands = true;
+    m_promptParts.addTo(report);
     for (auto &[adapter, demand] : m_demands) {
         if (std::exchange(demand.isNew, false) && demand.waiting > 0) {
             report.demands.push_back(toDemandMessage(adapter, demand));
@@ -197,6 +202,7 @@
 FleetReportMessage FleetView::takeReport(bool withServers, bool withHistory)
 {
     auto report = makeReportHeader();
+    m_promptParts.addTo(report);
     for (const auto &id : m_servers.unreachable(Clock::now())) {
         report.unreachable.push_back(id.value());
     }
@@ -257,6 +263,11 @@
     return m_servers;
 }
 
+PromptPartWatch &FleetView::promptParts()
+{
+    return m_promptParts;
+}
+
 RetryWindow &FleetView::retryBudget(const ServiceName &service)
 {
     const auto found = m_retryBudgets.find(service);
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -60,6 +60,9 @@
         view.onNewDemand = [this] {
             link.reportSoon();
         };
+        view.promptParts().onNews = [this] {
+            link.reportSoon();
+        };
     }
 
     asio::awaitable<void> answerReady(const HttpRequest &request, HttpResponder &responder);
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -285,6 +285,7 @@
         if (!exchange.streamStarted) {
             exchange.streamStarted = true;
             exchange.firstEventAt = exchange.lastProgressAt;
+            m_parts.view.promptParts().recordAnswered(exchange.caller.promptParts, exchange.lastProgressAt);
             const auto started = co_await exchange.responder.beginStream(*attempt->streamHead);
             if (started.has_error()) {
                 servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -111,6 +111,8 @@
     std::optional<HttpResponse> failureResponse;
     /// Counts the bytes of `failureResponse`.
     std::unique_ptr<AnswerBuffer> failureBuffer;
+    /// The part of the prompt for which the request is refused.
+    std::optional<PromptPart> quarantinedPart;
     RequestOutcome outcome = RequestOutcome::CallerGone;
     /// Why the request was not answered: a fixed word, used as metric label and log value.
     std::string_view failureReason;
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -33,6 +33,8 @@
 static constexpr milliseconds MaxConfigurationWait{600};
 static constexpr milliseconds WriteTimeout{1000};
 static constexpr milliseconds RefusalRetryAfter{300};
+/// When the caller of a request with a quarantined part of its prompt may come back.
+static constexpr std::chrono::minutes QuarantineRetryAfter{5};
 /// One in this many requests has all its steps logged. Logging all requests would write several MB/s at the planned
 /// size.
 static constexpr std::uint64_t SampleInterval = 64;
@@ -101,6 +103,12 @@
 asio::awaitable<void> RequestRelay::tryServers(Exchange &exchange)
 {
     while (!exchange.watched.isCallerGone()) {
+        // Also checked before each further attempt: the part may have been quarantined meanwhile.
+        if (const auto *part = quarantinedPart(exchange); part != nullptr && !exchange.silentAttempt) {
+            exchange.quarantinedPart = *part;
+            exchange.failureDetail = "a part of the prompt crashes servers";
+            break;
+        }
         auto step = co_await tryNextServer(exchange);
         if (exchange.silentAttempt && step != Step::Silent && step != Step::Finished) {
             step = co_await returnToSilentServer(exchange);
@@ -139,6 +147,11 @@
     co_return step;
 }
 
+const PromptPart *RequestRelay::quarantinedPart(const Exchange &exchange) const
+{
+    return m_parts.view.promptParts().findQuarantined(exchange.caller.promptParts);
+}
+
 bool RequestRelay::takeRetry(Exchange &exchange)
 {
     if (exchange.retryGranted) {
@@ -189,6 +202,10 @@
             recordWait(exchange.watched.isCallerGone() ? "caller_gone" : "gave_up", now);
             co_return std::nullopt;
         }
+        if (quarantinedPart(exchange) != nullptr) {
+            recordWait("quarantined", now);
+            co_return std::nullopt;
+        }
         if (requirements.adapter) {
             requirements.minVersion = view.requiredVersion(*requirements.adapter, now);
         }
@@ -336,6 +353,9 @@
     ++exchange.possibleRuns;
     exchange.excludedServers.insert(choice.server.id);
     exchange.failureDetail = "the answer of a server was lost";
+    if (outcome == ServerOutcome::Broken && !exchange.streamStarted) {
+        m_parts.view.promptParts().recordCrash(choice.server, exchange.caller.promptParts, now);
+    }
     m_parts.metrics.count(Metrics::labelled(
         "server_answers_lost_total", {{"service", exchange.service.value()}, {"how", silent ? "silent" : "broken"}}));
     LogLine(LogLevel::Info, "server_answer_lost")
@@ -383,6 +403,11 @@
         co_await refuse(exchange, late ? EntryRefusal::TimedOut : EntryRefusal::OutcomeUnknown, milliseconds(0));
         co_return;
     }
+    if (exchange.quarantinedPart) {
+        m_parts.metrics.count("requests_quarantined_total");
+        co_await refuse(exchange, EntryRefusal::Quarantined, QuarantineRetryAfter);
+        co_return;
+    }
     co_await refuse(exchange, EntryRefusal::NoServer, retryAfterFor(exchange));
 }
 
@@ -407,6 +432,8 @@
         return "not_ready";
     case EntryRefusal::NoServer:
         return "no_server";
+    case EntryRefusal::Quarantined:
+        return "quarantined";
     case EntryRefusal::OutcomeUnknown:
         return "outcome_unknown";
     case EntryRefusal::TimedOut:
@@ -427,6 +454,8 @@
              exchange.caller.adapter ? std::string_view(exchange.caller.adapter->adapter) : std::string_view())
         .add("reason", exchange.failureReason)
         .add("detail", exchange.failureDetail)
+        .add("part",
+             exchange.quarantinedPart ? std::string_view(exchange.quarantinedPart->value()) : std::string_view())
         .add("sent", exchange.sendCount)
         .add("refusals", exchange.serverRefusals)
         .add("servers", static_cast<std::uint64_t>(m_parts.view.servers().size()))
--- a/unittests/Platform/CodecTest.cpp
+++ b/unittests/Platform/CodecTest.cpp
@@ -140,6 +140,7 @@
     CHECK(caller.callerTimeout == milliseconds(5000));
     CHECK(caller.adapter == AdapterKey{BaseModel("m"), "a3"});
     CHECK(caller.promptTokens == 1460);
+    CHECK(caller.promptParts.empty());
     Dispatch dispatch;
     dispatch.server.id = TargetId("i-1");
     dispatch.timeLeft = milliseconds(4321);
@@ -243,3 +244,24 @@
     CHECK(dialect.refuse({}, EntryRefusal::NotReady, milliseconds(300)).status == 503);
     CHECK(dialect.refuse({}, EntryRefusal::NoRoute, milliseconds(0)).status == 404);
 }
+
+// Guards against blaming the wrong part of a prompt, and against a list that takes a process down.
+TEST_CASE("the parts of a prompt are read, and malformed ones are passed over")
+{
+    const auto parts = [](const std::string &list) {
+        HttpRequest request;
+        request.headers.set("Tamarackcove-Prompt-Prefix", list);
+        return platform::callerDialect().readRequest(request).promptParts;
+    };
+    CHECK(parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250")
+          == std::vector{PromptPart("5c1e07a2"), PromptPart("91bd3f06"), PromptPart("e4402b7d")});
+    CHECK(parts("").empty());
+    CHECK(parts(",:,,:5,").empty());
+    CHECK(parts("a,b:x") == std::vector{PromptPart("a"), PromptPart("b")});
+    CHECK(parts(std::string(100000, 'x') + ":1").empty());
+    std::string many;
+    for (int i = 0; i < 10000; ++i) {
+        many += std::to_string(i) + ":1,";
+    }
+    CHECK(parts(many).size() == 32);
+}
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -165,6 +165,24 @@
         co_return response.has_value() ? std::move(response).value() : failed;
     }
 
+    /// Calls the streaming route with a list of the parts of the prompt.
+    boost::asio::awaitable<HttpResponse> callWithPrompt(std::string id, std::string parts)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/stream/x";
+        request.headers = {{"Host", "h.example"},
+                           {"Tamarackcove-Attempt-Id", id},
+                           {"Tamarackcove-Deadline-Ms", "4000"},
+                           {"Tamarackcove-Model", "m"},
+                           {"Tamarackcove-Prompt-Prefix", parts}};
+        Endpoint entry{.host = "127.0.0.1", .port = m_entry->callerPort()};
+        auto response = co_await httpExchange(std::move(entry), std::move(request), CallTimeout);
+        HttpResponse failed;
+        failed.status = 0;
+        co_return response.has_value() ? std::move(response).value() : failed;
+    }
+
     boost::asio::awaitable<void> sleepFor(milliseconds time)
     {
         Timer timer(m_io, time);
