--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -44,8 +44,8 @@
     [[nodiscard]] std::size_t requestBytesWritten() const;
 
     /// Reads the head of the response and skips the interim responses before it. The timeout applies to all of them
-    /// together. Fails with TooLarge if the head or the number of interim responses exceeds its limit. After TimedOut it
-    /// may be called again. Precondition: writeRequest() has succeeded.
+    /// together. Fails with TooLarge if the head or the number of interim responses exceeds its limit. After TimedOut
+    /// it may be called again. Precondition: writeRequest() has succeeded.
     boost::asio::awaitable<Result<HttpResponse, HttpError>> readHead(milliseconds timeout);
 
     /// Reads the part of the body that has arrived, and returns nothing at the end of the body. A connection that is
