Entry: fit a planned stop into a short grace period

What callers saw: with a grace period under about 2.6 s, a request in progress at SIGTERM would be killed with the process, without an answer.

Cause: the entry waited 2.3 s for the balancer whatever the grace period was, and looked at its end only afterwards.

CHECK( Clock::now() - stopBegin < deployment.gracePeriod ) is NOT correct! values: CHECK( 2300415626ns < 1000ms )

Change: PlannedStop (lib/Fleet) computes the times of a stop from its begin and the grace period: when connections are no longer accepted, when answers are due, when the tasks end.

--- a/include/tamarackcove/Gateway/GatewayNode.h
+++ b/include/tamarackcove/Gateway/GatewayNode.h
@@ -29,7 +29,7 @@
     /// Replaces the seeds in the settings and connects to the new ones. Hosts that are connected already are kept.
     void setSeeds(std::vector<std::string> seeds);
     /// Reports not ready, keeps accepting connections until the balancer has had time to notice this by its probes,
-    /// then finishes the requests in progress and ends the tasks.
+    /// then finishes the requests in progress and ends the tasks. Ends before the end of the grace period.
     boost::asio::awaitable<void> shutDown();
 
     /// The bound ports. Precondition: open() has succeeded.
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Gateway/GatewayNode.h"
 
+#include "tamarackcove/Fleet/PlannedStop.h"
 #include "tamarackcove/Gateway/FleetLink.h"
 #include "tamarackcove/Gateway/FleetView.h"
 #include "tamarackcove/Gateway/RequestRelay.h"
@@ -19,11 +20,6 @@
 
 namespace tamarackcove {
 
-/// How long the entry keeps accepting connections after it reports not ready: the balancer probes every second and
-/// stops sending new connections after two failed probes.
-static constexpr milliseconds BalancerNoticeTime{2300};
-/// Time reserved at the end of the grace period for ending the tasks, before the process is killed.
-static constexpr milliseconds ExitMargin{350};
 static constexpr milliseconds HousekeepingInterval{500};
 /// Added to the idle timeout of the configuration before a connection of a caller is closed: callers may keep a
 /// connection idle for most of that timeout and then send a request.
@@ -204,13 +200,13 @@
 {
     auto &impl = *m_impl;
     const auto startTime = Clock::now();
-    const auto deadline = startTime + impl.settings.gracePeriod - ExitMargin;
+    const PlannedStop stop(startTime, impl.settings.gracePeriod);
     impl.stopping = true;
     impl.callers.setCloseAfterResponse(true);
-    Timer timer(impl.root.executor(), BalancerNoticeTime);
+    Timer timer(impl.root.executor(), stop.closesAt());
     co_await timer.async_wait(asio::use_awaitable);
     impl.callers.beginDrain();
-    const bool finished = co_await impl.callerConnections.waitForChildren(deadline);
+    const bool finished = co_await impl.callerConnections.waitForChildren(stop.exitsAt());
     LogLine(LogLevel::Info, "drained")
         .add("finished", finished ? "yes" : "no")
         .add("after_ms", duration_cast<milliseconds>(Clock::now() - startTime));
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -146,19 +146,32 @@
         co_return response.has_value() ? std::move(response).value() : failed;
     }
 
-    boost::asio::awaitable<HttpResponse> call(std::string method, std::string path, std::string id,
-                                              std::string adapter = {}, milliseconds deadline = milliseconds(4000))
+    static HttpRequest callerRequest(std::string method, std::string path, std::string id, const std::string &adapter,
+                                     milliseconds deadline)
     {
         HttpRequest request;
         request.method = std::move(method);
         request.target = std::move(path);
         request.headers = {{"Host", "h.example"},
-                           {"Tamarackcove-Attempt-Id", id},
+                           {"Tamarackcove-Attempt-Id", std::move(id)},
                            {"Tamarackcove-Deadline-Ms", std::to_string(deadline.count())}};
         if (!adapter.empty()) {
             request.headers.set("Tamarackcove-Model", "m/" + adapter);
         }
-        Endpoint entry{.host = "127.0.0.1", .port = m_entry->callerPort()};
+        return request;
+    }
+
+    /// Where callers connect to the entry, also after it has been stopped.
+    [[nodiscard]] Endpoint callerEndpoint() const
+    {
+        return {.host = "127.0.0.1", .port = m_callerPort};
+    }
+
+    boost::asio::awaitable<HttpResponse> call(std::string method, std::string path, std::string id,
+                                              std::string adapter = {}, milliseconds deadline = milliseconds(4000))
+    {
+        auto request = callerRequest(std::move(method), std::move(path), std::move(id), adapter, deadline);
+        auto entry = callerEndpoint();
         auto response = co_await httpExchange(std::move(entry), std::move(request), CallTimeout);
         HttpResponse failed;
         failed.status = 0;
@@ -178,6 +191,13 @@
         return m_control->shutDown();
     }
 
+    /// Stops the entry as its process does after SIGTERM. Returns when the process would end.
+    boost::asio::awaitable<void> stopEntry()
+    {
+        m_entryStopped = true;
+        return m_entry->shutDown();
+    }
+
     /// The metrics of the entry and of the control host.
     boost::asio::awaitable<std::pair<std::string, std::string>> metrics()
     {
@@ -188,6 +208,8 @@
 
     /// How the control host writes its files. Set before run().
     FileHooks files = FileHooks::system();
+    /// Time from the begin of stopEntry() until the process of the entry would be killed. Set before run().
+    milliseconds gracePeriod = GatewaySettings().gracePeriod;
 
 private:
     static boost::asio::awaitable<std::string> metricsAt(std::uint16_t port)
@@ -266,8 +288,10 @@
         entrySettings.controlPort = m_control->entryPort();
         entrySettings.seeds = {"127.0.0.1"};
         entrySettings.retrySlack = 50;
+        entrySettings.gracePeriod = gracePeriod;
         m_entry = std::make_unique<GatewayNode>(m_io.get_executor(), entrySettings, platform::callerDialect());
         REQUIRE(m_entry->open().has_value());
+        m_callerPort = m_entry->callerPort();
         m_entry->start();
         for (const auto &member : m_servers) {
             member.server->start();
@@ -294,7 +318,9 @@
             co_await sleepFor(milliseconds(20));
         }
         co_await body();
-        co_await m_entry->shutDown();
+        if (!m_entryStopped) {
+            co_await m_entry->shutDown();
+        }
         if (!m_controlStopped) {
             co_await m_control->shutDown();
         }
@@ -309,6 +335,8 @@
     std::vector<std::pair<std::string, nlohmann::json>> m_externalServers;
     std::unique_ptr<FleetNode> m_control;
     std::unique_ptr<GatewayNode> m_entry;
+    std::uint16_t m_callerPort = 0;
+    bool m_entryStopped = false;
     bool m_controlStopped = false;
 };
 
--- /dev/null
+++ b/unittests/Platform/PlannedStopTest.cpp
@@ -0,0 +1,137 @@
+#include "Deployment.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using namespace tamarackcove;
+using namespace tamarackcove::test;
+
+/// Header with which a caller tells the stand-in server how long it works on the request.
+static constexpr std::string_view WorkMs = "Work-Ms";
+static asio::awaitable<void> pauseFor(milliseconds time)
+{
+    Timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+static milliseconds workTime(const HttpRequest &request)
+{
+    return milliseconds(std::stoi(std::string(request.headers.find(WorkMs).value_or("0"))));
+}
+
+static asio::awaitable<void> answerAfterWork(const HttpRequest &request, HttpResponder &responder)
+{
+    co_await pauseFor(workTime(request));
+    co_await answerInFull(request, responder);
+}
+
+/// Sends the first event at once and the last one after the work.
+static asio::awaitable<void> streamDuringWork(const HttpRequest &request, HttpResponder &responder)
+{
+    auto head = sealedResponse(request, 200);
+    head.headers.set("Content-Type", "text/event-stream");
+    (void)co_await responder.beginStream(std::move(head));
+    (void)co_await responder.writePiece("id: 1\ndata: x\n\n");
+    co_await pauseFor(workTime(request));
+    (void)co_await responder.writePiece("id: 2\ndata: x\n\n");
+    (void)co_await responder.endStream();
+}
+
+/// One request of a caller and what the caller has seen of it.
+struct CallerView
+{
+    std::string path;
+    std::string id;
+    milliseconds work{0};
+    milliseconds deadline{0};
+    /// When the request is sent, from the begin of the stop.
+    milliseconds sentAfter{0};
+    /// Time between the connect and the request; the connection is opened and used before the stop if it is absent.
+    std::optional<milliseconds> idleOnNewConnection;
+    bool ended = false;
+    /// 0 if the connection was closed without a complete answer.
+    int status = 0;
+    /// Whether the answer had `Connection: close`.
+    bool closes = false;
+    bool hasRetryAfter = false;
+    TimePoint endedAt;
+};
+
+static HttpRequest requestOf(const CallerView &view)
+{
+    auto request = Deployment::callerRequest("POST", view.path, view.id, {}, view.deadline);
+    request.headers.set(std::string(WorkMs), std::to_string(view.work.count()));
+    return request;
+}
+
+/// Sends the request at its moment and records the answer.
+static asio::awaitable<void> runCaller(const Deployment &deployment, CallerView &view, TimePoint stopBegin)
+{
+    Timer timer(co_await asio::this_coro::executor);
+    if (view.idleOnNewConnection) {
+        timer.expires_at(stopBegin + view.sentAfter - *view.idleOnNewConnection);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    auto endpoint = deployment.callerEndpoint();
+    auto connected = co_await HttpConnection::connect(std::move(endpoint), CallTimeout);
+    if (connected.has_value() && !view.idleOnNewConnection) {
+        auto first = Deployment::callerRequest("GET", "/again/x", "first-" + view.id, {}, CallTimeout);
+        const auto answer = co_await connected.value()->exchange(std::move(first), CallTimeout);
+        CHECK(answer.has_value());
+    }
+    timer.expires_at(stopBegin + view.sentAfter);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (connected.has_value()) {
+        auto request = requestOf(view);
+        const auto answer = co_await connected.value()->exchange(std::move(request), CallTimeout);
+        if (answer.has_value()) {
+            view.status = answer.value().status;
+            view.closes = !connected.value()->reusable();
+            view.hasRetryAfter = answer.value().headers.find("Retry-After").has_value();
+        }
+    }
+    view.endedAt = Clock::now();
+    view.ended = true;
+}
+
+/// Starts the callers, stops the entry once all connections that are opened before the stop are open, and waits until
+/// all callers have ended.
+static asio::awaitable<void> stopUnderCallers(Deployment &deployment, std::vector<CallerView> &views)
+{
+    constexpr milliseconds ConnectTime{700};
+    const auto stopBegin = Clock::now() + ConnectTime;
+    for (auto &view : views) {
+        asio::co_spawn(deployment.executor(), runCaller(deployment, view, stopBegin), asio::detached);
+    }
+    co_await deployment.sleepFor(std::chrono::ceil<milliseconds>(stopBegin - Clock::now()));
+    co_await deployment.stopEntry();
+    CHECK(Clock::now() - stopBegin < deployment.gracePeriod);
+    while (!std::all_of(views.begin(), views.end(), [](const auto &view) { return view.ended; })) {
+        co_await deployment.sleepFor(milliseconds(20));
+    }
+}
+
+// Guards against a process that is killed while it waits for the balancer, with its requests.
+TEST_CASE("with a short grace period requests are answered and the tasks end before the process is killed")
+{
+    Deployment deployment;
+    deployment.gracePeriod = milliseconds(1000);
+    deployment.addServer("p1", "plain", answerAfterWork);
+    deployment.addServer("s1", "engines", streamDuringWork);
+    deployment.run([&]() -> asio::awaitable<void> {
+        std::vector<CallerView> views(1);
+        views[0].path = "/once/x";
+        views[0].id = "short";
+        views[0].work = milliseconds(300);
+        views[0].deadline = milliseconds(4000);
+        views[0].sentAfter = milliseconds(-100);
+        co_await stopUnderCallers(deployment, views);
+        CHECK(views[0].status == 200);
+    });
+}
