Entry: answer the requests in progress at the end of a planned stop

What callers saw: at the end of the grace period, requests that were at a server were cut without an answer.

Cause: when the time for the drain had passed, the tasks of the connections were cancelled together with the requests in them.

Streams that have begun are cut, as there is no other way to say that they are incomplete. The server is not counted as broken for it.

--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackcove/Fleet/PlannedStop.h"
 #include "tamarackcove/Fleet/ServerDirectory.h"
 #include "tamarackcove/Gateway/CallerDialect.h"
 #include "tamarackcove/Http/HttpError.h"
@@ -7,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace tamarackcove {
@@ -40,6 +42,11 @@
     explicit RequestRelay(Parts parts);
 
     boost::asio::awaitable<void> serve(const HttpRequest &request, HttpResponder &responder);
+    /// From now on requests have to be answered by PlannedStop::answersDueAt().
+    void beginStop(const PlannedStop &stop);
+    /// Ends the requests in progress: those that may have run are answered as failed or timed out, the others are
+    /// refused, and streams are cut. Precondition: beginStop() was called, and PlannedStop::answersDueAt() has passed.
+    void endRequests();
 
 private:
     struct Attempt;
@@ -114,6 +121,8 @@
     void recordEnd(const Exchange &exchange);
 
     Parts m_parts;
+    /// Present while this entry is being stopped.
+    std::optional<PlannedStop> m_stop;
     std::mt19937_64 m_random;
     std::uint64_t m_requestCount = 0;
     /// Bytes of the answers that are collected before they are sent on.
--- a/include/tamarackcove/Http/CallerWatch.h
+++ b/include/tamarackcove/Http/CallerWatch.h
@@ -30,8 +30,8 @@
         WatchedRequest &operator=(const WatchedRequest &) = delete;
 
         /// What the request waits for, set by its coroutine: a read on `connection`, which the watch closes when the
-        /// caller has disconnected, or `timer`, which the watch then cancels. Each is null while the request does not
-        /// wait for it.
+        /// caller has disconnected, or `timer`, which the watch then cancels; interruptRequests() does the same. Each
+        /// is null while the request does not wait for it.
         HttpConnection *connection = nullptr;
         Timer *timer = nullptr;
 
@@ -40,6 +40,8 @@
 
     private:
         friend class CallerWatch;
+        void interrupt();
+
         CallerWatch &m_watch;
         const HttpResponder &m_responder;
         bool m_callerGone = false;
@@ -50,6 +52,10 @@
     /// Checks the caller connections periodically until cancelled; suspended while no request is in progress.
     boost::asio::awaitable<void> run();
 
+    /// Interrupts what the requests in progress wait for: closes their connections to servers and cancels their timers.
+    /// Does not count their callers as gone.
+    void interruptRequests();
+
     /// The number of requests in progress.
     [[nodiscard]] std::size_t size() const;
 
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -203,10 +203,16 @@
     const PlannedStop stop(startTime, impl.settings.gracePeriod);
     impl.stopping = true;
     impl.callers.setCloseAfterResponse(true);
+    impl.relay.beginStop(stop);
     Timer timer(impl.root.executor(), stop.closesAt());
     co_await timer.async_wait(asio::use_awaitable);
     impl.callers.beginDrain();
-    const bool finished = co_await impl.callerConnections.waitForChildren(stop.exitsAt());
+    bool finished = co_await impl.callerConnections.waitForChildren(stop.answersDueAt());
+    if (!finished) {
+        LogLine(LogLevel::Info, "requests_ended").add("count", static_cast<std::uint64_t>(impl.watch.size()));
+        impl.relay.endRequests();
+        finished = co_await impl.callerConnections.waitForChildren(stop.exitsAt());
+    }
     LogLine(LogLevel::Info, "drained")
         .add("finished", finished ? "yes" : "no")
         .add("after_ms", duration_cast<milliseconds>(Clock::now() - startTime));
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AdapterUse.h"
+#include "tamarackcove/Fleet/PlannedStop.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Gateway/AnswerBuffer.h"
 #include "tamarackcove/Gateway/EventStreamSplitter.h"
@@ -56,10 +57,12 @@
 /// Thread safety: used by the coroutine of its request.
 struct RequestRelay::Exchange
 {
-    Exchange(const HttpRequest &httpRequest, HttpResponder &httpResponder, CallerWatch &watch)
+    Exchange(const HttpRequest &httpRequest, HttpResponder &httpResponder, CallerWatch &watch,
+             const std::optional<PlannedStop> &plannedStop)
         : request(httpRequest)
         , responder(httpResponder)
         , watched(watch, httpResponder)
+        , stop(plannedStop)
     {
     }
 
@@ -69,12 +72,15 @@
     const HttpRequest &request;
     HttpResponder &responder;
     CallerWatch::WatchedRequest watched;
+    /// The stop of this entry; absent while none has begun.
+    const std::optional<PlannedStop> &stop;
     CallerRequest caller;
     std::shared_ptr<const RouteTable> routes;
     const RouteRule *route = nullptr;
     ServiceName service;
     TimePoint arrivedAt;
-    /// The time by which the answer must be sent to the caller.
+    /// The time by which the answer must be sent to the caller. While this entry is being stopped, answerBy() may be
+    /// earlier.
     TimePoint deadline;
     /// Servers to which this request is not sent again.
     std::set<TargetId> excludedServers;
@@ -125,15 +131,20 @@
     [[nodiscard]] std::optional<milliseconds> answerReadTimeout(TimePoint now) const
     {
         constexpr milliseconds MaxLateAnswerTime{100};
-        if (now >= deadline + MaxLateAnswerTime) {
+        if (now >= answerBy() + MaxLateAnswerTime) {
             return std::nullopt;
         }
         return std::max(remainingTime(now), milliseconds(1));
     }
-    /// Time until the deadline; negative after it.
+    /// The deadline of the request, or the end of the stop of this entry if that is earlier.
+    [[nodiscard]] TimePoint answerBy() const
+    {
+        return stop ? std::min(deadline, stop->answersDueAt()) : deadline;
+    }
+    /// Time until answerBy(); negative after it.
     [[nodiscard]] milliseconds remainingTime(TimePoint now) const
     {
-        return duration_cast<milliseconds>(deadline - now);
+        return duration_cast<milliseconds>(answerBy() - now);
     }
 };
 
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -54,7 +54,7 @@
 
 asio::awaitable<void> RequestRelay::serve(const HttpRequest &request, HttpResponder &responder)
 {
-    Exchange exchange(request, responder, m_parts.watch);
+    Exchange exchange(request, responder, m_parts.watch, m_stop);
     exchange.arrivedAt = Clock::now();
     exchange.sampled = m_requestCount++ % SampleInterval == 0;
     exchange.caller = m_parts.dialect.readRequest(request);
@@ -89,6 +89,16 @@
     recordEnd(exchange);
 }
 
+void RequestRelay::beginStop(const PlannedStop &stop)
+{
+    m_stop = stop;
+}
+
+void RequestRelay::endRequests()
+{
+    m_parts.watch.interruptRequests();
+}
+
 asio::awaitable<void> RequestRelay::awaitConfiguration(Exchange &exchange)
 {
     Timer timer(co_await asio::this_coro::executor);
@@ -322,8 +332,11 @@
 {
     const auto now = Clock::now();
     const bool silent = outcome == ServerOutcome::NoAnswer || outcome == ServerOutcome::Unrelated;
+    // At the end of a stop the answer is given up by this entry.
+    const bool stopped = m_stop && now >= m_stop->answersDueAt();
     m_parts.view.servers().endRequest(choice.server.id, exchange.weight,
-                                      exchange.watched.isCallerGone() ? ServerOutcome::Unrelated : outcome, now);
+                                      exchange.watched.isCallerGone() || stopped ? ServerOutcome::Unrelated : outcome,
+                                      now);
     if (exchange.watched.isCallerGone()) {
         return Step::Finished;
     }
--- a/lib/Http/CallerWatch.cpp
+++ b/lib/Http/CallerWatch.cpp
@@ -35,6 +35,16 @@
     return m_callerGone;
 }
 
+void CallerWatch::WatchedRequest::interrupt()
+{
+    if (connection != nullptr) {
+        connection->close();
+    }
+    if (timer != nullptr) {
+        timer->cancel();
+    }
+}
+
 CallerWatch::CallerWatch(asio::any_io_executor executor)
     : m_timer(executor, TimePoint::max())
 {
@@ -61,12 +71,14 @@
             continue;
         }
         watched->m_callerGone = true;
-        if (watched->connection != nullptr) {
-            watched->connection->close();
-        }
-        if (watched->timer != nullptr) {
-            watched->timer->cancel();
-        }
+        watched->interrupt();
+    }
+}
+
+void CallerWatch::interruptRequests()
+{
+    for (auto *watched : m_watchedRequests) {
+        watched->interrupt();
     }
 }
 
--- a/unittests/Platform/PlannedStopTest.cpp
+++ b/unittests/Platform/PlannedStopTest.cpp
@@ -1,5 +1,6 @@
 #include "Deployment.h"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,6 +15,8 @@
 
 /// Header with which a caller tells the stand-in server how long it works on the request.
 static constexpr std::string_view WorkMs = "Work-Ms";
+/// One path for each kind of request: not repeatable, repeatable, and resumable stream.
+static constexpr std::array<std::string_view, 3> Paths{"/once/x", "/again/x", "/stream/x"};
 static asio::awaitable<void> pauseFor(milliseconds time)
 {
     Timer timer(co_await asio::this_coro::executor, time);
@@ -117,6 +120,37 @@
     }
 }
 
+// Guards against requests that were at a server when the stop began and are cut without an answer at its end.
+TEST_CASE("requests that are at a server at the end of a planned stop get a final answer, and streams last until then")
+{
+    Deployment deployment;
+    deployment.gracePeriod = milliseconds(2000);
+    auto &plain = deployment.addServer("p1", "plain", answerAfterWork);
+    auto &engine = deployment.addServer("s1", "engines", streamDuringWork);
+    deployment.run([&]() -> asio::awaitable<void> {
+        std::vector<CallerView> views;
+        for (const auto path : Paths) {
+            CallerView view;
+            view.path = std::string(path);
+            view.id = "before-" + view.path;
+            view.work = milliseconds(3800);
+            view.deadline = milliseconds(4000);
+            view.sentAfter = milliseconds(-200);
+            views.push_back(std::move(view));
+        }
+        co_await stopUnderCallers(deployment, views);
+        CHECK(views[0].status == 504);
+        CHECK(views[1].status == 504);
+        // There is no final answer for a stream that has begun: its caller sees that it is incomplete.
+        CHECK(views[2].status == 0);
+        for (const auto &view : views) {
+            CAPTURE(view.id);
+            CHECK(requestCount(plain, view.id) + requestCount(engine, view.id) == 1);
+            CHECK(Clock::now() - view.endedAt < milliseconds(600));
+        }
+    });
+}
+
 // Guards against a process that is killed while it waits for the balancer, with its requests.
 TEST_CASE("with a short grace period requests are answered and the tasks end before the process is killed")
 {
