Entry: refuse requests during a planned stop that may last beyond its end

Cause: the entry took requests for 2.8 s after SIGTERM, and slow ones at any time, without comparing their deadline with the end of the grace period.

What is passed on thus has all its time. That holds for requests that wait for an adapter or a server, too.

--- a/include/tamarackcove/Fleet/PlannedStop.h
+++ b/include/tamarackcove/Fleet/PlannedStop.h
@@ -4,7 +4,8 @@
 
 namespace tamarackcove {
 
-/// The times of a planned stop of an entry, which ends before the process is killed at the end of the grace period.
+/// The times of a planned stop of an entry, and which requests it still passes on to servers. All of them are answered
+/// before the process is killed at the end of the grace period.
 ///
 /// Thread safety: immutable after construction; can be used on any thread.
 class PlannedStop
@@ -33,6 +34,10 @@
     [[nodiscard]] TimePoint answersDueAt() const;
     /// When the tasks of the remaining connections are cancelled. Not before answersDueAt().
     [[nodiscard]] TimePoint exitsAt() const;
+    /// Whether a request that has not run anywhere may be passed on to a server. A request that may last beyond
+    /// answersDueAt() is refused instead: another entry can serve it, while here it might be cut off after it has run.
+    /// `deadline` is the time by which the request is answered.
+    [[nodiscard]] bool mayPassOn(TimePoint deadline) const;
 
 private:
     TimePoint m_closesAt;
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -66,6 +66,8 @@
     NotReady,
     /// No server can take the request in time; it has not run.
     NoServer,
+    /// This entry is being stopped and may be killed before the request has to be answered; it has not run.
+    Stopping,
     /// The request may have run, and its answer was lost.
     OutcomeUnknown,
     /// The request may have run; no answer came before its deadline.
--- a/include/tamarackcove/Gateway/GatewayNode.h
+++ b/include/tamarackcove/Gateway/GatewayNode.h
@@ -29,8 +29,8 @@
     /// Replaces the seeds in the settings and connects to the new ones. Hosts that are connected already are kept.
     void setSeeds(std::vector<std::string> seeds);
     /// Reports not ready, keeps accepting connections until the balancer has had time to notice this by its probes,
-    /// then finishes the requests in progress and ends the tasks. Requests that are still in progress shortly
-    /// before the end of the grace period are answered as timed out.
+    /// then finishes the requests in progress and ends the tasks. Meanwhile it passes on only requests whose deadline
+    /// is before the end of the grace period; those that are still in progress at that end are answered as timed out.
     boost::asio::awaitable<void> shutDown();
 
     /// The bound ports. Precondition: open() has succeeded.
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -42,7 +42,8 @@
     explicit RequestRelay(Parts parts);
 
     boost::asio::awaitable<void> serve(const HttpRequest &request, HttpResponder &responder);
-    /// From now on requests have to be answered by PlannedStop::answersDueAt().
+    /// From now on passes on only requests that are answered before the stop ends, and refuses the others as not run.
+    /// Requests that are at a server already go on until PlannedStop::answersDueAt().
     void beginStop(const PlannedStop &stop);
     /// Ends the requests in progress: those that may have run are answered as failed or timed out, the others are
     /// refused, and streams are cut. Precondition: beginStop() was called, and PlannedStop::answersDueAt() has passed.
@@ -101,6 +102,9 @@
     [[nodiscard]] Step recordLostAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
                                         ServerOutcome outcome, std::string_view reason);
     [[nodiscard]] bool maySendAgain(const Exchange &exchange) const;
+    /// Whether the request must not be sent because this entry is being stopped. Does not hold for a request that may
+    /// have run, which cannot be refused any more.
+    [[nodiscard]] bool refusedByStop(const Exchange &exchange) const;
     /// Takes a retry from the budget for the next attempt, unless one was taken already. Returns false if none is left.
     [[nodiscard]] bool takeRetry(Exchange &exchange);
     /// Whether another server may be asked to take over a request that has one open attempt.
--- a/lib/Fleet/PlannedStop.cpp
+++ b/lib/Fleet/PlannedStop.cpp
@@ -36,4 +36,9 @@
     return m_exitsAt;
 }
 
+bool PlannedStop::mayPassOn(TimePoint deadline) const
+{
+    return deadline <= m_answersDueAt;
+}
+
 } // namespace tamarackcove
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -167,6 +167,12 @@
         && exchange.remainingTime(Clock::now()) > AnswerMargin;
 }
 
+bool RequestRelay::refusedByStop(const Exchange &exchange) const
+{
+    const bool mayHaveRun = exchange.possibleRuns > 0 || exchange.silentAttempt;
+    return m_stop && !mayHaveRun && !m_stop->mayPassOn(exchange.deadline);
+}
+
 asio::awaitable<std::optional<ServerDirectory::Choice>> RequestRelay::awaitServer(Exchange &exchange)
 {
     auto &view = m_parts.view;
@@ -189,6 +195,11 @@
     };
     for (;;) {
         const auto now = Clock::now();
+        if (refusedByStop(exchange)) {
+            exchange.failureDetail = "this entry is being stopped";
+            recordWait("stopping", now);
+            co_return std::nullopt;
+        }
         const bool leaderConnected = m_parts.leaderConnected();
         const auto waitDeadline
             = leaderConnected ? maxWaitDeadline : std::min(maxWaitDeadline, startTime + MaxAdapterWaitWithoutLeader);
@@ -261,6 +272,11 @@
         m_parts.connections.release(choice.server, std::move(connection));
         co_return Step::Finished;
     }
+    if (refusedByStop(exchange)) {
+        exchange.failureDetail = "this entry is being stopped";
+        m_parts.connections.release(choice.server, std::move(connection));
+        co_return Step::NoServer;
+    }
     const auto startTime = Clock::now();
     Dispatch dispatch;
     dispatch.server = choice.server;
@@ -390,6 +406,11 @@
         co_await refuse(exchange, late ? EntryRefusal::TimedOut : EntryRefusal::OutcomeUnknown, milliseconds(0));
         co_return;
     }
+    if (refusedByStop(exchange)) {
+        // Another entry can take the request at once.
+        co_await refuse(exchange, EntryRefusal::Stopping, milliseconds(0));
+        co_return;
+    }
     co_await refuse(exchange, EntryRefusal::NoServer, retryAfterFor(exchange));
 }
 
@@ -414,6 +435,8 @@
         return "not_ready";
     case EntryRefusal::NoServer:
         return "no_server";
+    case EntryRefusal::Stopping:
+        return "stopping";
     case EntryRefusal::OutcomeUnknown:
         return "outcome_unknown";
     case EntryRefusal::TimedOut:
--- a/unittests/Fleet/PlannedStopTest.cpp
+++ b/unittests/Fleet/PlannedStopTest.cpp
@@ -5,6 +5,28 @@
 using namespace tamarackcove;
 
 static constexpr TimePoint Start{std::chrono::hours(1)};
+static constexpr milliseconds OneMillisecond{1};
+
+// Guards against requests that are passed on although the process is killed before they have to be answered.
+TEST_CASE("at every moment of the grace period, a request is passed on exactly if it must be answered before the end")
+{
+    constexpr milliseconds Grace{8000};
+    const PlannedStop stop(Start, Grace);
+    for (milliseconds arrival{0}; arrival < Grace; arrival += milliseconds(50)) {
+        for (const milliseconds timeout :
+             {milliseconds(100), milliseconds(800), milliseconds(5000), milliseconds(12000)}) {
+            const auto deadline = Start + arrival + timeout;
+            CAPTURE(arrival.count());
+            CAPTURE(timeout.count());
+            CHECK(stop.mayPassOn(deadline) == (deadline <= stop.answersDueAt()));
+            if (stop.mayPassOn(deadline)) {
+                CHECK(deadline < Start + Grace);
+            }
+        }
+    }
+    CHECK(stop.mayPassOn(stop.answersDueAt()));
+    CHECK_FALSE(stop.mayPassOn(stop.answersDueAt() + OneMillisecond));
+}
 
 // Guards against an entry that closes its port while the balancer still sends it new connections, and against requests
 // in progress that are given up long before the process is killed.
@@ -35,4 +57,5 @@
 {
     const PlannedStop stop(Start, milliseconds(2000));
     CHECK(stop.answersDueAt() - stop.closesAt() >= milliseconds(500));
+    CHECK(stop.mayPassOn(Start + milliseconds(1000)));
 }
--- a/unittests/Platform/CodecTest.cpp
+++ b/unittests/Platform/CodecTest.cpp
@@ -241,5 +241,8 @@
     CHECK(refused.status == 503);
     CHECK(refused.headers.find("Retry-After") == "0.30");
     CHECK(dialect.refuse({}, EntryRefusal::NotReady, milliseconds(300)).status == 503);
+    const auto stopping = dialect.refuse({}, EntryRefusal::Stopping, milliseconds(0));
+    CHECK(stopping.status == 503);
+    CHECK(stopping.headers.find("Retry-After") == "0.00");
     CHECK(dialect.refuse({}, EntryRefusal::NoRoute, milliseconds(0)).status == 404);
 }
