--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -72,6 +72,8 @@
     NoServer,
     /// The prompt of the request has a part that crashes servers; the request has not run.
     Quarantined,
+    /// This entry is being stopped and may be killed before the request has to be answered; it has not run.
+    Stopping,
     /// The request may have run, and its answer was lost.
     OutcomeUnknown,
     /// The request may have run; no answer came before its deadline.
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackcove/Fleet/PlannedStop.h"
 #include "tamarackcove/Fleet/ServerDirectory.h"
 #include "tamarackcove/Gateway/CallerDialect.h"
 #include "tamarackcove/Http/HttpError.h"
@@ -7,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace tamarackcove {
@@ -40,6 +42,12 @@
     explicit RequestRelay(Parts parts);
 
     boost::asio::awaitable<void> serve(const HttpRequest &request, HttpResponder &responder);
+    /// From now on passes on only requests that are answered before the stop ends, and refuses the others as not run.
+    /// Requests that are at a server already go on until PlannedStop::answersDueAt().
+    void beginStop(const PlannedStop &stop);
+    /// Ends the requests in progress: those that may have run are answered as failed or timed out, the others are
+    /// refused, and streams are cut. Precondition: beginStop() was called, and PlannedStop::answersDueAt() has passed.
+    void endRequests();
 
 private:
     struct Attempt;
@@ -96,6 +104,9 @@
     [[nodiscard]] bool maySendAgain(const Exchange &exchange) const;
     /// The part of the prompt that crashes servers; null if no part is known to.
     [[nodiscard]] const PromptPart *quarantinedPart(const Exchange &exchange) const;
+    /// Whether the request must not be sent because this entry is being stopped. Does not hold for a request that may
+    /// have run, which cannot be refused any more.
+    [[nodiscard]] bool refusedByStop(const Exchange &exchange) const;
     /// Takes a retry from the budget for the next attempt, unless one was taken already. Returns false if none is left.
     [[nodiscard]] bool takeRetry(Exchange &exchange);
     /// Whether another server may be asked to take over a request that has one open attempt.
@@ -120,6 +131,8 @@
     void recordEnd(const Exchange &exchange);
 
     Parts m_parts;
+    /// Present while this entry is being stopped.
+    std::optional<PlannedStop> m_stop;
     std::mt19937_64 m_random;
     std::uint64_t m_requestCount = 0;
     /// Bytes of the answers that are collected before they are sent on.
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -56,7 +56,7 @@
 
 asio::awaitable<void> RequestRelay::serve(const HttpRequest &request, HttpResponder &responder)
 {
-    Exchange exchange(request, responder, m_parts.watch);
+    Exchange exchange(request, responder, m_parts.watch, m_stop);
     exchange.arrivedAt = Clock::now();
     exchange.sampled = m_requestCount++ % SampleInterval == 0;
     exchange.caller = m_parts.dialect.readRequest(request);
@@ -91,6 +91,16 @@
     recordEnd(exchange);
 }
 
+void RequestRelay::beginStop(const PlannedStop &stop)
+{
+    m_stop = stop;
+}
+
+void RequestRelay::endRequests()
+{
+    m_parts.watch.interruptRequests();
+}
+
 asio::awaitable<void> RequestRelay::awaitConfiguration(Exchange &exchange)
 {
     Timer timer(co_await asio::this_coro::executor);
@@ -170,6 +180,12 @@
         && exchange.remainingTime(Clock::now()) > AnswerMargin;
 }
 
+bool RequestRelay::refusedByStop(const Exchange &exchange) const
+{
+    const bool mayHaveRun = exchange.possibleRuns > 0 || exchange.silentAttempt;
+    return m_stop && !mayHaveRun && !m_stop->mayPassOn(exchange.deadline);
+}
+
 asio::awaitable<std::optional<ServerDirectory::Choice>> RequestRelay::awaitServer(Exchange &exchange)
 {
     auto &view = m_parts.view;
@@ -192,6 +208,11 @@
     };
     for (;;) {
         const auto now = Clock::now();
+        if (refusedByStop(exchange)) {
+            exchange.failureDetail = "this entry is being stopped";
+            recordWait("stopping", now);
+            co_return std::nullopt;
+        }
         const bool leaderConnected = m_parts.leaderConnected();
         const auto waitDeadline
             = leaderConnected ? maxWaitDeadline : std::min(maxWaitDeadline, startTime + MaxAdapterWaitWithoutLeader);
@@ -274,6 +295,11 @@
         m_parts.connections.release(choice.server, std::move(connection));
         co_return Step::Finished;
     }
+    if (refusedByStop(exchange)) {
+        exchange.failureDetail = "this entry is being stopped";
+        m_parts.connections.release(choice.server, std::move(connection));
+        co_return Step::NoServer;
+    }
     const auto startTime = Clock::now();
     Dispatch dispatch;
     dispatch.server = choice.server;
@@ -345,8 +371,11 @@
 {
     const auto now = Clock::now();
     const bool silent = outcome == ServerOutcome::NoAnswer || outcome == ServerOutcome::Unrelated;
+    // At the end of a stop the answer is given up by this entry.
+    const bool stopped = m_stop && now >= m_stop->answersDueAt();
     m_parts.view.servers().endRequest(choice.server.id, exchange.weight,
-                                      exchange.watched.isCallerGone() ? ServerOutcome::Unrelated : outcome, now);
+                                      exchange.watched.isCallerGone() || stopped ? ServerOutcome::Unrelated : outcome,
+                                      now);
     if (exchange.watched.isCallerGone()) {
         return Step::Finished;
     }
@@ -408,6 +437,11 @@
         co_await refuse(exchange, EntryRefusal::Quarantined, QuarantineRetryAfter);
         co_return;
     }
+    if (refusedByStop(exchange)) {
+        // Another entry can take the request at once.
+        co_await refuse(exchange, EntryRefusal::Stopping, milliseconds(0));
+        co_return;
+    }
     co_await refuse(exchange, EntryRefusal::NoServer, retryAfterFor(exchange));
 }
 
@@ -434,6 +468,8 @@
         return "no_server";
     case EntryRefusal::Quarantined:
         return "quarantined";
+    case EntryRefusal::Stopping:
+        return "stopping";
     case EntryRefusal::OutcomeUnknown:
         return "outcome_unknown";
     case EntryRefusal::TimedOut:
