Refuse documents that are nested more than 64 levels deep

Seen: one heartbeat, configuration, state report or frame of nested arrays ended the process that read it; the leader ended again at each read of such a server. Cause: nlohmann::json calls itself for each level when it reads msgpack and when value() copies a list. Change: BoundedBuilder stops the parsers at the 65th level, so that no later copy, print or comparison can go deeper.

--- a/lib/Control/Fleet/FleetCodec.cpp
+++ b/lib/Control/Fleet/FleetCodec.cpp
@@ -1,5 +1,7 @@
 #include "tamarackcove/Control/Fleet/FleetCodec.h"
 
+#include "tamarackcove/Wire/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 using nlohmann::json;
@@ -13,6 +15,11 @@
     return bytes;
 }
 
+static json unpack(std::string_view bytes)
+{
+    return parseMessagePack({reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size()});
+}
+
 static json identityJson(const ServerIdentity &server)
 {
     return json::array({server.id.value(), server.startedAt.value()});
@@ -103,7 +110,7 @@
 Result<FleetCommand, WireError> decodeFleetCommand(std::string_view bytes)
 {
     try {
-        return commandFrom(json::from_msgpack(bytes));
+        return commandFrom(unpack(bytes));
     } catch (const json::exception &error) {
         return WireError{WireErrorCode::BadFrame, std::string("fleet command: ") + error.what()};
     }
@@ -168,7 +175,7 @@
 Result<FleetState::Image, WireError> decodeFleetImage(std::string_view bytes)
 {
     try {
-        return imageFrom(json::from_msgpack(bytes));
+        return imageFrom(unpack(bytes));
     } catch (const json::exception &error) {
         return WireError{WireErrorCode::BadFrame, std::string("fleet snapshot: ") + error.what()};
     }
--- a/lib/Wire/Codec.cpp
+++ b/lib/Wire/Codec.cpp
@@ -1,5 +1,7 @@
 #include "tamarackcove/Wire/Codec.h"
 
+#include "tamarackcove/Wire/BoundedJson.h"
+
 namespace tamarackcove {
 
 static constexpr std::size_t LengthBytes = 4;
@@ -21,13 +23,12 @@
     return frame;
 }
 
-Result<Message, WireError> decodeFrame(std::span<const std::uint8_t> payload)
+static Result<Message, WireError> messageFrom(nlohmann::json envelope)
 {
-    auto envelope = nlohmann::json::from_msgpack(payload.begin(), payload.end(), true, false);
     if (!envelope.is_object() || !envelope.contains("v") || !envelope["v"].is_number_integer()) {
         return WireError{WireErrorCode::BadFrame, "frame is not a msgpack map with an integer field v"};
     }
-    if (envelope["v"].get<int>() != WireVersion) {
+    if (envelope["v"] != WireVersion) {
         return WireError{WireErrorCode::UnsupportedVersion, "unsupported protocol version " + envelope["v"].dump()};
     }
     if (!envelope.contains("type") || !envelope["type"].is_string() || !envelope.contains("body")) {
@@ -36,4 +37,13 @@
     return Message{.type = envelope["type"].get<std::string>(), .body = std::move(envelope["body"])};
 }
 
+Result<Message, WireError> decodeFrame(std::span<const std::uint8_t> payload)
+{
+    try {
+        return messageFrom(parseMessagePack(payload));
+    } catch (const nlohmann::json::exception &error) {
+        return WireError{WireErrorCode::BadFrame, std::string("the frame cannot be read: ") + error.what()};
+    }
+}
+
 } // namespace tamarackcove
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -165,6 +165,18 @@
         co_return response.has_value() ? std::move(response).value() : failed;
     }
 
+    /// Sends a call to the control host and returns the status of the answer, 0 if there is none.
+    boost::asio::awaitable<int> callControl(std::string method, std::string path, std::string body)
+    {
+        HttpRequest request;
+        request.method = std::move(method);
+        request.target = std::move(path);
+        request.body = std::move(body);
+        Endpoint host{.host = "127.0.0.1", .port = m_control->apiPort()};
+        const auto response = co_await httpExchange(std::move(host), std::move(request), CallTimeout);
+        co_return response.has_value() ? response.value().status : 0;
+    }
+
     boost::asio::awaitable<void> sleepFor(milliseconds time)
     {
         Timer timer(m_io, time);
@@ -178,6 +190,17 @@
         return m_control->shutDown();
     }
 
+    /// Stops the control host and starts it again with its data folder, on the ports that it had.
+    boost::asio::awaitable<void> restartControl()
+    {
+        m_controlSettings.listen.port = m_control->apiPort();
+        m_controlSettings.entryPort = m_control->entryPort();
+        m_controlSettings.firstStart = false;
+        co_await m_control->shutDown();
+        m_control.reset();
+        startControl();
+    }
+
     /// The metrics of the entry and of the control host.
     boost::asio::awaitable<std::pair<std::string, std::string>> metrics()
     {
@@ -226,27 +249,8 @@
             {"services", {{{"name", "plain"}}, {{"name", "engines"}, {"engine", engine}}}}};
     }
 
-    boost::asio::awaitable<int> callControl(std::string method, std::string path, std::string body)
-    {
-        HttpRequest request;
-        request.method = std::move(method);
-        request.target = std::move(path);
-        request.body = std::move(body);
-        Endpoint host{.host = "127.0.0.1", .port = m_control->apiPort()};
-        const auto response = co_await httpExchange(std::move(host), std::move(request), CallTimeout);
-        co_return response.has_value() ? response.value().status : 0;
-    }
-
-    boost::asio::awaitable<void> runNodes(std::function<boost::asio::awaitable<void>()> body)
+    void startControl()
     {
-        FleetControlSettings controlSettings;
-        controlSettings.name = "c1";
-        controlSettings.host = "127.0.0.1";
-        controlSettings.listen = {.host = "127.0.0.1", .port = 0};
-        controlSettings.metricsListen = Endpoint{.host = "127.0.0.1", .port = 0};
-        controlSettings.seeds = {"127.0.0.1"};
-        controlSettings.firstStart = true;
-        controlSettings.dataFolder = m_folder;
         FleetNode::Hooks hooks;
         hooks.readConfiguration = platform::readConfiguration;
         hooks.dialect = platform::engineDialect();
@@ -254,9 +258,21 @@
         hooks.onFatal = [](std::string_view, std::string_view) {
         };
         hooks.files = files;
-        m_control = std::make_unique<FleetNode>(m_io.get_executor(), controlSettings, std::move(hooks));
+        m_control = std::make_unique<FleetNode>(m_io.get_executor(), m_controlSettings, std::move(hooks));
         REQUIRE(m_control->open().has_value());
         m_control->start();
+    }
+
+    boost::asio::awaitable<void> runNodes(std::function<boost::asio::awaitable<void>()> body)
+    {
+        m_controlSettings.name = "c1";
+        m_controlSettings.host = "127.0.0.1";
+        m_controlSettings.listen = {.host = "127.0.0.1", .port = 0};
+        m_controlSettings.metricsListen = Endpoint{.host = "127.0.0.1", .port = 0};
+        m_controlSettings.seeds = {"127.0.0.1"};
+        m_controlSettings.firstStart = true;
+        m_controlSettings.dataFolder = m_folder;
+        startControl();
         GatewaySettings entrySettings;
         entrySettings.name = "e1";
         entrySettings.zone = Zone("z");
@@ -307,6 +323,7 @@
     std::filesystem::path m_folder;
     std::vector<Member> m_servers;
     std::vector<std::pair<std::string, nlohmann::json>> m_externalServers;
+    FleetControlSettings m_controlSettings;
     std::unique_ptr<FleetNode> m_control;
     std::unique_ptr<GatewayNode> m_entry;
     bool m_controlStopped = false;
--- a/unittests/Platform/StandInServer.h
+++ b/unittests/Platform/StandInServer.h
@@ -50,16 +50,18 @@
     /// The next heartbeat of this server.
     [[nodiscard]] nlohmann::json heartbeat(const std::string &service)
     {
-        return {{"service", service}, {"addr", "127.0.0.1:" + std::to_string(m_http.port())},
-                {"zone", "z"},        {"slots", 8},
-                {"state", "ready"},   {"seq", ++m_heartbeats},
-                {"born", 1},          {"models", models()}};
+        return {{"service", service}, {"addr", address()},     {"zone", "z"}, {"slots", 8},
+                {"state", "ready"},   {"seq", ++m_heartbeats}, {"born", 1},   {"models", models()}};
     }
     /// The state of this server.
     [[nodiscard]] nlohmann::json report() const
     {
         return {{"born", 1}, {"models", models()}, {"busy", false}, {"seq", m_orders}};
     }
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_http.port());
+    }
     [[nodiscard]] const std::string &id() const
     {
         return m_id;
