Refuse numbers and addresses out of range in calls to the control host

Seen: heartbeats with port 0, a negative or fractional seq, born -1 or slots 1e300 were acknowledged; so were versions and configurations with such numbers. Cause: nlohmann::json converts numbers that do not fit, negative ones wrap, and beyond the range of the type the behaviour is undefined.

--- a/include/tamarackcove/Fleet/ServerRecord.h
+++ b/include/tamarackcove/Fleet/ServerRecord.h
@@ -63,6 +63,9 @@
     std::vector<HeldModel> models;
     /// Adapters of which the server keeps a copy in memory.
     std::vector<AdapterKey> cachedAdapters;
+
+    /// Why this cannot be the state of a server that requests are sent to, as one line; nothing if it can. Thread safe.
+    [[nodiscard]] std::optional<std::string> validationError() const;
 };
 
 /// The state of a server, as it answers a state request of the control host.
--- a/include/tamarackcove/Fleet/ServerRegistry.h
+++ b/include/tamarackcove/Fleet/ServerRegistry.h
@@ -44,11 +44,13 @@
 
     explicit ServerRegistry(Options options);
 
-    /// Updates the registry from one heartbeat.
+    /// Updates the registry from one heartbeat. Precondition: the heartbeat is valid, see
+    /// ServerHeartbeat::validationError().
     [[nodiscard]] HeartbeatResult heartbeat(const ServerHeartbeat &heartbeat, TimePoint now);
     /// Adds a server that an entry or the replicated state lists and that has not sent a heartbeat to this host yet.
     /// Returns false without a change if a server with this id is present, if any server with this address was
-    /// announced or added since clear(), or if a departure says that this start of the server has ended.
+    /// announced or added since clear(), if a departure says that this start of the server has ended, or if the record
+    /// is not valid, as one of an earlier version of the program may be.
     bool addUnannounced(const ServerHeartbeat &heartbeat, bool draining, TimePoint now);
     /// Null when there is no server with this id.
     [[nodiscard]] const Server *find(const TargetId &id) const;
--- a/lib/Base/Endpoint.cpp
+++ b/lib/Base/Endpoint.cpp
@@ -7,6 +7,10 @@
 
 static bool isIpAddress(const std::string &host)
 {
+    // The functions of the system read up to the first NUL only.
+    if (host.find('\0') != std::string::npos) {
+        return false;
+    }
     in_addr v4{};
     in6_addr v6{};
     return inet_pton(AF_INET, host.c_str(), &v4) == 1 || inet_pton(AF_INET6, host.c_str(), &v6) == 1;
--- a/lib/Control/Fleet/FleetControl.cpp
+++ b/lib/Control/Fleet/FleetControl.cpp
@@ -130,6 +130,10 @@
 
 asio::awaitable<Result<void, FleetControl::Refusal>> FleetControl::heartbeat(ServerHeartbeat heartbeat)
 {
+    if (const auto invalid = heartbeat.validationError()) {
+        LogLine(LogLevel::Warning, "heartbeat_refused").add("reason", *invalid);
+        co_return Refusal{.code = RefusalCode::Invalid, .detail = *invalid, .leader = std::nullopt};
+    }
     BOOST_OUTCOME_CO_TRY(requireLeader());
     const auto verdict = m_registry.heartbeat(heartbeat, Clock::now());
     const auto identity = heartbeat.identity;
--- a/lib/Control/Fleet/FleetNodeLeadership.cpp
+++ b/lib/Control/Fleet/FleetNodeLeadership.cpp
@@ -71,6 +71,9 @@
     links.resendEverything();
     leadershipStartedAt = Clock::now();
     for (const auto &[id, server] : log.state().servers()) {
+        if (const auto invalid = server.validationError()) {
+            LogLine(LogLevel::Warning, "server_record_ignored").add("reason", *invalid);
+        }
         (void)registry.addUnannounced(server, false, leadershipStartedAt);
     }
     handleStateChange(nullptr);
--- a/lib/Fleet/ServerRegistry.cpp
+++ b/lib/Fleet/ServerRegistry.cpp
@@ -69,7 +69,7 @@
 {
     const auto departure = m_departures.find(heartbeat.identity);
     if (m_servers.contains(heartbeat.identity.id) || m_newestStartByAddress.contains(heartbeat.endpoint)
-        || (departure != m_departures.end() && departure->second)) {
+        || (departure != m_departures.end() && departure->second) || heartbeat.validationError()) {
         return false;
     }
     m_newestStartByAddress[heartbeat.endpoint] = heartbeat.identity;
