Limit names and lists of one server

Seen: heartbeats with names of 2 MiB, 100,000 models or an id of 8,000 bytes, and versions with long names, were acknowledged. Cause: nothing bounded them, although the state sent to entries has a maximum frame size. The UpdateFeed test was not run yet. Change: names have at most 128 printable bytes; lists are bounded; holdings with such names fit into a frame.

--- a/include/tamarackcove/Fleet/ServerRecord.h
+++ b/include/tamarackcove/Fleet/ServerRecord.h
@@ -8,10 +8,18 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tamarackcove {
 
+/// Longest id of a server, and longest name of a service, zone, base model or adapter. Messages to entries, which have
+/// a maximum size, hold them many times.
+inline constexpr std::size_t MaxNameBytes = 128;
+
+/// Whether a name is not empty, not longer than MaxNameBytes and without control characters. Thread safe.
+[[nodiscard]] bool isValidName(std::string_view name);
+
 /// Identifies an adapter of a base model, in any version.
 struct AdapterKey
 {
@@ -83,6 +91,9 @@
     int queued = 0;
     /// Number of requests that the server runs.
     int running = 0;
+
+    /// Why this cannot be the state of a server, as one line; nothing if it can. Thread safe.
+    [[nodiscard]] std::optional<std::string> validationError() const;
 };
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/FleetControl.cpp
+++ b/lib/Control/Fleet/FleetControl.cpp
@@ -115,9 +115,12 @@
 
 asio::awaitable<Result<void, FleetControl::Refusal>> FleetControl::putWeightVersion(PutWeightVersion version)
 {
-    if (version.key.model.empty() || version.version == 0) {
+    const bool validAdapter = version.key.adapter.empty() || isValidName(version.key.adapter);
+    if (!isValidName(version.key.model.value()) || !validAdapter || version.version == 0) {
         co_return Refusal{.code = RefusalCode::Invalid,
-                          .detail = "a model name and a version of at least 1 are required",
+                          .detail = fmt::format("a version of at least 1 and names of at most {} printable bytes are "
+                                                "required",
+                                                MaxNameBytes),
                           .leader = std::nullopt};
     }
     LogLine(LogLevel::Info, "weight_version_named")
--- a/lib/Control/Fleet/OrderDispatcher.cpp
+++ b/lib/Control/Fleet/OrderDispatcher.cpp
@@ -239,6 +239,10 @@
     if (response) {
         report = m_dialect.readReport(*response);
     }
+    if (const auto invalid = report ? report->validationError() : std::nullopt) {
+        LogLine(LogLevel::Warning, "server_report_refused").add("server", identity.id.value()).add("reason", *invalid);
+        report.reset();
+    }
     m_metrics.count("state_reads_total");
     if (!report) {
         m_metrics.count("state_reads_failed_total");
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -9,8 +9,9 @@
 /// Number of updates that are kept for entries that are behind. An entry that is further behind gets the whole state,
 /// which is shorter than that many updates.
 static constexpr std::size_t MaxKeptUpdates = 64;
-/// Number of holdings in one frame of the whole state, so that a frame stays below the maximum frame size.
-static constexpr std::size_t MaxHoldingsPerFrame = 4000;
+/// Number of holdings in one frame of the whole state, so that a frame stays below the maximum frame size also
+/// if all names are of MaxNameBytes.
+static constexpr std::size_t MaxHoldingsPerFrame = 1500;
 
 UpdateFeed::UpdateFeed(const FleetState &state, const ServerRegistry &registry, const AdapterPlanner &planner)
     : m_state(state)
--- a/unittests/Control/Fleet/UpdateFeedTest.cpp
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -197,6 +197,34 @@
     CHECK(receive(position).relisted.empty());
 }
 
+// Guards against entries that learn of no holdings at all because those of one server do not fit into a frame.
+TEST_CASE_FIXTURE(UpdateFeedFixture, "the whole state has all holdings, also of adapters with the longest names")
+{
+    constexpr std::size_t Holdings = 4000;
+    const std::string padding(MaxNameBytes - 5, 'a');
+    const BaseModel longModel(std::string(MaxNameBytes, 'm'));
+    const ServerIdentity longId{.id = TargetId(std::string(MaxNameBytes, 's')), .startedAt = Incarnation(1)};
+    auto server = heartbeat(1);
+    server.identity = longId;
+    server.endpoint.port = 99;
+    REQUIRE(registry.heartbeat(server, now) == ServerRegistry::HeartbeatResult::Changed);
+    EngineProfile profile;
+    profile.adapterSlots = 4;
+    planner.updateServer(server, false, profile, now);
+    REQUIRE(planner.nextStep(longId.id, now).kind == AdapterPlanner::Step::Kind::ReadState);
+    ServerReport report;
+    report.startedAt = Incarnation(1);
+    report.models = {{.name = longModel, .version = 1, .adapters = {}}};
+    for (std::size_t i = 0; i < Holdings; ++i) {
+        const auto number = std::to_string(10000 + i);
+        report.models.front().adapters.push_back({.adapter = padding + number, .version = 1});
+    }
+    CHECK_FALSE(report.validationError().has_value());
+    planner.applyReport(longId, report, now, now);
+    UpdateFeed::Position position;
+    CHECK(receive(position).holdings.size() == Holdings);
+}
+
 // Guards against entries that avoid an idle server because of the load that an earlier leader has sent.
 TEST_CASE_FIXTURE(UpdateFeedFixture, "a server without load is listed after a change of the leader")
 {
--- a/unittests/Fleet/OddServerRecordTest.cpp
+++ b/unittests/Fleet/OddServerRecordTest.cpp
@@ -19,7 +19,7 @@
 }
 
 // Guards against a record in the log, or in the report of an entry, that every later leader offers to all entries.
-TEST_CASE("a recorded server that nobody can reach is not added")
+TEST_CASE("a recorded server that nobody can reach or that has very long names is not added")
 {
     ServerRegistry registry({});
     auto odd = validServer();
@@ -35,6 +35,18 @@
     {
         odd.endpoint.host = "0.0.0.0";
     }
+    SUBCASE("a long zone")
+    {
+        odd.zone = Zone(std::string(1024 * 1024, 'z'));
+    }
+    SUBCASE("an id that no header can hold")
+    {
+        odd.identity.id = TargetId("a\r\nb");
+    }
+    SUBCASE("many models")
+    {
+        odd.models.resize(100000, {.name = BaseModel("m"), .version = 1, .adapters = {}});
+    }
     SUBCASE("a start far in the future")
     {
         odd.identity.startedAt = Incarnation(std::numeric_limits<std::uint64_t>::max());
