Take a success without a body whose server just closes the connection as broken off

Seen: a 200 with an empty body, framed as whole, from a server that stopped after its head; also an empty stream. Cause: a body with neither a length nor chunks ends with the connection, also before its first byte. Evidence: before, TruncatedHeadTest failed at exactly this case for answers and streams; cuts at all other bytes passed. It passes now. Change: such a 2xx is an error of the connection unless the method is HEAD; an empty body that is framed stays complete.

--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -44,14 +44,15 @@
     [[nodiscard]] std::size_t requestBytesWritten() const;
 
     /// Reads the head of the response and skips the interim responses before it. The timeout applies to all of them
-    /// together. Fails with TooLarge if the head or the number of interim responses exceeds its limit. After TimedOut it
-    /// may be called again. Precondition: writeRequest() has succeeded.
+    /// together. Fails with TooLarge if the head or the number of interim responses exceeds its limit. After TimedOut
+    /// it may be called again. Precondition: writeRequest() has succeeded.
     boost::asio::awaitable<Result<HttpResponse, HttpError>> readHead(milliseconds timeout);
 
     /// Reads the part of the body that has arrived, and returns nothing at the end of the body. A connection that is
-    /// closed before the end of the body gives an error, as does chunk framing over its limit (TooLarge). The body has
-    /// no limit: the caller counts the bytes and the time of all pieces. After TimedOut it may be called again.
-    /// Precondition: readHead() has succeeded.
+    /// closed before the end of the body gives an error, as does chunk framing over its limit (TooLarge). A body with
+    /// neither a length nor chunks ends when the peer closes the connection, unless the status is 2xx and no byte of it
+    /// has come: that gives an error as well. The body has no limit: the caller counts the bytes and the time of all
+    /// pieces. After TimedOut it may be called again. Precondition: readHead() has succeeded.
     boost::asio::awaitable<Result<std::optional<std::string>, HttpError>> readPiece(milliseconds timeout);
 
     /// Sets a hook that is called when a read has reached its timeout. It returns for how much longer the read waits;
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -40,6 +40,10 @@
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::size_t requestBytesWritten = 0;
+    /// Whether a response has a body, as far as the method of the request decides it.
+    bool expectsBody = true;
+    /// Bytes of the body of this response that were returned so far.
+    std::size_t bodyBytes = 0;
     TimePoint lastReadAt = Clock::now();
     std::optional<seconds> keepAliveTimeout;
     bool unusable = false;
@@ -56,6 +60,7 @@
     parser.emplace();
     parser->header_limit(MaxHeadBytes);
     parser->body_limit(boost::none);
+    bodyBytes = 0;
 }
 
 HttpError HttpConnection::Impl::fail(HttpErrorCode code, std::string detail)
@@ -139,6 +144,7 @@
     auto &impl = *m_impl;
     assert(!impl.inExchange && "the previous response must be read to its end");
     impl.inExchange = true;
+    impl.expectsBody = request.method != "HEAD";
     impl.startParser();
     const auto text = requestText(request);
     const auto error = co_await impl.socket.writeAll(text, timeout, impl.requestBytesWritten);
@@ -220,6 +226,7 @@
             auto piece = parseBuffered(parser, impl.buffer, error);
             if (!piece.empty()) {
                 impl.socket.expireNever();
+                impl.bodyBytes += piece.size();
                 co_return std::optional<std::string>(std::move(piece));
             }
             if (!error) {
@@ -244,6 +251,14 @@
             if (error == asio::error::eof) {
                 error = {};
                 parser.put_eof(error);
+                // A peer that stops after the head of a successful response looks the same as one whose body, of no
+                // stated length, is empty. Peers state that a body is empty, so this one is taken as broken off.
+                const bool success = http::to_status_class(parser.get().result()) == http::status_class::successful;
+                if (!error && impl.bodyBytes == 0 && impl.expectsBody && success) {
+                    co_return impl.fail(HttpErrorCode::Closed,
+                                        "the connection was closed right after the head of a "
+                                        "response with neither a length nor chunks");
+                }
             }
         }
         if (error) {
