--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -382,7 +382,7 @@
     ++exchange.possibleRuns;
     exchange.excludedServers.insert(choice.server.id);
     exchange.failureDetail = "the answer of a server was lost";
-    if (outcome == ServerOutcome::Broken && !exchange.streamStarted) {
+    if (outcome == ServerOutcome::Broken && !stopped && !exchange.streamStarted) {
         m_parts.view.promptParts().recordCrash(choice.server, exchange.caller.promptParts, now);
     }
     m_parts.metrics.count(Metrics::labelled(
