--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -70,6 +70,10 @@
 
     /// The entry refuses a request after this many attempts in which no server ran it.
     static constexpr int MaxRefusals = 6;
+    /// Time reserved for sending the answer to the caller before the timeout of the request.
+    static constexpr milliseconds AnswerMargin{25};
+    /// When a caller may come back whose request found no server, unless the servers say when they return.
+    static constexpr milliseconds RefusalRetryAfter{300};
 
     const HttpRequest &request;
     HttpResponder &responder;
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -18,8 +18,6 @@
 
 namespace tamarackcove {
 
-/// Time reserved for sending the answer to the caller before the timeout of the request.
-static constexpr milliseconds AnswerMargin{25};
 /// Longest wait of a request for its adapter. A load takes about 250 ms, and a caller whose request is refused early
 /// can send it again in time.
 static constexpr milliseconds MaxAdapterWait{1500};
@@ -32,9 +30,6 @@
 /// routes allow for the wait.
 static constexpr milliseconds MaxConfigurationWait{600};
 static constexpr milliseconds WriteTimeout{1000};
-static constexpr milliseconds RefusalRetryAfter{300};
-/// When the caller of a request with a quarantined part of its prompt may come back.
-static constexpr std::chrono::minutes QuarantineRetryAfter{5};
 /// One in this many requests has all its steps logged. Logging all requests would write several MB/s at the planned
 /// size.
 static constexpr std::uint64_t SampleInterval = 64;
@@ -65,7 +60,7 @@
     }
     exchange.routes = m_parts.view.routes();
     if (!exchange.routes) {
-        co_await refuse(exchange, EntryRefusal::NotReady, RefusalRetryAfter);
+        co_await refuse(exchange, EntryRefusal::NotReady, Exchange::RefusalRetryAfter);
         recordEnd(exchange);
         co_return;
     }
@@ -79,7 +74,7 @@
     std::uniform_real_distribution<double> draw(0, 1);
     exchange.service = RouteTable::chooseService(route, draw(m_random));
     exchange.deadline = exchange.arrivedAt
-        + std::min(route.timeout, exchange.caller.callerTimeout.value_or(route.timeout)) - AnswerMargin;
+        + std::min(route.timeout, exchange.caller.callerTimeout.value_or(route.timeout)) - Exchange::AnswerMargin;
     exchange.weight = weightOf(exchange.caller);
     m_parts.view.retryBudget(exchange.service).noteRequest(exchange.arrivedAt);
     logRouted(exchange);
@@ -177,7 +172,7 @@
 bool RequestRelay::maySendAgain(const Exchange &exchange) const
 {
     return exchange.route->repeatable() && exchange.possibleRuns < exchange.route->maxServers
-        && exchange.remainingTime(Clock::now()) > AnswerMargin;
+        && exchange.remainingTime(Clock::now()) > Exchange::AnswerMargin;
 }
 
 bool RequestRelay::refusedByStop(const Exchange &exchange) const
@@ -197,7 +192,7 @@
         requirements.excluded.insert(exchange.silentAttempt->choice.server.id);
     }
     const auto startTime = Clock::now();
-    const auto maxWaitDeadline = std::min(exchange.deadline - AnswerMargin, startTime + MaxAdapterWait);
+    const auto maxWaitDeadline = std::min(exchange.deadline - Exchange::AnswerMargin, startTime + MaxAdapterWait);
     Timer timer(co_await asio::this_coro::executor);
     bool waited = false;
     const auto recordWait = [&](std::string_view result, TimePoint now) {
@@ -217,8 +212,8 @@
         const auto waitDeadline
             = leaderConnected ? maxWaitDeadline : std::min(maxWaitDeadline, startTime + MaxAdapterWaitWithoutLeader);
         if (exchange.watched.isCallerGone() || now >= waitDeadline) {
-            exchange.failureDetail = now + AnswerMargin >= exchange.deadline ? "too little time is left"
-                : leaderConnected                                            ? "the adapter was not loaded in time"
+            exchange.failureDetail = now + Exchange::AnswerMargin >= exchange.deadline ? "too little time is left"
+                : leaderConnected ? "the adapter was not loaded in time"
                                   : "no control host that leads is connected";
             recordWait(exchange.watched.isCallerGone() ? "caller_gone" : "gave_up", now);
             co_return std::nullopt;
@@ -403,103 +398,4 @@
     return Step::MayHaveRun;
 }
 
-asio::awaitable<void> RequestRelay::answerUnservedRequest(Exchange &exchange)
-{
-    if (exchange.watched.isCallerGone()) {
-        co_return;
-    }
-    if (exchange.streamStarted) {
-        // The connection is closed without the end of the stream, so that the caller sees that the answer is
-        // incomplete.
-        exchange.outcome = RequestOutcome::StreamCut;
-        exchange.failureReason = "not_resumed";
-        LogLine(LogLevel::Warning, "stream_cut")
-            .add("request", exchange.caller.attemptId)
-            .add("sent", exchange.sendCount)
-            .add("events", exchange.eventCount)
-            .add("last_event", exchange.splitter.lastId().value_or(""))
-            .add("reason", exchange.failureDetail);
-        co_return;
-    }
-    if (exchange.failureResponse) {
-        exchange.outcome = RequestOutcome::ServerFailed;
-        exchange.failureReason = "server_error";
-        (void)co_await exchange.responder.send(std::move(*exchange.failureResponse));
-        co_return;
-    }
-    if (exchange.possibleRuns > 0) {
-        const bool late = exchange.remainingTime(Clock::now()) <= AnswerMargin;
-        co_await refuse(exchange, late ? EntryRefusal::TimedOut : EntryRefusal::OutcomeUnknown, milliseconds(0));
-        co_return;
-    }
-    if (exchange.quarantinedPart) {
-        m_parts.metrics.count("requests_quarantined_total");
-        co_await refuse(exchange, EntryRefusal::Quarantined, QuarantineRetryAfter);
-        co_return;
-    }
-    if (refusedByStop(exchange)) {
-        // Another entry can take the request at once.
-        co_await refuse(exchange, EntryRefusal::Stopping, milliseconds(0));
-        co_return;
-    }
-    co_await refuse(exchange, EntryRefusal::NoServer, retryAfterFor(exchange));
-}
-
-milliseconds RequestRelay::retryAfterFor(const Exchange &exchange) const
-{
-    const auto now = Clock::now();
-    const ServerDirectory::Requirements requirements{.service = exchange.service, .model = exchange.caller.model};
-    const auto returnsAt = m_parts.view.servers().earliestReturn(requirements, now);
-    // A server that wants requests before that may have been full, or may load the adapter.
-    if (!returnsAt || m_parts.view.servers().choose(requirements, now)) {
-        return RefusalRetryAfter;
-    }
-    return std::max(RefusalRetryAfter, std::chrono::ceil<milliseconds>(*returnsAt - now));
-}
-
-static std::string_view toString(EntryRefusal refusal)
-{
-    switch (refusal) {
-    case EntryRefusal::NoRoute:
-        return "no_route";
-    case EntryRefusal::NotReady:
-        return "not_ready";
-    case EntryRefusal::NoServer:
-        return "no_server";
-    case EntryRefusal::Quarantined:
-        return "quarantined";
-    case EntryRefusal::Stopping:
-        return "stopping";
-    case EntryRefusal::OutcomeUnknown:
-        return "outcome_unknown";
-    case EntryRefusal::TimedOut:
-        return "timed_out";
-    }
-    return "unknown";
-}
-
-asio::awaitable<void> RequestRelay::refuse(Exchange &exchange, EntryRefusal refusal, milliseconds retryAfter)
-{
-    exchange.outcome = RequestOutcome::Refused;
-    exchange.failureReason = toString(refusal);
-    LogLine(LogLevel::Info, "request_refused")
-        .add("request", exchange.caller.attemptId)
-        .add("route", exchange.route == nullptr ? std::string_view() : std::string_view(exchange.route->name))
-        .add("service", exchange.service.value())
-        .add("adapter",
-             exchange.caller.adapter ? std::string_view(exchange.caller.adapter->adapter) : std::string_view())
-        .add("reason", exchange.failureReason)
-        .add("detail", exchange.failureDetail)
-        .add("part",
-             exchange.quarantinedPart ? std::string_view(exchange.quarantinedPart->value()) : std::string_view())
-        .add("sent", exchange.sendCount)
-        .add("refusals", exchange.serverRefusals)
-        .add("servers", static_cast<std::uint64_t>(m_parts.view.servers().size()))
-        .add("configuration", exchange.routes ? exchange.routes->configuration().version : 0)
-        .add("control_age_ms", m_parts.view.updateAge(Clock::now()))
-        .add("after_ms", duration_cast<milliseconds>(Clock::now() - exchange.arrivedAt));
-    auto response = m_parts.dialect.refuse(exchange.caller, refusal, retryAfter);
-    (void)co_await exchange.responder.send(std::move(response));
-}
-
 } // namespace tamarackcove
--- a/lib/Gateway/RequestTakeover.cpp
+++ b/lib/Gateway/RequestTakeover.cpp
@@ -20,8 +20,6 @@
 static constexpr milliseconds MaxOverlap{250};
 /// How long the servers of streams may be silent although they are sound.
 static constexpr milliseconds SoundSilence{1500};
-/// The least time before the deadline that makes another attempt worthwhile.
-static constexpr milliseconds MinTakeoverTime{25};
 
 bool RequestRelay::mayBeTakenOver(const Exchange &exchange) const
 {
@@ -43,7 +41,7 @@
     attempt.connection->setSilenceHook([this, &exchange, silent = attempt.choice.server.id] {
         const auto now = Clock::now();
         const auto left = exchange.remainingTime(now);
-        if (left <= MinTakeoverTime || exchange.watched.isCallerGone()) {
+        if (left <= Exchange::AnswerMargin || exchange.watched.isCallerGone()) {
             return milliseconds(0);
         }
         if (now < exchange.nextTakeoverAt) {
@@ -69,7 +67,7 @@
 bool RequestRelay::takeoverDue(const Exchange &exchange, const HttpError &error) const
 {
     return error.code == HttpErrorCode::TimedOut && exchange.retryGranted
-        && exchange.remainingTime(Clock::now()) > MinTakeoverTime;
+        && exchange.remainingTime(Clock::now()) > Exchange::AnswerMargin;
 }
 
 RequestRelay::Step RequestRelay::keepSilentAttempt(Exchange &exchange, std::unique_ptr<Attempt> attempt)
