Control test: the server of a record is one that the registry takes

ServerRegistry::addUnannounced() passes over records that name no server; the test's record had neither service nor address. Its checks are unchanged.

--- a/unittests/Control/Fleet/FleetControlTest.cpp
+++ b/unittests/Control/Fleet/FleetControlTest.cpp
@@ -90,6 +90,8 @@
     onConfirmed = [this] {
         ServerHeartbeat server;
         server.identity = {.id = TargetId("s1"), .startedAt = Incarnation(1)};
+        server.service = ServiceName("engines");
+        server.endpoint = {.host = "10.0.0.1", .port = 80};
         CHECK(registry.addUnannounced(server, false, Clock::now()));
     };
     CHECK(deregister("s1").has_value());
--- a/unittests/Platform/LongNamesTest.cpp
+++ b/unittests/Platform/LongNamesTest.cpp
@@ -27,8 +27,7 @@
     });
 }
 
-// Guards against an entry that makes the list of the servers longer than the largest frame, so that no entry process
-// gets any list any more.
+// Guards against an entry that makes the list of the servers longer than the largest frame.
 TEST_CASE("a heartbeat with very long names is refused, and entries learn of further servers")
 {
     Deployment deployment;
