--- a/lib/Control/Fleet/FleetNodeCrashes.cpp
+++ b/lib/Control/Fleet/FleetNodeCrashes.cpp
@@ -2,14 +2,20 @@
 #include "tamarackcove/Control/Fleet/FleetCodec.h"
 #include "tamarackcove/Observe/LogLine.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <optional>
 #include <set>
 
 namespace asio = boost::asio;
 
 namespace tamarackcove {
 
+/// Shortest time between two evaluations of the crashes. It bounds the CPU time of the leader however many entries
+/// report the same crash.
+static constexpr milliseconds AttributionInterval{20};
+
 void FleetNode::Impl::applyCrashes(const FleetReportMessage &report)
 {
     if (report.crashes.empty() && report.answeredParts.empty()) {
@@ -33,7 +39,7 @@
             .add("parts", static_cast<std::uint64_t>(crash.parts.size()))
             .add("entry", report.entry);
     }
-    publishPromptParts();
+    crashesReported = true;
     crashTimer.cancel();
 }
 
@@ -67,14 +73,21 @@
 
 asio::awaitable<void> FleetNode::Impl::attributeCrashes()
 {
+    TimePoint evaluatedAt;
+    std::optional<TimePoint> decisionAt;
     for (;;) {
-        const auto next = leading ? crashes.nextDecisionAt(Clock::now()) : std::nullopt;
-        crashTimer.expires_at(next.value_or(TimePoint::max()));
+        const auto dueAt = crashesReported ? evaluatedAt : decisionAt.value_or(TimePoint::max());
+        crashTimer.expires_at(std::max(dueAt, evaluatedAt + AttributionInterval));
         boost::system::error_code ignored;
         co_await crashTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (next && Clock::now() >= *next) {
-            publishPromptParts();
+        const auto now = Clock::now();
+        if (now < evaluatedAt + AttributionInterval || (!crashesReported && (!decisionAt || now < *decisionAt))) {
+            continue;
         }
+        evaluatedAt = now;
+        crashesReported = false;
+        publishPromptParts();
+        decisionAt = leading ? crashes.nextDecisionAt(now) : std::nullopt;
     }
 }
 
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -102,6 +102,8 @@
     Timer planTimer;
     CrashAttribution crashes;
     Timer crashTimer;
+    /// Whether entries have reported crashes or answered parts since the last evaluation.
+    bool crashesReported = false;
     UpdateFeed feed;
     OrderDispatcher dispatcher;
     FleetControl control;
