--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,24 +1,22 @@
-"""A request without prompt parts crashes each server that begins to run it, and comes again.
+"""The body of a request holds the text of another request, and its head says Transfer-Encoding: identity.
 
 Exits with 1 if the rule is broken, 0 if it holds, 2 if the case could not run.
 """
 import os
 import pathlib
+import re
+import socket
 import sys
-import threading
 import time
 import uuid
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-from stand_ins import (CONTACT_S, Record, ServerPlace, System, call_control, plain_configuration, plain_route,  # noqa: E402
-                       send_request)
+from stand_ins import Record, ServerPlace, System, call_control, plain_configuration, plain_route, send_request  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "shop.example"
-TRAFFIC_S = 30
-DEADLY_INTERVAL_S = 1.0
-MAX_RETRIES = 3
+TRIES = 10
 
 
 def main():
@@ -30,81 +28,57 @@
         system.close()
 
 
+def exchange(address, text):
+    """Sends the bytes on a new channel; returns the status lines that come back within a second."""
+    received = b""
+    with socket.create_connection(address, timeout=1) as channel:
+        channel.sendall(text.encode())
+        channel.settimeout(1)
+        try:
+            while chunk := channel.recv(65536):
+                received += chunk
+        except OSError:
+            pass
+    return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d+) ", received)]
+
+
 def run(system, record):
     for machine in [*system.controls, *system.entries]:
         machine.start(first_start=True)
-    servers = [ServerPlace(system, number) for number in range(4)]
-    routes = [plain_route("lookup", "/lookup/", "idempotent", 2), plain_route("pay", "/pay/", "non_idempotent", 1)]
+    servers = [ServerPlace(system, number) for number in range(2)]
+    routes = [plain_route("note", "/note/", "non_idempotent", 1), plain_route("pay", "/pay/", "non_idempotent", 1)]
     accepted = call_control(system.control_addresses(), "POST", "/v1/Config.Replace", plain_configuration(1, routes))
-    record.add(f"operator: configuration 1 answered {accepted and accepted[0]}")
-    if accepted is None or accepted[0] != 200 or not wait_until_served(system):
+    end = time.monotonic() + 20
+    answer = None
+    while time.monotonic() < end and (answer is None or answer[0] != 200):
+        answer = send_request(system.entries[0].front, "POST", "/note/0", HOST, uuid.uuid4().hex[:16])
+        time.sleep(0.2)
+    if accepted is None or accepted[0] != 200 or answer is None or answer[0] != 200:
         record.add("the system does not serve; the case cannot run")
         return 2
-
-    answers = []
-    stop = threading.Event()
-
-    def pay(number):
-        while not stop.is_set():
-            attempt = uuid.uuid4().hex[:16]
-            entry = system.entries[number % len(system.entries)]
-            answer = send_request(entry.front, "POST", f"/pay/{number}", HOST, attempt, b"x" * 100)
-            answers.append((time.monotonic(), attempt, answer))
-            if answer is None or answer[0] != 200:
-                record.add(f"client: payment {attempt} answered {answer and answer[0]}")
-            stop.wait(0.1)
-
-    payers = [threading.Thread(target=pay, args=(number,), daemon=True) for number in range(8)]
-    for payer in payers:
-        payer.start()
-    time.sleep(CONTACT_S + 1)  # the machines are in touch
-    end = time.monotonic() + TRAFFIC_S
-    number = 0
-    while time.monotonic() < end:
-        if TROUBLE:
-            number += 1
-            attempt = uuid.uuid4().hex[:16]
-            entry = system.entries[number % len(system.entries)]
-            record.add(f"client: deadly request, attempt {attempt}, to {entry.name}")
-            answer = send_request(entry.front, "GET", "/lookup/deadly/1", HOST, attempt)
-            record.add(f"client: deadly request, attempt {attempt}, answered {answer and answer[0]}")
-        time.sleep(DEADLY_INTERVAL_S)
-    stop.set()
-    for payer in payers:
-        payer.join(5)
-    return judge(record, servers, answers)
-
-
-def wait_until_served(system):
-    end = time.monotonic() + 20
-    for entry in system.entries:
-        while True:
-            answer = send_request(entry.front, "GET", "/lookup/1", HOST, uuid.uuid4().hex[:16])
-            if system.entry_ready(entry) and answer is not None and answer[0] == 200:
-                break
-            if time.monotonic() > end:
-                return False
-            time.sleep(0.2)
-    return True
-
-
-def judge(record, servers, answers):
-    events = sorted((event for server in servers for event in list(server.events)), key=lambda event: event["at"])
-    crashes = [event for event in events if event["event"] == "crashes"]
-    ran = {event["attempt"] for event in events if event["event"] == "runs"}
-    lost = [attempt for _, attempt, answer in answers if attempt in ran and (answer is None or answer[0] != 200)]
-    record.add(f"result: {len(answers)} payments sent, {len(lost)} of them had begun to run and got no success")
-    if not crashes:
-        record.add("result: no server crashed")
-        return 0 if not TROUBLE and not lost else 2
-    late = []
-    if len(crashes) >= 3:
-        # Entries have been in touch all the while: nothing was done to them, to control or to a link.
-        limit = crashes[2]["at"] + CONTACT_S
-        late = [event for event in crashes if event["at"] > limit]
-    record.add(f"result: the request crashed {len(crashes)} servers; it reached servers {len(late)} times later than "
-               f"{CONTACT_S} s after the third crash; {MAX_RETRIES} are allowed")
-    return 1 if len(late) > MAX_RETRIES else 0
+    sent = {}
+    smuggled = []
+    for number in range(TRIES):
+        outer, inner = uuid.uuid4().hex[:16], uuid.uuid4().hex[:16]
+        body = (f"POST /pay/{number} HTTP/1.1\r\nHost: {HOST}\r\nTamarackcove-Attempt-Id: {inner}\r\n"
+                "Tamarackcove-Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n")
+        framing = "Transfer-Encoding: identity" if TROUBLE else f"Content-Length: {len(body)}"
+        text = (f"POST /note/{number} HTTP/1.1\r\nHost: {HOST}\r\nTamarackcove-Attempt-Id: {outer}\r\n"
+                f"Tamarackcove-Deadline-Ms: 1500\r\n{framing}\r\n\r\n{body}")
+        sent[outer] = len(body)
+        smuggled.append(inner)
+        record.add(f"client: request {outer} for /note/{number}, {framing}, its body of {len(body)} bytes holds the text "
+                   f"of a request {inner} for /pay/{number}")
+        statuses = exchange(system.entries[0].front, text)
+        record.add(f"client: the channel of {outer} gave the answers {statuses}")
+        time.sleep(0.1)
+    time.sleep(1)
+    events = [event for server in servers for event in list(server.events) if event["event"] == "runs"]
+    unasked = [event for event in events if event["attempt"] in smuggled]
+    changed = [event for event in events if event["attempt"] in sent and event["bytes"] != sent[event["attempt"]]]
+    record.add(f"result: servers ran {len(unasked)} requests that were in the body of another one, and {len(changed)} "
+               f"requests with another body than the client's, of {TRIES} sent")
+    return 1 if unasked or changed else 0
 
 
 if __name__ == "__main__":
