--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -114,6 +114,8 @@
 
     def __init__(self, record, controls=3, entries=2):
         self.record = record
+        # A script that runs out of time still ends all processes that it has started.
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="tamarackcove-review-"))
         base = f"127.{random.randint(20, 200)}.{random.randint(0, 250)}"
         control_ips = [f"{base}.{10 + number}" for number in range(controls)]
