Http: refuse messages that can be framed in more than one way

Cause: the parser of Beast alone decided where a message ends. A request whose Transfer-Encoding does not end in chunked has no body for it, so the next bytes are the next request. Ruled out: the conversion, which drops the field after the framing has been decided, and the encoding to servers, which always sends one length.

Change: MessageFraming examines each head before the parser sees it, for all that reads HTTP. Requests get 400 and their connection is closed; answers count as lost and their connection is not used again. Unread bytes are read for up to 0.5 s before the close, since a reset would destroy the 400.

--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "tamarackcove/Http/HttpConnection.h"
 
 #include "HttpConversion.h"
+#include "MessageFraming.h"
 #include "TimedSocket.h"
 
 #include <algorithm>
@@ -39,6 +40,7 @@
     TimedSocket socket;
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<MessageFraming> framing;
     std::size_t requestBytesWritten = 0;
     /// Whether a response has a body, as far as the method of the request decides it.
     bool expectsBody = true;
@@ -50,6 +52,8 @@
     bool inExchange = false;
 
     void startParser();
+    /// Reads one head and gives it to the parser.
+    asio::awaitable<Result<void, HttpError>> readHead();
     /// Marks the connection as unusable and returns the error.
     HttpError fail(HttpErrorCode code, std::string detail);
     HttpError fail(const beast::error_code &error);
@@ -57,12 +61,42 @@
 
 void HttpConnection::Impl::startParser()
 {
+    framing.emplace(MessageKind::Response, MaxHeadBytes);
     parser.emplace();
     parser->header_limit(MaxHeadBytes);
     parser->body_limit(boost::none);
     bodyBytes = 0;
 }
 
+asio::awaitable<Result<void, HttpError>> HttpConnection::Impl::readHead()
+{
+    for (;;) {
+        if (buffer.size() > 0) {
+            const std::string_view bytes(static_cast<const char *>(buffer.data().data()), buffer.size());
+            auto headBytes = framing->examine(bytes);
+            if (headBytes.has_error()) {
+                co_return fail(headBytes.error().code, headBytes.error().detail);
+            }
+            if (headBytes.value()) {
+                beast::error_code error;
+                buffer.consume(parser->put(asio::buffer(buffer.data(), *headBytes.value()), error));
+                if (error) {
+                    co_return fail(HttpErrorCode::Malformed, error.message());
+                }
+                co_return ok();
+            }
+        }
+        if (socket.expired()) {
+            co_return fail(asio::error::timed_out);
+        }
+        const auto [error, received] = co_await socket.readSome(buffer.prepare(ReadBytes));
+        buffer.commit(received);
+        if (error) {
+            co_return fail(error);
+        }
+    }
+}
+
 HttpError HttpConnection::Impl::fail(HttpErrorCode code, std::string detail)
 {
     unusable = true;
@@ -165,11 +199,7 @@
     auto &impl = *m_impl;
     impl.socket.expireAfter(timeout);
     for (int interimResponses = 0;; ++interimResponses) {
-        const auto [error, bytes]
-            = co_await http::async_read_header(impl.socket.socket(), impl.buffer, *impl.parser, UseTuple);
-        if (error) {
-            co_return impl.fail(error);
-        }
+        BOOST_OUTCOME_CO_TRY(co_await impl.readHead());
         const auto status = impl.parser->get().result_int();
         if (status == SwitchingProtocols) {
             co_return impl.fail(HttpErrorCode::Malformed, "status 101, although no other protocol was requested");
--- a/lib/Http/HttpConversion.cpp
+++ b/lib/Http/HttpConversion.cpp
@@ -71,16 +71,6 @@
     return headers;
 }
 
-HttpRequest requestFromBeast(http::request<http::string_body> request)
-{
-    HttpRequest result;
-    result.method = std::string(toView(request.method_string()));
-    result.target = std::string(toView(request.target()));
-    result.headers = headersFromBeast(request);
-    result.body = std::move(request.body());
-    return result;
-}
-
 HttpResponse streamHead(std::string_view contentType)
 {
     HttpResponse head;
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "tamarackcove/Http/HttpServer.h"
 
 #include "HttpConversion.h"
+#include "MessageFraming.h"
 #include "TimedSocket.h"
 #include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Http/HttpResponder.h"
@@ -32,6 +33,10 @@
 /// How long a connection that has sent nothing yet when the server begins to drain may take to begin its request. Its
 /// caller has just opened it for one.
 static constexpr milliseconds FirstRequestDrainTime{500};
+static constexpr std::size_t ReadSize = 4096;
+/// How long, and for how many bytes, a connection is read on after the refusal of an unreadable request.
+static constexpr milliseconds LingerTime{500};
+static constexpr std::size_t MaxDiscardedBytes = 256 * 1024;
 
 class ServerConnection;
 
@@ -125,9 +130,18 @@
     }
 
 private:
+    /// Reads until the buffer holds a whole head, and returns the size of the head.
+    asio::awaitable<Result<std::size_t, HttpError>> readHead();
     asio::awaitable<bool> readRequest(HttpRequest &request);
     asio::awaitable<void> answer(const HttpRequest &request);
-    asio::awaitable<void> rejectUnreadable(const beast::error_code &error);
+    asio::awaitable<void> rejectUnreadable(HttpError error);
+    /// Reads what the caller still sends after the last response, for a limited time. A connection that is closed with
+    /// unread bytes is reset, and the caller may then not get the response.
+    asio::awaitable<void> discardUnread();
+    [[nodiscard]] std::string_view bufferedBytes() const
+    {
+        return {static_cast<const char *>(m_buffer.data().data()), m_buffer.size()};
+    }
     asio::awaitable<Result<void, HttpError>> writeAll(std::string_view bytes);
     [[nodiscard]] std::string headText(const HttpResponse &response, std::string_view framing) const;
 
@@ -165,59 +179,110 @@
     m_socket.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-asio::awaitable<bool> ServerConnection::readRequest(HttpRequest &request)
+asio::awaitable<Result<std::size_t, HttpError>> ServerConnection::readHead()
 {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(m_server.limits.maxHeaderBytes));
-    parser.body_limit(m_server.limits.maxBodyBytes);
+    MessageFraming framing(MessageKind::Request, m_server.limits.maxHeaderBytes);
     // The wait for the first byte has its own timeout, as a connection may stay idle for longer than a caller may take
     // to send a head.
-    if (m_buffer.size() == 0) {
-        constexpr std::size_t ReadSize = 4096;
-        m_socket.expireAfter(m_server.limits.idleTimeout);
-        const auto [idleError, count]
-            = co_await m_socket.socket().async_read_some(m_buffer.prepare(ReadSize), UseTuple);
-        if (idleError) {
-            m_socket.expireNever();
-            co_return false;
+    m_socket.expireAfter(m_server.limits.idleTimeout);
+    bool begun = false;
+    for (;;) {
+        if (m_buffer.size() > 0) {
+            BOOST_OUTCOME_CO_TRY(const auto headBytes, framing.examine(bufferedBytes()));
+            if (headBytes) {
+                co_return *headBytes;
+            }
+            m_requestBegun = true;
+            if (!std::exchange(begun, true)) {
+                m_socket.expireAfter(m_server.limits.headerTimeout);
+            }
+        }
+        const auto [error, count] = co_await m_socket.readSome(m_buffer.prepare(ReadSize));
+        if (error == asio::error::eof && m_buffer.size() > 0) {
+            co_return HttpError{HttpErrorCode::Malformed, "an incomplete head"};
+        }
+        if (error) {
+            co_return toHttpError(m_socket.translateError(error));
         }
         m_buffer.commit(count);
     }
+}
+
+asio::awaitable<bool> ServerConnection::readRequest(HttpRequest &request)
+{
+    const auto headBytes = co_await readHead();
+    if (headBytes.has_error()) {
+        m_socket.expireNever();
+        co_await rejectUnreadable(headBytes.error());
+        co_return false;
+    }
     m_requestBegun = true;
-    m_socket.expireAfter(m_server.limits.headerTimeout);
-    auto [error, headerBytes] = co_await http::async_read_header(m_socket.socket(), m_buffer, parser, UseTuple);
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(m_server.limits.maxHeaderBytes));
+    parser.body_limit(m_server.limits.maxBodyBytes);
+    beast::error_code error;
+    m_buffer.consume(parser.put(asio::buffer(m_buffer.data(), headBytes.value()), error));
     if (!error) {
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done()) {
             (void)co_await writeAll("HTTP/1.1 100 Continue\r\n\r\n");
         }
+    }
+    if (!error && !parser.is_done()) {
         m_socket.expireAfter(m_server.limits.requestTimeout);
-        std::tie(error, headerBytes) = co_await http::async_read(m_socket.socket(), m_buffer, parser, UseTuple);
+        std::size_t bodyBytes = 0;
+        std::tie(error, bodyBytes) = co_await http::async_read(m_socket.socket(), m_buffer, parser, UseTuple);
     }
     m_socket.expireNever();
     if (error) {
-        co_await rejectUnreadable(error);
+        auto reason = toHttpError(error);
+        if (error == http::error::partial_message) {
+            reason.code = HttpErrorCode::Malformed;
+        } else if (error == http::error::need_more) {
+            // The head is complete: the parser stops like this at a byte that does not belong there.
+            reason = {HttpErrorCode::Malformed, "a control character in the head"};
+        }
+        co_await rejectUnreadable(std::move(reason));
         co_return false;
     }
     m_keepAlive = parser.get().keep_alive() && !m_server.closeAfterResponse;
-    request = requestFromBeast(parser.release());
+    auto parsed = parser.release();
+    request.headers = headersFromBeast(parsed);
+    request.method = std::string(parsed.method_string());
+    request.target = std::string(parsed.target());
+    request.body = std::move(parsed.body());
     co_return true;
 }
 
-asio::awaitable<void> ServerConnection::rejectUnreadable(const beast::error_code &error)
+asio::awaitable<void> ServerConnection::rejectUnreadable(HttpError error)
 {
-    if (error == http::error::end_of_stream
-        || error.category() != http::make_error_code(http::error::bad_method).category()) {
+    if (error.code != HttpErrorCode::TooLarge && error.code != HttpErrorCode::Malformed) {
         co_return;
     }
     m_responseStarted = false;
     m_keepAlive = false;
-    const bool tooLarge = error == http::error::body_limit || error == http::error::header_limit;
-    LogLine(LogLevel::Warning, "request_unreadable").add("reason", error.message());
+    const bool tooLarge = error.code == HttpErrorCode::TooLarge;
+    LogLine(LogLevel::Warning, "request_unreadable").add("reason", error.detail);
     (void)co_await send(jsonResponse(
         tooLarge ? 413 : 400,
         fmt::format(
             R"({{"error":{{"message":"request is {}: {}","type":"invalid_request_error","code":"{}","param":null}}}})",
-            tooLarge ? "too large" : "malformed", error.message(), tooLarge ? "too_large" : "malformed")));
+            tooLarge ? "too large" : "malformed", error.detail, tooLarge ? "too_large" : "malformed")));
+    co_await discardUnread();
+}
+
+asio::awaitable<void> ServerConnection::discardUnread()
+{
+    beast::error_code error;
+    m_socket.socket().shutdown(tcp::socket::shutdown_send, error);
+    m_buffer.clear();
+    m_socket.expireAfter(LingerTime);
+    std::size_t discarded = 0;
+    while (!error && discarded < MaxDiscardedBytes && !m_socket.expired()) {
+        std::size_t count = 0;
+        std::tie(error, count) = co_await m_socket.readSome(m_buffer.prepare(ReadSize));
+        discarded += count;
+    }
+    m_socket.expireNever();
 }
 
 asio::awaitable<void> ServerConnection::answer(const HttpRequest &request)
--- /dev/null
+++ b/unittests/Http/MessageFramingTest.cpp
@@ -0,0 +1,171 @@
+#include "../Supervision/RunThenStop.h"
+#include "Framings.h"
+#include "tamarackcove/Http/HttpConnection.h"
+#include "tamarackcove/Http/HttpResponder.h"
+#include "tamarackcove/Http/HttpServer.h"
+#include "tamarackcove/Supervision/Supervisor.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using namespace tamarackcove;
+using test::Framing;
+
+static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+static constexpr std::string_view NextRequest = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct Received
+{
+    /// All bytes until the server closed the connection.
+    std::string bytes;
+    /// Whether the connection was reset.
+    bool reset = false;
+    /// What the handler got.
+    std::vector<HttpRequest> requests;
+};
+
+/// Sends the bytes to a server on one connection and reads until the server closes it.
+static Received sendTo(HttpServer::Handler answer, std::string bytes)
+{
+    Received received;
+    asio::io_context io;
+    Supervisor supervisor(io.get_executor(), "test");
+    constexpr HttpLimits Limits{
+        .idleTimeout = milliseconds(200), .headerTimeout = milliseconds(500), .requestTimeout = milliseconds(500)};
+    HttpServer server(supervisor, Limits,
+                      [&](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+                          received.requests.push_back(request);
+                          co_await answer(request, responder);
+                      });
+    REQUIRE(server.listen({"127.0.0.1", 0}).has_value());
+    supervisor.start("accept", [&server] { return server.run(); });
+    const auto client = [&]() -> asio::awaitable<void> {
+        tcp::socket socket(io);
+        co_await socket.async_connect({asio::ip::address_v4::loopback(), server.port()}, asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
+        std::array<char, 4096> buffer{};
+        for (;;) {
+            const auto [error, count] = co_await socket.async_read_some(asio::buffer(buffer), UseTuple);
+            if (error) {
+                received.reset = error != asio::error::eof;
+                break;
+            }
+            received.bytes.append(buffer.data(), count);
+        }
+    };
+    test::runThenStop(io, client, [&] { return supervisor.stop(); });
+    return received;
+}
+
+static asio::awaitable<void> answerOk(const HttpRequest &, HttpResponder &responder)
+{
+    HttpResponse response;
+    response.body = "fine";
+    (void)co_await responder.send(std::move(response));
+}
+
+static std::string requestWith(const Framing &framing)
+{
+    return "POST /outer " + framing.version + "\r\nHost: h\r\n" + framing.fields + "\r\n" + framing.body;
+}
+
+// Guards against a request whose body is run as a further request because recipients disagree on where it ends.
+TEST_CASE("a request that can be framed in more than one way is refused, and nothing after it on its connection is run")
+{
+    for (const auto &framing : test::framings()) {
+        CAPTURE(framing.what);
+        const auto received = sendTo(answerOk, requestWith(framing) + std::string(NextRequest));
+        CAPTURE(received.bytes);
+        CHECK_FALSE(received.reset);
+        if (framing.accepted) {
+            REQUIRE_FALSE(received.requests.empty());
+            CHECK(received.requests.front().body == framing.passedOn);
+            CHECK(received.bytes.starts_with("HTTP/1.1 200"));
+            CHECK(received.requests.size() == (framing.version == "HTTP/1.1" ? 2 : 1));
+            continue;
+        }
+        CHECK(received.requests.empty());
+        CHECK(received.bytes.starts_with("HTTP/1.1 400"));
+        CHECK(received.bytes.find("connection: close") != std::string::npos);
+        CHECK(received.bytes.find("HTTP/1.1", 1) == std::string::npos);
+    }
+}
+
+struct Exchanged
+{
+    Result<HttpResponse, HttpError> response = HttpError{};
+    bool reusable = false;
+};
+
+/// The result of an exchange with a peer that answers with these bytes and then closes the connection.
+static Exchanged exchangeWith(const std::string &method, const std::string &bytes)
+{
+    Exchanged exchanged;
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+            std::string request(4096, '\0');
+            (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
+            (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
+            socket.shutdown(tcp::socket::shutdown_send);
+            (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
+        },
+        asio::detached);
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            Endpoint endpoint{.host = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+            auto connection = co_await HttpConnection::connect(std::move(endpoint), seconds(5));
+            REQUIRE(connection.has_value());
+            HttpRequest request;
+            request.method = method;
+            exchanged.response = co_await connection.value()->exchange(std::move(request), seconds(5));
+            exchanged.reusable = connection.value()->reusable();
+        },
+        asio::detached);
+    io.run();
+    return exchanged;
+}
+
+// Guards against an answer whose end a server means elsewhere: what follows it would be read as the answer to the next
+// request on the connection, or a body would be passed on that is not the server's.
+TEST_CASE("a response that can be framed in more than one way fails, and its connection is not used again")
+{
+    for (const auto &framing : test::framings()) {
+        CAPTURE(framing.what);
+        const auto exchanged
+            = exchangeWith("POST", framing.version + " 200 OK\r\n" + framing.fields + "\r\n" + framing.body);
+        if (framing.accepted) {
+            REQUIRE(exchanged.response.has_value());
+            CHECK(exchanged.response.value().body == framing.passedOn);
+            continue;
+        }
+        REQUIRE(exchanged.response.has_error());
+        CHECK_FALSE(exchanged.reusable);
+    }
+}
+
+// Guards against the body of a status that has none, which would be read as the answer to the next request.
+TEST_CASE("a response without a body is complete after its head, and is refused if it announces one all the same")
+{
+    CHECK(exchangeWith("GET", "HTTP/1.1 204 No Content\r\n\r\n").reusable);
+    CHECK(exchangeWith("GET", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n").reusable);
+    CHECK(exchangeWith("GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n").reusable);
+    CHECK(exchangeWith("GET", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nabcde").response.has_error());
+    CHECK(exchangeWith("GET", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+              .response.has_error());
+    CHECK(exchangeWith("GET", "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\nabcdeHTTP/1.1 200 OK\r\n\r\n")
+              .response.has_error());
+}
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -167,6 +167,12 @@
         return {.host = "127.0.0.1", .port = m_callerPort};
     }
 
+    /// Where operators and servers connect to the control host.
+    [[nodiscard]] Endpoint controlEndpoint() const
+    {
+        return {.host = "127.0.0.1", .port = m_control->apiPort()};
+    }
+
     boost::asio::awaitable<HttpResponse> call(std::string method, std::string path, std::string id,
                                               std::string adapter = {}, milliseconds deadline = milliseconds(4000))
     {
