Http: the fields of a trailer do not change those of the head

Cause: Beast adds the fields of a trailer to those of the message, and the request was converted after its body had been read.

Change: the fields are taken from the head. Fields of trailers are dropped, as RFC 9110, 6.5.1, asks where no definition permits a merge.

Measured: the test "the fields of a trailer do not change those of the head" failed on (both assertions) and passes.

--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -223,6 +223,8 @@
     beast::error_code error;
     m_buffer.consume(parser.put(asio::buffer(m_buffer.data(), headBytes.value()), error));
     if (!error) {
+        // Fields of a trailer are not merged into those of the head: they were not there when the request was routed.
+        request.headers = headersFromBeast(parser.get());
         if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done()) {
             (void)co_await writeAll("HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -246,7 +248,6 @@
     }
     m_keepAlive = parser.get().keep_alive() && !m_server.closeAfterResponse;
     auto parsed = parser.release();
-    request.headers = headersFromBeast(parsed);
     request.method = std::string(parsed.method_string());
     request.target = std::string(parsed.target());
     request.body = std::move(parsed.body());
--- a/unittests/Http/MessageFramingTest.cpp
+++ b/unittests/Http/MessageFramingTest.cpp
@@ -100,6 +100,17 @@
     }
 }
 
+// Guards against fields that arrive after the body and replace those by which the request was routed.
+TEST_CASE("the fields of a trailer do not change those of the head")
+{
+    const auto received = sendTo(answerOk,
+                                 "POST / HTTP/1.1\r\nHost: first\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                 "1\r\nx\r\n0\r\nHost: second\r\nX-New: 1\r\n\r\n");
+    REQUIRE(received.requests.size() == 1);
+    CHECK(received.requests.front().headers.find("host") == "first");
+    CHECK_FALSE(received.requests.front().headers.find("x-new"));
+}
+
 struct Exchanged
 {
     Result<HttpResponse, HttpError> response = HttpError{};
