Http: frame answers to HEAD requests and to callers of HTTP/1.0 by RFC 9112

Cause: the framing of an answer took no account of the method and the version of its request (RFC 9112, 6.1 and 6.3).

Change: no body after HEAD, 204 and 304, on both sides. A stream to HTTP/1.0 ends with its connection, and a broken one with a reset.

--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -63,6 +63,7 @@
 {
     framing.emplace(MessageKind::Response, MaxHeadBytes);
     parser.emplace();
+    parser->skip(!expectsBody);
     parser->header_limit(MaxHeadBytes);
     parser->body_limit(boost::none);
     bodyBytes = 0;
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -34,6 +34,9 @@
 /// caller has just opened it for one.
 static constexpr milliseconds FirstRequestDrainTime{500};
 static constexpr std::size_t ReadSize = 4096;
+static constexpr unsigned Http11Version = 11;
+static constexpr int NoContent = 204;
+static constexpr int NotModified = 304;
 /// How long, and for how many bytes, a connection is read on after the refusal of an unreadable request.
 static constexpr milliseconds LingerTime{500};
 static constexpr std::size_t MaxDiscardedBytes = 256 * 1024;
@@ -144,6 +147,8 @@
     }
     asio::awaitable<Result<void, HttpError>> writeAll(std::string_view bytes);
     [[nodiscard]] std::string headText(const HttpResponse &response, std::string_view framing) const;
+    /// Whether closing the connection of an HTTP/1.0 caller resets it. No effect with later versions.
+    void setResetOnClose(bool reset);
 
     HttpServer::Impl &m_server;
     TimedSocket m_socket;
@@ -161,6 +166,9 @@
     /// Whether bytes of a request have been read that is not answered yet.
     bool m_requestBegun = false;
     bool m_isNew = true;
+    /// The version and the method of the last request decide how its response is framed.
+    bool m_isHttp10 = false;
+    bool m_isHead = false;
 };
 
 asio::awaitable<void> ServerConnection::run()
@@ -223,6 +231,8 @@
     beast::error_code error;
     m_buffer.consume(parser.put(asio::buffer(m_buffer.data(), headBytes.value()), error));
     if (!error) {
+        m_isHttp10 = parser.get().version() < Http11Version;
+        m_isHead = parser.get().method() == http::verb::head;
         // Fields of a trailer are not merged into those of the head: they were not there when the request was routed.
         request.headers = headersFromBeast(parser.get());
         if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done()) {
@@ -246,7 +256,7 @@
         co_await rejectUnreadable(std::move(reason));
         co_return false;
     }
-    m_keepAlive = parser.get().keep_alive() && !m_server.closeAfterResponse;
+    m_keepAlive = parser.get().keep_alive() && !m_isHttp10 && !m_server.closeAfterResponse;
     auto parsed = parser.release();
     request.method = std::string(parsed.method_string());
     request.target = std::string(parsed.target());
@@ -261,6 +271,7 @@
     }
     m_responseStarted = false;
     m_keepAlive = false;
+    m_isHead = false;
     const bool tooLarge = error.code == HttpErrorCode::TooLarge;
     LogLine(LogLevel::Warning, "request_unreadable").add("reason", error.detail);
     (void)co_await send(jsonResponse(
@@ -306,8 +317,13 @@
             R"({"error":{"message":"request failed inside this process","type":"server_error","code":"internal","param":null}})"));
     }
     if (m_streaming && !m_streamEnded) {
-        // Closing the connection without the last chunk tells the caller that the response is incomplete.
+        // Closing the connection without the last chunk, or resetting it where there are no chunks, tells the caller
+        // that the response is incomplete.
         m_keepAlive = false;
+        if (m_isHttp10) {
+            beast::error_code ignored;
+            m_socket.socket().close(ignored);
+        }
     }
 }
 
@@ -349,8 +365,11 @@
 {
     assert(!m_responseStarted && "a request has one response");
     m_responseStarted = true;
-    auto text = headText(response, fmt::format("content-length: {}\r\n", response.body.size()));
-    text += response.body;
+    const bool hasBody = response.status != NoContent && response.status != NotModified;
+    auto text = headText(response, hasBody ? fmt::format("content-length: {}\r\n", response.body.size()) : "");
+    if (hasBody && !m_isHead) {
+        text += response.body;
+    }
     co_return co_await writeAll(text);
 }
 
@@ -359,7 +378,9 @@
     assert(!m_responseStarted && "a request has one response");
     m_responseStarted = true;
     m_streaming = true;
-    const auto text = headText(head, "transfer-encoding: chunked\r\n");
+    // Without chunks, the end of the connection ends the response; until endStream() it would be a reset.
+    setResetOnClose(m_isHttp10);
+    const auto text = headText(head, m_isHttp10 ? "" : "transfer-encoding: chunked\r\n");
     co_return co_await writeAll(text);
 }
 
@@ -367,6 +388,9 @@
 {
     assert(m_streaming && !m_streamEnded && !piece.empty()
            && "pieces are written between beginStream and endStream, and are not empty");
+    if (m_isHead || m_isHttp10) {
+        return writeAll(m_isHead ? std::string_view() : piece);
+    }
     m_chunk.clear();
     fmt::format_to(std::back_inserter(m_chunk), "{:x}\r\n", piece.size());
     m_chunk += piece;
@@ -378,7 +402,16 @@
 {
     assert(m_streaming && !m_streamEnded && "endStream is called once, after beginStream");
     m_streamEnded = true;
-    return writeAll("0\r\n\r\n");
+    setResetOnClose(false);
+    return writeAll(m_isHead || m_isHttp10 ? "" : "0\r\n\r\n");
+}
+
+void ServerConnection::setResetOnClose(bool reset)
+{
+    if (m_isHttp10) {
+        beast::error_code ignored;
+        m_socket.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+    }
 }
 
 bool ServerConnection::callerGone() const
--- a/unittests/Http/MessageFramingTest.cpp
+++ b/unittests/Http/MessageFramingTest.cpp
@@ -73,6 +73,20 @@
     (void)co_await responder.send(std::move(response));
 }
 
+static asio::awaitable<void> streamTwoPieces(const HttpRequest &, HttpResponder &responder)
+{
+    (void)co_await responder.beginStream(streamHead("text/plain"));
+    (void)co_await responder.writePiece("one,");
+    (void)co_await responder.writePiece("two");
+    (void)co_await responder.endStream();
+}
+
+static asio::awaitable<void> cutStream(const HttpRequest &, HttpResponder &responder)
+{
+    (void)co_await responder.beginStream(streamHead("text/plain"));
+    (void)co_await responder.writePiece("one,");
+}
+
 static std::string requestWith(const Framing &framing)
 {
     return "POST /outer " + framing.version + "\r\nHost: h\r\n" + framing.fields + "\r\n" + framing.body;
@@ -111,6 +125,29 @@
     CHECK_FALSE(received.requests.front().headers.find("x-new"));
 }
 
+// Guards against a body after a response that has none, which the caller takes for the next response.
+TEST_CASE("the response to a HEAD request has no body")
+{
+    for (const auto &answer : {HttpServer::Handler(answerOk), HttpServer::Handler(streamTwoPieces)}) {
+        const auto received = sendTo(answer, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK(received.bytes.starts_with("HTTP/1.1 200"));
+        CHECK(received.bytes.ends_with("\r\n\r\n"));
+        CHECK(received.bytes.find("\r\n\r\n") == received.bytes.size() - 4);
+    }
+}
+
+// Guards against chunk framing that a caller of HTTP/1.0 takes for a part of the body, and against a stream that looks
+// complete to such a caller although it was broken off.
+TEST_CASE("a stream to a caller of HTTP/1.0 has no chunks, ends with the connection, and is reset if it is broken off")
+{
+    constexpr std::string_view Request = "GET / HTTP/1.0\r\n\r\n";
+    const auto whole = sendTo(streamTwoPieces, std::string(Request));
+    CHECK(whole.bytes.ends_with("\r\n\r\none,two"));
+    CHECK_FALSE(whole.reset);
+    const auto cut = sendTo(cutStream, std::string(Request));
+    CHECK(cut.reset);
+}
+
 struct Exchanged
 {
     Result<HttpResponse, HttpError> response = HttpError{};
@@ -174,6 +211,7 @@
     CHECK(exchangeWith("GET", "HTTP/1.1 204 No Content\r\n\r\n").reusable);
     CHECK(exchangeWith("GET", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n").reusable);
     CHECK(exchangeWith("GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n").reusable);
+    CHECK(exchangeWith("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n").reusable);
     CHECK(exchangeWith("GET", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nabcde").response.has_error());
     CHECK(exchangeWith("GET", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
               .response.has_error());
