--- a/include/tamarackcove/Control/Fleet/FleetControlSettings.h
+++ b/include/tamarackcove/Control/Fleet/FleetControlSettings.h
@@ -40,6 +40,8 @@
     /// servers to load and unload) from a former holder that still runs. Orders of two holders to one server within
     /// this time are a conflict.
     milliseconds orderLease{3000};
+    /// How long what crashes servers stays in quarantine. After it, one more crash puts it back.
+    milliseconds quarantineTime{std::chrono::minutes(30)};
     /// Time for the calls in progress to end at shutdown.
     milliseconds drainTimeout{3000};
     LogLevel logLevel = LogLevel::Info;
--- a/include/tamarackcove/Control/Fleet/UpdateFeed.h
+++ b/include/tamarackcove/Control/Fleet/UpdateFeed.h
@@ -46,7 +46,7 @@
     /// Says that every live server has had time to announce itself, so that entries may remove all other servers.
     void setServersComplete();
     /// Sets the parts of prompts that entries watch, and those that they refuse. Returns whether either has changed.
-    bool setPromptParts(std::set<PromptPart> watched, std::set<PromptPart> quarantined);
+    bool setSuspects(std::set<CrashSuspect> watched, std::set<CrashSuspect> quarantined);
 
     /// Encodes the changes since the previous call as the next update, if there are any. Returns whether there were.
     bool publish();
@@ -62,7 +62,7 @@
     /// Adds the configuration and the versions of weights that are newer than those given.
     void addState(FleetUpdateMessage &update, std::uint64_t configurationVersion, Revision revision) const;
     void addCompleteList(FleetUpdateMessage &update) const;
-    void addPromptParts(FleetUpdateMessage &update) const;
+    void addSuspects(FleetUpdateMessage &update) const;
     [[nodiscard]] SharedFrame encode(const FleetUpdateMessage &update);
     /// Encodes the whole state, unless it was encoded after the last published update.
     void refreshSnapshot();
@@ -86,9 +86,9 @@
     /// entries may still have its load from an earlier leader.
     bool m_loadsKnown = false;
     std::set<std::string> m_pendingLoads;
-    std::set<PromptPart> m_watchedParts;
-    std::set<PromptPart> m_quarantinedParts;
-    bool m_promptPartsPending = false;
+    std::set<CrashSuspect> m_watchedSuspects;
+    std::set<CrashSuspect> m_quarantinedSuspects;
+    bool m_suspectsPending = false;
     /// The whole state, as of the update with the number m_snapshotUpdate; empty if it has not been encoded since then.
     std::vector<SharedFrame> m_snapshot;
     std::uint64_t m_snapshotUpdate = 0;
--- a/include/tamarackcove/Fleet/FleetState.h
+++ b/include/tamarackcove/Fleet/FleetState.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tamarackcove/Fleet/PromptPart.h"
+#include "tamarackcove/Fleet/CrashSuspect.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
 
 #include <chrono>
@@ -55,14 +55,22 @@
     bool registered = true;
 };
 
-/// Quarantines a part of prompts that crashes servers: requests with it are refused.
-struct QuarantinePromptPart
+/// Quarantines a part of prompts or a request that crashes servers: requests with it are refused.
+struct QuarantineSuspect
 {
-    PromptPart part;
+    CrashSuspect suspect;
 };
 
-using FleetCommand
-    = std::variant<PutConfiguration, PutWeightVersion, NoteDeparture, TakeOrderDuty, NoteServer, QuarantinePromptPart>;
+/// Ends a quarantine.
+struct ReleaseSuspect
+{
+    CrashSuspect suspect;
+    /// Whether one crash puts the suspect back into quarantine. False if it was quarantined in error.
+    bool onProbation = false;
+};
+
+using FleetCommand = std::variant<PutConfiguration, PutWeightVersion, NoteDeparture, TakeOrderDuty, NoteServer,
+                                  QuarantineSuspect, ReleaseSuspect>;
 
 /// The replicated state of the control hosts: the configuration in force, the newest versions of weights, the servers
 /// and their departures, and which control host orders servers. Each replica applies the same commands in the same
@@ -93,9 +101,11 @@
     /// How long a departure is kept, counted from the log time of its command. A server ends a few seconds after it has
     /// announced that it drains, and a delayed heartbeat of it arrives a few seconds later at most.
     static constexpr std::chrono::minutes DepartureRetention{5};
-    /// How long a part of prompts stays in quarantine, counted from the log time of its command. The next crashes put
-    /// it there again.
-    static constexpr std::chrono::minutes QuarantineTime{30};
+    /// How long a suspect stays on probation after its quarantine, counted from the log time of its release.
+    static constexpr std::chrono::hours ProbationTime{24};
+    /// Largest number of suspects in quarantine, and on probation. Beyond it the oldest is dropped.
+    static constexpr std::size_t MaxSuspects = 1024;
+    using SuspectTimes = std::map<CrashSuspect, std::chrono::system_clock::time_point>;
 
     /// Applies the command at this log index. The time is that of the log entry, the same on each replica.
     void apply(std::uint64_t index, std::chrono::system_clock::time_point time, const FleetCommand &command);
@@ -109,8 +119,10 @@
     [[nodiscard]] const std::map<AdapterKey, std::uint64_t> &weightVersions() const;
     [[nodiscard]] const std::map<ServerIdentity, Departure> &departures() const;
     [[nodiscard]] const OrderDuty &duty() const;
-    /// The parts of prompts in quarantine, with the log time of their commands.
-    [[nodiscard]] const std::map<PromptPart, std::chrono::system_clock::time_point> &quarantinedParts() const;
+    /// The suspects in quarantine, with the log time of their commands.
+    [[nodiscard]] const SuspectTimes &quarantinedSuspects() const;
+    /// The suspects that were released after their quarantine, with the log time of their commands.
+    [[nodiscard]] const SuspectTimes &suspectsOnProbation() const;
     /// The servers by id, so that a new leader need not wait for their heartbeats.
     [[nodiscard]] const std::map<TargetId, ServerHeartbeat> &servers() const;
 
@@ -124,7 +136,8 @@
         std::map<ServerIdentity, Departure> departures;
         OrderDuty duty;
         std::map<TargetId, ServerHeartbeat> servers;
-        std::map<PromptPart, std::chrono::system_clock::time_point> quarantinedParts;
+        SuspectTimes quarantinedSuspects;
+        SuspectTimes suspectsOnProbation;
     };
     [[nodiscard]] const Image &image() const;
     void restore(Image image);
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "tamarackcove/Base/Result.h"
+#include "tamarackcove/Fleet/CrashSuspect.h"
 #include "tamarackcove/Fleet/DeploymentConfiguration.h"
-#include "tamarackcove/Fleet/PromptPart.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
 #include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Http/HttpResponse.h"
@@ -27,7 +27,9 @@
     /// Length of the prompt; 0 if the request does not say.
     int promptTokens = 0;
     /// The parts of the prompt in their order; empty if the request does not say.
-    std::vector<PromptPart> promptParts;
+    std::vector<CrashSuspect> promptParts;
+    /// Who sends the request, as far as the request says; empty if it does not.
+    std::string callerId;
 };
 
 /// Values that the entry adds to a request when it sends it to a server.
@@ -70,7 +72,7 @@
     NotReady,
     /// No server can take the request in time; it has not run.
     NoServer,
-    /// The prompt of the request has a part that crashes servers; the request has not run.
+    /// The request or a part of its prompt crashes servers; the request has not run.
     Quarantined,
     /// This entry is being stopped and may be killed before the request has to be answered; it has not run.
     Stopping,
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -4,7 +4,7 @@
 #include "tamarackcove/Fleet/RetryWindow.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Fleet/ServerDirectory.h"
-#include "tamarackcove/Gateway/PromptPartWatch.h"
+#include "tamarackcove/Gateway/CrashSuspectWatch.h"
 #include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -39,16 +39,17 @@
     void noteStatus(std::size_t entries, TimePoint now);
     /// A report that only identifies this entry: its name, zone and configuration version.
     [[nodiscard]] FleetReportMessage makeReportHeader() const;
-    /// Returns the report for the time since the last call and resets the counts in it. Optionally includes the servers
-    /// that this entry knows, and the adapter history of each server.
-    [[nodiscard]] FleetReportMessage takeReport(bool withServers, bool withHistory);
+    /// Returns the report for the time since the last call and resets the counts in it. A report to a new leader
+    /// includes the servers that this entry knows and the crashes that it has met lately. Optionally includes the
+    /// adapter history of each server.
+    [[nodiscard]] FleetReportMessage takeReport(bool toNewLeader, bool withHistory);
     /// A report of the demands, crashes and answered prompt parts that are new since the previous report.
     [[nodiscard]] FleetReportMessage takeNewDemands();
 
     /// Null before the first configuration.
     [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
     [[nodiscard]] ServerDirectory &servers();
-    [[nodiscard]] PromptPartWatch &promptParts();
+    [[nodiscard]] CrashSuspectWatch &crashSuspects();
     [[nodiscard]] RetryWindow &retryBudget(const ServiceName &service);
     /// The lowest version of an adapter on which requests may run; 0 if any version may be used.
     [[nodiscard]] std::uint64_t requiredVersion(const AdapterKey &adapter, TimePoint now) const;
@@ -118,7 +119,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     TimePoint m_updatedAt;
     ServerDirectory m_servers;
-    PromptPartWatch m_promptParts;
+    CrashSuspectWatch m_crashSuspects;
     AdapterHistory m_history;
     std::unordered_map<AdapterKey, AnnouncedVersion> m_versions;
     std::map<ServiceName, RetryWindow> m_retryBudgets;
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -97,13 +97,15 @@
     /// Answers a request for which no server's answer was relayed.
     boost::asio::awaitable<void> answerUnservedRequest(Exchange &exchange);
     boost::asio::awaitable<void> refuse(Exchange &exchange, EntryRefusal refusal, milliseconds retryAfter);
-    /// Handles a request that was sent to a server and got no complete answer. Returns Step::Finished if the caller of
-    /// the request has disconnected.
+    /// Handles a request that was sent to a server and got no complete answer. `crashedRequestSentAt` is when the
+    /// request was sent, if the connection was closed before the server began to answer, as a crash closes it. Returns
+    /// Step::Finished if the caller of the request has disconnected.
     [[nodiscard]] Step recordLostAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                        ServerOutcome outcome, std::string_view reason);
+                                        ServerOutcome outcome, std::string_view reason,
+                                        std::optional<TimePoint> crashedRequestSentAt = std::nullopt);
     [[nodiscard]] bool maySendAgain(const Exchange &exchange) const;
-    /// The part of the prompt that crashes servers; null if no part is known to.
-    [[nodiscard]] const PromptPart *quarantinedPart(const Exchange &exchange) const;
+    /// What in the request crashes servers, or the request itself; null if neither is known to.
+    [[nodiscard]] const CrashSuspect *quarantinedSuspect(const Exchange &exchange) const;
     /// Whether the request must not be sent because this entry is being stopped. Does not hold for a request that may
     /// have run, which cannot be refused any more.
     [[nodiscard]] bool refusedByStop(const Exchange &exchange) const;
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -131,9 +131,9 @@
     std::vector<ServerLoadMessage> loads;
     /// Whether the two lists that follow replace those of the entry.
     bool listsPromptParts = false;
-    /// Parts of prompts of which the entry reports when a server answers them.
+    /// Parts of prompts, and requests, of which the entry reports when a server answers them.
     std::vector<std::string> watchedParts;
-    /// Parts of prompts that crash servers. The entry refuses requests with them.
+    /// Parts of prompts, and requests, that crash servers. The entry refuses them.
     std::vector<std::string> quarantinedParts;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, configurationVersion, document, versions, servers, removed,
@@ -196,21 +196,38 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HistoryMessage, server, startedAt, model, adapters)
 
+/// A part of prompts or a request that may crash servers, and how long before the report something was done with it.
+struct SuspectMessage
+{
+    std::string suspect;
+    std::int64_t agoMs = 0;
+};
+inline void to_json(nlohmann::json &json, const SuspectMessage &message)
+{
+    json = toArray(message.suspect, message.agoMs);
+}
+inline void from_json(const nlohmann::json &json, SuspectMessage &message)
+{
+    fromArray(json, message.suspect, message.agoMs);
+}
+
 /// A start of a server that has broken off requests before it began to answer them.
 struct CrashMessage
 {
     std::string server;
     std::uint64_t startedAt = 0;
-    /// The parts of the prompts of these requests.
-    std::vector<std::string> parts;
+    /// How long before the report it broke off the first of them.
+    std::int64_t agoMs = 0;
+    /// What is suspect in these requests, and when they were sent.
+    std::vector<SuspectMessage> suspects;
 };
 inline void to_json(nlohmann::json &json, const CrashMessage &message)
 {
-    json = toArray(message.server, message.startedAt, message.parts);
+    json = toArray(message.server, message.startedAt, message.agoMs, message.suspects);
 }
 inline void from_json(const nlohmann::json &json, CrashMessage &message)
 {
-    fromArray(json, message.server, message.startedAt, message.parts);
+    fromArray(json, message.server, message.startedAt, message.agoMs, message.suspects);
 }
 
 struct FleetReportMessage
@@ -219,10 +236,11 @@
     std::string entry;
     std::string zone;
     std::uint64_t configurationVersion = 0;
-    /// Crashes that requests of the entry have met since its previous report.
+    /// Crashes that requests of the entry have met since its previous report; in its first report to a new leader, all
+    /// that still count.
     std::vector<CrashMessage> crashes;
-    /// Parts of prompts that the leader watches or that are in `crashes`, and that servers have answered lately.
-    std::vector<std::string> answeredParts;
+    /// The suspects that the leader watches or that are in `crashes`, and that servers have answered lately.
+    std::vector<SuspectMessage> answeredSuspects;
     /// Whether the report only adds demands to those of the previous report. The fields after `demands` are then empty
     /// and say nothing.
     bool onlyNewDemands = false;
@@ -238,7 +256,7 @@
     /// Sent only when the control host has asked for it with `wantsHistory`.
     std::vector<HistoryMessage> histories;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, crashes, answeredParts,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, crashes, answeredSuspects,
                                    onlyNewDemands, demands, uses, loads, unreachable, leaving, servers, histories)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/FleetCodec.cpp
+++ b/lib/Control/Fleet/FleetCodec.cpp
@@ -80,8 +80,11 @@
     if (const auto *noted = std::get_if<NoteServer>(&command)) {
         return pack({{"t", "server"}, {"server", serverJson(noted->server)}, {"known", noted->registered}});
     }
-    if (const auto *quarantine = std::get_if<QuarantinePromptPart>(&command)) {
-        return pack({{"t", "quarantine"}, {"part", quarantine->part.value()}});
+    if (const auto *quarantine = std::get_if<QuarantineSuspect>(&command)) {
+        return pack({{"t", "quarantine"}, {"part", quarantine->suspect.value()}});
+    }
+    if (const auto *release = std::get_if<ReleaseSuspect>(&command)) {
+        return pack({{"t", "release"}, {"part", release->suspect.value()}, {"probation", release->onProbation}});
     }
     const auto &duty = std::get<TakeOrderDuty>(command);
     return pack({{"t", "duty"}, {"holder", duty.holder}, {"boot", duty.boot}});
@@ -108,7 +111,11 @@
         return NoteServer{.server = serverFrom(value.at("server")), .registered = value.at("known").get<bool>()};
     }
     if (type == "quarantine") {
-        return QuarantinePromptPart{.part = PromptPart(value.at("part").get<std::string>())};
+        return QuarantineSuspect{.suspect = CrashSuspect(value.at("part").get<std::string>())};
+    }
+    if (type == "release") {
+        return ReleaseSuspect{.suspect = CrashSuspect(value.at("part").get<std::string>()),
+                              .onProbation = value.at("probation").get<bool>()};
     }
     return TakeOrderDuty{.holder = value.at("holder").get<std::string>(), .boot = value.at("boot").get<std::string>()};
 }
@@ -122,6 +129,26 @@
     }
 }
 
+static json suspectsJson(const FleetState::SuspectTimes &suspects)
+{
+    auto items = json::array();
+    for (const auto &[suspect, time] : suspects) {
+        const auto at = std::chrono::duration_cast<milliseconds>(time.time_since_epoch());
+        items.push_back(json::array({suspect.value(), at.count()}));
+    }
+    return items;
+}
+
+static FleetState::SuspectTimes suspectsFrom(const json &items)
+{
+    FleetState::SuspectTimes suspects;
+    for (const auto &item : items) {
+        suspects[CrashSuspect(item.at(0).get<std::string>())]
+            = std::chrono::system_clock::time_point(milliseconds(item.at(1).get<std::int64_t>()));
+    }
+    return suspects;
+}
+
 std::string encodeFleetImage(const FleetState::Image &image)
 {
     auto versions = json::array();
@@ -138,13 +165,9 @@
     for (const auto &[id, server] : image.servers) {
         servers.push_back(serverJson(server));
     }
-    auto quarantined = json::array();
-    for (const auto &[part, time] : image.quarantinedParts) {
-        const auto at = std::chrono::duration_cast<milliseconds>(time.time_since_epoch());
-        quarantined.push_back(json::array({part.value(), at.count()}));
-    }
     return pack({{"servers", std::move(servers)},
-                 {"quarantined", std::move(quarantined)},
+                 {"quarantined", suspectsJson(image.quarantinedSuspects)},
+                 {"probation", suspectsJson(image.suspectsOnProbation)},
                  {"revision", image.revision.value()},
                  {"version", image.configurationVersion},
                  {"document", image.document ? json(*image.document) : json(nullptr)},
@@ -178,11 +201,9 @@
         const auto id = server.identity.id;
         image.servers[id] = std::move(server);
     }
-    // A snapshot of an earlier release has no quarantined parts.
-    for (const auto &item : value.value("quarantined", json::array())) {
-        image.quarantinedParts[PromptPart(item.at(0).get<std::string>())]
-            = std::chrono::system_clock::time_point(milliseconds(item.at(1).get<std::int64_t>()));
-    }
+    // A snapshot of an earlier release has neither list.
+    image.quarantinedSuspects = suspectsFrom(value.value("quarantined", json::array()));
+    image.suspectsOnProbation = suspectsFrom(value.value("probation", json::array()));
     image.duty = {.holder = value.at("holder").get<std::string>(),
                   .boot = value.at("boot").get<std::string>(),
                   .fence = FencingNumber(value.at("fence").get<std::uint64_t>())};
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -76,6 +76,7 @@
                .onHeartbeat =
                    [this](const ServerHeartbeat &heartbeat) {
                        metrics.count("heartbeats_total");
+                       crashes.recordAlive(heartbeat.identity, Clock::now());
                        updatePlanner(heartbeat);
                    }})
     , http(callConnections, limits(), hooks.frontEnd(control))
@@ -118,7 +119,12 @@
     gauge("lease_suspensions", suspensionCount);
     gauge("updates_encoded", feed.encodedFrames());
     gauge("adapters_awaited", demands.size());
-    gauge("prompt_parts_quarantined", log.state().quarantinedParts().size());
+    const auto &quarantined = log.state().quarantinedSuspects();
+    const auto requests
+        = std::count_if(quarantined.begin(), quarantined.end(), [](const auto &item) { return isRequest(item.first); });
+    gauge("prompt_parts_quarantined", quarantined.size() - static_cast<std::size_t>(requests));
+    gauge("crashing_requests_quarantined", requests);
+    gauge("crash_suspects_on_probation", log.state().suspectsOnProbation().size());
     const auto totals = planner.totals(Clock::now());
     gauge("adapters_held", totals.held);
     gauge("adapters_loading", totals.loading);
@@ -151,8 +157,10 @@
         // Neither entries nor the planner depend on these; a new leader reads them from the state.
         return;
     }
-    if (command != nullptr && std::holds_alternative<QuarantinePromptPart>(*command)) {
-        publishPromptParts();
+    if (command != nullptr
+        && (std::holds_alternative<QuarantineSuspect>(*command) || std::holds_alternative<ReleaseSuspect>(*command))) {
+        readVerdicts();
+        publishSuspects();
         return;
     }
     if (const auto *departure = command == nullptr ? nullptr : std::get_if<NoteDeparture>(command)) {
@@ -178,8 +186,8 @@
         dispatcher.wakeChangedServers();
         links.scheduleStateUpdate();
     }
-    crashes.setConvicted(quarantinedParts());
-    publishPromptParts();
+    readVerdicts();
+    publishSuspects();
 }
 
 void FleetNode::Impl::updatePlanner(const ServerHeartbeat &heartbeat)
@@ -255,6 +263,7 @@
         co_await timer.async_wait(asio::use_awaitable);
         registry.expire(Clock::now());
         publishServers();
+        releaseExpiredSuspects();
     }
 }
 
--- a/lib/Control/Fleet/FleetNodeCrashes.cpp
+++ b/lib/Control/Fleet/FleetNodeCrashes.cpp
@@ -18,59 +18,89 @@
 
 void FleetNode::Impl::applyCrashes(const FleetReportMessage &report)
 {
-    if (report.crashes.empty() && report.answeredParts.empty()) {
+    if (report.crashes.empty() && report.answeredSuspects.empty()) {
         return;
     }
     const auto now = Clock::now();
-    // The answers came before the crashes of the same report, or the parts would not be in doubt.
-    for (const auto &part : report.answeredParts) {
-        crashes.recordAnswered(PromptPart(part), now);
+    for (const auto &answered : report.answeredSuspects) {
+        crashes.recordAnswered(CrashSuspect(answered.suspect), now - milliseconds(answered.agoMs));
     }
     for (const auto &crash : report.crashes) {
-        std::vector<PromptPart> parts;
-        parts.reserve(crash.parts.size());
-        for (const auto &part : crash.parts) {
-            parts.emplace_back(part);
+        std::map<CrashSuspect, TimePoint> sentTimes;
+        for (const auto &suspect : crash.suspects) {
+            sentTimes.emplace(suspect.suspect, now - milliseconds(suspect.agoMs));
         }
-        crashes.recordCrash({.id = TargetId(crash.server), .startedAt = Incarnation(crash.startedAt)}, parts, now);
+        crashes.recordCrash({.id = TargetId(crash.server), .startedAt = Incarnation(crash.startedAt)},
+                            now - milliseconds(crash.agoMs), sentTimes, now);
         LogLine(LogLevel::Info, "server_crash_reported")
             .add("server", crash.server)
             .add("started_at", crash.startedAt)
-            .add("parts", static_cast<std::uint64_t>(crash.parts.size()))
+            .add("ago_ms", crash.agoMs)
+            .add("parts", static_cast<std::uint64_t>(crash.suspects.size()))
             .add("entry", report.entry);
     }
     crashesReported = true;
     crashTimer.cancel();
 }
 
-std::set<PromptPart> FleetNode::Impl::quarantinedParts() const
+static std::set<CrashSuspect> suspectsOf(const FleetState::SuspectTimes &times)
 {
-    std::set<PromptPart> parts;
-    for (const auto &[part, at] : log.state().quarantinedParts()) {
-        parts.insert(part);
+    std::set<CrashSuspect> suspects;
+    for (const auto &[suspect, at] : times) {
+        suspects.insert(suspect);
     }
-    return parts;
+    return suspects;
 }
 
-void FleetNode::Impl::publishPromptParts()
+void FleetNode::Impl::readVerdicts()
+{
+    crashes.setVerdicts(suspectsOf(log.state().quarantinedSuspects()), suspectsOf(log.state().suspectsOnProbation()));
+}
+
+void FleetNode::Impl::proposeVerdict(const FleetCommand &command)
+{
+    root.startTemporary("verdict-" + std::to_string(++recordTaskCount),
+                        [this, bytes = encodeFleetCommand(command)]() -> asio::awaitable<void> {
+                            (void)co_await replica.client().propose(bytes);
+                            readVerdicts();
+                        });
+}
+
+void FleetNode::Impl::publishSuspects()
 {
     if (leading) {
-        for (const auto &part : crashes.takeConvicted(Clock::now())) {
-            LogLine(LogLevel::Warning, "prompt_part_convicted").add("part", part.value());
-            const FleetCommand command = QuarantinePromptPart{.part = part};
-            root.startTemporary("quarantine-" + std::to_string(++recordTaskCount),
-                                [this, bytes = encodeFleetCommand(command)]() -> asio::awaitable<void> {
-                                    (void)co_await replica.client().propose(bytes);
-                                    // If the log has not accepted the command, the next crash convicts the part again.
-                                    crashes.setConvicted(quarantinedParts());
-                                });
+        for (const auto &suspect : crashes.takeConvicted(Clock::now())) {
+            LogLine(LogLevel::Warning, isRequest(suspect) ? "crashing_request_convicted" : "prompt_part_convicted")
+                .add("part", suspect.value());
+            proposeVerdict(QuarantineSuspect{.suspect = suspect});
+        }
+        for (const auto &suspect : crashes.takeAcquitted()) {
+            LogLine(LogLevel::Warning, isRequest(suspect) ? "request_acquitted" : "prompt_part_acquitted")
+                .add("part", suspect.value())
+                .add("reason", "servers that seemed to have crashed have sent heartbeats");
+            proposeVerdict(ReleaseSuspect{.suspect = suspect, .onProbation = false});
         }
     }
-    if (feed.setPromptParts(crashes.watched(Clock::now()), quarantinedParts()) && leading) {
+    const auto quarantined = suspectsOf(log.state().quarantinedSuspects());
+    if (feed.setSuspects(crashes.watched(Clock::now()), quarantined) && leading) {
         links.scheduleStateUpdate();
     }
 }
 
+void FleetNode::Impl::releaseExpiredSuspects()
+{
+    if (!leading) {
+        return;
+    }
+    const auto now = std::chrono::system_clock::now();
+    for (const auto &[suspect, at] : log.state().quarantinedSuspects()) {
+        if (at + settings.quarantineTime <= now) {
+            LogLine(LogLevel::Info, "quarantine_ended").add("part", suspect.value());
+            proposeVerdict(ReleaseSuspect{.suspect = suspect, .onProbation = true});
+        }
+    }
+}
+
 asio::awaitable<void> FleetNode::Impl::attributeCrashes()
 {
     TimePoint evaluatedAt;
@@ -86,7 +116,7 @@
         }
         evaluatedAt = now;
         crashesReported = false;
-        publishPromptParts();
+        publishSuspects();
         decisionAt = leading ? crashes.nextDecisionAt(now) : std::nullopt;
     }
 }
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -71,13 +71,19 @@
     /// Makes a server that has stated that it is leaving a draining one, for all entries and for later leaders. Has no
     /// effect for an earlier start of the server.
     void noteLeaving(const ServerIdentity &identity, std::string_view reportedBy);
-    /// Passes the crashes and the answered prompt parts of a report on to the attribution of crashes.
+    /// Passes the crashes and the answered suspects of a report on to the attribution of crashes.
     void applyCrashes(const FleetReportMessage &report);
-    /// The parts of prompts in quarantine by the replicated state.
-    [[nodiscard]] std::set<PromptPart> quarantinedParts() const;
-    /// Quarantines the parts of prompts that are convicted, and tells entries which parts are watched.
-    void publishPromptParts();
-    /// Convicts parts of prompts when their time has come.
+    /// Passes the verdicts of the replicated state on to the attribution of crashes.
+    void readVerdicts();
+    /// Proposes a command about a suspect. If the log does not accept it, the next crash, heartbeat or check leads to
+    /// it again.
+    void proposeVerdict(const FleetCommand &command);
+    /// Quarantines the suspects that are convicted, releases those that are acquitted, and tells entries which ones are
+    /// watched.
+    void publishSuspects();
+    /// Releases the suspects whose quarantine has ended.
+    void releaseExpiredSuspects();
+    /// Convicts suspects when their time has come.
     boost::asio::awaitable<void> attributeCrashes();
     /// Has the planner consider the demands of entries.
     boost::asio::awaitable<void> planLoads();
@@ -102,7 +108,7 @@
     Timer planTimer;
     CrashAttribution crashes;
     Timer crashTimer;
-    /// Whether entries have reported crashes or answered parts since the last evaluation.
+    /// Whether entries have reported crashes or answered suspects since the last evaluation.
     bool crashesReported = false;
     UpdateFeed feed;
     OrderDispatcher dispatcher;
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -82,24 +82,24 @@
     m_serversComplete = true;
 }
 
-bool UpdateFeed::setPromptParts(std::set<PromptPart> watched, std::set<PromptPart> quarantined)
+bool UpdateFeed::setSuspects(std::set<CrashSuspect> watched, std::set<CrashSuspect> quarantined)
 {
-    if (watched == m_watchedParts && quarantined == m_quarantinedParts) {
+    if (watched == m_watchedSuspects && quarantined == m_quarantinedSuspects) {
         return false;
     }
-    m_watchedParts = std::move(watched);
-    m_quarantinedParts = std::move(quarantined);
-    m_promptPartsPending = true;
+    m_watchedSuspects = std::move(watched);
+    m_quarantinedSuspects = std::move(quarantined);
+    m_suspectsPending = true;
     return true;
 }
 
-void UpdateFeed::addPromptParts(FleetUpdateMessage &update) const
+void UpdateFeed::addSuspects(FleetUpdateMessage &update) const
 {
     update.listsPromptParts = true;
-    for (const auto &part : m_watchedParts) {
+    for (const auto &part : m_watchedSuspects) {
         update.watchedParts.push_back(part.value());
     }
-    for (const auto &part : m_quarantinedParts) {
+    for (const auto &part : m_quarantinedSuspects) {
         update.quarantinedParts.push_back(part.value());
     }
 }
@@ -189,8 +189,8 @@
     if (m_serversComplete && !m_completeListPublished) {
         addCompleteList(update);
     }
-    if (m_promptPartsPending) {
-        addPromptParts(update);
+    if (m_suspectsPending) {
+        addSuspects(update);
     }
     const bool empty = !update.listsPromptParts && update.document.empty() && update.versions.empty()
         && update.removed.empty() && update.servers.empty() && update.holdings.empty() && update.loads.empty()
@@ -201,7 +201,7 @@
     m_pendingServers.clear();
     m_pendingHoldings.clear();
     m_pendingLoads.clear();
-    m_promptPartsPending = false;
+    m_suspectsPending = false;
     if (empty) {
         return false;
     }
@@ -235,7 +235,7 @@
         update.configurationVersion = m_state.configurationVersion();
     };
     addState(update, 0, Revision());
-    addPromptParts(update);
+    addSuspects(update);
     addFrame();
     for (const auto &[id, server] : m_registry.servers()) {
         update.servers.push_back(toServerMessage(server));
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -4,6 +4,17 @@
 
 namespace tamarackcove {
 
+/// Sets the time of the suspect, and drops the oldest one if there are too many.
+static void addBounded(FleetState::SuspectTimes &suspects, const CrashSuspect &suspect,
+                       std::chrono::system_clock::time_point time)
+{
+    suspects[suspect] = time;
+    if (suspects.size() > FleetState::MaxSuspects) {
+        suspects.erase(std::min_element(suspects.begin(), suspects.end(),
+                                        [](const auto &a, const auto &b) { return a.second < b.second; }));
+    }
+}
+
 void FleetState::apply(std::uint64_t index, std::chrono::system_clock::time_point time, const FleetCommand &command)
 {
     if (const auto *put = std::get_if<PutConfiguration>(&command)) {
@@ -38,11 +49,21 @@
         // The revision stays the same: a higher one makes the leader send the versions of weights to entries again.
         // Entries learn of servers from the registry of the leader, not from this record.
         return;
-    } else if (const auto *quarantine = std::get_if<QuarantinePromptPart>(&command)) {
-        std::erase_if(m_image.quarantinedParts, [&](const auto &item) { return item.second + QuarantineTime < time; });
-        m_image.quarantinedParts[quarantine->part] = time;
+    } else if (const auto *quarantine = std::get_if<QuarantineSuspect>(&command)) {
+        addBounded(m_image.quarantinedSuspects, quarantine->suspect, time);
+        m_image.suspectsOnProbation.erase(quarantine->suspect);
         // The revision stays the same, for the same reason.
         return;
+    } else if (const auto *release = std::get_if<ReleaseSuspect>(&command)) {
+        m_image.quarantinedSuspects.erase(release->suspect);
+        std::erase_if(m_image.suspectsOnProbation,
+                      [&](const auto &item) { return item.second + ProbationTime < time; });
+        if (release->onProbation) {
+            addBounded(m_image.suspectsOnProbation, release->suspect, time);
+        } else {
+            m_image.suspectsOnProbation.erase(release->suspect);
+        }
+        return;
     }
     m_image.revision = Revision(index);
 }
@@ -77,9 +98,14 @@
     return m_image.duty;
 }
 
-const std::map<PromptPart, std::chrono::system_clock::time_point> &FleetState::quarantinedParts() const
+const FleetState::SuspectTimes &FleetState::quarantinedSuspects() const
+{
+    return m_image.quarantinedSuspects;
+}
+
+const FleetState::SuspectTimes &FleetState::suspectsOnProbation() const
 {
-    return m_image.quarantinedParts;
+    return m_image.suspectsOnProbation;
 }
 
 const std::map<TargetId, ServerHeartbeat> &FleetState::servers() const
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -43,8 +43,8 @@
     std::string name;
     Timer wake;
     bool connected = false;
-    /// Whether the next report includes the servers that this entry knows.
-    bool nextReportHasServers = false;
+    /// Whether the next report is the first one to a new leader.
+    bool nextReportIsFirst = false;
     /// Whether the next report includes the adapter history: the adapters that servers have held most recently.
     bool nextReportHasHistory = false;
     /// Whether the next report is sent without waiting for the report interval.
@@ -134,8 +134,9 @@
     if (m_leader != &host) {
         LogLine(LogLevel::Info, "control_leads").add("host", host.name).add("term", status.term);
         m_leader = &host;
-        // A new leader learns of the servers sooner from the entries than from heartbeats of the servers.
-        host.nextReportHasServers = true;
+        // A new leader learns of the servers sooner from the entries than from heartbeats of the servers, and of the
+        // crashes only from the entries.
+        host.nextReportIsFirst = true;
         reportInFull(host);
     }
     if (status.wantsHistory) {
@@ -219,7 +220,7 @@
     if (!leads) {
         return m_view.makeReportHeader();
     }
-    return m_view.takeReport(std::exchange(host.nextReportHasServers, false),
+    return m_view.takeReport(std::exchange(host.nextReportIsFirst, false),
                              std::exchange(host.nextReportHasHistory, false));
 }
 
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -121,7 +121,7 @@
         m_servers.setLoad(TargetId(load.server), load.load);
     }
     if (update.listsPromptParts) {
-        m_promptParts.setLists(update.watchedParts, update.quarantinedParts, now);
+        m_crashSuspects.setLists(update.watchedParts, update.quarantinedParts, now);
         changed = true;
     }
     if (changed) {
@@ -190,7 +190,7 @@
 {
     auto report = makeReportHeader();
     report.onlyNewDemands = true;
-    m_promptParts.addTo(report);
+    m_crashSuspects.addTo(report, false, Clock::now());
     for (auto &[adapter, demand] : m_demands) {
         if (std::exchange(demand.isNew, false) && demand.waiting > 0) {
             report.demands.push_back(toDemandMessage(adapter, demand));
@@ -199,17 +199,17 @@
     return report;
 }
 
-FleetReportMessage FleetView::takeReport(bool withServers, bool withHistory)
+FleetReportMessage FleetView::takeReport(bool toNewLeader, bool withHistory)
 {
     auto report = makeReportHeader();
-    m_promptParts.addTo(report);
+    m_crashSuspects.addTo(report, toNewLeader, Clock::now());
     for (const auto &id : m_servers.unreachable(Clock::now())) {
         report.unreachable.push_back(id.value());
     }
     for (const auto &server : m_servers.unannouncedLeaving()) {
         report.leaving.push_back(toServerMessage(server));
     }
-    if (withServers) {
+    if (toNewLeader) {
         for (const auto &server : m_servers.offered()) {
             report.servers.push_back(toServerMessage(server));
         }
@@ -263,9 +263,9 @@
     return m_servers;
 }
 
-PromptPartWatch &FleetView::promptParts()
+CrashSuspectWatch &FleetView::crashSuspects()
 {
-    return m_promptParts;
+    return m_crashSuspects;
 }
 
 RetryWindow &FleetView::retryBudget(const ServiceName &service)
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -56,7 +56,7 @@
         view.onNewDemand = [this] {
             link.reportSoon();
         };
-        view.promptParts().onNews = [this] {
+        view.crashSuspects().onNews = [this] {
             link.reportSoon();
         };
     }
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -174,6 +174,7 @@
     const auto &choice = attempt->choice;
     auto &servers = m_parts.view.servers();
     auto buffer = std::make_unique<AnswerBuffer>(m_bufferedBytes);
+    m_parts.view.crashSuspects().recordAnswered(exchange.suspects, Clock::now());
     for (;;) {
         const auto timeout = exchange.answerReadTimeout(Clock::now());
         if (!timeout) {
@@ -259,7 +260,7 @@
             exchange.splitter.discardIncompleteEvent();
             const bool timedOut = piece.error().code == HttpErrorCode::TimedOut;
             co_return recordLostAnswer(exchange, choice, timedOut ? ServerOutcome::NoAnswer : ServerOutcome::Broken,
-                                       piece.error().detail);
+                                       piece.error().detail, attempt->sentTimeIfClosed(piece.error()));
         }
         const bool ended = !piece.value();
         if (ended && !exchange.splitter.incompleteEvent().empty()) {
@@ -285,7 +286,7 @@
         if (!exchange.streamStarted) {
             exchange.streamStarted = true;
             exchange.firstEventAt = exchange.lastProgressAt;
-            m_parts.view.promptParts().recordAnswered(exchange.caller.promptParts, exchange.lastProgressAt);
+            m_parts.view.crashSuspects().recordAnswered(exchange.suspects, exchange.lastProgressAt);
             const auto started = co_await exchange.responder.beginStream(*attempt->streamHead);
             if (started.has_error()) {
                 servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AdapterUse.h"
+#include "tamarackcove/Fleet/CrashSuspect.h"
 #include "tamarackcove/Fleet/PlannedStop.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Gateway/AnswerBuffer.h"
@@ -52,6 +53,12 @@
     TimePoint progressAt;
     /// Whether the server was recorded as giving no answer when it fell silent.
     bool silenceRecorded = false;
+
+    /// When the request was sent, if the error is that the connection was closed, as the crash of a server closes it.
+    [[nodiscard]] std::optional<TimePoint> sentTimeIfClosed(const HttpError &error) const
+    {
+        return error.code == HttpErrorCode::Closed ? std::optional(sentAt) : std::nullopt;
+    }
 };
 
 /// State of one request while it is served: its route, the servers that were tried, and the progress of its answer.
@@ -81,6 +88,8 @@
     /// The stop of this entry; absent while none has begun.
     const std::optional<PlannedStop> &stop;
     CallerRequest caller;
+    /// What may make servers crash in this request: the parts of its prompt, and the request as a whole.
+    std::vector<CrashSuspect> suspects;
     std::shared_ptr<const RouteTable> routes;
     const RouteRule *route = nullptr;
     ServiceName service;
@@ -121,8 +130,8 @@
     std::optional<HttpResponse> failureResponse;
     /// Counts the bytes of `failureResponse`.
     std::unique_ptr<AnswerBuffer> failureBuffer;
-    /// The part of the prompt for which the request is refused.
-    std::optional<PromptPart> quarantinedPart;
+    /// The suspect for which the request is refused.
+    std::optional<CrashSuspect> quarantinedSuspect;
     RequestOutcome outcome = RequestOutcome::CallerGone;
     /// Why the request was not answered: a fixed word, used as metric label and log value.
     std::string_view failureReason;
--- a/lib/Gateway/RequestRefusals.cpp
+++ b/lib/Gateway/RequestRefusals.cpp
@@ -13,7 +13,7 @@
 
 namespace tamarackcove {
 
-/// When the caller of a request with a quarantined part of its prompt may come back.
+/// When the caller of a quarantined request may come back.
 static constexpr std::chrono::minutes QuarantineRetryAfter{5};
 
 asio::awaitable<void> RequestRelay::answerUnservedRequest(Exchange &exchange)
@@ -45,7 +45,7 @@
         co_await refuse(exchange, late ? EntryRefusal::TimedOut : EntryRefusal::OutcomeUnknown, milliseconds(0));
         co_return;
     }
-    if (exchange.quarantinedPart) {
+    if (exchange.quarantinedSuspect) {
         m_parts.metrics.count("requests_quarantined_total");
         co_await refuse(exchange, EntryRefusal::Quarantined, QuarantineRetryAfter);
         co_return;
@@ -104,7 +104,7 @@
         .add("reason", exchange.failureReason)
         .add("detail", exchange.failureDetail)
         .add("part",
-             exchange.quarantinedPart ? std::string_view(exchange.quarantinedPart->value()) : std::string_view())
+             exchange.quarantinedSuspect ? std::string_view(exchange.quarantinedSuspect->value()) : std::string_view())
         .add("sent", exchange.sendCount)
         .add("refusals", exchange.serverRefusals)
         .add("servers", static_cast<std::uint64_t>(m_parts.view.servers().size()))
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -1,6 +1,7 @@
 #include "tamarackcove/Gateway/RequestRelay.h"
 
 #include "RequestExchange.h"
+#include "tamarackcove/Base/Hash.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Gateway/FleetView.h"
 #include "tamarackcove/Gateway/ServerConnections.h"
@@ -13,6 +14,7 @@
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
 
 namespace asio = boost::asio;
 
@@ -49,12 +51,41 @@
     return caller.promptTokens == 0 ? 1.0 : 0.5 + 0.5 * caller.promptTokens / OrdinaryPromptTokens;
 }
 
+/// The suspect that a request is as a whole. It is the same for each request with the same method, target, body, prompt
+/// and caller, at any entry.
+static CrashSuspect requestSuspect(const HttpRequest &request, const CallerRequest &caller)
+{
+    std::uint64_t hash = 0;
+    const auto add = [&hash](std::string_view text) {
+        // The seed is the hash of what comes before, so that the borders between the texts count.
+        hash = hash64(text, hash);
+    };
+    add(request.method);
+    add(request.headers.find("host").value_or(""));
+    add(request.target);
+    add(caller.callerId);
+    add(caller.adapter ? caller.adapter->adapter : std::string_view());
+    for (const auto &part : caller.promptParts) {
+        add(part.value());
+    }
+    add(request.body);
+    return CrashSuspect(fmt::format("{}{:016x}", RequestSuspectPrefix, hash));
+}
+
+static std::vector<CrashSuspect> suspectsOf(const HttpRequest &request, const CallerRequest &caller)
+{
+    auto suspects = caller.promptParts;
+    suspects.push_back(requestSuspect(request, caller));
+    return suspects;
+}
+
 asio::awaitable<void> RequestRelay::serve(const HttpRequest &request, HttpResponder &responder)
 {
     Exchange exchange(request, responder, m_parts.watch, m_stop);
     exchange.arrivedAt = Clock::now();
     exchange.sampled = m_requestCount++ % SampleInterval == 0;
     exchange.caller = m_parts.dialect.readRequest(request);
+    exchange.suspects = suspectsOf(request, exchange.caller);
     if (!m_parts.view.routes()) {
         co_await awaitConfiguration(exchange);
     }
@@ -108,10 +139,10 @@
 asio::awaitable<void> RequestRelay::tryServers(Exchange &exchange)
 {
     while (!exchange.watched.isCallerGone()) {
-        // Also checked before each further attempt: the part may have been quarantined meanwhile.
-        if (const auto *part = quarantinedPart(exchange); part != nullptr && !exchange.silentAttempt) {
-            exchange.quarantinedPart = *part;
-            exchange.failureDetail = "a part of the prompt crashes servers";
+        // Also checked before each further attempt: the suspect may have been quarantined meanwhile.
+        if (const auto *suspect = quarantinedSuspect(exchange); suspect != nullptr && !exchange.silentAttempt) {
+            exchange.quarantinedSuspect = *suspect;
+            exchange.failureDetail = "the request or a part of its prompt crashes servers";
             break;
         }
         auto step = co_await tryNextServer(exchange);
@@ -152,9 +183,9 @@
     co_return step;
 }
 
-const PromptPart *RequestRelay::quarantinedPart(const Exchange &exchange) const
+const CrashSuspect *RequestRelay::quarantinedSuspect(const Exchange &exchange) const
 {
-    return m_parts.view.promptParts().findQuarantined(exchange.caller.promptParts);
+    return m_parts.view.crashSuspects().findQuarantined(exchange.suspects);
 }
 
 bool RequestRelay::takeRetry(Exchange &exchange)
@@ -218,7 +249,7 @@
             recordWait(exchange.watched.isCallerGone() ? "caller_gone" : "gave_up", now);
             co_return std::nullopt;
         }
-        if (quarantinedPart(exchange) != nullptr) {
+        if (quarantinedSuspect(exchange) != nullptr) {
             recordWait("quarantined", now);
             co_return std::nullopt;
         }
@@ -325,7 +356,8 @@
     if (written.has_error()) {
         exchange.watched.connection = nullptr;
         if (attempt->connection->requestBytesWritten() > 0) {
-            co_return recordLostAnswer(exchange, attempt->choice, ServerOutcome::Broken, written.error().detail);
+            co_return recordLostAnswer(exchange, attempt->choice, ServerOutcome::Broken, written.error().detail,
+                                       attempt->sentTimeIfClosed(written.error()));
         }
         servers.endRequest(attempt->choice.server.id, exchange.weight, ServerOutcome::Broken, Clock::now());
         exchange.excludedServers.insert(attempt->choice.server.id);
@@ -353,7 +385,8 @@
         const auto outcome = head.error().code != HttpErrorCode::TimedOut ? ServerOutcome::Broken
             : exchange.silentAttempt                                      ? ServerOutcome::Unrelated
                                                                           : ServerOutcome::NoAnswer;
-        co_return recordLostAnswer(exchange, choice, outcome, head.error().detail);
+        co_return recordLostAnswer(exchange, choice, outcome, head.error().detail,
+                                   attempt->sentTimeIfClosed(head.error()));
     }
     attempt->connection->setSilenceHook({});
     const auto step = co_await relayAnswer(exchange, std::move(attempt), std::move(head).value());
@@ -362,7 +395,8 @@
 }
 
 RequestRelay::Step RequestRelay::recordLostAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                                  ServerOutcome outcome, std::string_view reason)
+                                                  ServerOutcome outcome, std::string_view reason,
+                                                  std::optional<TimePoint> crashedRequestSentAt)
 {
     const auto now = Clock::now();
     const bool silent = outcome == ServerOutcome::NoAnswer || outcome == ServerOutcome::Unrelated;
@@ -377,8 +411,8 @@
     ++exchange.possibleRuns;
     exchange.excludedServers.insert(choice.server.id);
     exchange.failureDetail = "the answer of a server was lost";
-    if (outcome == ServerOutcome::Broken && !stopped && !exchange.streamStarted) {
-        m_parts.view.promptParts().recordCrash(choice.server, exchange.caller.promptParts, now);
+    if (crashedRequestSentAt && !stopped && !exchange.streamStarted) {
+        m_parts.view.crashSuspects().recordCrash(choice.server, exchange.suspects, *crashedRequestSentAt, now);
     }
     m_parts.metrics.count(Metrics::labelled(
         "server_answers_lost_total", {{"service", exchange.service.value()}, {"how", silent ? "silent" : "broken"}}));
--- /dev/null
+++ b/unittests/Control/Fleet/FleetCodecTest.cpp
@@ -0,0 +1,31 @@
+#include "tamarackcove/Control/Fleet/FleetCodec.h"
+
+#include <doctest/doctest.h>
+
+using namespace tamarackcove;
+
+static constexpr std::chrono::system_clock::time_point Start{std::chrono::hours(1)};
+
+static void applyEncoded(FleetState &state, const FleetCommand &command)
+{
+    const auto decoded = decodeFleetCommand(encodeFleetCommand(command));
+    REQUIRE(decoded.has_value());
+    state.apply(1, Start, decoded.value());
+}
+
+// Guards against verdicts that are lost with a restart or a snapshot.
+TEST_CASE("verdicts on suspects survive the encoding of commands and of snapshots")
+{
+    FleetState state;
+    const CrashSuspect quarantined("request:1");
+    const CrashSuspect released("part");
+    applyEncoded(state, QuarantineSuspect{.suspect = quarantined});
+    applyEncoded(state, QuarantineSuspect{.suspect = released});
+    applyEncoded(state, ReleaseSuspect{.suspect = released, .onProbation = true});
+    auto image = decodeFleetImage(encodeFleetImage(state.image()));
+    REQUIRE(image.has_value());
+    FleetState restored;
+    restored.restore(std::move(image).value());
+    CHECK(restored.quarantinedSuspects() == FleetState::SuspectTimes{{quarantined, Start}});
+    CHECK(restored.suspectsOnProbation() == FleetState::SuspectTimes{{released, Start}});
+}
--- a/unittests/Fleet/CrashAttributionTest.cpp
+++ b/unittests/Fleet/CrashAttributionTest.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <doctest/doctest.h>
+#include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -12,14 +14,32 @@
     return {.id = TargetId("s" + std::to_string(number)), .startedAt = Incarnation(number)};
 }
 
-static const PromptPart Shared("shared");
-static const PromptPart Caller("caller");
-static const PromptPart Deadly("deadly");
+static const CrashSuspect Shared("shared");
+static const CrashSuspect Caller("caller");
+static const CrashSuspect Deadly("deadly");
 
 /// A part that only one request has.
-static PromptPart own(int request)
+static CrashSuspect own(int request)
 {
-    return PromptPart("own-" + std::to_string(request));
+    return CrashSuspect("own-" + std::to_string(request));
+}
+
+/// Records a request with these suspects that was sent when its server crashed, or at `sentAt`.
+static void recordCrash(CrashAttribution &crashes, const ServerIdentity &server,
+                        const std::vector<CrashSuspect> &suspects, TimePoint now,
+                        std::optional<TimePoint> sentAt = std::nullopt)
+{
+    std::map<CrashSuspect, TimePoint> sentTimes;
+    for (const auto &suspect : suspects) {
+        sentTimes.emplace(suspect, sentAt.value_or(now));
+    }
+    crashes.recordCrash(server, now, sentTimes, now);
+}
+
+/// The suspect that a whole request is.
+static CrashSuspect request(int number)
+{
+    return CrashSuspect(std::string(RequestSuspectPrefix) + std::to_string(number));
 }
 
 // Guards against servers that crash one after the other under requests of which no two are alike.
@@ -32,9 +52,9 @@
         crashes.recordAnswered(Caller, now);
         CHECK(crashes.takeConvicted(now).empty());
         now += milliseconds(40);
-        crashes.recordCrash(server(i), {Shared, Caller, Deadly, own(i)}, now);
+        recordCrash(crashes, server(i), {Shared, Caller, Deadly, own(i)}, now);
         // A sound request that was waiting at the same server.
-        crashes.recordCrash(server(i), {Shared, Caller, own(100 + i)}, now);
+        recordCrash(crashes, server(i), {Shared, Caller, own(100 + i)}, now);
     }
     CHECK(crashes.watched(now) == std::set{Deadly});
     // Entries have had no time to object yet.
@@ -55,7 +75,7 @@
     crashes.recordAnswered(Deadly, now);
     for (int i = 0; i < 3; ++i) {
         now += milliseconds(40);
-        crashes.recordCrash(server(i), {Deadly, own(i)}, now);
+        recordCrash(crashes, server(i), {Deadly, own(i)}, now);
     }
     CHECK(crashes.takeConvicted(now + milliseconds(100)).empty());
     CHECK(crashes.takeConvicted(now + milliseconds(250)) == std::vector{Deadly});
@@ -68,7 +88,7 @@
     const TimePoint now{seconds(100)};
     for (int i = 0; i < 20; ++i) {
         for (int request = 0; request < 5; ++request) {
-            crashes.recordCrash(server(i), {Shared, Caller, own(10 * i + request)}, now);
+            recordCrash(crashes, server(i), {Shared, Caller, own(10 * i + request)}, now);
         }
     }
     // The next requests with these parts begin elsewhere within the time for objections.
@@ -85,7 +105,7 @@
     CrashAttribution crashes({});
     const TimePoint now{seconds(100)};
     for (int i = 0; i < 10; ++i) {
-        crashes.recordCrash(server(1), {Caller, own(i)}, now);
+        recordCrash(crashes, server(1), {Caller, own(i)}, now);
     }
     CHECK(crashes.takeConvicted(now + seconds(5)).empty());
 }
@@ -97,11 +117,11 @@
     TimePoint now{seconds(100)};
     for (int i = 0; i < 4; ++i) {
         now += milliseconds(100);
-        crashes.recordCrash(server(i), {Caller, Deadly, own(i)}, now);
+        recordCrash(crashes, server(i), {Caller, Deadly, own(i)}, now);
         CHECK(crashes.takeConvicted(now + milliseconds(90)).empty());
     }
     now += milliseconds(100);
-    crashes.recordCrash(server(4), {Deadly, own(4)}, now);
+    recordCrash(crashes, server(4), {Deadly, own(4)}, now);
     CHECK(crashes.takeConvicted(now + milliseconds(90)) == std::vector{Deadly});
 }
 
@@ -110,11 +130,11 @@
 {
     CrashAttribution crashes({});
     TimePoint now{seconds(100)};
-    const PromptPart other("other");
-    std::vector<PromptPart> convicted;
+    const CrashSuspect other("other");
+    std::vector<CrashSuspect> convicted;
     for (int i = 0; i < 8; ++i) {
         now += milliseconds(70);
-        crashes.recordCrash(server(i), {i % 2 == 0 ? Deadly : other, own(i)}, now);
+        recordCrash(crashes, server(i), {i % 2 == 0 ? Deadly : other, own(i)}, now);
         const auto more = crashes.takeConvicted(now + milliseconds(60));
         convicted.insert(convicted.end(), more.begin(), more.end());
     }
@@ -130,19 +150,19 @@
         std::mt19937_64 random(seed);
         CrashAttribution crashes({});
         TimePoint now{seconds(100)};
-        std::vector<PromptPart> convicted;
+        std::vector<CrashSuspect> convicted;
         std::uint64_t start = 0;
         std::size_t deadlyCrashes = 0;
         std::size_t crashesAtConviction = 0;
         for (int request = 0; request < 4000; ++request) {
             now += milliseconds(4);
-            const PromptPart caller("caller-" + std::to_string(random() % 40));
+            const CrashSuspect caller("caller-" + std::to_string(random() % 40));
             if (random() % 20 == 0 && convicted.empty()) {
                 ++deadlyCrashes;
-                crashes.recordCrash(server(++start), {Shared, caller, Deadly, own(request)}, now);
-                crashes.recordCrash(server(start), {Shared, caller, own(-request)}, now);
+                recordCrash(crashes, server(++start), {Shared, caller, Deadly, own(request)}, now);
+                recordCrash(crashes, server(start), {Shared, caller, own(-request)}, now);
             } else if (random() % 100 == 0) {
-                crashes.recordCrash(server(++start), {Shared, caller, own(request)}, now);
+                recordCrash(crashes, server(++start), {Shared, caller, own(request)}, now);
             } else {
                 crashes.recordAnswered(Shared, now);
                 crashes.recordAnswered(caller, now);
@@ -157,3 +177,106 @@
         CHECK(crashesAtConviction <= 5);
     }
 }
+
+// Guards against a request without parts of a prompt that is sent again and again, and crashes each server.
+TEST_CASE("a request that comes again is convicted at the third crash, and the sound ones beside it are not")
+{
+    CrashAttribution crashes({});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 3; ++i) {
+        CHECK(crashes.takeConvicted(now).empty());
+        now += seconds(1);
+        recordCrash(crashes, server(i), {request(0)}, now);
+        // One sound request that comes each time, was answered between, and is at the server again; and others that
+        // come once.
+        recordCrash(crashes, server(i), {request(1)}, now, now - milliseconds(20));
+        recordCrash(crashes, server(i), {request(10 + i)}, now);
+        crashes.recordAnswered(request(1), now + milliseconds(30));
+    }
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{request(0)});
+    CHECK(crashes.takeConvicted(now + seconds(5)).empty());
+}
+
+// Guards against refusing a sound request that many callers send, after all servers have crashed at the same moment.
+TEST_CASE("requests that were sent before the first crash are not convicted when many servers crash together")
+{
+    CrashAttribution crashes({});
+    const TimePoint now{seconds(100)};
+    for (int i = 0; i < 20; ++i) {
+        recordCrash(crashes, server(i), {request(0)}, now + milliseconds(i), now - milliseconds(10));
+    }
+    CHECK(crashes.takeConvicted(now + seconds(5)).empty());
+    // A request that was sent again after that counts once more.
+    recordCrash(crashes, server(30), {request(0)}, now + seconds(6), now + seconds(5));
+    CHECK(crashes.takeConvicted(now + seconds(7)).empty());
+}
+
+// Guards against the conviction of a part that only one request has, where a part of many requests is the deadly one.
+TEST_CASE("the conviction of a request does not hide the part of its prompt that crashes servers")
+{
+    CrashAttribution crashes({});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 3; ++i) {
+        now += milliseconds(500);
+        recordCrash(crashes, server(i), {Deadly, own(0), request(0)}, now);
+    }
+    // Both parts explain all crashes, the request does so alone among requests.
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{request(0)});
+    now += milliseconds(500);
+    recordCrash(crashes, server(3), {Deadly, own(1), request(1)}, now);
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{Deadly});
+}
+
+// Guards against refusing a sound request whose connections were reset by live servers.
+TEST_CASE("a crash of a server that goes on sending heartbeats does not count, and a conviction by it is withdrawn")
+{
+    CrashAttribution crashes({});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 3; ++i) {
+        now += milliseconds(300);
+        recordCrash(crashes, server(i), {request(0)}, now);
+    }
+    // A heartbeat that was on its way when the server crashed.
+    crashes.recordAlive(server(0), now);
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{request(0)});
+    CHECK(crashes.takeAcquitted().empty());
+    crashes.recordAlive(server(0), now + seconds(2));
+    CHECK(crashes.takeAcquitted() == std::vector{request(0)});
+    CHECK(crashes.takeAcquitted().empty());
+    CHECK(crashes.takeConvicted(now + seconds(3)).empty());
+}
+
+// Guards against three further crashes after each quarantine that ends.
+TEST_CASE("a suspect on probation is convicted again at its first crash, unless it was answered")
+{
+    CrashAttribution crashes({});
+    const TimePoint now{seconds(100)};
+    // A crash from before its release does not count.
+    recordCrash(crashes, server(0), {request(0)}, now - seconds(1));
+    crashes.setVerdicts({}, {request(0), request(1)});
+    CHECK(crashes.takeConvicted(now).empty());
+    recordCrash(crashes, server(1), {request(0)}, now);
+    recordCrash(crashes, server(1), {request(1)}, now);
+    crashes.recordAnswered(request(1), now + milliseconds(10));
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{request(0)});
+}
+
+// Guards against a leader that a flood of crashes and suspects keeps from its other work.
+TEST_CASE("the evidence is bounded, and the newest is kept")
+{
+    const CrashAttribution::Options options;
+    CrashAttribution crashes(options);
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 1000; ++i) {
+        now += milliseconds(1);
+        std::vector<CrashSuspect> suspects{request(0)};
+        for (int other = 1; other <= 300; ++other) {
+            suspects.push_back(request(1000 * i + other));
+        }
+        recordCrash(crashes, server(i), suspects, now);
+    }
+    const auto startTime = Clock::now();
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{request(0)});
+    // Far more than an evaluation of Options::maxSuspects takes, and far less than one of all 300,000.
+    CHECK(Clock::now() - startTime < milliseconds(500));
+}
--- a/unittests/Fleet/FleetStateTest.cpp
+++ b/unittests/Fleet/FleetStateTest.cpp
@@ -48,3 +48,40 @@
                 NoteDeparture{.server = other, .service = ServiceName("x"), .gone = false});
     CHECK_FALSE(state.departures().contains(server));
 }
+
+// Guards against a verdict that never ends, and against one that is forgotten once it has ended.
+TEST_CASE("a suspect is in quarantine or on probation, and on probation only after a quarantine that has ended")
+{
+    FleetState state;
+    const CrashSuspect suspect("request:1");
+    state.apply(1, Start, QuarantineSuspect{.suspect = suspect});
+    CHECK(state.quarantinedSuspects().contains(suspect));
+    state.apply(2, Start, ReleaseSuspect{.suspect = suspect, .onProbation = true});
+    CHECK(state.quarantinedSuspects().empty());
+    CHECK(state.suspectsOnProbation().contains(suspect));
+    state.apply(3, Start, QuarantineSuspect{.suspect = suspect});
+    CHECK(state.suspectsOnProbation().empty());
+    state.apply(4, Start, ReleaseSuspect{.suspect = suspect, .onProbation = false});
+    CHECK(state.quarantinedSuspects().empty());
+    CHECK(state.suspectsOnProbation().empty());
+    CHECK(state.revision() == Revision(0));
+}
+
+// Guards against a replicated state that grows with each suspect.
+TEST_CASE("the suspects in quarantine and on probation are bounded, and the newest are kept")
+{
+    FleetState state;
+    for (int i = 0; i < 3000; ++i) {
+        const CrashSuspect suspect("request:" + std::to_string(i));
+        state.apply(1, Start + seconds(i), QuarantineSuspect{.suspect = suspect});
+    }
+    CHECK(state.quarantinedSuspects().size() == FleetState::MaxSuspects);
+    CHECK(state.quarantinedSuspects().contains(CrashSuspect("request:2999")));
+    for (int i = 0; i < 3000; ++i) {
+        const CrashSuspect suspect("request:" + std::to_string(i));
+        state.apply(1, Start + seconds(i), ReleaseSuspect{.suspect = suspect, .onProbation = true});
+    }
+    CHECK(state.suspectsOnProbation().size() == FleetState::MaxSuspects);
+    state.apply(1, Start + FleetState::ProbationTime + seconds(4000), ReleaseSuspect{});
+    CHECK(state.suspectsOnProbation().empty());
+}
--- a/unittests/Platform/CodecTest.cpp
+++ b/unittests/Platform/CodecTest.cpp
@@ -257,10 +257,10 @@
         return platform::callerDialect().readRequest(request).promptParts;
     };
     CHECK(parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250")
-          == std::vector{PromptPart("5c1e07a2"), PromptPart("91bd3f06"), PromptPart("e4402b7d")});
+          == std::vector{CrashSuspect("5c1e07a2"), CrashSuspect("91bd3f06"), CrashSuspect("e4402b7d")});
     CHECK(parts("").empty());
     CHECK(parts(",:,,:5,").empty());
-    CHECK(parts("a,b:x") == std::vector{PromptPart("a"), PromptPart("b")});
+    CHECK(parts("a,b:x") == std::vector{CrashSuspect("a"), CrashSuspect("b")});
     CHECK(parts(std::string(100000, 'x') + ":1").empty());
     std::string many;
     for (int i = 0; i < 10000; ++i) {
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -255,6 +255,8 @@
 
     /// How the control host writes its files. Set before run().
     FileHooks files = FileHooks::system();
+    /// How long the control host keeps what crashes servers in quarantine. Set before run().
+    milliseconds quarantineTime = FleetControlSettings().quarantineTime;
     /// Time from the begin of stopEntry() until the process of the entry would be killed. Set before run().
     milliseconds gracePeriod = GatewaySettings().gracePeriod;
 
@@ -318,6 +320,7 @@
         m_controlSettings.seeds = {"127.0.0.1"};
         m_controlSettings.firstStart = true;
         m_controlSettings.dataFolder = m_folder;
+        m_controlSettings.quarantineTime = quarantineTime;
         startControl();
         GatewaySettings entrySettings;
         entrySettings.name = "e1";
