Keep a silent server until the next one has sent an event of the stream

A full server may keep the request in its queue and refuse it later, and a server may end before its first event; the stream was cut then although the silent server was about to go on.

Change: the attempt at the silent server stays open until the first event of the other one, or 250 ms after the head of its answer, with which it begins to run. What has arrived of the stream is kept with the attempt.

--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -120,6 +120,11 @@
     void setTakeoverHook(Exchange &exchange, const Attempt &attempt);
     /// Whether a read has timed out because another server is to be asked to take the request over.
     [[nodiscard]] bool takeoverDue(const Exchange &exchange, const HttpError &error) const;
+    /// Whether the silent server has gone on before the other one, at which the stream has begun, has sent an event. If
+    /// not, the silent one is given up. Precondition: there is a silent attempt.
+    [[nodiscard]] bool returnsToSilentServer(Exchange &exchange);
+    /// How long the silent server is still kept beside this attempt, whose stream has begun; at least 1 ms.
+    [[nodiscard]] static milliseconds overlapLeft(const Attempt &attempt);
     /// Keeps the attempt at a silent server open while another one is asked.
     [[nodiscard]] Step keepSilentAttempt(Exchange &exchange, std::unique_ptr<Attempt> attempt);
     /// Gives up the attempt at the silent server, if there is one, in favour of another one.
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -42,7 +42,7 @@
                                    "the answer does not belong to this request");
     }
     if (answer.eventStream && head.status == 200) {
-        giveUpSilentAttempt(exchange, "another server has taken the request over");
+        exchange.splitter.discardIncompleteEvent();
         exchange.splitter.beginRun();
         attempt->streamHead = std::move(head);
         attempt->progressAt = Clock::now();
@@ -229,7 +229,7 @@
     exchange.watched.connection = &connection;
     auto &servers = m_parts.view.servers();
     const auto &route = *exchange.route;
-    const bool canBeTakenOver = mayBeTakenOver(exchange);
+    const bool canBeTakenOver = mayBeTakenOver(exchange) && !exchange.silentAttempt;
     if (canBeTakenOver) {
         setTakeoverHook(exchange, *attempt);
     } else {
@@ -247,6 +247,9 @@
             const auto left = duration_cast<milliseconds>(attempt->progressAt + maxSilence(exchange) - Clock::now());
             readTimeout = std::min(readTimeout, std::max(left, milliseconds(1)));
         }
+        if (exchange.silentAttempt) {
+            readTimeout = std::min(readTimeout, overlapLeft(*attempt));
+        }
         auto piece = co_await connection.readPiece(readTimeout);
         if (exchange.watched.isCallerGone()) {
             servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
@@ -256,6 +259,13 @@
             exchange.watched.connection = nullptr;
             co_return keepSilentAttempt(exchange, std::move(attempt));
         }
+        if (piece.has_error() && exchange.silentAttempt && piece.error().code == HttpErrorCode::TimedOut
+            && exchange.remainingTime(Clock::now()) > Exchange::AnswerMargin) {
+            if (returnsToSilentServer(exchange)) {
+                co_return recordLostAnswer(exchange, choice, ServerOutcome::Unrelated, "the silent server has gone on");
+            }
+            continue;
+        }
         if (piece.has_error()) {
             exchange.splitter.discardIncompleteEvent();
             const bool timedOut = piece.error().code == HttpErrorCode::TimedOut;
@@ -281,6 +291,8 @@
             }
             continue;
         }
+        // Only now the other server is sure to have taken the stream over.
+        giveUpSilentAttempt(exchange, "another server has taken the request over");
         ++exchange.eventCount;
         attempt->progressAt = exchange.lastProgressAt = Clock::now();
         if (!exchange.streamStarted) {
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -51,6 +51,8 @@
     std::optional<HttpResponse> streamHead;
     /// When the request was sent, or the head of the stream or its last whole event arrived.
     TimePoint progressAt;
+    /// What has arrived of the stream when the server fell silent.
+    EventStreamSplitter splitterWhenSilent;
     /// Whether the server was recorded as giving no answer when it fell silent.
     bool silenceRecorded = false;
 
--- a/lib/Gateway/RequestTakeover.cpp
+++ b/lib/Gateway/RequestTakeover.cpp
@@ -15,9 +15,11 @@
 /// Time between two attempts to have a request taken over, and their largest number. Each of them costs a retry.
 static constexpr milliseconds TakeoverInterval{300};
 static constexpr int MaxTakeovers = 3;
-/// How long a request may be open at a silent server after it was sent to another one. The platform allows 400 ms in
-/// which both run it; the rest is for the way to the servers.
+/// How long a stream may be open at a silent server after another one has begun to run it. The platform allows 400 ms
+/// in which both run it; the rest is for the way to the servers.
 static constexpr milliseconds MaxOverlap{250};
+/// Interval between two checks whether the silent server has gone on while another one is asked.
+static constexpr milliseconds GoneOnCheckInterval{100};
 /// How long the servers of streams may be silent although they are sound.
 static constexpr milliseconds SoundSilence{1500};
 
@@ -86,6 +88,7 @@
         servers.endRequest(attempt->choice.server.id, 0, ServerOutcome::NoAnswer, Clock::now());
     }
     ++exchange.takeoverCount;
+    attempt->splitterWhenSilent = exchange.splitter;
     exchange.silentAttempt = std::move(attempt);
     return Step::Silent;
 }
@@ -96,12 +99,26 @@
     if (!attempt) {
         return;
     }
-    exchange.splitter.discardIncompleteEvent();
     const auto lastProgressAt = std::exchange(exchange.lastProgressAt, attempt->progressAt);
     (void)recordLostAnswer(exchange, attempt->choice, ServerOutcome::Unrelated, reason);
     exchange.lastProgressAt = lastProgressAt;
 }
 
+bool RequestRelay::returnsToSilentServer(Exchange &exchange)
+{
+    if (exchange.silentAttempt->connection->hasUnreadBytes()) {
+        return true;
+    }
+    giveUpSilentAttempt(exchange, "silent while another server runs the request");
+    return false;
+}
+
+milliseconds RequestRelay::overlapLeft(const Attempt &attempt)
+{
+    const auto left = duration_cast<milliseconds>(attempt.progressAt + MaxOverlap - Clock::now());
+    return std::max(left, milliseconds(1));
+}
+
 void RequestRelay::endSilentAttempt(Exchange &exchange)
 {
     if (const auto attempt = std::exchange(exchange.silentAttempt, nullptr)) {
@@ -116,6 +133,7 @@
     exchange.nextTakeoverAt = Clock::now() + TakeoverInterval;
     exchange.lastServer = attempt->choice.server.id;
     exchange.lastProgressAt = attempt->progressAt;
+    exchange.splitter = std::move(attempt->splitterWhenSilent);
     LogLine(LogLevel::Info, "silent_server_kept")
         .add("request", exchange.caller.attemptId)
         .add("server", attempt->choice.server.id.value())
@@ -138,16 +156,15 @@
     };
     while (exchange.silentAttempt) {
         const auto left = exchange.remainingTime(Clock::now());
-        auto head = co_await connection.readHead(atLeastOne(std::min(left, MaxOverlap)));
+        auto head = co_await connection.readHead(atLeastOne(std::min(left, GoneOnCheckInterval)));
         const bool timedOut = head.has_error() && head.error().code == HttpErrorCode::TimedOut;
-        if (!timedOut || exchange.watched.isCallerGone() || left <= MaxOverlap
-            || exchange.silentAttempt->connection->hasUnreadBytes()) {
+        // A server begins to run a request with its answer. Until then it may still refuse the request, and the silent
+        // server is the only one that runs it.
+        if (!timedOut || exchange.watched.isCallerGone() || left <= GoneOnCheckInterval
+            || exchange.silentAttempt->connection->hasUnreadBytes()
+            || Clock::now() >= attempt.sentAt + maxSilence(exchange)) {
             co_return head;
         }
-        // Two servers may go on running a request without a stream: it may run more than once.
-        if (exchange.route->kind == RequestKind::Stream) {
-            giveUpSilentAttempt(exchange, "silent while another server was asked");
-        }
     }
     auto timeout = exchange.remainingTime(Clock::now());
     if (mayBeTakenOver(exchange) && exchange.route->goal > milliseconds(0)) {
--- a/unittests/Platform/SilentServerTest.cpp
+++ b/unittests/Platform/SilentServerTest.cpp
@@ -1,5 +1,7 @@
 #include "Deployment.h"
 
+#include <boost/asio/detached.hpp>
+#include <optional>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -222,3 +224,98 @@
         CHECK(*endedAt - *takenOverAt < milliseconds(400));
     });
 }
+
+// Guards against a stream that is cut because its silent server was left while the request waited in the queue of the
+// next one, which refused it then.
+TEST_CASE("a stream is read on from its silent server if the next server refuses it late")
+{
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerInFull);
+    int attempts = 0;
+    const StandInServer::Behaviour refusesLate
+        = [](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        co_await pauseFor(milliseconds(700));
+        co_await refuseWithoutRunning(request, responder);
+    };
+    const StandInServer::Behaviour goesOnLater = [](const HttpRequest &request, HttpResponder &responder) {
+        return streamWithPause(request, responder, milliseconds(2600));
+    };
+    const auto behaviour = firstAndLaterAttempts(attempts, goesOnLater, refusesLate);
+    deployment.addServer("s1", "engines", behaviour);
+    deployment.addServer("s2", "engines", behaviour);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto paused = co_await deployment.call("POST", "/stream/x", "paused");
+        CHECK(paused.status == 200);
+        CHECK(paused.body == wholeStream());
+        CHECK(attempts == 2);
+    });
+}
+
+// Guards against a stream that is cut because its silent server was left for one that ended before its first event.
+TEST_CASE("a stream is read on from its silent server if the next server breaks off after the head of its answer")
+{
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerInFull);
+    int attempts = 0;
+    const StandInServer::Behaviour breaksOff
+        = [](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        auto head = sealedResponse(request, 200);
+        head.headers.set("Content-Type", "text/event-stream");
+        (void)co_await responder.beginStream(std::move(head));
+        co_await pauseFor(milliseconds(50));
+    };
+    const auto behaviour = firstAndLaterAttempts(attempts, StreamWithLongPause, breaksOff);
+    deployment.addServer("s1", "engines", behaviour);
+    deployment.addServer("s2", "engines", behaviour);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto paused = co_await deployment.call("POST", "/stream/x", "paused");
+        CHECK(paused.status == 200);
+        CHECK(paused.body == wholeStream());
+        CHECK(attempts == 2);
+    });
+}
+
+// Guards against a stream that runs at two servers for longer than the platform allows, where the next one begins with
+// the head of its answer and sends its first event late.
+TEST_CASE("a stream is ended at its silent server soon after the next one has begun to answer")
+{
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerInFull);
+    int attempts = 0;
+    std::optional<TimePoint> begunAt;
+    std::optional<TimePoint> endedAt;
+    const StandInServer::Behaviour staysSilent
+        = [&](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        auto head = sealedResponse(request, 200);
+        head.headers.set("Content-Type", "text/event-stream");
+        (void)co_await responder.beginStream(std::move(head));
+        (void)co_await responder.writePiece(FirstEvent);
+        const auto until = Clock::now() + seconds(4);
+        while (!responder.callerGone() && Clock::now() < until) {
+            co_await pauseFor(milliseconds(10));
+        }
+        endedAt = Clock::now();
+    };
+    const StandInServer::Behaviour beginsSlowly
+        = [&](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        auto head = sealedResponse(request, 200);
+        head.headers.set("Content-Type", "text/event-stream");
+        begunAt = Clock::now();
+        (void)co_await responder.beginStream(std::move(head));
+        co_await pauseFor(milliseconds(800));
+        (void)co_await responder.writePiece(SecondEvent);
+        (void)co_await responder.endStream();
+    };
+    const auto behaviour = firstAndLaterAttempts(attempts, staysSilent, beginsSlowly);
+    deployment.addServer("s1", "engines", behaviour);
+    deployment.addServer("s2", "engines", behaviour);
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto paused = co_await deployment.call("POST", "/stream/x", "paused");
+        CHECK(paused.status == 200);
+        CHECK(paused.body == wholeStream());
+        CHECK(attempts == 2);
+        REQUIRE(begunAt.has_value());
+        REQUIRE(endedAt.has_value());
+        CHECK(*endedAt - *begunAt < milliseconds(400));
+    });
+}
