A stream that has begun waits for a leader as long as for an adapter

Cause: the wait for an adapter is short without a leader, so that callers can try elsewhere. The caller of a stream that has begun cannot.

Change: the short wait holds only before the stream has begun.

--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -23,7 +23,8 @@
 /// Longest wait of a request for its adapter. A load takes about 250 ms, and a caller whose request is refused early
 /// can send it again in time.
 static constexpr milliseconds MaxAdapterWait{1500};
-/// Replaces MaxAdapterWait while the leader of the control hosts, which alone can order a load, is not connected.
+/// Replaces MaxAdapterWait while the leader of the control hosts, which alone can order a load, is not connected. A
+/// request that is refused soon can be sent again elsewhere, but a stream that has begun would be cut.
 static constexpr milliseconds MaxAdapterWaitWithoutLeader{400};
 /// Longest interval between two checks of a waiting request for a server.
 static constexpr milliseconds WaitRecheckInterval{100};
@@ -240,8 +241,9 @@
             co_return std::nullopt;
         }
         const bool leaderConnected = m_parts.leaderConnected();
-        const auto waitDeadline
-            = leaderConnected ? maxWaitDeadline : std::min(maxWaitDeadline, startTime + MaxAdapterWaitWithoutLeader);
+        const auto waitDeadline = leaderConnected || exchange.streamStarted
+            ? maxWaitDeadline
+            : std::min(maxWaitDeadline, startTime + MaxAdapterWaitWithoutLeader);
         if (exchange.watched.isCallerGone() || now >= waitDeadline) {
             exchange.failureDetail = now + Exchange::AnswerMargin >= exchange.deadline ? "too little time is left"
                 : leaderConnected ? "the adapter was not loaded in time"
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -234,14 +234,15 @@
         return m_entry->shutDown();
     }
 
-    /// Stops the control host and starts it again with its data folder, on the ports that it had.
-    boost::asio::awaitable<void> restartControl()
+    /// Stops the control host and, after a pause, starts it again with its data folder, on the ports that it had.
+    boost::asio::awaitable<void> restartControl(milliseconds downTime = milliseconds(0))
     {
         m_controlSettings.listen.port = m_control->apiPort();
         m_controlSettings.entryPort = m_control->entryPort();
         m_controlSettings.firstStart = false;
         co_await m_control->shutDown();
         m_control.reset();
+        co_await sleepFor(downTime);
         startControl();
     }
 
--- a/unittests/Platform/SilentServerTest.cpp
+++ b/unittests/Platform/SilentServerTest.cpp
@@ -319,3 +319,47 @@
         CHECK(*endedAt - *begunAt < milliseconds(400));
     });
 }
+
+// Guards against a stream that is cut soon after its server has ended because no control host leads at that moment.
+TEST_CASE("a stream whose server ends while there is no leader goes on once the next leader has loaded its adapter")
+{
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerInFull);
+    int attempts = 0;
+    const StandInServer::Behaviour endsSoon
+        = [](const HttpRequest &request, HttpResponder &responder) -> asio::awaitable<void> {
+        auto head = sealedResponse(request, 200);
+        head.headers.set("Content-Type", "text/event-stream");
+        (void)co_await responder.beginStream(std::move(head));
+        (void)co_await responder.writePiece(FirstEvent);
+        co_await pauseFor(milliseconds(300));
+    };
+    const StandInServer::Behaviour goesOn = [](const HttpRequest &request, HttpResponder &responder) {
+        return sendEvents(request, responder, 2, 2);
+    };
+    const auto behaviour = firstAndLaterAttempts(attempts, endsSoon, goesOn);
+    auto &first = deployment.addServer("s1", "engines", behaviour);
+    deployment.addServer("s2", "engines", behaviour);
+    first.adapters = {"a1"};
+    deployment.run([&]() -> asio::awaitable<void> {
+        // Lets the leader tell the entry what the first server holds.
+        co_await deployment.sleepFor(milliseconds(500));
+        bool restarted = false;
+        asio::co_spawn(
+            deployment.executor(),
+            [&]() -> asio::awaitable<void> {
+                co_await deployment.restartControl(milliseconds(700));
+                restarted = true;
+            },
+            asio::detached);
+        // The control host ends about 2 s after it was told to, as no other one can take its leadership.
+        co_await deployment.sleepFor(milliseconds(1850));
+        const auto paused = co_await deployment.call("POST", "/stream/x", "paused", "a1");
+        while (!restarted) {
+            co_await deployment.sleepFor(milliseconds(50));
+        }
+        CHECK(paused.status == 200);
+        CHECK(paused.body == wholeStream());
+        CHECK(attempts == 2);
+    });
+}
