Storage: a refused sync, rename or truncation of a full disk can be retried

Cause of what was found: only a refused write counted as a full disk. A sync that fails with ENOSPC or EDQUOT, or a rename or truncation, made the replica give its storage up for good, on one host after the other.

Ruled out: refused writes.

Change: each of these errors counts as a full disk. A frame whose sync was refused is written again as a whole; a frame that cannot be removed is removed before the next append; a segment whose folder could not be synced is dropped.

--- a/include/tamarackcove/Storage/FileHooks.h
+++ b/include/tamarackcove/Storage/FileHooks.h
@@ -13,6 +13,7 @@
 {
     std::function<ssize_t(int file, const void *bytes, std::size_t size)> write;
     std::function<int(int file)> sync;
+    std::function<int(int file, off_t size)> truncate;
     std::function<int(const std::string &from, const std::string &to)> rename;
 
     /// The real system calls; sync is fdatasync().
--- a/lib/Storage/StorageFile.cpp
+++ b/lib/Storage/StorageFile.cpp
@@ -12,6 +12,12 @@
 
 namespace tamarackcove {
 
+/// The code of a failed call: NoSpace if the disk is full, otherwise this one.
+static StorageErrorCode codeOf(StorageErrorCode otherwise)
+{
+    return errno == ENOSPC || errno == EDQUOT ? StorageErrorCode::NoSpace : otherwise;
+}
+
 static std::string errnoText()
 {
     return std::error_code(errno, std::generic_category()).message();
@@ -22,6 +28,7 @@
     return {
         .write = [](int file, const void *bytes, std::size_t size) { return ::write(file, bytes, size); },
         .sync = [](int file) { return ::fdatasync(file); },
+        .truncate = [](int file, off_t size) { return ::ftruncate(file, size); },
         .rename = [](const std::string &from, const std::string &to) { return std::rename(from.c_str(), to.c_str()); },
     };
 }
@@ -52,7 +59,7 @@
     file.m_path = path;
     file.m_descriptor = ::open(path.c_str(), flags | O_CLOEXEC, 0644);
     if (file.m_descriptor < 0) {
-        return file.makeError(StorageErrorCode::OpenFailed, "cannot open");
+        return file.makeError(codeOf(StorageErrorCode::OpenFailed), "cannot open");
     }
     return file;
 }
@@ -64,11 +71,9 @@
         if (written < 0 && errno == EINTR) {
             continue;
         }
-        if (written < 0 && (errno == ENOSPC || errno == EDQUOT)) {
-            return makeError(StorageErrorCode::NoSpace, "no space to write to");
-        }
         if (written <= 0) {
-            return makeError(StorageErrorCode::WriteFailed, "cannot write to");
+            return makeError(written < 0 ? codeOf(StorageErrorCode::WriteFailed) : StorageErrorCode::WriteFailed,
+                             "cannot write to");
         }
         bytes.remove_prefix(static_cast<std::size_t>(written));
     }
@@ -78,15 +83,15 @@
 Result<void, StorageError> StorageFile::sync(const FileHooks &hooks)
 {
     if (hooks.sync(m_descriptor) != 0) {
-        return makeError(StorageErrorCode::SyncFailed, "cannot sync");
+        return makeError(codeOf(StorageErrorCode::SyncFailed), "cannot sync");
     }
     return ok();
 }
 
-Result<void, StorageError> StorageFile::truncate(std::uint64_t size)
+Result<void, StorageError> StorageFile::truncate(std::uint64_t size, const FileHooks &hooks)
 {
-    if (::ftruncate(m_descriptor, static_cast<off_t>(size)) != 0) {
-        return makeError(StorageErrorCode::WriteFailed, "cannot truncate");
+    if (hooks.truncate(m_descriptor, static_cast<off_t>(size)) != 0) {
+        return makeError(codeOf(StorageErrorCode::WriteFailed), "cannot truncate");
     }
     return ok();
 }
@@ -143,7 +148,8 @@
         }
     }
     if (hooks.rename(temporary.string(), path.string()) != 0) {
-        return StorageError{StorageErrorCode::WriteFailed, "cannot rename " + temporary.string() + ": " + errnoText()};
+        return StorageError{codeOf(StorageErrorCode::WriteFailed),
+                            "cannot rename " + temporary.string() + ": " + errnoText()};
     }
     return syncFolder(path.parent_path(), hooks);
 }
--- a/lib/Storage/StorageFile.h
+++ b/lib/Storage/StorageFile.h
@@ -24,7 +24,7 @@
 
     [[nodiscard]] Result<void, StorageError> writeAll(std::string_view bytes, const FileHooks &hooks);
     [[nodiscard]] Result<void, StorageError> sync(const FileHooks &hooks);
-    [[nodiscard]] Result<void, StorageError> truncate(std::uint64_t size);
+    [[nodiscard]] Result<void, StorageError> truncate(std::uint64_t size, const FileHooks &hooks);
     /// Takes an exclusive lock on the file, or fails with Locked if another process has it.
     [[nodiscard]] Result<void, StorageError> lock();
 
--- a/lib/Storage/WriteAheadLog.cpp
+++ b/lib/Storage/WriteAheadLog.cpp
@@ -32,6 +32,8 @@
     HardState hardState;
     std::vector<Segment> segments;
     StorageFile current;
+    /// Whether the newest segment may have bytes after its last whole frame.
+    bool hasTorn = false;
     /// The first error other than NoSpace. Every later call fails with this error.
     std::optional<StorageError> failure;
 
@@ -41,6 +43,8 @@
     /// before it. Returns `reason`.
     Result<void, StorageError> dropNewestSegment(const StorageError &reason);
     Result<void, StorageError> appendFrame(std::string_view payload);
+    /// Removes the bytes after the last whole frame, if there may be any, so that the next frame follows it.
+    Result<void, StorageError> removeTornFrame();
     Result<void, StorageError> recordFailure(Result<void, StorageError> result);
 };
 
@@ -134,7 +138,7 @@
     if (opened.has_error()) {
         return std::move(opened).error();
     }
-    if (auto truncated = opened.value().truncate(offset); truncated.has_error()) {
+    if (auto truncated = opened.value().truncate(offset, hooks); truncated.has_error()) {
         return truncated;
     }
     return opened.value().sync(hooks);
@@ -145,7 +149,8 @@
     Segment segment;
     segment.number = segments.empty() ? 1 : segments.back().number + 1;
     segment.path = folder / fmt::format("{:020}{}", segment.number, Suffix);
-    auto opened = StorageFile::open(segment.path, O_WRONLY | O_CREAT | O_EXCL | O_APPEND);
+    // A file of this name is left if the removal of a segment was refused.
+    auto opened = StorageFile::open(segment.path, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND);
     if (opened.has_error()) {
         return std::move(opened).error();
     }
@@ -159,7 +164,12 @@
         }
         return written;
     }
-    return syncFolder(folder, hooks);
+    auto synced = syncFolder(folder, hooks);
+    // Without the sync of the folder, the segment and all frames in it could be lost.
+    if (synced.has_error() && synced.error().code == StorageErrorCode::NoSpace && segments.size() > 1) {
+        return dropNewestSegment(synced.error());
+    }
+    return synced;
 }
 
 Result<void, StorageError> WriteAheadLog::Impl::dropNewestSegment(const StorageError &reason)
@@ -167,6 +177,7 @@
     std::error_code ignored;
     fs::remove(segments.back().path, ignored);
     segments.pop_back();
+    hasTorn = false;
     auto opened = StorageFile::open(segments.back().path, O_WRONLY | O_APPEND);
     if (opened.has_error()) {
         return std::move(opened).error();
@@ -178,17 +189,36 @@
 Result<void, StorageError> WriteAheadLog::Impl::appendFrame(std::string_view payload)
 {
     const auto frame = encodeFrame(payload);
-    if (auto written = current.writeAll(frame, hooks); written.has_error()) {
+    hasTorn = true;
+    auto written = current.writeAll(frame, hooks);
+    if (!written.has_error()) {
+        written = current.sync(hooks);
+    }
+    if (written.has_error()) {
+        // After a refused sync the kernel may have dropped what was written, so the whole frame is written again. If
+        // the disk refuses the truncation as well, the next append begins with it.
         if (written.error().code == StorageErrorCode::NoSpace) {
-            // Removes the part that was written, so that the next frame follows the last complete one.
-            if (auto truncated = current.truncate(segments.back().bytes); truncated.has_error()) {
-                return truncated;
+            if (auto removed = removeTornFrame(); removed.has_error()) {
+                return removed;
             }
         }
         return written;
     }
+    hasTorn = false;
     segments.back().bytes += frame.size();
-    return current.sync(hooks);
+    return ok();
+}
+
+Result<void, StorageError> WriteAheadLog::Impl::removeTornFrame()
+{
+    if (!hasTorn) {
+        return ok();
+    }
+    if (auto truncated = current.truncate(segments.back().bytes, hooks); truncated.has_error()) {
+        return truncated;
+    }
+    hasTorn = false;
+    return ok();
 }
 
 Result<void, StorageError> WriteAheadLog::Impl::recordFailure(Result<void, StorageError> result)
@@ -205,6 +235,9 @@
     if (impl.failure) {
         return *impl.failure;
     }
+    if (auto removed = impl.recordFailure(impl.removeTornFrame()); removed.has_error()) {
+        return removed;
+    }
     if (impl.segments.back().bytes >= impl.segmentBytes) {
         if (auto started = impl.recordFailure(impl.startSegment()); started.has_error()) {
             return started;
@@ -226,6 +259,9 @@
     if (impl.failure) {
         return *impl.failure;
     }
+    if (auto removed = impl.recordFailure(impl.removeTornFrame()); removed.has_error()) {
+        return removed;
+    }
     if (auto started = impl.recordFailure(impl.startSegment()); started.has_error()) {
         return started;
     }
