--- a/include/tamarackcove/Control/Fleet/UpdateFeed.h
+++ b/include/tamarackcove/Control/Fleet/UpdateFeed.h
@@ -45,7 +45,7 @@
     void setLoads(const std::vector<ServerLoadMessage> &loads);
     /// Says that every live server has had time to announce itself, so that entries may remove all other servers.
     void setServersComplete();
-    /// Sets the parts of prompts that entries watch, and those that they refuse. Returns whether either has changed.
+    /// Sets the crash suspects that entries watch, and those that they refuse. Returns whether either has changed.
     bool setSuspects(std::set<CrashSuspect> watched, std::set<CrashSuspect> quarantined);
 
     /// Encodes the changes since the previous call as the next update, if there are any. Returns whether there were.
--- a/unittests/Http/Framings.h
+++ b/unittests/Http/Framings.h
@@ -23,7 +23,7 @@
 /// The framings that a request and a response share (RFC 9112, sections 2.2, 5.1, 5.2, 6.1 to 6.3, 7.1 and 11.2).
 inline const std::vector<Framing> &framings()
 {
-    static const std::vector<Framing> all{
+    static const std::vector<Framing> All{
         {"a length", "HTTP/1.1", "Content-Length: 5\r\n", "abcde", true, "abcde"},
         {"a length without a space, with a tab after it", "HTTP/1.1", "Content-Length:5\t\r\n", "abcde", true, "abcde"},
         {"a length of HTTP/1.0", "HTTP/1.0", "Content-Length: 5\r\n", "abcde", true, "abcde"},
@@ -104,7 +104,7 @@
         {"a coding in a trailer", "HTTP/1.1", "Transfer-Encoding: chunked\r\n",
          "5\r\nabcde\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n"},
     };
-    return all;
+    return All;
 }
 
 } // namespace tamarackcove::test
