Leader: withdraw verdicts on crash suspects without waiting for a crash

Cause: acquitted suspects were taken only when the leader published suspects, which a heartbeat does not cause. A proposal that the log did not accept was not repeated either.

--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -263,7 +263,7 @@
         co_await timer.async_wait(asio::use_awaitable);
         registry.expire(Clock::now());
         publishServers();
-        releaseExpiredSuspects();
+        releaseSuspects();
     }
 }
 
--- a/lib/Control/Fleet/FleetNodeCrashes.cpp
+++ b/lib/Control/Fleet/FleetNodeCrashes.cpp
@@ -74,12 +74,6 @@
                 .add("part", suspect.value());
             proposeVerdict(QuarantineSuspect{.suspect = suspect});
         }
-        for (const auto &suspect : crashes.takeAcquitted()) {
-            LogLine(LogLevel::Warning, isRequest(suspect) ? "request_acquitted" : "prompt_part_acquitted")
-                .add("part", suspect.value())
-                .add("reason", "servers that seemed to have crashed have sent heartbeats");
-            proposeVerdict(ReleaseSuspect{.suspect = suspect, .onProbation = false});
-        }
     }
     const auto quarantined = suspectsOf(log.state().quarantinedSuspects());
     if (feed.setSuspects(crashes.watched(Clock::now()), quarantined) && leading) {
@@ -87,14 +81,24 @@
     }
 }
 
-void FleetNode::Impl::releaseExpiredSuspects()
+void FleetNode::Impl::releaseSuspects()
 {
     if (!leading) {
         return;
     }
+    const auto &quarantined = log.state().quarantinedSuspects();
+    for (auto &suspect : crashes.takeAcquitted()) {
+        acquittedSuspects.insert(std::move(suspect));
+    }
+    std::erase_if(acquittedSuspects, [&](const CrashSuspect &suspect) { return !quarantined.contains(suspect); });
     const auto now = std::chrono::system_clock::now();
-    for (const auto &[suspect, at] : log.state().quarantinedSuspects()) {
-        if (at + settings.quarantineTime <= now) {
+    for (const auto &[suspect, at] : quarantined) {
+        if (acquittedSuspects.contains(suspect)) {
+            LogLine(LogLevel::Warning, isRequest(suspect) ? "request_acquitted" : "prompt_part_acquitted")
+                .add("part", suspect.value())
+                .add("reason", "servers that seemed to have crashed have sent heartbeats");
+            proposeVerdict(ReleaseSuspect{.suspect = suspect, .onProbation = false});
+        } else if (at + settings.quarantineTime <= now) {
             LogLine(LogLevel::Info, "quarantine_ended").add("part", suspect.value());
             proposeVerdict(ReleaseSuspect{.suspect = suspect, .onProbation = true});
         }
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -17,6 +17,8 @@
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Supervision/Timer.h"
 
+#include <set>
+
 namespace tamarackcove {
 
 /// The root of the supervisor tree of a control host, and what its children share. Its functions are in FleetNode.cpp
@@ -75,14 +77,12 @@
     void applyCrashes(const FleetReportMessage &report);
     /// Passes the verdicts of the replicated state on to the attribution of crashes.
     void readVerdicts();
-    /// Proposes a command about a suspect. If the log does not accept it, the next crash, heartbeat or check leads to
-    /// it again.
+    /// Proposes a command about a suspect. If the log does not accept it, the next crash or check leads to it again.
     void proposeVerdict(const FleetCommand &command);
-    /// Quarantines the suspects that are convicted, releases those that are acquitted, and tells entries which ones are
-    /// watched.
+    /// Quarantines the suspects that are convicted, and tells entries which ones are watched.
     void publishSuspects();
-    /// Releases the suspects whose quarantine has ended.
-    void releaseExpiredSuspects();
+    /// Releases the suspects that are acquitted, and those whose quarantine has ended.
+    void releaseSuspects();
     /// Convicts suspects when their time has come.
     boost::asio::awaitable<void> attributeCrashes();
     /// Has the planner consider the demands of entries.
@@ -107,6 +107,8 @@
     DemandTable demands;
     Timer planTimer;
     CrashAttribution crashes;
+    /// The acquitted suspects that are still in quarantine by the replicated state.
+    std::set<CrashSuspect> acquittedSuspects;
     Timer crashTimer;
     /// Whether entries have reported crashes or answered suspects since the last evaluation.
     bool crashesReported = false;
--- a/lib/Control/Fleet/FleetNodeLeadership.cpp
+++ b/lib/Control/Fleet/FleetNodeLeadership.cpp
@@ -60,6 +60,7 @@
     planner.reset();
     demands.clear();
     crashes.clear();
+    acquittedSuspects.clear();
     registry.clear();
     links.resendEverything();
 }
--- a/unittests/Platform/CrashingRequestTest.cpp
+++ b/unittests/Platform/CrashingRequestTest.cpp
@@ -17,6 +17,8 @@
 enum class End {
     ClosesConnections,
     FallsSilent,
+    /// The server goes on, and only the connection ends.
+    ResetsConnection,
 };
 
 /// A server of a plain service that closes the connection instead of answering a request whose path holds "deadly", or
@@ -36,11 +38,11 @@
     {
         return "p" + std::to_string(m_number) + "-" + std::to_string(m_start);
     }
-    [[nodiscard]] nlohmann::json heartbeat() const
+    [[nodiscard]] nlohmann::json heartbeat()
     {
         return {{"service", "plain"}, {"addr", "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())},
                 {"zone", "z"},        {"slots", 8},
-                {"state", "ready"},   {"seq", 1},
+                {"state", "ready"},   {"seq", ++m_heartbeats},
                 {"born", m_start}};
     }
     void close()
@@ -77,7 +79,7 @@
             received.clear();
             if (head.find("deadly") != std::string::npos) {
                 ++crashes;
-                ++m_start;
+                m_start += m_end == End::ResetsConnection ? 0 : 1;
                 if (m_end == End::FallsSilent) {
                     char byte = 0;
                     (void)co_await socket.async_read_some(asio::buffer(&byte, 1), UseTuple);
@@ -99,6 +101,7 @@
     int m_number;
     End m_end;
     int m_start = 1;
+    int m_heartbeats = 0;
     asio::ip::tcp::acceptor m_acceptor;
 };
 
@@ -227,6 +230,25 @@
     });
 }
 
+// Guards against a sound request that is refused for long because live servers have reset its connections.
+TEST_CASE("a verdict is withdrawn once the servers that seemed to have crashed send heartbeats")
+{
+    CrashingDeployment crashing(End::ResetsConnection);
+    auto &deployment = crashing.deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        (void)co_await crashing.sendUntilRefused();
+        const auto before = co_await deployment.metrics();
+        checkContains(before.second, "crashing_requests_quarantined 1");
+        co_await deployment.sleepFor(milliseconds(1200));
+        co_await crashing.announceServers();
+        co_await deployment.sleepFor(milliseconds(1200));
+        const auto after = co_await deployment.metrics();
+        checkContains(after.second, "crashing_requests_quarantined 0");
+        checkContains(after.second, "crash_suspects_on_probation 0");
+        crashing.close();
+    });
+}
+
 // Guards against a request under which servers lose power one after the other, so that their connections just fall
 // silent.
 TEST_CASE("a request under which servers fall silent is refused")
