--- a/cmake/TamarackcoveTargets.cmake
+++ b/cmake/TamarackcoveTargets.cmake
@@ -33,7 +33,8 @@
 endfunction()
 
 # Adds one test program per library, from the folder of the same name below unittests/. It uses the precompiled header
-# of the library, if that has one. Further arguments are libraries to link.
+# of the library, if that has one. Further arguments are libraries to link. The files in the variable
+# <name>_SEPARATE_FILES are a run of their own, so that the tests of a folder that wait much keep within the timeout.
 function(tamarackcove_unittest name)
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
     if(NOT sources OR NOT TARGET tamarackcove${name})
@@ -58,6 +59,13 @@
     if(excluded)
         set(exclude_option "--test-case-exclude=${excluded}")
     endif()
+    list(TRANSFORM ${name}_SEPARATE_FILES REPLACE "(.+)" "*/\\1" OUTPUT_VARIABLE separate_files)
+    list(JOIN separate_files "," separate_files)
+    if(separate_files)
+        add_test(NAME ${name}Separate COMMAND ${name}Tests ${exclude_option} --source-file=${separate_files})
+        set_tests_properties(${name}Separate PROPERTIES TIMEOUT 300)
+        list(APPEND exclude_option --source-file-exclude=${separate_files})
+    endif()
     add_test(NAME ${name} COMMAND ${name}Tests ${exclude_option})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
