--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -234,6 +234,14 @@
         return m_entry->shutDown();
     }
 
+    /// Stops the entry and starts it again, on other ports. The new one knows nothing of before.
+    boost::asio::awaitable<void> restartEntry()
+    {
+        co_await m_entry->shutDown();
+        m_entry.reset();
+        startEntry();
+    }
+
     /// Stops the control host and, after a pause, starts it again with its data folder, on the ports that it had.
     boost::asio::awaitable<void> restartControl(milliseconds downTime = milliseconds(0))
     {
@@ -312,6 +320,24 @@
         m_control->start();
     }
 
+    void startEntry()
+    {
+        GatewaySettings settings;
+        settings.name = "e1";
+        settings.zone = Zone("z");
+        settings.listen = {.host = "127.0.0.1", .port = 0};
+        settings.readyListen = {.host = "127.0.0.1", .port = 0};
+        settings.metricsListen = Endpoint{.host = "127.0.0.1", .port = 0};
+        settings.controlPort = m_control->entryPort();
+        settings.seeds = {"127.0.0.1"};
+        settings.retrySlack = 50;
+        settings.gracePeriod = gracePeriod;
+        m_entry = std::make_unique<GatewayNode>(m_io.get_executor(), settings, platform::callerDialect());
+        REQUIRE(m_entry->open().has_value());
+        m_callerPort = m_entry->callerPort();
+        m_entry->start();
+    }
+
     boost::asio::awaitable<void> runNodes(std::function<boost::asio::awaitable<void>()> body)
     {
         m_controlSettings.name = "c1";
@@ -323,20 +349,7 @@
         m_controlSettings.dataFolder = m_folder;
         m_controlSettings.quarantineTime = quarantineTime;
         startControl();
-        GatewaySettings entrySettings;
-        entrySettings.name = "e1";
-        entrySettings.zone = Zone("z");
-        entrySettings.listen = {.host = "127.0.0.1", .port = 0};
-        entrySettings.readyListen = {.host = "127.0.0.1", .port = 0};
-        entrySettings.metricsListen = Endpoint{.host = "127.0.0.1", .port = 0};
-        entrySettings.controlPort = m_control->entryPort();
-        entrySettings.seeds = {"127.0.0.1"};
-        entrySettings.retrySlack = 50;
-        entrySettings.gracePeriod = gracePeriod;
-        m_entry = std::make_unique<GatewayNode>(m_io.get_executor(), entrySettings, platform::callerDialect());
-        REQUIRE(m_entry->open().has_value());
-        m_callerPort = m_entry->callerPort();
-        m_entry->start();
+        startEntry();
         for (const auto &member : m_servers) {
             member.server->start();
         }
