Entry: apply the state of a leader and the changes since it was encoded together

Cause: the leader encodes its whole state once for all entries and sends the changes since then after it. The entry applied each message by itself and served as soon as it had the configuration and the servers, which was before the change with the verdict. The same way led past a drain or a newer configuration, and an entry that reconnected went back to the older lists for that moment.

Change: FleetBatchMessage says how many updates follow; the entry applies them when all have arrived.

--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -109,6 +109,16 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetStatusMessage, leads, term, hosts, clockMs, entries, wantsHistory)
 
+/// Precedes updates that an entry applies together, so that no request is decided on by a part of them: the whole state
+/// may be followed by what has changed since it was encoded, such as a drain or a quarantine.
+struct FleetBatchMessage
+{
+    static constexpr std::string_view Type = "fleet_batch";
+    static constexpr std::uint64_t MaxUpdates = 1024;
+    std::uint64_t updates = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetBatchMessage, updates)
+
 /// Changes since the previous update, or the whole state of the leader for an entry that has not followed its updates.
 struct FleetUpdateMessage
 {
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -219,6 +219,10 @@
         std::vector<SharedFrame> frames{statusFrame(m_hooks.leads() && tryRequestHistory(link))};
         if (m_hooks.leads()) {
             auto updates = m_feed.framesAfter(link.position);
+            if (updates.size() > 1) {
+                const auto batch = encodeFrame(toMessage(FleetBatchMessage{.updates = updates.size()}));
+                frames.push_back(std::make_shared<const std::vector<std::uint8_t>>(batch.value()));
+            }
             frames.insert(frames.end(), updates.begin(), updates.end());
         }
         if (!frames.front()) {
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -157,6 +157,9 @@
 
 asio::awaitable<void> FleetLink::readUpdates(Host &host, FramedConnection &connection)
 {
+    /// The updates that have arrived of those that are applied together, and how many are still to come.
+    std::vector<FleetUpdateMessage> batch;
+    std::uint64_t awaitedUpdates = 0;
     for (;;) {
         const auto message = co_await connection.read(m_leader == &host ? LeaderTimeout : FollowerTimeout);
         if (message.has_error()) {
@@ -171,13 +174,24 @@
             applyStatus(host, status.value());
             continue;
         }
-        const auto update = fromMessage<FleetUpdateMessage>(message.value());
+        if (message.value().type == FleetBatchMessage::Type) {
+            const auto announced = fromMessage<FleetBatchMessage>(message.value());
+            if (announced.has_error() || !batch.empty() || announced.value().updates > FleetBatchMessage::MaxUpdates) {
+                LogLine(LogLevel::Warning, "batch_refused").add("host", host.name);
+                co_return;
+            }
+            awaitedUpdates = announced.value().updates;
+            continue;
+        }
+        auto update = fromMessage<FleetUpdateMessage>(message.value());
         if (update.has_error()) {
             LogLine(LogLevel::Warning, "update_refused").add("reason", update.error().detail);
             co_return;
         }
         if (host.outdated) {
             // Should this host lead again, in a later term, it begins with its whole state.
+            batch.clear();
+            awaitedUpdates = 0;
             continue;
         }
         if (m_leader != &host) {
@@ -185,7 +199,15 @@
             LogLine(LogLevel::Warning, "update_unexpected").add("host", host.name).add("term", m_term);
             co_return;
         }
-        m_view.apply(update.value(), host.clockZero, Clock::now());
+        batch.push_back(std::move(update).value());
+        if (awaitedUpdates > 1) {
+            --awaitedUpdates;
+            continue;
+        }
+        awaitedUpdates = 0;
+        for (const auto &next : std::exchange(batch, {})) {
+            m_view.apply(next, host.clockZero, Clock::now());
+        }
     }
 }
 
