--- a/include/tamarackcove/Control/Fleet/FleetControlSettings.h
+++ b/include/tamarackcove/Control/Fleet/FleetControlSettings.h
@@ -42,6 +42,8 @@
     milliseconds orderLease{3000};
     /// How long what crashes servers stays in quarantine. After it, one more crash puts it back.
     milliseconds quarantineTime{std::chrono::minutes(30)};
+    /// The same for what requests that are not equal have in common: sound ones may have it too.
+    milliseconds pathQuarantineTime{std::chrono::minutes(1)};
     /// Time for the calls in progress to end at shutdown.
     milliseconds drainTimeout{3000};
     LogLevel logLevel = LogLevel::Info;
--- a/include/tamarackcove/Fleet/CrashAttribution.h
+++ b/include/tamarackcove/Fleet/CrashAttribution.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,6 +24,13 @@
 /// crash only if it was sent after the one before: the crashes of many servers at one moment say nothing about the
 /// requests that all of them had.
 ///
+/// A server that leaves requests without an answer, and whose connections stay open, has crashed if it has also ended
+/// as far as is known. It may have crashed shortly after its last sign of life, and only what was sent to it until then
+/// explains that.
+///
+/// Requests that differ in adapter, prompt or body are convicted together, by what they share, if their crashes are
+/// more than one request explains. That takes further crashes, as sound requests may share it.
+///
 /// A server that is heard of after it has seemed to crash has not crashed. A suspect that is released after its
 /// quarantine is on probation: one crash convicts it again.
 ///
@@ -34,8 +42,8 @@
     {
         /// The smallest number of crashes for which a suspect is convicted.
         std::size_t minCrashes = 3;
-        /// How many more crashes convict suspects that explain the same number of them: they come together in all
-        /// requests so far.
+        /// How many more crashes convict suspects that explain the same number of them, as they come together in all
+        /// requests so far, and suspects that stand for requests that are not equal.
         std::size_t tieCrashes = 2;
         /// Time from the second crash of a suspect to its conviction, in which entries can report that they have seen
         /// it answered.
@@ -44,6 +52,13 @@
         milliseconds confirmationTime{250};
         /// How long after a crash a heartbeat of the server may still arrive that was sent before.
         milliseconds heartbeatDelay{1000};
+        /// How long after its last sign of life a server that has fallen silent may have crashed.
+        milliseconds silenceMargin{100};
+        /// Interval between two checks whether a server that has fallen silent has ended.
+        milliseconds silenceCheckInterval{200};
+        /// Whether this start of a server, which was at this address, has ended as far as is known. Servers that have
+        /// fallen silent do not count as crashed without it.
+        std::function<bool(const ServerIdentity &, const Endpoint &, TimePoint now)> hasEnded;
         /// How long a crash counts.
         seconds crashLifetime{30};
         /// Largest numbers of crashes, of suspects in one crash, and of suspects in all crashes that are kept. They
@@ -53,12 +68,32 @@
         std::size_t maxSuspects = 2048;
     };
 
+    /// What an entry knows of a start of a server that has not answered some of its requests.
+    struct Silence
+    {
+        Endpoint endpoint;
+        /// When the first of these requests was sent.
+        TimePoint firstSentAt;
+        /// When the entry last received anything from the server; absent if it never did.
+        std::optional<TimePoint> lastHeardAt;
+        /// What is suspect in these requests, and when it was last sent.
+        std::map<CrashSuspect, TimePoint> sentTimes;
+        /// The suspects that were only in requests which had been sent to another server before, in the same attempt of
+        /// their callers.
+        std::set<CrashSuspect> sentAgain;
+    };
+
     explicit CrashAttribution(Options options);
 
     /// Records a request that a start of a server has broken off before it began to answer: what is suspect in it and
     /// when it was sent. The requests of one start of a server count as one crash, at the earliest time reported.
+    /// `sentAgain` is as in Silence.
     void recordCrash(const ServerIdentity &server, TimePoint crashedAt,
-                     const std::map<CrashSuspect, TimePoint> &sentTimes, TimePoint now);
+                     const std::map<CrashSuspect, TimePoint> &sentTimes, TimePoint now,
+                     const std::set<CrashSuspect> &sentAgain = {});
+    /// Records requests that a start of a server has not answered, although their connections are open. They count as a
+    /// crash from the time on at which Options::hasEnded says that the server has ended.
+    void recordSilence(const ServerIdentity &server, const Silence &silence, TimePoint now);
     /// Records that a server has begun to answer a request with the suspect at this time.
     void recordAnswered(const CrashSuspect &suspect, TimePoint at);
     /// Records a heartbeat of a start of a server. A crash of it before Options::heartbeatDelay does not count any
@@ -66,12 +101,14 @@
     void recordAlive(const ServerIdentity &server, TimePoint now);
     /// Sets the suspects that are convicted already, here or by an earlier leader, and those on probation.
     void setVerdicts(std::set<CrashSuspect> convicted, std::set<CrashSuspect> onProbation);
-    /// Forgets everything except the verdicts.
-    void clear();
+    /// Has the crashes so far decided on as if they were reported at this time, so that entries have time to object to
+    /// those of which another host has heard.
+    void beginDecisions(TimePoint at);
 
     /// The suspects that may be convicted unless they are answered: entries report when that happens.
     [[nodiscard]] std::set<CrashSuspect> watched(TimePoint now) const;
-    /// The suspects whose conviction is due now; they count as convicted from then on.
+    /// Counts the servers that have fallen silent and ended as crashed, and returns the suspects whose conviction is
+    /// due now; they count as convicted from then on.
     [[nodiscard]] std::vector<CrashSuspect> takeConvicted(TimePoint now);
     /// The convicted suspects that too few crashes speak against any more; they do not count as convicted from then on.
     [[nodiscard]] std::vector<CrashSuspect> takeAcquitted();
@@ -82,41 +119,58 @@
     struct Crash
     {
         ServerIdentity server;
-        TimePoint at;
+        /// When the server closed the first connection of a request; absent if it has only fallen silent.
+        std::optional<TimePoint> closedAt;
+        /// The requests that it has not answered, from all entries; absent if there are none.
+        std::optional<Silence> silence;
+        /// When the crash was first reported, and since when it counts. The latter is absent while the server has only
+        /// fallen silent.
+        TimePoint reportedAt;
+        std::optional<TimePoint> countsSince;
         /// When the requests with the suspect were sent that were last sent.
         std::map<CrashSuspect, TimePoint> sentTimes;
+        std::set<CrashSuspect> sentAgain;
     };
     /// What the crashes since the last answer say of a suspect.
     struct Suspicion
     {
         std::size_t crashes = 0;
+        /// In how many of them the suspect was in a first attempt of a caller.
+        std::size_t attempts = 0;
         TimePoint lastCrashAt;
+        /// Since when all of them count, the first two, and as many as requiredCrashes().
+        TimePoint countsSince;
         TimePoint secondCrashAt;
-        /// When the number of crashes reached requiredCrashes().
         TimePoint suspectAt;
         bool answeredBefore = false;
         bool onProbation = false;
     };
-    enum class Kind {
-        Parts,
-        Requests,
-    };
+    using Suspicions = std::map<CrashSuspect, Suspicion>;
 
+    Crash &crashOf(const ServerIdentity &server, TimePoint now);
+    void addSuspects(Crash &crash, const std::map<CrashSuspect, TimePoint> &sentTimes,
+                     const std::set<CrashSuspect> &sentAgain) const;
+    void countEndedServers(TimePoint now);
     void dropOldCrashes(TimePoint now);
+    [[nodiscard]] bool hasExpired(const Crash &crash, TimePoint now) const;
+    /// When the server has crashed, as far as is known.
+    [[nodiscard]] TimePoint timeOf(const Crash &crash) const;
+    /// Whether the suspect was at the server before it crashed.
+    [[nodiscard]] bool mayExplain(const Crash &crash, TimePoint sentAt) const;
     [[nodiscard]] std::size_t requiredCrashes(const CrashSuspect &suspect) const;
-    /// Whether the crash counts against suspects of the kind: a convicted suspect does not explain it.
-    [[nodiscard]] bool countsAgainst(Kind kind, const Crash &crash) const;
-    [[nodiscard]] std::map<CrashSuspect, Suspicion> suspicions(TimePoint now) const;
+    /// Whether the crash counts against suspects of the kind: neither a convicted suspect nor, for a kind of requests
+    /// that are not equal, one that stands for fewer requests explains it.
+    [[nodiscard]] bool countsAgainst(SuspectKind kind, const Crash &crash, const Suspicions &all) const;
+    [[nodiscard]] Suspicions suspicions(TimePoint now) const;
     /// The suspects of the kind to convict next: those that explain the most crashes, if they may be convicted
     /// together.
-    [[nodiscard]] std::vector<CrashSuspect> strongest(const std::map<CrashSuspect, Suspicion> &all, Kind kind) const;
+    [[nodiscard]] std::vector<CrashSuspect> strongest(const Suspicions &all, SuspectKind kind) const;
     [[nodiscard]] TimePoint dueAt(const Suspicion &suspicion) const;
 
     Options m_options;
+    TimePoint m_decisionsBeginAt;
     /// Oldest report first.
     std::deque<Crash> m_crashes;
-    /// Sum of the suspects of all crashes.
-    std::size_t m_suspectCount = 0;
     /// When the suspects were last answered.
     std::map<CrashSuspect, TimePoint> m_answeredAt;
     std::set<CrashSuspect> m_convicted;
--- a/include/tamarackcove/Fleet/ServerRegistry.h
+++ b/include/tamarackcove/Fleet/ServerRegistry.h
@@ -19,6 +19,8 @@
     {
         /// A server without a heartbeat for this long is removed. Heartbeats can arrive seconds late.
         milliseconds heartbeatTimeout{6000};
+        /// A server without a heartbeat for this long may have ended.
+        milliseconds maxHeartbeatGap{2500};
     };
     /// The result of a heartbeat.
     enum class HeartbeatResult {
@@ -54,6 +56,10 @@
     bool addUnannounced(const ServerHeartbeat &heartbeat, bool draining, TimePoint now);
     /// Null when there is no server with this id.
     [[nodiscard]] const Server *find(const TargetId &id) const;
+    /// Whether this start of a server, which was at this address, has ended as far as its heartbeats tell: a later
+    /// start has replaced it, or they have stopped. Does not hold for a start that has never been in the registry,
+    /// unless a later one is at the address, nor for one that drains.
+    [[nodiscard]] bool seemsEnded(const ServerIdentity &server, const Endpoint &endpoint, TimePoint now) const;
     /// Applies a departure that is in the replicated state. `gone` says that the server has ended; otherwise it drains.
     void applyDeparture(const ServerIdentity &server, bool gone);
     /// Removes the servers whose Server::lastHeard is longer ago than Options::heartbeatTimeout.
--- a/include/tamarackcove/Gateway/CrashSuspectWatch.h
+++ b/include/tamarackcove/Gateway/CrashSuspectWatch.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "tamarackcove/Base/Endpoint.h"
 #include "tamarackcove/Base/Time.h"
 #include "tamarackcove/Fleet/CrashSuspect.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -18,8 +21,9 @@
 struct FleetReportMessage;
 
 /// What an entry knows of the parts of prompts and the requests that crash servers: which are quarantined, and which
-/// the leader watches. Collects for the next report the crashes that requests of this entry have met, and the watched
-/// suspects that servers have answered. Keeps the crashes for as long as they count, since a new leader knows of none.
+/// the leader watches. Collects for the reports the crashes that requests of this entry have met, and the watched
+/// suspects that servers have answered. Keeps the crashes for as long as they count, since a new leader may know of
+/// none. While no leader is connected, decides itself, by its own crashes, what to refuse.
 ///
 /// Thread safety: used on the thread of the executor.
 class CrashSuspectWatch
@@ -32,6 +36,12 @@
     static constexpr std::size_t MaxSuspectsPerCrash = 256;
     /// Largest number of answers that are kept; beyond it, those of the older half of the lifetime are forgotten.
     static constexpr std::size_t MaxAnswers = 16 * 1024;
+    /// Shortest interval between two decisions without a leader.
+    static constexpr milliseconds DecisionInterval{20};
+    /// How long what this entry has quarantined itself is refused: without a leader, and after one is connected again,
+    /// which needs the reports of the entries first.
+    static constexpr seconds OwnQuarantineTime{300};
+    static constexpr seconds LeaderDecisionTime{2};
 
     /// Replaces the lists of the leader.
     void setLists(const std::vector<std::string> &watched, const std::vector<std::string> &quarantined, TimePoint now);
@@ -39,39 +49,77 @@
     [[nodiscard]] const CrashSuspect *findQuarantined(const std::vector<CrashSuspect> &suspects) const;
     [[nodiscard]] std::size_t quarantinedCount() const;
 
-    /// Records that a server has broken off a request with these suspects, sent at this time, before it began to
-    /// answer.
+    /// Records that a server has closed the connection of a request with these suspects, sent at this time, before it
+    /// began to answer. `again` says that this attempt of the caller had been sent to another server before.
     void recordCrash(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects, TimePoint sentAt,
-                     TimePoint now);
+                     TimePoint now, bool again = false);
+    /// Records that a server has not answered such a request until now, on an open connection.
+    void recordSilence(const ServerIdentity &server, const Endpoint &endpoint,
+                       const std::vector<CrashSuspect> &suspects, TimePoint sentAt, TimePoint now, bool again = false);
     /// Records that a server has begun to answer a request with these suspects.
-    void recordAnswered(const std::vector<CrashSuspect> &suspects, TimePoint now);
+    void recordAnswered(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects, TimePoint now);
+
+    /// Quarantines what has crashed servers by the crashes that this entry has met, if no leader is connected. Called
+    /// before a request is checked with findQuarantined().
+    void decideWithoutLeader(bool leaderConnected, TimePoint now);
 
-    /// Moves what was recorded since the last call into a report; with `toNewLeader`, all crashes that still count.
-    void addTo(FleetReportMessage &report, bool toNewLeader, TimePoint now);
+    /// Adds the crashes to a report that have changed after `since`, a result of an earlier call, or all for 0. Returns
+    /// the time of the newest change, as a number for the next call.
+    std::uint64_t addCrashes(FleetReportMessage &report, std::uint64_t since, TimePoint now);
+    /// Moves the answered suspects that are to be reported to the leader into a report; with `toNewLeader`, of all
+    /// crashes.
+    void addAnswered(FleetReportMessage &report, bool toNewLeader, TimePoint now);
 
     /// Called when a report should be sent soon.
     std::function<void()> onNews;
+    /// Whether a server that has fallen silent has ended, as far as this entry can tell.
+    std::function<bool(const ServerIdentity &, const Endpoint &, TimePoint now)> hasEnded;
 
 private:
+    struct Sent
+    {
+        /// When the request with the suspect was sent that was last sent.
+        TimePoint at;
+        /// Whether each of them had been sent to another server before.
+        bool again = false;
+        std::uint64_t change = 0;
+    };
     struct Crash
     {
         ServerIdentity server;
-        TimePoint at;
-        /// When the requests with the suspect were sent that were last sent.
-        std::map<CrashSuspect, TimePoint> sentTimes;
-        bool reported = false;
+        Endpoint endpoint;
+        std::optional<TimePoint> closedAt;
+        /// When the first request was sent that the server has not answered.
+        std::optional<TimePoint> silentSince;
+        TimePoint recordedAt;
+        std::map<CrashSuspect, Sent> suspects;
+        std::uint64_t change = 0;
     };
 
+    Crash &crashOf(const ServerIdentity &server, TimePoint now);
+    void addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects, TimePoint sentAt, bool again,
+                     TimePoint now);
+    [[nodiscard]] std::optional<TimePoint> lastHeard(const ServerIdentity &server) const;
     [[nodiscard]] bool answeredLately(const CrashSuspect &suspect, TimePoint now) const;
+    /// What the crashes of this entry convict.
+    [[nodiscard]] std::vector<CrashSuspect> convict(TimePoint now) const;
     void forgetOldEvidence(TimePoint now);
 
     std::set<CrashSuspect> m_watched;
     std::set<CrashSuspect> m_quarantined;
+    /// What this entry has quarantined itself, and until when.
+    std::map<CrashSuspect, TimePoint> m_ownQuarantine;
+    bool m_leaderConnected = false;
+    TimePoint m_decidedAt;
     /// When the suspects were last answered, for those of which that is not long ago.
     std::unordered_map<CrashSuspect, TimePoint> m_answeredAt;
+    /// When the servers were last heard of, for those of which that is not long ago.
+    std::map<ServerIdentity, TimePoint> m_heardAt;
     TimePoint m_evidenceCheckedAt;
     /// Oldest first.
     std::deque<Crash> m_crashes;
+    /// Number of changes of the crashes.
+    std::uint64_t m_changes = 0;
     /// The answered suspects of the next report.
     std::set<CrashSuspect> m_answered;
 };
--- a/include/tamarackcove/Gateway/FleetLink.h
+++ b/include/tamarackcove/Gateway/FleetLink.h
@@ -34,6 +34,8 @@
     void start();
     /// Reports new demands to the leader as soon as possible; does nothing without a leader.
     void reportSoon();
+    /// Reports crashes to all control hosts as soon as possible, as each of them may be the next leader.
+    void reportCrashesSoon();
     /// Whether the leader is connected.
     [[nodiscard]] bool connectedToLeader() const;
     /// Whether no leader is connected and fewer than half of the control hosts have been connected for longer than
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -40,10 +40,10 @@
     /// A report that only identifies this entry: its name, zone and configuration version.
     [[nodiscard]] FleetReportMessage makeReportHeader() const;
     /// Returns the report for the time since the last call and resets the counts in it. A report to a new leader
-    /// includes the servers that this entry knows and the crashes that it has met lately. Optionally includes the
-    /// adapter history of each server.
+    /// includes the servers that this entry knows. Optionally includes the adapter history of each server. Crashes are
+    /// added by crashSuspects(), as each control host gets them.
     [[nodiscard]] FleetReportMessage takeReport(bool toNewLeader, bool withHistory);
-    /// A report of the demands, crashes and answered prompt parts that are new since the previous report.
+    /// A report of the demands that are new since the previous report.
     [[nodiscard]] FleetReportMessage takeNewDemands();
 
     /// Null before the first configuration.
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -97,12 +97,15 @@
     /// Answers a request for which no server's answer was relayed.
     boost::asio::awaitable<void> answerUnservedRequest(Exchange &exchange);
     boost::asio::awaitable<void> refuse(Exchange &exchange, EntryRefusal refusal, milliseconds retryAfter);
-    /// Handles a request that was sent to a server and got no complete answer. `crashedRequestSentAt` is when the
-    /// request was sent, if the connection was closed before the server began to answer, as a crash closes it. Returns
-    /// Step::Finished if the caller of the request has disconnected.
+    /// Handles a request that was sent to a server and got no complete answer. Returns Step::Finished if the caller of
+    /// the request has disconnected.
     [[nodiscard]] Step recordLostAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                        ServerOutcome outcome, std::string_view reason,
-                                        std::optional<TimePoint> crashedRequestSentAt = std::nullopt);
+                                        ServerOutcome outcome, std::string_view reason);
+    /// Records that an attempt ended, or was given up, before the server began to answer, which is evidence that the
+    /// server may have crashed under the request. `error` is that of its last read or write.
+    void recordUnanswered(const Exchange &exchange, const Attempt &attempt, const HttpError &error);
+    /// Whether this entry is being stopped and has given up the answers of servers.
+    [[nodiscard]] bool answersGivenUp(TimePoint now) const;
     [[nodiscard]] bool maySendAgain(const Exchange &exchange) const;
     /// What in the request crashes servers, or the request itself; null if neither is known to.
     [[nodiscard]] const CrashSuspect *quarantinedSuspect(const Exchange &exchange) const;
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -211,33 +211,46 @@
 {
     std::string suspect;
     std::int64_t agoMs = 0;
+    /// In a crash, whether each request with the suspect had been sent to another server before, in the same attempt of
+    /// its caller.
+    bool again = false;
 };
 inline void to_json(nlohmann::json &json, const SuspectMessage &message)
 {
-    json = toArray(message.suspect, message.agoMs);
+    json = toArray(message.suspect, message.agoMs, message.again);
 }
 inline void from_json(const nlohmann::json &json, SuspectMessage &message)
 {
-    fromArray(json, message.suspect, message.agoMs);
+    fromArray(json, message.suspect, message.agoMs, message.again);
 }
 
-/// A start of a server that has broken off requests before it began to answer them.
+/// A start of a server that has broken off requests before it began to answer them, or has not answered them.
 struct CrashMessage
 {
     std::string server;
     std::uint64_t startedAt = 0;
-    /// How long before the report it broke off the first of them.
+    std::string endpoint;
+    /// Whether the server has closed the connection of one of the requests, and how long before the report it first did
+    /// so.
+    bool closed = false;
     std::int64_t agoMs = 0;
-    /// What is suspect in these requests, and when they were sent.
+    /// Whether one of the requests has had no answer on an open connection. How long before the report the first one of
+    /// them was sent, and the entry last received anything from the server; -1 if it never did.
+    bool silent = false;
+    std::int64_t firstSentAgoMs = 0;
+    std::int64_t lastHeardAgoMs = -1;
+    /// What is suspect in these requests, and when they were sent; only what the previous reports have not said.
     std::vector<SuspectMessage> suspects;
 };
 inline void to_json(nlohmann::json &json, const CrashMessage &message)
 {
-    json = toArray(message.server, message.startedAt, message.agoMs, message.suspects);
+    json = toArray(message.server, message.startedAt, message.endpoint, message.closed, message.agoMs, message.silent,
+                   message.firstSentAgoMs, message.lastHeardAgoMs, message.suspects);
 }
 inline void from_json(const nlohmann::json &json, CrashMessage &message)
 {
-    fromArray(json, message.server, message.startedAt, message.agoMs, message.suspects);
+    fromArray(json, message.server, message.startedAt, message.endpoint, message.closed, message.agoMs, message.silent,
+              message.firstSentAgoMs, message.lastHeardAgoMs, message.suspects);
 }
 
 struct FleetReportMessage
@@ -246,8 +259,9 @@
     std::string entry;
     std::string zone;
     std::uint64_t configurationVersion = 0;
-    /// Crashes that requests of the entry have met since its previous report; in its first report to a new leader, all
-    /// that still count.
+    /// Crashes that requests of the entry have met since its previous report to this control host; in its first report
+    /// on a connection or to a new leader, all that still count. Hosts that do not lead get them too, so that they are
+    /// known to the next leader if the entry ends with this one.
     std::vector<CrashMessage> crashes;
     /// The suspects that the leader watches or that are in `crashes`, and that servers have answered lately.
     std::vector<SuspectMessage> answeredSuspects;
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -55,11 +55,15 @@
           {.onFatal = [this](const StorageError &error) { reportFatal("cannot use the data folder", error.detail); },
            .onLeadershipChange = [this](Leadership leadership) { handleLeadershipChange(leadership); },
            .files = hooks.files})
-    , registry({.heartbeatTimeout = settings.heartbeatInterval * 9 / 2})
+    , registry({.heartbeatTimeout = settings.heartbeatInterval * 9 / 2,
+                .maxHeartbeatGap = settings.heartbeatInterval * 5 / 2})
     , planner({})
     , demands({})
     , planTimer(executor)
-    , crashes({})
+    , crashes({.hasEnded =
+                   [this](const ServerIdentity &server, const Endpoint &endpoint, TimePoint now) {
+                       return registry.seemsEnded(server, endpoint, now);
+                   }})
     , crashTimer(executor)
     , feed(log.state(), registry, planner)
     , dispatcher(orderTasks, planner, hooks.dialect, metrics,
--- a/lib/Control/Fleet/FleetNodeCrashes.cpp
+++ b/lib/Control/Fleet/FleetNodeCrashes.cpp
@@ -15,6 +15,8 @@
 /// Shortest time between two evaluations of the crashes. It bounds the CPU time of the leader however many entries
 /// report the same crash.
 static constexpr milliseconds AttributionInterval{20};
+/// Time after which the crashes are evaluated again if the log has not accepted a verdict.
+static constexpr milliseconds VerdictRetryDelay{100};
 
 void FleetNode::Impl::applyCrashes(const FleetReportMessage &report)
 {
@@ -27,18 +29,41 @@
     }
     for (const auto &crash : report.crashes) {
         std::map<CrashSuspect, TimePoint> sentTimes;
+        std::set<CrashSuspect> sentAgain;
         for (const auto &suspect : crash.suspects) {
             sentTimes.emplace(suspect.suspect, now - milliseconds(suspect.agoMs));
+            if (suspect.again) {
+                sentAgain.emplace(suspect.suspect);
+            }
+        }
+        const ServerIdentity server{.id = TargetId(crash.server), .startedAt = Incarnation(crash.startedAt)};
+        if (crash.silent) {
+            CrashAttribution::Silence silence;
+            silence.endpoint = Endpoint::parse(crash.endpoint).value_or(Endpoint{});
+            silence.firstSentAt = now - milliseconds(crash.firstSentAgoMs);
+            if (crash.lastHeardAgoMs >= 0) {
+                silence.lastHeardAt = now - milliseconds(crash.lastHeardAgoMs);
+            }
+            silence.sentTimes = sentTimes;
+            silence.sentAgain = sentAgain;
+            crashes.recordSilence(server, silence, now);
+        }
+        if (crash.closed) {
+            crashes.recordCrash(server, now - milliseconds(crash.agoMs), sentTimes, now, sentAgain);
         }
-        crashes.recordCrash({.id = TargetId(crash.server), .startedAt = Incarnation(crash.startedAt)},
-                            now - milliseconds(crash.agoMs), sentTimes, now);
         LogLine(LogLevel::Info, "server_crash_reported")
             .add("server", crash.server)
             .add("started_at", crash.startedAt)
-            .add("ago_ms", crash.agoMs)
+            .add("how", crash.closed ? "closed" : "silent")
+            .add("ago_ms", crash.closed ? crash.agoMs : crash.firstSentAgoMs)
             .add("parts", static_cast<std::uint64_t>(crash.suspects.size()))
             .add("entry", report.entry);
     }
+    evaluateCrashesSoon();
+}
+
+void FleetNode::Impl::evaluateCrashesSoon()
+{
     crashesReported = true;
     crashTimer.cancel();
 }
@@ -61,8 +86,14 @@
 {
     root.startTemporary("verdict-" + std::to_string(++recordTaskCount),
                         [this, bytes = encodeFleetCommand(command)]() -> asio::awaitable<void> {
-                            (void)co_await replica.client().propose(bytes);
+                            const auto proposed = co_await replica.client().propose(bytes);
                             readVerdicts();
+                            if (proposed.has_error()) {
+                                // Without this, only the next crash would lead to the verdict.
+                                Timer pause(root.executor(), VerdictRetryDelay);
+                                co_await pause.async_wait(asio::use_awaitable);
+                                evaluateCrashesSoon();
+                            }
                         });
 }
 
@@ -81,6 +112,12 @@
     }
 }
 
+milliseconds FleetNode::Impl::quarantineTimeOf(const CrashSuspect &suspect) const
+{
+    return kindOf(suspect) == SuspectKind::RequestPath ? std::min(settings.quarantineTime, settings.pathQuarantineTime)
+                                                       : settings.quarantineTime;
+}
+
 void FleetNode::Impl::releaseSuspects()
 {
     if (!leading) {
@@ -98,7 +135,7 @@
                 .add("part", suspect.value())
                 .add("reason", "servers that seemed to have crashed have sent heartbeats");
             proposeVerdict(ReleaseSuspect{.suspect = suspect, .onProbation = false});
-        } else if (at + settings.quarantineTime <= now) {
+        } else if (at + quarantineTimeOf(suspect) <= now) {
             LogLine(LogLevel::Info, "quarantine_ended").add("part", suspect.value());
             proposeVerdict(ReleaseSuspect{.suspect = suspect, .onProbation = true});
         }
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -75,12 +75,16 @@
     void noteLeaving(const ServerIdentity &identity, std::string_view reportedBy);
     /// Passes the crashes and the answered suspects of a report on to the attribution of crashes.
     void applyCrashes(const FleetReportMessage &report);
+    /// Has the task attributeCrashes() evaluate the crashes.
+    void evaluateCrashesSoon();
     /// Passes the verdicts of the replicated state on to the attribution of crashes.
     void readVerdicts();
-    /// Proposes a command about a suspect. If the log does not accept it, the next crash or check leads to it again.
+    /// Proposes a command about a suspect. If the log does not accept it, the crashes are evaluated again.
     void proposeVerdict(const FleetCommand &command);
     /// Quarantines the suspects that are convicted, and tells entries which ones are watched.
     void publishSuspects();
+    /// How long the suspect stays in quarantine after a verdict.
+    [[nodiscard]] milliseconds quarantineTimeOf(const CrashSuspect &suspect) const;
     /// Releases the suspects that are acquitted, and those whose quarantine has ended.
     void releaseSuspects();
     /// Convicts suspects when their time has come.
@@ -110,7 +114,8 @@
     /// The acquitted suspects that are still in quarantine by the replicated state.
     std::set<CrashSuspect> acquittedSuspects;
     Timer crashTimer;
-    /// Whether entries have reported crashes or answered suspects since the last evaluation.
+    /// Whether entries have reported crashes or answered suspects since the last evaluation, or another one is due for
+    /// another reason.
     bool crashesReported = false;
     UpdateFeed feed;
     OrderDispatcher dispatcher;
--- a/lib/Control/Fleet/FleetNodeLeadership.cpp
+++ b/lib/Control/Fleet/FleetNodeLeadership.cpp
@@ -17,6 +17,9 @@
 /// Added to the order lease while waiting for a former holder of the order duty, for its orders that are still in
 /// transit.
 static constexpr milliseconds LeaseMargin{150};
+/// Time for which a new leader convicts no suspect, so that entries can report that they have seen it answered. They
+/// learn of the leader within a status interval.
+static constexpr milliseconds ObjectionDelay{500};
 
 void FleetNode::Impl::handleLeadershipChange(Leadership leadership)
 {
@@ -59,7 +62,6 @@
     dispatcher.end();
     planner.reset();
     demands.clear();
-    crashes.clear();
     acquittedSuspects.clear();
     registry.clear();
     links.resendEverything();
@@ -72,6 +74,9 @@
     ++leadershipCount;
     links.resendEverything();
     leadershipStartedAt = Clock::now();
+    crashes.beginDecisions(leadershipStartedAt + ObjectionDelay);
+    // Entries that have ended since they reported crashes do not report them again.
+    evaluateCrashesSoon();
     for (const auto &[id, server] : log.state().servers()) {
         if (const auto invalid = server.validationError()) {
             LogLine(LogLevel::Warning, "server_record_ignored").add("reason", *invalid);
--- a/lib/Control/Fleet/FleetNodeReports.cpp
+++ b/lib/Control/Fleet/FleetNodeReports.cpp
@@ -24,6 +24,7 @@
 void FleetNode::Impl::applyReport(const FleetReportMessage &report)
 {
     if (!leading) {
+        applyCrashes(report);
         return;
     }
     for (const auto &server : report.servers) {
--- a/lib/Fleet/CrashAttribution.cpp
+++ b/lib/Fleet/CrashAttribution.cpp
@@ -1,49 +1,136 @@
 #include "tamarackcove/Fleet/CrashAttribution.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 #include <utility>
 
 namespace tamarackcove {
 
+/// The order in which suspects are convicted: those that stand for equal requests go before those that do not.
+static constexpr std::array Kinds{SuspectKind::Part, SuspectKind::Request, SuspectKind::RequestBody,
+                                  SuspectKind::RequestPath};
+
+/// Whether requests that are not equal have suspects of this kind in common.
+static bool standsForDifferentRequests(SuspectKind kind)
+{
+    return kind > SuspectKind::Request;
+}
+
 CrashAttribution::CrashAttribution(Options options)
-    : m_options(options)
+    : m_options(std::move(options))
+{
+}
+
+bool CrashAttribution::hasExpired(const Crash &crash, TimePoint now) const
 {
+    return std::min(timeOf(crash), crash.reportedAt) + m_options.crashLifetime < now;
 }
 
 void CrashAttribution::dropOldCrashes(TimePoint now)
 {
-    while (!m_crashes.empty()
-           && (m_crashes.front().at + m_options.crashLifetime < now || m_crashes.size() > m_options.maxCrashes
-               || (m_suspectCount > m_options.maxSuspects && m_crashes.size() > 1))) {
-        m_suspectCount -= m_crashes.front().sentTimes.size();
-        m_crashes.pop_front();
+    std::erase_if(m_crashes, [&](const Crash &crash) { return hasExpired(crash, now); });
+    std::size_t suspects = 0;
+    for (const auto &crash : m_crashes) {
+        suspects += crash.sentTimes.size();
+    }
+    while (m_crashes.size() > m_options.maxCrashes || (suspects > m_options.maxSuspects && m_crashes.size() > 1)) {
+        // Silence is the weaker evidence, and under overload there is much of it.
+        auto dropped
+            = std::find_if(m_crashes.begin(), m_crashes.end(), [](const Crash &crash) { return !crash.countsSince; });
+        if (dropped == m_crashes.end()) {
+            dropped = m_crashes.begin();
+        }
+        suspects -= dropped->sentTimes.size();
+        m_crashes.erase(dropped);
     }
     std::erase_if(m_answeredAt, [&](const auto &item) { return item.second + m_options.crashLifetime < now; });
 }
 
-void CrashAttribution::recordCrash(const ServerIdentity &server, TimePoint crashedAt,
-                                   const std::map<CrashSuspect, TimePoint> &sentTimes, TimePoint now)
+CrashAttribution::Crash &CrashAttribution::crashOf(const ServerIdentity &server, TimePoint now)
 {
-    auto crash
+    const auto known
         = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash &item) { return item.server == server; });
-    if (crash == m_crashes.end()) {
-        m_crashes.push_back({.server = server, .at = crashedAt, .sentTimes = {}});
-        crash = std::prev(m_crashes.end());
+    if (known != m_crashes.end()) {
+        return *known;
     }
-    crash->at = std::min(crash->at, crashedAt);
+    m_crashes.push_back({.server = server, .reportedAt = now});
+    return m_crashes.back();
+}
+
+void CrashAttribution::addSuspects(Crash &crash, const std::map<CrashSuspect, TimePoint> &sentTimes,
+                                   const std::set<CrashSuspect> &sentAgain) const
+{
     for (const auto &[suspect, sentAt] : sentTimes) {
-        const auto known = crash->sentTimes.find(suspect);
-        if (known != crash->sentTimes.end()) {
+        const bool again = sentAgain.contains(suspect);
+        const auto known = crash.sentTimes.find(suspect);
+        if (known != crash.sentTimes.end()) {
             known->second = std::max(known->second, sentAt);
-        } else if (crash->sentTimes.size() < m_options.maxSuspectsPerCrash) {
-            crash->sentTimes.emplace(suspect, sentAt);
-            ++m_suspectCount;
+            if (!again) {
+                crash.sentAgain.erase(suspect);
+            }
+        } else if (crash.sentTimes.size() < m_options.maxSuspectsPerCrash) {
+            crash.sentTimes.emplace(suspect, sentAt);
+            if (again) {
+                crash.sentAgain.insert(suspect);
+            }
         }
     }
+}
+
+void CrashAttribution::recordCrash(const ServerIdentity &server, TimePoint crashedAt,
+                                   const std::map<CrashSuspect, TimePoint> &sentTimes, TimePoint now,
+                                   const std::set<CrashSuspect> &sentAgain)
+{
+    auto &crash = crashOf(server, now);
+    crash.closedAt = std::min(crash.closedAt.value_or(crashedAt), crashedAt);
+    crash.countsSince = std::max(*crash.closedAt, m_decisionsBeginAt);
+    addSuspects(crash, sentTimes, sentAgain);
+    dropOldCrashes(now);
+}
+
+void CrashAttribution::recordSilence(const ServerIdentity &server, const Silence &silence, TimePoint now)
+{
+    auto &crash = crashOf(server, now);
+    if (crash.silence) {
+        crash.silence->firstSentAt = std::min(crash.silence->firstSentAt, silence.firstSentAt);
+        crash.silence->lastHeardAt = std::max(crash.silence->lastHeardAt, silence.lastHeardAt);
+    } else {
+        crash.silence = Silence{.endpoint = silence.endpoint,
+                                .firstSentAt = silence.firstSentAt,
+                                .lastHeardAt = silence.lastHeardAt,
+                                .sentTimes = {},
+                                .sentAgain = {}};
+    }
+    addSuspects(crash, silence.sentTimes, silence.sentAgain);
     dropOldCrashes(now);
 }
 
+void CrashAttribution::countEndedServers(TimePoint now)
+{
+    for (auto &crash : m_crashes) {
+        if (!crash.countsSince && m_options.hasEnded
+            && m_options.hasEnded(crash.server, crash.silence->endpoint, now)) {
+            crash.countsSince = now;
+        }
+    }
+}
+
+TimePoint CrashAttribution::timeOf(const Crash &crash) const
+{
+    if (crash.closedAt) {
+        return *crash.closedAt;
+    }
+    const auto lastSign = std::max(crash.silence->firstSentAt, crash.silence->lastHeardAt.value_or(TimePoint::min()));
+    return lastSign + m_options.silenceMargin;
+}
+
+bool CrashAttribution::mayExplain(const Crash &crash, TimePoint sentAt) const
+{
+    // The times of a closed connection and of its request are those of one entry.
+    return crash.closedAt || sentAt <= timeOf(crash);
+}
+
 void CrashAttribution::recordAnswered(const CrashSuspect &suspect, TimePoint at)
 {
     auto &answeredAt = m_answeredAt[suspect];
@@ -54,15 +141,15 @@
 {
     const auto crash
         = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash &item) { return item.server == server; });
-    if (crash == m_crashes.end() || now < crash->at + m_options.heartbeatDelay) {
+    if (crash == m_crashes.end() || now < timeOf(*crash) + m_options.heartbeatDelay) {
         return;
     }
     const auto suspects = std::move(crash->sentTimes);
-    m_suspectCount -= suspects.size();
     m_crashes.erase(crash);
     for (const auto &[suspect, sentAt] : suspects) {
-        const auto remaining = std::count_if(m_crashes.begin(), m_crashes.end(),
-                                             [id = suspect](const Crash &item) { return item.sentTimes.contains(id); });
+        const auto remaining = std::count_if(m_crashes.begin(), m_crashes.end(), [id = suspect](const Crash &item) {
+            return item.countsSince && item.sentTimes.contains(id);
+        });
         if (m_convicted.contains(suspect) && static_cast<std::size_t>(remaining) < requiredCrashes(suspect)) {
             m_convicted.erase(suspect);
             m_acquitted.insert(suspect);
@@ -78,65 +165,93 @@
         }
         // The crashes before the release have led to the quarantine that has ended.
         for (auto &crash : m_crashes) {
-            m_suspectCount -= crash.sentTimes.erase(suspect);
+            crash.sentTimes.erase(suspect);
         }
     }
     m_convicted = std::move(convicted);
     m_onProbation = std::move(onProbation);
 }
 
-void CrashAttribution::clear()
+void CrashAttribution::beginDecisions(TimePoint at)
 {
-    m_crashes.clear();
-    m_suspectCount = 0;
-    m_answeredAt.clear();
+    m_decisionsBeginAt = at;
+    for (auto &crash : m_crashes) {
+        if (crash.countsSince) {
+            crash.countsSince = std::max(*crash.countsSince, at);
+        }
+    }
     m_acquitted.clear();
 }
 
 std::size_t CrashAttribution::requiredCrashes(const CrashSuspect &suspect) const
 {
-    return m_onProbation.contains(suspect) ? 1 : m_options.minCrashes;
+    if (m_onProbation.contains(suspect)) {
+        return 1;
+    }
+    return m_options.minCrashes + (standsForDifferentRequests(kindOf(suspect)) ? m_options.tieCrashes : 0);
 }
 
-bool CrashAttribution::countsAgainst(Kind kind, const Crash &crash) const
+bool CrashAttribution::countsAgainst(SuspectKind kind, const Crash &crash, const Suspicions &all) const
 {
-    return std::none_of(m_convicted.begin(), m_convicted.end(), [&](const CrashSuspect &suspect) {
-        return (kind == Kind::Requests || !isRequest(suspect)) && crash.sentTimes.contains(suspect);
-    });
+    const auto explains = [&](const CrashSuspect &suspect) {
+        const auto other = kindOf(suspect);
+        if (m_convicted.contains(suspect)) {
+            return kind != SuspectKind::Part || other == SuspectKind::Part;
+        }
+        // Before a suspect that stands for fewer requests is due, it may still turn out to explain its crashes.
+        const auto suspicion = all.find(suspect);
+        return standsForDifferentRequests(kind) && other != SuspectKind::Part && other < kind && suspicion != all.end()
+            && suspicion->second.attempts > 1;
+    };
+    return std::none_of(crash.sentTimes.begin(), crash.sentTimes.end(),
+                        [&](const auto &item) { return explains(item.first); });
 }
 
-std::map<CrashSuspect, CrashAttribution::Suspicion> CrashAttribution::suspicions(TimePoint now) const
+CrashAttribution::Suspicions CrashAttribution::suspicions(TimePoint now) const
 {
-    std::map<CrashSuspect, Suspicion> all;
+    std::vector<const Crash *> counted;
     for (const auto &crash : m_crashes) {
-        if (crash.at + m_options.crashLifetime < now) {
-            continue;
+        if (crash.countsSince && !hasExpired(crash, now)) {
+            counted.push_back(&crash);
         }
-        const bool countsAgainstParts = countsAgainst(Kind::Parts, crash);
-        const bool countsAgainstRequests = countsAgainst(Kind::Requests, crash);
-        for (const auto &[suspect, sentAt] : crash.sentTimes) {
-            const bool request = isRequest(suspect);
-            if (request ? !countsAgainstRequests : !countsAgainstParts) {
-                continue;
-            }
-            const auto answered = m_answeredAt.find(suspect);
-            auto &suspicion = all[suspect];
-            suspicion.onProbation = m_onProbation.contains(suspect);
-            suspicion.answeredBefore = answered != m_answeredAt.end();
-            const bool answeredSince = suspicion.answeredBefore && answered->second >= crash.at;
-            const bool repeated = !request || suspicion.crashes == 0 || sentAt >= suspicion.lastCrashAt;
-            if (answeredSince || !repeated) {
+    }
+    std::stable_sort(counted.begin(), counted.end(),
+                     [this](const Crash *a, const Crash *b) { return timeOf(*a) < timeOf(*b); });
+    Suspicions all;
+    for (const auto kind : Kinds) {
+        Suspicions ofKind;
+        for (const auto *crash : counted) {
+            if (!countsAgainst(kind, *crash, all)) {
                 continue;
             }
-            ++suspicion.crashes;
-            suspicion.lastCrashAt = crash.at;
-            if (suspicion.crashes == 2) {
-                suspicion.secondCrashAt = crash.at;
-            }
-            if (suspicion.crashes == requiredCrashes(suspect)) {
-                suspicion.suspectAt = crash.at;
+            const auto crashedAt = timeOf(*crash);
+            for (const auto &[suspect, sentAt] : crash->sentTimes) {
+                if (kindOf(suspect) != kind || !mayExplain(*crash, sentAt)) {
+                    continue;
+                }
+                const auto answered = m_answeredAt.find(suspect);
+                auto &suspicion = ofKind[suspect];
+                suspicion.onProbation = m_onProbation.contains(suspect);
+                suspicion.answeredBefore = answered != m_answeredAt.end();
+                const bool answeredSince = suspicion.answeredBefore && answered->second >= crashedAt;
+                const bool repeated
+                    = kind == SuspectKind::Part || suspicion.crashes == 0 || sentAt >= suspicion.lastCrashAt;
+                if (answeredSince || !repeated) {
+                    continue;
+                }
+                ++suspicion.crashes;
+                suspicion.attempts += crash->sentAgain.contains(suspect) ? 0 : 1;
+                suspicion.lastCrashAt = crashedAt;
+                suspicion.countsSince = std::max(suspicion.countsSince, *crash->countsSince);
+                if (suspicion.crashes == 2) {
+                    suspicion.secondCrashAt = suspicion.countsSince;
+                }
+                if (suspicion.crashes == requiredCrashes(suspect)) {
+                    suspicion.suspectAt = suspicion.countsSince;
+                }
             }
         }
+        all.merge(ofKind);
     }
     return all;
 }
@@ -148,7 +263,7 @@
                                     : std::max(objected, suspicion.suspectAt);
 }
 
-std::vector<CrashSuspect> CrashAttribution::strongest(const std::map<CrashSuspect, Suspicion> &all, Kind kind) const
+std::vector<CrashSuspect> CrashAttribution::strongest(const Suspicions &all, SuspectKind kind) const
 {
     // A suspect that was never answered goes before one that was, whatever their numbers: many sound requests share the
     // latter, so that they are in most crashes.
@@ -156,8 +271,7 @@
     std::vector<CrashSuspect> best;
     Rank bestRank;
     for (const auto &[suspect, suspicion] : all) {
-        const bool ofKind = isRequest(suspect) == (kind == Kind::Requests);
-        if (!ofKind || suspicion.crashes < requiredCrashes(suspect)) {
+        if (kindOf(suspect) != kind || suspicion.crashes < requiredCrashes(suspect)) {
             continue;
         }
         const Rank rank(suspicion.onProbation, !suspicion.answeredBefore, suspicion.crashes);
@@ -170,7 +284,7 @@
         }
     }
     const auto &[onProbation, neverAnswered, crashes] = bestRank;
-    if (best.size() > 1 && !onProbation && crashes < m_options.minCrashes + m_options.tieCrashes) {
+    if (best.size() > 1 && !onProbation && crashes < requiredCrashes(best.front()) + m_options.tieCrashes) {
         best.clear();
     }
     return best;
@@ -190,8 +304,9 @@
 std::vector<CrashSuspect> CrashAttribution::takeConvicted(TimePoint now)
 {
     std::vector<CrashSuspect> convicted;
+    countEndedServers(now);
     auto all = suspicions(now);
-    for (const auto kind : {Kind::Parts, Kind::Requests}) {
+    for (const auto kind : Kinds) {
         for (;;) {
             const auto suspects = strongest(all, kind);
             if (suspects.empty() || std::any_of(suspects.begin(), suspects.end(), [&](const auto &suspect) {
@@ -217,7 +332,7 @@
 {
     const auto all = suspicions(now);
     std::optional<TimePoint> next;
-    for (const auto kind : {Kind::Parts, Kind::Requests}) {
+    for (const auto kind : Kinds) {
         std::optional<TimePoint> due;
         for (const auto &suspect : strongest(all, kind)) {
             due = std::max(due.value_or(now), dueAt(all.at(suspect)));
@@ -226,6 +341,13 @@
             next = std::min(next.value_or(*due), *due);
         }
     }
+    const bool awaitsEnd = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash &crash) {
+        return !crash.countsSince && !hasExpired(crash, now);
+    });
+    if (awaitsEnd) {
+        const auto checkAt = now + m_options.silenceCheckInterval;
+        next = std::min(next.value_or(checkAt), checkAt);
+    }
     return next;
 }
 
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -163,6 +163,17 @@
     return server.consecutiveFailures >= MinConsecutiveFailures && server.avoidUntil > now;
 }
 
+bool ServerDirectory::seemsEnded(const ServerIdentity &server, TimePoint now) const
+{
+    const auto stated = m_statements.find(server);
+    if (stated != m_statements.end() && stated->second.leaving) {
+        return false;
+    }
+    const auto found = m_servers.find(server.id);
+    return found == m_servers.end() || found->second.offered.identity != server
+        || (!found->second.offered.draining && unreachable(found->second, now));
+}
+
 std::vector<TargetId> ServerDirectory::unreachable(TimePoint now) const
 {
     std::vector<TargetId> ids;
--- a/lib/Fleet/ServerRegistry.cpp
+++ b/lib/Fleet/ServerRegistry.cpp
@@ -85,6 +85,22 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
+bool ServerRegistry::seemsEnded(const ServerIdentity &server, const Endpoint &endpoint, TimePoint now) const
+{
+    if (m_departures.contains(server)) {
+        return false;
+    }
+    const auto known = m_servers.find(server.id);
+    if (known != m_servers.end() && known->second.lastHeartbeat.identity == server) {
+        return !known->second.draining && known->second.lastHeard + m_options.maxHeartbeatGap < now;
+    }
+    if (known != m_servers.end() && known->second.lastHeartbeat.identity.startedAt > server.startedAt) {
+        return true;
+    }
+    const auto newest = m_newestStartByAddress.find(endpoint);
+    return newest != m_newestStartByAddress.end() && newest->second.startedAt >= server.startedAt;
+}
+
 void ServerRegistry::applyDeparture(const ServerIdentity &server, bool gone)
 {
     auto &hasEnded = m_departures[server];
--- a/lib/Gateway/CrashSuspectWatch.cpp
+++ b/lib/Gateway/CrashSuspectWatch.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Gateway/CrashSuspectWatch.h"
 
+#include "tamarackcove/Fleet/CrashAttribution.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Wire/FleetMessages.h"
 
@@ -58,11 +59,12 @@
 
 const CrashSuspect *CrashSuspectWatch::findQuarantined(const std::vector<CrashSuspect> &suspects) const
 {
-    if (m_quarantined.empty()) {
+    if (m_quarantined.empty() && m_ownQuarantine.empty()) {
         return nullptr;
     }
-    const auto found = std::find_if(suspects.begin(), suspects.end(),
-                                    [this](const CrashSuspect &suspect) { return m_quarantined.contains(suspect); });
+    const auto found = std::find_if(suspects.begin(), suspects.end(), [this](const CrashSuspect &suspect) {
+        return m_quarantined.contains(suspect) || m_ownQuarantine.contains(suspect);
+    });
     return found == suspects.end() ? nullptr : &*found;
 }
 
@@ -85,41 +87,75 @@
     m_evidenceCheckedAt = now;
     const auto lifetime = m_answeredAt.size() > MaxAnswers ? EvidenceLifetime / 2 : EvidenceLifetime;
     std::erase_if(m_answeredAt, [&](const auto &item) { return item.second + lifetime <= now; });
-    std::erase_if(m_crashes, [&](const auto &crash) { return crash.at + EvidenceLifetime <= now; });
+    std::erase_if(m_crashes, [&](const auto &crash) { return crash.recordedAt + EvidenceLifetime <= now; });
+    std::erase_if(m_heardAt, [&](const auto &item) { return item.second + EvidenceLifetime <= now; });
+    std::erase_if(m_ownQuarantine, [&](const auto &item) { return item.second <= now; });
 }
 
-void CrashSuspectWatch::recordCrash(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects,
-                                    TimePoint sentAt, TimePoint now)
+CrashSuspectWatch::Crash &CrashSuspectWatch::crashOf(const ServerIdentity &server, TimePoint now)
 {
-    auto crash
+    const auto known
         = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash &item) { return item.server == server; });
-    if (crash == m_crashes.end()) {
-        if (m_crashes.size() == MaxCrashes) {
-            m_crashes.pop_front();
-        }
-        m_crashes.push_back({.server = server, .at = now, .sentTimes = {}});
-        crash = std::prev(m_crashes.end());
+    if (known != m_crashes.end()) {
+        return *known;
+    }
+    if (m_crashes.size() == MaxCrashes) {
+        // Silence is the weaker evidence, and under overload there is much of it.
+        const auto silent
+            = std::find_if(m_crashes.begin(), m_crashes.end(), [](const Crash &item) { return !item.closedAt; });
+        m_crashes.erase(silent == m_crashes.end() ? m_crashes.begin() : silent);
     }
-    crash->reported = false;
+    m_crashes.push_back({.server = server, .recordedAt = now});
+    return m_crashes.back();
+}
+
+void CrashSuspectWatch::addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects, TimePoint sentAt,
+                                    bool again, TimePoint now)
+{
+    crash.change = ++m_changes;
     for (const auto &suspect : suspects) {
-        const auto known = crash->sentTimes.find(suspect);
-        if (known != crash->sentTimes.end()) {
-            known->second = std::max(known->second, sentAt);
-        } else if (crash->sentTimes.size() < MaxSuspectsPerCrash) {
-            crash->sentTimes.emplace(suspect, sentAt);
+        const auto known = crash.suspects.find(suspect);
+        if (known != crash.suspects.end()) {
+            known->second = {.at = std::max(known->second.at, sentAt),
+                             .again = known->second.again && again,
+                             .change = crash.change};
+        } else if (crash.suspects.size() < MaxSuspectsPerCrash) {
+            crash.suspects.emplace(suspect, Sent{.at = sentAt, .again = again, .change = crash.change});
         }
         if (answeredLately(suspect, now)) {
             m_answered.insert(suspect);
         }
     }
+}
+
+void CrashSuspectWatch::recordCrash(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects,
+                                    TimePoint sentAt, TimePoint now, bool again)
+{
+    auto &crash = crashOf(server, now);
+    crash.closedAt = crash.closedAt.value_or(now);
+    addSuspects(crash, suspects, sentAt, again, now);
     if (onNews) {
         onNews();
     }
 }
 
-void CrashSuspectWatch::recordAnswered(const std::vector<CrashSuspect> &suspects, TimePoint now)
+void CrashSuspectWatch::recordSilence(const ServerIdentity &server, const Endpoint &endpoint,
+                                      const std::vector<CrashSuspect> &suspects, TimePoint sentAt, TimePoint now,
+                                      bool again)
+{
+    auto &crash = crashOf(server, now);
+    crash.endpoint = endpoint;
+    crash.silentSince = std::min(crash.silentSince.value_or(sentAt), sentAt);
+    addSuspects(crash, suspects, sentAt, again, now);
+}
+
+void CrashSuspectWatch::recordAnswered(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects,
+                                       TimePoint now)
 {
     forgetOldEvidence(now);
+    m_heardAt[server] = now;
+    // A server that answers has not crashed under the requests that were given up before.
+    std::erase_if(m_crashes, [&](const Crash &crash) { return crash.server == server && !crash.closedAt; });
     bool news = false;
     for (const auto &suspect : suspects) {
         m_answeredAt[suspect] = now;
@@ -132,25 +168,109 @@
     }
 }
 
-void CrashSuspectWatch::addTo(FleetReportMessage &report, bool toNewLeader, TimePoint now)
+std::optional<TimePoint> CrashSuspectWatch::lastHeard(const ServerIdentity &server) const
+{
+    const auto found = m_heardAt.find(server);
+    return found == m_heardAt.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<CrashSuspect> CrashSuspectWatch::convict(TimePoint now) const
+{
+    // Nobody else can object.
+    CrashAttribution crashes({.objectionTime = milliseconds(0), .hasEnded = hasEnded});
+    for (const auto &crash : m_crashes) {
+        std::map<CrashSuspect, TimePoint> sentTimes;
+        std::set<CrashSuspect> sentAgain;
+        for (const auto &[suspect, sent] : crash.suspects) {
+            sentTimes.emplace(suspect, sent.at);
+            if (sent.again) {
+                sentAgain.insert(suspect);
+            }
+            if (const auto answered = m_answeredAt.find(suspect); answered != m_answeredAt.end()) {
+                crashes.recordAnswered(suspect, answered->second);
+            }
+        }
+        if (crash.closedAt) {
+            crashes.recordCrash(crash.server, *crash.closedAt, sentTimes, now, sentAgain);
+        } else {
+            crashes.recordSilence(crash.server,
+                                  {.endpoint = crash.endpoint,
+                                   .firstSentAt = *crash.silentSince,
+                                   .lastHeardAt = lastHeard(crash.server),
+                                   .sentTimes = sentTimes,
+                                   .sentAgain = sentAgain},
+                                  now);
+        }
+    }
+    return crashes.takeConvicted(now);
+}
+
+void CrashSuspectWatch::decideWithoutLeader(bool leaderConnected, TimePoint now)
+{
+    if (std::exchange(m_leaderConnected, leaderConnected) != leaderConnected && leaderConnected) {
+        for (auto &[suspect, until] : m_ownQuarantine) {
+            until = std::min(until, now + LeaderDecisionTime);
+        }
+    }
+    if (!m_ownQuarantine.empty()) {
+        forgetOldEvidence(now);
+    }
+    if (leaderConnected || m_crashes.empty() || now < m_decidedAt + DecisionInterval) {
+        return;
+    }
+    m_decidedAt = now;
+    for (const auto &suspect : convict(now)) {
+        const bool isNew = m_ownQuarantine.insert_or_assign(suspect, now + OwnQuarantineTime).second;
+        if (isNew && !m_quarantined.contains(suspect)) {
+            LogLine(LogLevel::Warning, "quarantined_without_leader").add("part", suspect.value());
+        }
+    }
+}
+
+std::uint64_t CrashSuspectWatch::addCrashes(FleetReportMessage &report, std::uint64_t since, TimePoint now)
 {
     forgetOldEvidence(now);
-    for (auto &crash : m_crashes) {
-        if (std::exchange(crash.reported, true) && !toNewLeader) {
+    for (const auto &crash : m_crashes) {
+        if (crash.change <= since) {
             continue;
         }
-        CrashMessage message{.server = crash.server.id.value(),
-                             .startedAt = crash.server.startedAt.value(),
-                             .agoMs = ageMs(crash.at, now),
-                             .suspects = {}};
-        for (const auto &[suspect, sentAt] : crash.sentTimes) {
-            message.suspects.push_back({.suspect = suspect.value(), .agoMs = ageMs(sentAt, now)});
-            if (toNewLeader && answeredLately(suspect, now)) {
-                m_answered.insert(suspect);
+        CrashMessage message;
+        message.server = crash.server.id.value();
+        message.startedAt = crash.server.startedAt.value();
+        message.endpoint = crash.endpoint.toString();
+        if (crash.closedAt) {
+            message.closed = true;
+            message.agoMs = ageMs(*crash.closedAt, now);
+        }
+        if (crash.silentSince) {
+            message.silent = true;
+            message.firstSentAgoMs = ageMs(*crash.silentSince, now);
+            if (const auto heardAt = lastHeard(crash.server)) {
+                message.lastHeardAgoMs = ageMs(*heardAt, now);
+            }
+        }
+        for (const auto &[suspect, sent] : crash.suspects) {
+            if (sent.change > since) {
+                message.suspects.push_back(
+                    {.suspect = suspect.value(), .agoMs = ageMs(sent.at, now), .again = sent.again});
             }
         }
         report.crashes.push_back(std::move(message));
     }
+    return m_changes;
+}
+
+void CrashSuspectWatch::addAnswered(FleetReportMessage &report, bool toNewLeader, TimePoint now)
+{
+    if (toNewLeader) {
+        for (const auto &crash : m_crashes) {
+            for (const auto &[suspect, sent] : crash.suspects) {
+                if (answeredLately(suspect, now)) {
+                    m_answered.insert(suspect);
+                }
+            }
+        }
+    }
     for (const auto &suspect : std::exchange(m_answered, {})) {
         if (const auto answered = m_answeredAt.find(suspect); answered != m_answeredAt.end()) {
             report.answeredSuspects.push_back({.suspect = suspect.value(), .agoMs = ageMs(answered->second, now)});
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -47,6 +47,8 @@
     bool nextReportIsFirst = false;
     /// Whether the next report includes the adapter history: the adapters that servers have held most recently.
     bool nextReportHasHistory = false;
+    /// Up to which change the crashes that this entry has met were reported to this host.
+    std::uint64_t crashesReported = 0;
     /// Whether the next report is sent without waiting for the report interval.
     bool reportNow = false;
     /// Whether its last status said that it leads in a term before that of the latest leader.
@@ -93,6 +95,7 @@
         auto connected = co_await FramedConnection::connect(std::move(endpoint), ConnectTimeout);
         if (connected.has_value()) {
             auto &connection = *connected.value();
+            host.crashesReported = 0;
             reportInFull(host);
             co_await (readUpdates(host, connection) || writeReports(host, connection));
             if (host.connected) {
@@ -137,6 +140,7 @@
         // A new leader learns of the servers sooner from the entries than from heartbeats of the servers, and of the
         // crashes only from the entries.
         host.nextReportIsFirst = true;
+        host.crashesReported = 0;
         reportInFull(host);
     }
     if (status.wantsHistory) {
@@ -235,15 +239,20 @@
     host.reportNow = false;
     host.reportedAt = now;
     const bool leads = m_leader == &host;
-    if (leads && now < host.fullReportAt + ReportInterval) {
-        return m_view.takeNewDemands();
+    const bool isFull = !leads || now >= host.fullReportAt + ReportInterval;
+    if (isFull) {
+        host.fullReportAt = now;
     }
-    host.fullReportAt = now;
-    if (!leads) {
-        return m_view.makeReportHeader();
+    const bool toNewLeader = leads && isFull && std::exchange(host.nextReportIsFirst, false);
+    auto report = !leads ? m_view.makeReportHeader()
+        : isFull         ? m_view.takeReport(toNewLeader, std::exchange(host.nextReportHasHistory, false))
+                         : m_view.takeNewDemands();
+    auto &suspects = m_view.crashSuspects();
+    host.crashesReported = suspects.addCrashes(report, host.crashesReported, now);
+    if (leads) {
+        suspects.addAnswered(report, toNewLeader, now);
     }
-    return m_view.takeReport(std::exchange(host.nextReportIsFirst, false),
-                             std::exchange(host.nextReportHasHistory, false));
+    return report;
 }
 
 void FleetLink::updateReachability(TimePoint now)
@@ -265,6 +274,14 @@
     }
 }
 
+void FleetLink::reportCrashesSoon()
+{
+    for (auto &[name, host] : m_hosts) {
+        host->reportNow = true;
+        host->wake.cancel();
+    }
+}
+
 bool FleetLink::connectedToLeader() const
 {
     return m_leader != nullptr;
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -31,6 +31,9 @@
     , m_history(HistoryPerServer)
     , m_entryCount(AssumedEntries)
 {
+    m_crashSuspects.hasEnded = [this](const ServerIdentity &server, const Endpoint &, TimePoint now) {
+        return m_servers.seemsEnded(server, now);
+    };
 }
 
 static std::optional<OfferedServer> toOfferedServer(const ServerMessage &message)
@@ -190,7 +193,6 @@
 {
     auto report = makeReportHeader();
     report.onlyNewDemands = true;
-    m_crashSuspects.addTo(report, false, Clock::now());
     for (auto &[adapter, demand] : m_demands) {
         if (std::exchange(demand.isNew, false) && demand.waiting > 0) {
             report.demands.push_back(toDemandMessage(adapter, demand));
@@ -202,7 +204,6 @@
 FleetReportMessage FleetView::takeReport(bool toNewLeader, bool withHistory)
 {
     auto report = makeReportHeader();
-    m_crashSuspects.addTo(report, toNewLeader, Clock::now());
     for (const auto &id : m_servers.unreachable(Clock::now())) {
         report.unreachable.push_back(id.value());
     }
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -57,7 +57,7 @@
             link.reportSoon();
         };
         view.crashSuspects().onNews = [this] {
-            link.reportSoon();
+            link.reportCrashesSoon();
         };
     }
 
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -174,7 +174,7 @@
     const auto &choice = attempt->choice;
     auto &servers = m_parts.view.servers();
     auto buffer = std::make_unique<AnswerBuffer>(m_bufferedBytes);
-    m_parts.view.crashSuspects().recordAnswered(exchange.suspects, Clock::now());
+    m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, Clock::now());
     for (;;) {
         const auto timeout = exchange.answerReadTimeout(Clock::now());
         if (!timeout) {
@@ -252,6 +252,9 @@
         }
         auto piece = co_await connection.readPiece(readTimeout);
         if (exchange.watched.isCallerGone()) {
+            if (piece.has_error()) {
+                recordUnanswered(exchange, *attempt, piece.error());
+            }
             servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
             co_return Step::Finished;
         }
@@ -269,8 +272,9 @@
         if (piece.has_error()) {
             exchange.splitter.discardIncompleteEvent();
             const bool timedOut = piece.error().code == HttpErrorCode::TimedOut;
+            recordUnanswered(exchange, *attempt, piece.error());
             co_return recordLostAnswer(exchange, choice, timedOut ? ServerOutcome::NoAnswer : ServerOutcome::Broken,
-                                       piece.error().detail, attempt->sentTimeIfClosed(piece.error()));
+                                       piece.error().detail);
         }
         const bool ended = !piece.value();
         if (ended && !exchange.splitter.incompleteEvent().empty()) {
@@ -298,7 +302,7 @@
         if (!exchange.streamStarted) {
             exchange.streamStarted = true;
             exchange.firstEventAt = exchange.lastProgressAt;
-            m_parts.view.crashSuspects().recordAnswered(exchange.suspects, exchange.lastProgressAt);
+            m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, exchange.lastProgressAt);
             const auto started = co_await exchange.responder.beginStream(*attempt->streamHead);
             if (started.has_error()) {
                 servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -47,6 +47,8 @@
     std::unique_ptr<HttpConnection> connection;
     std::optional<AdapterUse> adapterUse;
     TimePoint sentAt;
+    /// Whether the request may have run at another server before.
+    bool sentAgain = false;
     /// The head of the event stream that the server sends; absent until it has arrived.
     std::optional<HttpResponse> streamHead;
     /// When the request was sent, or the head of the stream or its last whole event arrived.
@@ -55,12 +57,6 @@
     EventStreamSplitter splitterWhenSilent;
     /// Whether the server was recorded as giving no answer when it fell silent.
     bool silenceRecorded = false;
-
-    /// When the request was sent, if the error is that the connection was closed, as the crash of a server closes it.
-    [[nodiscard]] std::optional<TimePoint> sentTimeIfClosed(const HttpError &error) const
-    {
-        return error.code == HttpErrorCode::Closed ? std::optional(sentAt) : std::nullopt;
-    }
 };
 
 /// State of one request while it is served: its route, the servers that were tried, and the progress of its answer.
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -1,9 +1,9 @@
 #include "tamarackcove/Gateway/RequestRelay.h"
 
 #include "RequestExchange.h"
-#include "tamarackcove/Base/Hash.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Gateway/FleetView.h"
+#include "tamarackcove/Gateway/RequestSuspects.h"
 #include "tamarackcove/Gateway/ServerConnections.h"
 #include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Http/HttpConnection.h"
@@ -14,7 +14,6 @@
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <fmt/format.h>
 
 namespace asio = boost::asio;
 
@@ -52,41 +51,13 @@
     return caller.promptTokens == 0 ? 1.0 : 0.5 + 0.5 * caller.promptTokens / OrdinaryPromptTokens;
 }
 
-/// The suspect that a request is as a whole. It is the same for each request with the same method, target, body, prompt
-/// and caller, at any entry.
-static CrashSuspect requestSuspect(const HttpRequest &request, const CallerRequest &caller)
-{
-    std::uint64_t hash = 0;
-    const auto add = [&hash](std::string_view text) {
-        // The seed is the hash of what comes before, so that the borders between the texts count.
-        hash = hash64(text, hash);
-    };
-    add(request.method);
-    add(request.headers.find("host").value_or(""));
-    add(request.target);
-    add(caller.callerId);
-    add(caller.adapter ? caller.adapter->adapter : std::string_view());
-    for (const auto &part : caller.promptParts) {
-        add(part.value());
-    }
-    add(request.body);
-    return CrashSuspect(fmt::format("{}{:016x}", RequestSuspectPrefix, hash));
-}
-
-static std::vector<CrashSuspect> suspectsOf(const HttpRequest &request, const CallerRequest &caller)
-{
-    auto suspects = caller.promptParts;
-    suspects.push_back(requestSuspect(request, caller));
-    return suspects;
-}
-
 asio::awaitable<void> RequestRelay::serve(const HttpRequest &request, HttpResponder &responder)
 {
     Exchange exchange(request, responder, m_parts.watch, m_stop);
     exchange.arrivedAt = Clock::now();
     exchange.sampled = m_requestCount++ % SampleInterval == 0;
     exchange.caller = m_parts.dialect.readRequest(request);
-    exchange.suspects = suspectsOf(request, exchange.caller);
+    exchange.suspects = crashSuspectsOf(request, exchange.caller);
     if (!m_parts.view.routes()) {
         co_await awaitConfiguration(exchange);
     }
@@ -186,7 +157,9 @@
 
 const CrashSuspect *RequestRelay::quarantinedSuspect(const Exchange &exchange) const
 {
-    return m_parts.view.crashSuspects().findQuarantined(exchange.suspects);
+    auto &suspects = m_parts.view.crashSuspects();
+    suspects.decideWithoutLeader(m_parts.leaderConnected(), Clock::now());
+    return suspects.findQuarantined(exchange.suspects);
 }
 
 bool RequestRelay::takeRetry(Exchange &exchange)
@@ -340,6 +313,7 @@
     }
     auto attempt = std::make_unique<Attempt>(std::move(choice), std::move(connection));
     attempt->sentAt = attempt->progressAt = startTime;
+    attempt->sentAgain = exchange.possibleRuns > 0 || exchange.silentAttempt != nullptr;
     if (exchange.caller.adapter) {
         attempt->adapterUse.emplace(m_parts.view, attempt->choice.server.id, *exchange.caller.adapter);
     }
@@ -358,8 +332,8 @@
     if (written.has_error()) {
         exchange.watched.connection = nullptr;
         if (attempt->connection->requestBytesWritten() > 0) {
-            co_return recordLostAnswer(exchange, attempt->choice, ServerOutcome::Broken, written.error().detail,
-                                       attempt->sentTimeIfClosed(written.error()));
+            recordUnanswered(exchange, *attempt, written.error());
+            co_return recordLostAnswer(exchange, attempt->choice, ServerOutcome::Broken, written.error().detail);
         }
         servers.endRequest(attempt->choice.server.id, exchange.weight, ServerOutcome::Broken, Clock::now());
         exchange.excludedServers.insert(attempt->choice.server.id);
@@ -375,6 +349,9 @@
     auto head = co_await awaitHead(exchange, *attempt);
     if (exchange.watched.isCallerGone()) {
         exchange.watched.connection = nullptr;
+        if (head.has_error()) {
+            recordUnanswered(exchange, *attempt, head.error());
+        }
         m_parts.view.servers().endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
         co_return Step::Finished;
     }
@@ -387,8 +364,8 @@
         const auto outcome = head.error().code != HttpErrorCode::TimedOut ? ServerOutcome::Broken
             : exchange.silentAttempt                                      ? ServerOutcome::Unrelated
                                                                           : ServerOutcome::NoAnswer;
-        co_return recordLostAnswer(exchange, choice, outcome, head.error().detail,
-                                   attempt->sentTimeIfClosed(head.error()));
+        recordUnanswered(exchange, *attempt, head.error());
+        co_return recordLostAnswer(exchange, choice, outcome, head.error().detail);
     }
     attempt->connection->setSilenceHook({});
     const auto step = co_await relayAnswer(exchange, std::move(attempt), std::move(head).value());
@@ -396,14 +373,46 @@
     co_return step;
 }
 
+bool RequestRelay::answersGivenUp(TimePoint now) const
+{
+    return m_stop && now >= m_stop->answersDueAt();
+}
+
+void RequestRelay::recordUnanswered(const Exchange &exchange, const Attempt &attempt, const HttpError &error)
+{
+    const auto now = Clock::now();
+    if (exchange.streamStarted || answersGivenUp(now)) {
+        return;
+    }
+    auto &watch = m_parts.view.crashSuspects();
+    const auto &server = attempt.choice.server;
+    // The connection of a caller that has left was closed by this entry.
+    const bool closed = error.code == HttpErrorCode::Closed && !exchange.watched.isCallerGone();
+    const bool silent = error.code == HttpErrorCode::TimedOut || exchange.watched.isCallerGone();
+    if (closed) {
+        watch.recordCrash(server, exchange.suspects, attempt.sentAt, now, attempt.sentAgain);
+    } else if (silent) {
+        watch.recordSilence(server, attempt.choice.endpoint, exchange.suspects, attempt.sentAt, now, attempt.sentAgain);
+    }
+    LogLine(LogLevel::Info, "request_unanswered")
+        .add("request", exchange.caller.attemptId)
+        .add("server", server.id.value())
+        .add("started_at", server.startedAt.value())
+        .add("evidence",
+             closed       ? "closed"
+                 : silent ? "silent"
+                          : "none")
+        .add("suspects", static_cast<std::uint64_t>(exchange.suspects.size()))
+        .add("suspect", exchange.suspects.empty() ? std::string_view() : exchange.suspects.back().value())
+        .add("after_ms", duration_cast<milliseconds>(now - attempt.sentAt));
+}
+
 RequestRelay::Step RequestRelay::recordLostAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
-                                                  ServerOutcome outcome, std::string_view reason,
-                                                  std::optional<TimePoint> crashedRequestSentAt)
+                                                  ServerOutcome outcome, std::string_view reason)
 {
     const auto now = Clock::now();
     const bool silent = outcome == ServerOutcome::NoAnswer || outcome == ServerOutcome::Unrelated;
-    // At the end of a stop the answer is given up by this entry.
-    const bool stopped = m_stop && now >= m_stop->answersDueAt();
+    const bool stopped = answersGivenUp(now);
     m_parts.view.servers().endRequest(choice.server.id, exchange.weight,
                                       exchange.watched.isCallerGone() || stopped ? ServerOutcome::Unrelated : outcome,
                                       now);
@@ -413,9 +422,6 @@
     ++exchange.possibleRuns;
     exchange.excludedServers.insert(choice.server.id);
     exchange.failureDetail = "the answer of a server was lost";
-    if (crashedRequestSentAt && !stopped && !exchange.streamStarted) {
-        m_parts.view.crashSuspects().recordCrash(choice.server, exchange.suspects, *crashedRequestSentAt, now);
-    }
     m_parts.metrics.count(Metrics::labelled(
         "server_answers_lost_total", {{"service", exchange.service.value()}, {"how", silent ? "silent" : "broken"}}));
     LogLine(LogLevel::Info, "server_answer_lost")
--- a/lib/Gateway/RequestTakeover.cpp
+++ b/lib/Gateway/RequestTakeover.cpp
@@ -86,6 +86,7 @@
         auto &servers = m_parts.view.servers();
         servers.startRequest(attempt->choice.server.id, 0);
         servers.endRequest(attempt->choice.server.id, 0, ServerOutcome::NoAnswer, Clock::now());
+        recordUnanswered(exchange, *attempt, HttpError{HttpErrorCode::TimedOut, {}});
     }
     ++exchange.takeoverCount;
     attempt->splitterWhenSilent = exchange.splitter;
--- a/unittests/Fleet/CrashAttributionTest.cpp
+++ b/unittests/Fleet/CrashAttributionTest.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Fleet/CrashAttribution.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <doctest/doctest.h>
 #include <map>
@@ -280,3 +281,198 @@
     // Far more than an evaluation of Options::maxSuspects takes, and far less than one of all 300,000.
     CHECK(Clock::now() - startTime < milliseconds(500));
 }
+
+/// The suspects that requests which differ in body or adapter have in common.
+static const CrashSuspect SameBody(std::string(RequestBodySuspectPrefix) + "1");
+static const CrashSuspect SamePath(std::string(RequestPathSuspectPrefix) + "1");
+
+static const Endpoint Address{.host = "127.0.0.1", .port = 80};
+
+/// Records that a server left requests with these suspects without an answer, of which the first was sent at `sentAt`,
+/// and was last heard of at `heardAt`.
+static void recordSilence(CrashAttribution &crashes, const ServerIdentity &server,
+                          const std::vector<CrashSuspect> &suspects, TimePoint sentAt, TimePoint heardAt, TimePoint now)
+{
+    CrashAttribution::Silence silence{
+        .endpoint = Address, .firstSentAt = sentAt, .lastHeardAt = heardAt, .sentTimes = {}};
+    for (const auto &suspect : suspects) {
+        silence.sentTimes.emplace(suspect, sentAt);
+    }
+    crashes.recordSilence(server, silence, now);
+}
+
+// Guards against a request that stays unknown because the servers that it crashes close no connection.
+TEST_CASE("a request under which servers fall silent is convicted once they have ended")
+{
+    std::set<ServerIdentity> ended;
+    CrashAttribution crashes({.hasEnded = [&ended](const ServerIdentity &server, const Endpoint &, TimePoint) {
+        return ended.contains(server);
+    }});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 3; ++i) {
+        now += milliseconds(400);
+        recordSilence(crashes, server(i), {request(0), request(10 + i)}, now - milliseconds(300),
+                      now - milliseconds(300), now);
+    }
+    CHECK(crashes.takeConvicted(now + seconds(1)).empty());
+    CHECK(crashes.nextDecisionAt(now + seconds(1)).has_value());
+    now += seconds(2);
+    for (int i = 0; i < 3; ++i) {
+        ended.insert(server(i));
+    }
+    // Entries have had no time to object yet.
+    CHECK(crashes.takeConvicted(now).empty());
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{request(0)});
+}
+
+// Guards against refusing a sound request that is sent again and again while its servers are slow, or cut off.
+TEST_CASE("a request that live servers do not answer is not convicted")
+{
+    CrashAttribution crashes({.hasEnded = [](const ServerIdentity &, const Endpoint &, TimePoint) {
+        return false;
+    }});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 20; ++i) {
+        now += milliseconds(400);
+        recordSilence(crashes, server(i), {request(0)}, now - milliseconds(300), now - milliseconds(10), now);
+    }
+    CHECK(crashes.takeConvicted(now + seconds(5)).empty());
+}
+
+// Guards against refusing a sound request that was sent to servers that had already fallen silent.
+TEST_CASE("a request that was sent after servers have fallen silent together is not convicted")
+{
+    CrashAttribution crashes({.hasEnded = [](const ServerIdentity &, const Endpoint &, TimePoint) {
+        return true;
+    }});
+    const TimePoint now{seconds(100)};
+    for (int i = 0; i < 4; ++i) {
+        // Other requests were at the server when it fell silent; this one came later, one attempt after the other.
+        recordSilence(crashes, server(i), {request(10 + i)}, now - milliseconds(20), now, now + seconds(1));
+        recordSilence(crashes, server(i), {request(0)}, now + milliseconds(300 * (i + 1)), now, now + seconds(2));
+    }
+    CHECK(crashes.takeConvicted(now + seconds(3)).empty());
+    CHECK(crashes.takeConvicted(now + seconds(4)).empty());
+}
+
+// Guards against evidence of silence, of which there is much under overload, that displaces crashes.
+TEST_CASE("under a flood of unanswered requests the crashes are kept")
+{
+    CrashAttribution crashes({.hasEnded = [](const ServerIdentity &, const Endpoint &, TimePoint) {
+        return false;
+    }});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 3; ++i) {
+        now += milliseconds(100);
+        recordCrash(crashes, server(i), {request(0)}, now);
+    }
+    for (int i = 0; i < 1000; ++i) {
+        std::vector<CrashSuspect> suspects;
+        for (int other = 1; other <= 100; ++other) {
+            suspects.push_back(request(1000 * i + other));
+        }
+        recordSilence(crashes, server(100 + i), suspects, now, now, now);
+    }
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{request(0)});
+}
+
+// Guards against a deadly request that is a new one each time, because its body or its adapter changes.
+TEST_CASE("what requests have in common is convicted if they differ and crash more servers than one of them explains")
+{
+    for (const auto &common : {SameBody, SamePath}) {
+        CrashAttribution crashes({});
+        TimePoint now{seconds(100)};
+        for (int i = 0; i < 5; ++i) {
+            CHECK(crashes.takeConvicted(now).empty());
+            now += milliseconds(300);
+            recordCrash(crashes, server(i), {request(i), common}, now);
+        }
+        CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{common});
+    }
+}
+
+// Guards against differing requests of which each one hides what they share, as it is sent to a second server.
+TEST_CASE("what requests have in common is convicted if each of them crashes two servers in one attempt")
+{
+    CrashAttribution crashes({});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 6; ++i) {
+        now += milliseconds(300);
+        const std::map<CrashSuspect, TimePoint> sentTimes{{request(i / 2), now}, {SamePath, now}};
+        const std::set<CrashSuspect> sentAgain
+            = i % 2 == 1 ? std::set{request(i / 2), SamePath} : std::set<CrashSuspect>();
+        crashes.recordCrash(server(i), now, sentTimes, now, sentAgain);
+    }
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{SamePath});
+}
+
+// Guards against refusing all requests of a path for one of them.
+TEST_CASE("what sound requests have in common with deadly ones that come again is not convicted")
+{
+    CrashAttribution crashes({});
+    TimePoint now{seconds(100)};
+    std::vector<CrashSuspect> convicted;
+    for (int i = 0; i < 20; ++i) {
+        now += milliseconds(300);
+        // Three deadly requests in turn, and at each server a sound one of the same path.
+        recordCrash(crashes, server(i), {request(i % 3), SamePath}, now);
+        recordCrash(crashes, server(i), {request(100 + i), SamePath}, now);
+        const auto more = crashes.takeConvicted(now + milliseconds(60));
+        convicted.insert(convicted.end(), more.begin(), more.end());
+        if (convicted.size() == 3) {
+            break;
+        }
+    }
+    std::sort(convicted.begin(), convicted.end());
+    CHECK(convicted == std::vector{request(0), request(1), request(2)});
+}
+
+// Guards against refusing a path whose sound requests are answered.
+TEST_CASE("what requests have in common is not convicted while one of them is answered")
+{
+    CrashAttribution crashes({});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 20; ++i) {
+        now += milliseconds(300);
+        recordCrash(crashes, server(i), {request(i), SamePath}, now);
+        crashes.recordAnswered(SamePath, now + milliseconds(100));
+        CHECK(crashes.takeConvicted(now + milliseconds(260)).empty());
+    }
+}
+
+// Guards against two deadly requests that hide each other, as both are at each server that crashes.
+TEST_CASE("requests that come together in all crashes are convicted together after two more")
+{
+    CrashAttribution crashes({});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 5; ++i) {
+        CHECK(crashes.takeConvicted(now).empty());
+        now += milliseconds(300);
+        recordCrash(crashes, server(i), {request(0), request(1), request(10 + i)}, now, now - milliseconds(10));
+    }
+    CHECK(crashes.takeConvicted(now + milliseconds(60)) == std::vector{request(0), request(1)});
+}
+
+// Guards against a new leader that convicts a sound request before entries could tell that they saw it answered.
+TEST_CASE("a new leader convicts by earlier crashes only once entries have had time to object")
+{
+    for (const bool answered : {false, true}) {
+        CrashAttribution crashes({});
+        TimePoint now{seconds(100)};
+        for (int i = 0; i < 3; ++i) {
+            now += milliseconds(300);
+            recordCrash(crashes, server(i), {request(0)}, now);
+        }
+        now += seconds(2);
+        crashes.beginDecisions(now + milliseconds(500));
+        CHECK(crashes.takeConvicted(now).empty());
+        CHECK(crashes.watched(now) == std::set{request(0)});
+        // An entry that has kept the crashes reports them once more.
+        recordCrash(crashes, server(0), {request(0)}, now - seconds(2));
+        CHECK(crashes.takeConvicted(now + milliseconds(100)).empty());
+        if (answered) {
+            crashes.recordAnswered(request(0), now - seconds(1));
+        }
+        CHECK(crashes.takeConvicted(now + milliseconds(900)).empty() == answered);
+    }
+}
--- a/unittests/Fleet/ServerRegistryTest.cpp
+++ b/unittests/Fleet/ServerRegistryTest.cpp
@@ -119,3 +119,36 @@
     CHECK(registry.heartbeat(heartbeat("newest", 12, 1), later) == HeartbeatResult::Changed);
     CHECK(registry.find(TargetId("newest")) != nullptr);
 }
+
+// Guards against a server that is taken as crashed while it sends heartbeats, and against one that never is.
+TEST_CASE("a start of a server seems to have ended once a later one has replaced it or its heartbeats have stopped")
+{
+    ServerRegistry registry({});
+    const ServerIdentity first{.id = TargetId("a"), .startedAt = Incarnation(1)};
+    const Endpoint elsewhere{.host = "10.0.0.2", .port = 80};
+    CHECK_FALSE(registry.seemsEnded(first, Address, Start));
+    (void)registry.heartbeat(heartbeat("a", 1, 1), Start);
+    CHECK_FALSE(registry.seemsEnded(first, Address, Start + seconds(2)));
+    CHECK(registry.seemsEnded(first, Address, Start + seconds(3)));
+    registry.expire(Start + seconds(10));
+    CHECK(registry.seemsEnded(first, Address, Start + seconds(10)));
+
+    SUBCASE("by a start with another id at its address")
+    {
+        (void)registry.heartbeat(heartbeat("b", 2, 1), Start + seconds(10));
+        CHECK(registry.seemsEnded(first, Address, Start + seconds(10)));
+        CHECK_FALSE(registry.seemsEnded(first, elsewhere, Start + seconds(10)));
+    }
+    SUBCASE("by a later start with its id")
+    {
+        (void)registry.heartbeat(heartbeat("a", 2, 1), Start + seconds(10));
+        CHECK(registry.seemsEnded(first, elsewhere, Start + seconds(10)));
+        CHECK_FALSE(
+            registry.seemsEnded({.id = TargetId("a"), .startedAt = Incarnation(2)}, Address, Start + seconds(10)));
+    }
+    SUBCASE("but not when it leaves as planned")
+    {
+        registry.applyDeparture(first, true);
+        CHECK_FALSE(registry.seemsEnded(first, Address, Start + seconds(10)));
+    }
+}
--- a/unittests/Gateway/CrashSuspectWatchTest.cpp
+++ b/unittests/Gateway/CrashSuspectWatchTest.cpp
@@ -14,10 +14,12 @@
     return {.id = TargetId("s" + std::to_string(number)), .startedAt = Incarnation(number)};
 }
 
-static FleetReportMessage reportOf(CrashSuspectWatch &watch, bool toNewLeader, TimePoint now)
+/// The next report to a leader that has got the crashes up to `reported`; all of them if it is new.
+static FleetReportMessage reportOf(CrashSuspectWatch &watch, bool toNewLeader, TimePoint now, std::uint64_t &reported)
 {
     FleetReportMessage report;
-    watch.addTo(report, toNewLeader, now);
+    reported = watch.addCrashes(report, toNewLeader ? 0 : reported, now);
+    watch.addAnswered(report, toNewLeader, now);
     return report;
 }
 
@@ -27,15 +29,16 @@
     CrashSuspectWatch watch;
     const TimePoint start{seconds(100)};
     watch.recordCrash(server(1), {Request}, start - milliseconds(40), start);
-    const auto first = reportOf(watch, false, start + milliseconds(10));
+    std::uint64_t reported = 0;
+    const auto first = reportOf(watch, false, start + milliseconds(10), reported);
     REQUIRE(first.crashes.size() == 1);
     CHECK(first.crashes.front().agoMs == 10);
     CHECK(first.crashes.front().suspects.front().agoMs == 50);
-    CHECK(reportOf(watch, false, start + seconds(1)).crashes.empty());
-    const auto again = reportOf(watch, true, start + seconds(2));
+    CHECK(reportOf(watch, false, start + seconds(1), reported).crashes.empty());
+    const auto again = reportOf(watch, true, start + seconds(2), reported);
     REQUIRE(again.crashes.size() == 1);
     CHECK(again.crashes.front().agoMs == 2000);
-    CHECK(reportOf(watch, true, start + CrashSuspectWatch::EvidenceLifetime).crashes.empty());
+    CHECK(reportOf(watch, true, start + CrashSuspectWatch::EvidenceLifetime, reported).crashes.empty());
 }
 
 // Guards against a new leader that convicts a sound request since it knows of the crashes and not of the answers.
@@ -44,8 +47,9 @@
     CrashSuspectWatch watch;
     const TimePoint start{seconds(100)};
     watch.recordCrash(server(1), {Request, Other}, start, start);
-    watch.recordAnswered({Other}, start + seconds(1));
-    const auto report = reportOf(watch, true, start + seconds(11));
+    watch.recordAnswered(server(2), {Other}, start + seconds(1));
+    std::uint64_t reported = 0;
+    const auto report = reportOf(watch, true, start + seconds(11), reported);
     REQUIRE(report.answeredSuspects.size() == 1);
     CHECK(report.answeredSuspects.front().suspect == Other.value());
     CHECK(report.answeredSuspects.front().agoMs == 10000);
@@ -61,10 +65,104 @@
             watch.recordCrash(server(i), {CrashSuspect("request:" + std::to_string(request))}, now, now);
         }
     }
-    const auto report = reportOf(watch, true, now);
+    std::uint64_t reported = 0;
+    const auto report = reportOf(watch, true, now, reported);
     CHECK(report.crashes.size() == CrashSuspectWatch::MaxCrashes);
     CHECK(report.crashes.back().server == "s999");
     for (const auto &crash : report.crashes) {
         CHECK(crash.suspects.size() == CrashSuspectWatch::MaxSuspectsPerCrash);
     }
 }
+
+static const Endpoint Address{.host = "127.0.0.1", .port = 80};
+
+// Guards against reports that grow with all that a crash has met so far, each time something is added.
+TEST_CASE("a report holds only what a crash has met since the report before")
+{
+    CrashSuspectWatch watch;
+    const TimePoint start{seconds(100)};
+    std::uint64_t reported = 0;
+    watch.recordCrash(server(1), {Request}, start, start);
+    CHECK(reportOf(watch, false, start, reported).crashes.front().suspects.size() == 1);
+    watch.recordCrash(server(1), {Other}, start, start + milliseconds(5));
+    const auto second = reportOf(watch, false, start + milliseconds(5), reported);
+    REQUIRE(second.crashes.size() == 1);
+    REQUIRE(second.crashes.front().suspects.size() == 1);
+    CHECK(second.crashes.front().suspects.front().suspect == Other.value());
+    CHECK(second.crashes.front().agoMs == 5);
+}
+
+// Guards against evidence that is lost with an entry and the leader, if only the leader was told.
+TEST_CASE("each control host is told of all crashes, whatever the others were told")
+{
+    CrashSuspectWatch watch;
+    const TimePoint start{seconds(100)};
+    std::uint64_t reportedToLeader = 0;
+    std::uint64_t reportedToFollower = 0;
+    watch.recordCrash(server(1), {Request}, start, start);
+    CHECK(reportOf(watch, false, start, reportedToLeader).crashes.size() == 1);
+    CHECK(reportOf(watch, false, start, reportedToFollower).crashes.size() == 1);
+    CHECK(reportOf(watch, false, start, reportedToFollower).crashes.empty());
+}
+
+// Guards against a silent server that is unknown to the leader, and against one that is only slow.
+TEST_CASE("a server that does not answer is reported as silent until it answers another request")
+{
+    CrashSuspectWatch watch;
+    const TimePoint start{seconds(100)};
+    std::uint64_t reported = 0;
+    watch.recordAnswered(server(1), {Other}, start);
+    watch.recordSilence(server(1), Address, {Request}, start + milliseconds(10), start + milliseconds(300));
+    const auto report = reportOf(watch, false, start + milliseconds(310), reported);
+    REQUIRE(report.crashes.size() == 1);
+    const auto &crash = report.crashes.front();
+    CHECK(crash.silent);
+    CHECK_FALSE(crash.closed);
+    CHECK(crash.endpoint == Address.toString());
+    CHECK(crash.firstSentAgoMs == 300);
+    CHECK(crash.lastHeardAgoMs == 310);
+    watch.recordAnswered(server(1), {Other}, start + milliseconds(400));
+    CHECK(reportOf(watch, true, start + milliseconds(410), reported).crashes.empty());
+}
+
+// Guards against an entry without a leader that sends a deadly request on, and against one that decides for good what
+// the leader decides.
+TEST_CASE("an entry without a leader quarantines by its own crashes until the leader decides")
+{
+    CrashSuspectWatch watch;
+    TimePoint now{seconds(100)};
+    const std::vector suspects{Request};
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        now += milliseconds(100);
+        watch.recordCrash(server(i), suspects, now - milliseconds(10), now);
+        watch.decideWithoutLeader(true, now);
+        CHECK(watch.findQuarantined(suspects) == nullptr);
+    }
+    watch.decideWithoutLeader(false, now + milliseconds(20));
+    CHECK(watch.findQuarantined(suspects) != nullptr);
+    watch.decideWithoutLeader(true, now + seconds(1));
+    CHECK(watch.findQuarantined(suspects) != nullptr);
+    watch.decideWithoutLeader(true, now + seconds(1) + CrashSuspectWatch::LeaderDecisionTime + seconds(1));
+    CHECK(watch.findQuarantined(suspects) == nullptr);
+}
+
+// Guards against an entry without a leader that refuses a sound request because servers are slow.
+TEST_CASE("an entry without a leader takes a silent server as crashed only if it seems to have ended")
+{
+    CrashSuspectWatch watch;
+    bool ended = false;
+    watch.hasEnded = [&ended](const ServerIdentity &, const Endpoint &, TimePoint) {
+        return ended;
+    };
+    TimePoint now{seconds(100)};
+    const std::vector suspects{Request};
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        now += milliseconds(500);
+        watch.recordSilence(server(i), Address, suspects, now - milliseconds(300), now);
+    }
+    watch.decideWithoutLeader(false, now + milliseconds(20));
+    CHECK(watch.findQuarantined(suspects) == nullptr);
+    ended = true;
+    watch.decideWithoutLeader(false, now + milliseconds(40));
+    CHECK(watch.findQuarantined(suspects) != nullptr);
+}
