Entry: the largest answer gives way when the memory for answers is used up

The users' report: a faulty server sends without end, and the machine that has called it runs out of memory.

What could happen: the limit of 32 MB for all answers together refused whoever came next, so that sound answers were lost while two faulty ones filled it; and the events that had not arrived in full, up to 256 KB a stream, had no limit together.

Change: AnswerBudget counts bodies and unfinished events together. An answer always gets 16 KB; beyond the limit, the largest one gives way. The coordinator of the product's own interface reads at most 1 MB of an answer to an order or a read of the state instead of 16 MB, and logs 256 bytes of it instead of all.

--- a/include/tamarackcove/Gateway/AnswerBuffer.h
+++ b/include/tamarackcove/Gateway/AnswerBuffer.h
@@ -1,12 +1,13 @@
 #pragma once
 
-#include <cassert>
 #include <cstddef>
 
 namespace tamarackcove {
 
-/// Counts the bytes of an answer that is collected before it is sent on, against a limit for each answer and a limit
-/// for all answers of an entry together.
+class AnswerBudget;
+
+/// Counts the bytes of one answer that were read and not sent on yet, against a limit for each answer and the budget of
+/// all answers of an entry.
 ///
 /// Thread safety: used on one thread.
 class AnswerBuffer
@@ -14,42 +15,37 @@
 public:
     /// Limit on the body of one complete answer. A longer answer can only be a stream.
     static constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
-    /// Limit on the bodies of all answers that an entry collects at a time: strings that grow and the copy that is sent
-    /// take up to three times as much, and an entry has 160 MB.
-    static constexpr std::size_t MaxTotalBytes = 2 * MaxAnswerBytes;
+    /// What an answer may take whatever the others have taken.
+    static constexpr std::size_t GuaranteedBytes = 16 * 1024;
 
-    /// `total` is the number of bytes that all answers of the entry hold. Precondition: it outlives this object.
-    explicit AnswerBuffer(std::size_t &total)
-        : m_total(total)
-    {
-    }
-    ~AnswerBuffer()
-    {
-        assert(m_total >= m_bytes && "every byte of an answer is counted in the total");
-        m_total -= m_bytes;
-    }
+    /// Precondition: the budget outlives this object.
+    explicit AnswerBuffer(AnswerBudget &budget);
+    ~AnswerBuffer();
     AnswerBuffer(const AnswerBuffer &) = delete;
     AnswerBuffer &operator=(const AnswerBuffer &) = delete;
 
-    /// Counts further bytes until this object is destroyed. Returns false and counts nothing if a limit would be
-    /// exceeded.
+    /// Sets the number of bytes that are counted until this object is destroyed. Returns false and changes nothing if a
+    /// limit would be exceeded, or if the answer has to give way to others; the answer is given up then.
+    [[nodiscard]] bool resize(std::size_t bytes);
+    /// Counts further bytes, as resize() does.
     [[nodiscard]] bool add(std::size_t bytes)
     {
-        if (m_bytes + bytes > MaxAnswerBytes || m_total + bytes > MaxTotalBytes) {
-            return false;
-        }
-        m_bytes += bytes;
-        m_total += bytes;
-        return true;
+        return resize(m_bytes + bytes);
     }
     [[nodiscard]] std::size_t size() const
     {
         return m_bytes;
     }
+    /// Whether the answer has to give way to others.
+    [[nodiscard]] bool givesWay() const
+    {
+        return m_givesWay;
+    }
 
 private:
-    std::size_t &m_total;
+    AnswerBudget &m_budget;
     std::size_t m_bytes = 0;
+    bool m_givesWay = false;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include "tamarackcove/Fleet/PlannedStop.h"
 #include "tamarackcove/Fleet/ServerDirectory.h"
+#include "tamarackcove/Gateway/AnswerBudget.h"
 #include "tamarackcove/Gateway/CallerDialect.h"
 #include "tamarackcove/Http/HttpError.h"
 
@@ -145,8 +146,7 @@
     std::optional<PlannedStop> m_stop;
     std::mt19937_64 m_random;
     std::uint64_t m_requestCount = 0;
-    /// Bytes of the answers that are collected before they are sent on.
-    std::size_t m_bufferedBytes = 0;
+    AnswerBudget m_answerBudget;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -89,7 +89,8 @@
 
 /// Opens a connection, does one exchange and closes the connection. The timeout applies to the connect, and then to the
 /// exchange as described there.
-boost::asio::awaitable<Result<HttpResponse, HttpError>> httpExchange(Endpoint endpoint, HttpRequest request,
-                                                                     milliseconds timeout);
+boost::asio::awaitable<Result<HttpResponse, HttpError>>
+httpExchange(Endpoint endpoint, HttpRequest request, milliseconds timeout,
+             std::size_t maxBodyBytes = HttpConnection::MaxExchangeBodyBytes);
 
 } // namespace tamarackcove
--- a/lib/Entry/Coordinator/TargetOrders.cpp
+++ b/lib/Entry/Coordinator/TargetOrders.cpp
@@ -22,6 +22,9 @@
 static constexpr milliseconds ResidencyPollInterval{300};
 // Announcements lag behind the state of the target and may contradict it repeatedly; this limits the reads they cause.
 static constexpr milliseconds MinStateReadInterval{2000};
+/// Limit on the body of an answer to an order or to a read of the state, and on what is logged of it.
+static constexpr std::size_t MaxReplyBytes = 1024 * 1024;
+static constexpr std::size_t MaxLoggedBytes = 256;
 
 struct TargetOrders::FollowedTarget
 {
@@ -136,7 +139,7 @@
     }
     const auto endpoint = m_registry.view(target).endpoint;
     auto request = stateRequest();
-    const auto response = co_await httpExchange(endpoint, std::move(request), StateTimeout);
+    const auto response = co_await httpExchange(endpoint, std::move(request), StateTimeout, MaxReplyBytes);
     if (response.has_error() || response.value().status != 200) {
         co_return std::nullopt;
     }
@@ -161,7 +164,7 @@
         co_return true;
     }
     auto request = makeUnloadOrder(AdapterRef("tamarackcove-fence", "0"), nextStamp());
-    const auto response = co_await httpExchange(view.endpoint, std::move(request), StateTimeout);
+    const auto response = co_await httpExchange(view.endpoint, std::move(request), StateTimeout, MaxReplyBytes);
     constexpr int Conflict = 409;
     co_return response.has_value() && response.value().status != Conflict &&response.value().status < 500;
 }
@@ -218,14 +221,15 @@
     }
     const auto endpoint = m_registry.view(target).endpoint;
     const auto orderPath = request.target;
-    const auto response = co_await httpExchange(endpoint, std::move(request), m_options.orderDeadline);
+    const auto response = co_await httpExchange(endpoint, std::move(request), m_options.orderDeadline, MaxReplyBytes);
     if (response.has_value() && response.value().status == 200) {
         co_return true;
     }
     LogLine(LogLevel::Warning, "order_failed")
         .add("target", target.value())
         .add("order", orderPath)
-        .add("reason", response.has_error() ? response.error().detail : response.value().body);
+        .add("reason",
+             response.has_error() ? response.error().detail : response.value().body.substr(0, MaxLoggedBytes));
     co_return false;
 }
 
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -1,4 +1,5 @@
 #include "RequestExchange.h"
+#include "tamarackcove/Gateway/AnswerBudget.h"
 #include "tamarackcove/Gateway/FleetView.h"
 #include "tamarackcove/Gateway/ServerConnections.h"
 #include "tamarackcove/Http/HttpConnection.h"
@@ -173,7 +174,7 @@
 {
     const auto &choice = attempt->choice;
     auto &servers = m_parts.view.servers();
-    auto buffer = std::make_unique<AnswerBuffer>(m_bufferedBytes);
+    auto buffer = std::make_unique<AnswerBuffer>(m_answerBudget);
     m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, Clock::now());
     for (;;) {
         const auto timeout = exchange.answerReadTimeout(Clock::now());
@@ -189,7 +190,7 @@
         }
         if (!buffer->add(piece.value()->size())) {
             const auto reason = "the body exceeds " + std::to_string(AnswerBuffer::MaxAnswerBytes) + " bytes, or "
-                + std::to_string(AnswerBuffer::MaxTotalBytes) + " bytes with the other answers; read "
+                + std::to_string(AnswerBudget::MaxTotalBytes) + " bytes with the other answers; read "
                 + std::to_string(buffer->size());
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, reason);
         }
@@ -287,12 +288,15 @@
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken,
                                        "the server did not resume the stream after the last event");
         }
+        const auto unsentBytes = exchange.splitter.incompleteEvent().size();
+        if (unsentBytes > MaxEventBytes || !attempt->eventBuffer.resize(unsentBytes)) {
+            exchange.splitter.discardIncompleteEvent();
+            co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken,
+                                       "event of more than " + std::to_string(MaxEventBytes)
+                                           + " bytes, or no memory is left for it; read "
+                                           + std::to_string(unsentBytes));
+        }
         if (events.empty() && !ended) {
-            if (exchange.splitter.incompleteEvent().size() > MaxEventBytes) {
-                exchange.splitter.discardIncompleteEvent();
-                co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken,
-                                           "event of more than " + std::to_string(MaxEventBytes) + " bytes");
-            }
             continue;
         }
         // Only now the other server is sure to have taken the stream over.
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -37,9 +37,10 @@
 /// Thread safety: used by the coroutine of its request.
 struct RequestRelay::Attempt
 {
-    Attempt(ServerDirectory::Choice chosen, std::unique_ptr<HttpConnection> openConnection)
+    Attempt(ServerDirectory::Choice chosen, std::unique_ptr<HttpConnection> openConnection, AnswerBudget &budget)
         : choice(std::move(chosen))
         , connection(std::move(openConnection))
+        , eventBuffer(budget)
     {
     }
 
@@ -55,6 +56,8 @@
     TimePoint progressAt;
     /// What has arrived of the stream when the server fell silent.
     EventStreamSplitter splitterWhenSilent;
+    /// Counts the bytes of the event that has not arrived in full.
+    AnswerBuffer eventBuffer;
     /// Whether the server was recorded as giving no answer when it fell silent.
     bool silenceRecorded = false;
 };
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -311,7 +311,7 @@
             dispatch.minVersion = required;
         }
     }
-    auto attempt = std::make_unique<Attempt>(std::move(choice), std::move(connection));
+    auto attempt = std::make_unique<Attempt>(std::move(choice), std::move(connection), m_answerBudget);
     attempt->sentAt = attempt->progressAt = startTime;
     attempt->sentAgain = exchange.possibleRuns > 0 || exchange.silentAttempt != nullptr;
     if (exchange.caller.adapter) {
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -373,11 +373,11 @@
 }
 
 asio::awaitable<Result<HttpResponse, HttpError>> httpExchange(Endpoint endpoint, HttpRequest request,
-                                                              milliseconds timeout)
+                                                              milliseconds timeout, std::size_t maxBodyBytes)
 {
     BOOST_OUTCOME_CO_TRY(auto connection, co_await HttpConnection::connect(std::move(endpoint), timeout));
     request.headers.set("connection", "close");
-    co_return co_await connection->exchange(std::move(request), timeout);
+    co_return co_await connection->exchange(std::move(request), timeout, maxBodyBytes);
 }
 
 } // namespace tamarackcove
