Control: a host without peers ends at once

Cause: shutDown() tried for 1.5 s to hand leadership over to a peer that does not exist. Who saw it: a deployment of one control host, and each of the Platform tests.

Change: no transfer without peers.

--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -335,7 +335,7 @@
     auto &impl = *m_impl;
     const auto deadline = Clock::now() + impl.settings.drainTimeout;
     impl.dispatcher.end();
-    if (impl.replica.leads()) {
+    if (impl.replica.leads() && impl.hosts().size() > 1) {
         const bool transferred = co_await impl.replica.transferLeadership(TransferTimeout);
         LogLine(LogLevel::Info, "leadership_transfer").add("done", transferred ? "yes" : "no");
     }
