Tests: a request under which servers crash in the middle of their answer, known red

A request that a server has begun to answer counts as sound, since sound streams are in progress at each server that crashes. PROTOCOL.md speaks of servers that crash as they begin to run a request.

--- a/unittests/Platform/CrashingServer.h
+++ b/unittests/Platform/CrashingServer.h
@@ -16,6 +16,8 @@
 enum class End {
     ClosesConnections,
     FallsSilent,
+    /// It closes the connection after the head of its answer.
+    ClosesInAnswer,
     /// The server goes on, and only the connection ends.
     ResetsConnection,
 };
@@ -96,6 +98,10 @@
                 crashTimes.push_back(Clock::now());
                 m_upAt = Clock::now() + m_downTime;
                 m_start += m_end == End::ResetsConnection ? 0 : 1;
+                if (m_end == End::ClosesInAnswer) {
+                    const auto begun = answerHead(head, 5) + "wh";
+                    (void)co_await boost::asio::async_write(socket, boost::asio::buffer(begun), UseTuple);
+                }
                 if (m_end == End::FallsSilent) {
                     char byte = 0;
                     (void)co_await socket.async_read_some(boost::asio::buffer(&byte, 1), UseTuple);
@@ -106,10 +112,7 @@
             if (onRun) {
                 co_await onRun(head);
             }
-            constexpr std::string_view Name = "Tamarackcove-Attempt-Id: ";
-            const auto at = head.find(Name) + Name.size();
-            const auto answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTamarackcove-Server-Seal: seal\r\n"
-                + std::string(Name) + head.substr(at, head.find("\r\n", at) - at) + "\r\n\r\n";
+            const auto answer = answerHead(head, 0);
             const auto [writeError, written]
                 = co_await boost::asio::async_write(socket, boost::asio::buffer(answer), UseTuple);
             if (writeError) {
@@ -118,6 +121,16 @@
         }
     }
 
+    /// The head of the answer to a request with this head.
+    static std::string answerHead(const std::string &request, std::size_t bodyBytes)
+    {
+        constexpr std::string_view Name = "Tamarackcove-Attempt-Id: ";
+        const auto at = request.find(Name) + Name.size();
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes)
+            + "\r\nTamarackcove-Server-Seal: seal\r\n" + std::string(Name)
+            + request.substr(at, request.find("\r\n", at) - at) + "\r\n\r\n";
+    }
+
     int m_number;
     End m_end;
     /// How long the server is down after it has crashed.
--- a/unittests/Platform/EndlessAnswerTest.cpp
+++ b/unittests/Platform/EndlessAnswerTest.cpp
@@ -77,7 +77,7 @@
     co_await socket.async_connect(entry, asio::use_awaitable);
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : request.headers.fields()) {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     }
     text += "Connection: close\r\nContent-Length: 0\r\n\r\n";
     auto [error, size] = co_await asio::async_write(socket, asio::buffer(text), UseTuple);
@@ -138,8 +138,8 @@
                 asio::co_spawn(deployment.executor(), call, asio::detached);
             }
             int sound = 0;
-            for (; open > 0; ++sound) {
-                auto request = makeRequest("sound", "sound" + std::to_string(sound), seconds(4));
+            while (open > 0) {
+                auto request = makeRequest("sound", "sound" + std::to_string(++sound), seconds(4));
                 const auto status = co_await send(std::move(request));
                 CHECK_MESSAGE(status == 200, status);
                 growth.sample();
--- a/unittests/Platform/EndlessServer.h
+++ b/unittests/Platform/EndlessServer.h
@@ -112,8 +112,9 @@
                 : m_service == "engines" ? "id: 1\ndata: x\n\n"
                                          : "whole";
             const std::string type = m_service == "engines" && !report ? "Content-Type: text/event-stream\r\n" : "";
-            const auto answer = "HTTP/1.1 200 OK\r\n" + ownFields + type
-                + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            std::string answer = "HTTP/1.1 200 OK\r\n" + ownFields;
+            answer.append(type).append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+            answer += body;
             const auto [writeError, written]
                 = co_await boost::asio::async_write(socket, boost::asio::buffer(answer), UseTuple);
             if (writeError) {
--- a/unittests/Platform/UnrecognisedRequestTest.cpp
+++ b/unittests/Platform/UnrecognisedRequestTest.cpp
@@ -218,3 +218,13 @@
         crashing.close();
     });
 }
+
+// Guards against a deadly request that is taken as sound because servers crash only after they have begun to answer it.
+TEST_CASE("a request under which servers crash in the middle of their answer is refused")
+{
+    CrashingDeployment crashing(End::ClosesInAnswer);
+    crashing.deployment.run([&]() -> asio::awaitable<void> {
+        CHECK(co_await crashing.sendUntilRefused() <= MaxCrashes);
+        crashing.close();
+    });
+}
--- a/unittests/ProcessMemory.h
+++ b/unittests/ProcessMemory.h
@@ -6,7 +6,8 @@
 #include <unistd.h>
 
 #ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
+/// Of the run-time library of the address sanitizer; its header is not in the packages of the compiler.
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
 #endif
 
 namespace tamarackcove::test {
