Control: log when the event loop runs late, and count the work with crash evidence

The logs of the incident do not say whether a leader is suspended because it is busy, nor with what. event_loop_delayed names the delay, the reports of entries, the evidence of crashes in them and the suspects that evaluations visited; the same counts are metrics.

--- a/include/tamarackcove/Fleet/CrashAttribution.h
+++ b/include/tamarackcove/Fleet/CrashAttribution.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Fleet/ServerRecord.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -114,6 +115,9 @@
     [[nodiscard]] std::vector<CrashSuspect> takeAcquitted();
     /// When takeConvicted() may next have a result without further records; nothing if never.
     [[nodiscard]] std::optional<TimePoint> nextDecisionAt(TimePoint now) const;
+    /// How many suspects of crashes were visited since the construction to find whom the crashes speak against: what
+    /// evaluations cost.
+    [[nodiscard]] std::uint64_t visits() const;
 
 private:
     struct Crash
@@ -176,6 +180,8 @@
     std::set<CrashSuspect> m_convicted;
     std::set<CrashSuspect> m_onProbation;
     std::set<CrashSuspect> m_acquitted;
+    /// See visits().
+    mutable std::uint64_t m_visits = 0;
 };
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -13,6 +13,11 @@
 static constexpr milliseconds TransferTimeout{1500};
 /// Interval between checks for servers whose heartbeats have stopped.
 static constexpr milliseconds ExpiryInterval{500};
+/// Interval between checks how late the event loop runs, shortest time between two log lines about it, and the shortest
+/// delay that is logged. The lease of the leader is 250 ms.
+static constexpr milliseconds DelayCheckInterval{50};
+static constexpr milliseconds DelayLogInterval{1000};
+static constexpr milliseconds LoggedDelay{60};
 
 static ReplicaSettings replicaSettings(const FleetControlSettings &settings, const std::string &boot)
 {
@@ -123,6 +128,9 @@
     gauge("lease_suspensions", suspensionCount);
     gauge("updates_encoded", feed.encodedFrames());
     gauge("adapters_awaited", demands.size());
+    gauge("entry_reports", reportCount);
+    gauge("crash_evidence", crashEvidenceCount);
+    gauge("crash_suspects_visited", crashes.visits());
     const auto &quarantined = log.state().quarantinedSuspects();
     const auto requests
         = std::count_if(quarantined.begin(), quarantined.end(), [](const auto &item) { return isRequest(item.first); });
@@ -271,6 +279,37 @@
     }
 }
 
+asio::awaitable<void> FleetNode::Impl::watchDelay()
+{
+    Timer timer(root.executor());
+    auto loggedAt = Clock::now();
+    std::uint64_t loggedReports = 0;
+    std::uint64_t loggedEvidence = 0;
+    std::uint64_t loggedVisits = 0;
+    for (;;) {
+        const auto dueAt = Clock::now() + DelayCheckInterval;
+        timer.expires_at(dueAt);
+        co_await timer.async_wait(asio::use_awaitable);
+        const auto now = Clock::now();
+        maxDelay = std::max(maxDelay, duration_cast<milliseconds>(now - dueAt));
+        if (maxDelay < LoggedDelay || now < loggedAt + DelayLogInterval) {
+            continue;
+        }
+        LogLine(LogLevel::Info, "event_loop_delayed")
+            .add("max_delay_ms", maxDelay)
+            .add("leads", leading ? "yes" : "no")
+            .add("since_ms", duration_cast<milliseconds>(now - loggedAt))
+            .add("reports", reportCount - loggedReports)
+            .add("crash_evidence", crashEvidenceCount - loggedEvidence)
+            .add("suspects_visited", crashes.visits() - loggedVisits);
+        loggedAt = now;
+        loggedReports = reportCount;
+        loggedEvidence = crashEvidenceCount;
+        loggedVisits = crashes.visits();
+        maxDelay = {};
+    }
+}
+
 FleetNode::FleetNode(asio::any_io_executor executor, FleetControlSettings settings, Hooks hooks)
     : m_impl(std::make_unique<Impl>(executor, std::move(settings), std::move(hooks)))
 {
@@ -309,6 +348,7 @@
     impl.root.start("entry-updates", [&impl] { return impl.links.publishUpdates(); });
     impl.root.start("plan-loads", [&impl] { return impl.planLoads(); });
     impl.root.start("attribute-crashes", [&impl] { return impl.attributeCrashes(); });
+    impl.root.start("watch-delay", [&impl] { return impl.watchDelay(); });
     impl.metricsEndpoint.start(impl.root);
     impl.root.start("calls", [&impl] { return impl.http.run(); });
     impl.root.start("expiry", [&impl] { return impl.expireServers(); });
--- a/lib/Control/Fleet/FleetNodeCrashes.cpp
+++ b/lib/Control/Fleet/FleetNodeCrashes.cpp
@@ -28,6 +28,7 @@
         crashes.recordAnswered(CrashSuspect(answered.suspect), now - milliseconds(answered.agoMs));
     }
     for (const auto &crash : report.crashes) {
+        crashEvidenceCount += 1 + crash.suspects.size();
         std::map<CrashSuspect, TimePoint> sentTimes;
         std::set<CrashSuspect> sentAgain;
         for (const auto &suspect : crash.suspects) {
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -95,6 +95,8 @@
     /// `awaitFormerHolder` says that the former holder still runs.
     boost::asio::awaitable<void> acquireOrderDuty(std::uint64_t leadershipNumber, bool awaitFormerHolder);
     boost::asio::awaitable<void> expireServers();
+    /// Logs, at most once a second, how late the event loop runs and what it was given to do.
+    boost::asio::awaitable<void> watchDelay();
 
     FleetControlSettings settings;
     Hooks hooks;
@@ -138,6 +140,11 @@
     /// Number of the last task started by proposeServerRecord(), used in its name.
     std::uint64_t recordTaskCount = 0;
     TimePoint loadsUpdatedAt;
+    /// Reports of entries, and crashes with their suspects in them, since the start of the process.
+    std::uint64_t reportCount = 0;
+    std::uint64_t crashEvidenceCount = 0;
+    /// The longest delay of the event loop since it was last logged.
+    milliseconds maxDelay{0};
 };
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/FleetNodeReports.cpp
+++ b/lib/Control/Fleet/FleetNodeReports.cpp
@@ -23,6 +23,7 @@
 
 void FleetNode::Impl::applyReport(const FleetReportMessage &report)
 {
+    ++reportCount;
     if (!leading) {
         applyCrashes(report);
         return;
--- a/lib/Fleet/CrashAttribution.cpp
+++ b/lib/Fleet/CrashAttribution.cpp
@@ -231,6 +231,7 @@
                 continue;
             }
             const auto crashedAt = timeOf(*crash);
+            m_visits += crash->sentTimes.size();
             for (const auto &[suspect, sentAt] : crash->sentTimes) {
                 if (kindOf(suspect) != kind || !mayExplain(*crash, sentAt)) {
                     continue;
@@ -357,4 +358,9 @@
     return next;
 }
 
+std::uint64_t CrashAttribution::visits() const
+{
+    return m_visits;
+}
+
 } // namespace tamarackcove
