--- a/unittests/Fleet/CrashAttributionTest.cpp
+++ b/unittests/Fleet/CrashAttributionTest.cpp
@@ -476,3 +476,19 @@
         CHECK(crashes.takeConvicted(now + milliseconds(900)).empty() == answered);
     }
 }
+
+// Guards against a verdict that is proposed again and again, each time another one is applied, until it is in the log.
+TEST_CASE("a suspect whose verdict is on its way to the log is not convicted once more")
+{
+    CrashAttribution crashes({});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 3; ++i) {
+        now += milliseconds(300);
+        recordCrash(crashes, server(i), {request(0)}, now);
+    }
+    now += milliseconds(60);
+    CHECK(crashes.takeConvicted(now) == std::vector{request(0)});
+    // Another verdict is applied meanwhile.
+    crashes.setVerdicts({request(9)}, {});
+    CHECK(crashes.takeConvicted(now + milliseconds(20)).empty());
+}
