Attribution of crashes: a verdict on its way to the log stays decided

Cause: takeConvicted() marks a suspect, and applying any other verdict replaced the marks by what the log holds. A verdict that was still on its way was found and proposed again, each time another one was applied, and each applied verdict has every control host evaluate all crashes.

--- a/include/tamarackcove/Fleet/CrashAttribution.h
+++ b/include/tamarackcove/Fleet/CrashAttribution.h
@@ -100,8 +100,11 @@
     /// Records a heartbeat of a start of a server. A crash of it before Options::heartbeatDelay does not count any
     /// more, and convictions that rest on it are withdrawn.
     void recordAlive(const ServerIdentity &server, TimePoint now);
-    /// Sets the suspects that are convicted already, here or by an earlier leader, and those on probation.
+    /// Sets the suspects whose conviction is recorded, here or by an earlier leader, and those on probation. Those that
+    /// takeConvicted() has returned since then stay convicted.
     void setVerdicts(std::set<CrashSuspect> convicted, std::set<CrashSuspect> onProbation);
+    /// Called when the conviction of a suspect could not be recorded: takeConvicted() may return it again.
+    void forgetConviction(const CrashSuspect &suspect);
     /// Has the crashes so far decided on as if they were reported at this time, so that entries have time to object to
     /// those of which another host has heard.
     void beginDecisions(TimePoint at);
@@ -178,6 +181,8 @@
     /// When the suspects were last answered.
     std::map<CrashSuspect, TimePoint> m_answeredAt;
     std::set<CrashSuspect> m_convicted;
+    /// Those of the convicted suspects that setVerdicts() has not named yet.
+    std::set<CrashSuspect> m_unrecorded;
     std::set<CrashSuspect> m_onProbation;
     std::set<CrashSuspect> m_acquitted;
     /// See visits().
--- a/lib/Control/Fleet/FleetNodeCrashes.cpp
+++ b/lib/Control/Fleet/FleetNodeCrashes.cpp
@@ -86,15 +86,18 @@
 void FleetNode::Impl::proposeVerdict(const FleetCommand &command)
 {
     root.startTemporary("verdict-" + std::to_string(++recordTaskCount),
-                        [this, bytes = encodeFleetCommand(command)]() -> asio::awaitable<void> {
+                        [this, command, bytes = encodeFleetCommand(command)]() -> asio::awaitable<void> {
                             const auto proposed = co_await replica.client().propose(bytes);
-                            readVerdicts();
-                            if (proposed.has_error()) {
-                                // Without this, only the next crash would lead to the verdict.
-                                Timer pause(root.executor(), VerdictRetryDelay);
-                                co_await pause.async_wait(asio::use_awaitable);
-                                evaluateCrashesSoon();
+                            if (proposed.has_value()) {
+                                co_return;
                             }
+                            // Without this, only the next crash would lead to the verdict.
+                            Timer pause(root.executor(), VerdictRetryDelay);
+                            co_await pause.async_wait(asio::use_awaitable);
+                            if (const auto *verdict = std::get_if<QuarantineSuspect>(&command)) {
+                                crashes.forgetConviction(verdict->suspect);
+                            }
+                            evaluateCrashesSoon();
                         });
 }
 
--- a/lib/Fleet/CrashAttribution.cpp
+++ b/lib/Fleet/CrashAttribution.cpp
@@ -152,6 +152,7 @@
         });
         if (m_convicted.contains(suspect) && static_cast<std::size_t>(remaining) < requiredCrashes(suspect)) {
             m_convicted.erase(suspect);
+            m_unrecorded.erase(suspect);
             m_acquitted.insert(suspect);
         }
     }
@@ -168,10 +169,19 @@
             crash.sentTimes.erase(suspect);
         }
     }
+    std::erase_if(m_unrecorded, [&](const CrashSuspect &suspect) { return convicted.contains(suspect); });
     m_convicted = std::move(convicted);
+    m_convicted.insert(m_unrecorded.begin(), m_unrecorded.end());
     m_onProbation = std::move(onProbation);
 }
 
+void CrashAttribution::forgetConviction(const CrashSuspect &suspect)
+{
+    if (m_unrecorded.erase(suspect) > 0) {
+        m_convicted.erase(suspect);
+    }
+}
+
 void CrashAttribution::beginDecisions(TimePoint at)
 {
     m_decisionsBeginAt = at;
@@ -181,6 +191,11 @@
         }
     }
     m_acquitted.clear();
+    // Whether the log of an earlier leadership has got these is known from the verdicts.
+    for (const auto &suspect : m_unrecorded) {
+        m_convicted.erase(suspect);
+    }
+    m_unrecorded.clear();
 }
 
 std::size_t CrashAttribution::requiredCrashes(const CrashSuspect &suspect) const
@@ -322,6 +337,7 @@
                 break;
             }
             m_convicted.insert(suspects.begin(), suspects.end());
+            m_unrecorded.insert(suspects.begin(), suspects.end());
             convicted.insert(convicted.end(), suspects.begin(), suspects.end());
             all = suspicions(now);
         }
