--- a/include/tamarackcove/Control/Fleet/UpdateFeed.h
+++ b/include/tamarackcove/Control/Fleet/UpdateFeed.h
@@ -47,6 +47,8 @@
     void setServersComplete();
     /// Sets the crash suspects that entries watch, and those that they refuse. Returns whether either has changed.
     bool setSuspects(std::set<CrashSuspect> watched, std::set<CrashSuspect> quarantined);
+    /// Sets the servers whose heartbeats have stopped. Returns whether they have changed.
+    bool setSilentServers(std::set<TargetId> silent);
 
     /// Encodes the changes since the previous call as the next update, if there are any. Returns whether there were.
     bool publish();
@@ -63,6 +65,7 @@
     void addState(FleetUpdateMessage &update, std::uint64_t configurationVersion, Revision revision) const;
     void addCompleteList(FleetUpdateMessage &update) const;
     void addSuspects(FleetUpdateMessage &update) const;
+    void addSilentServers(FleetUpdateMessage &update) const;
     [[nodiscard]] SharedFrame encode(const FleetUpdateMessage &update);
     /// Encodes the whole state, unless it was encoded after the last published update.
     void refreshSnapshot();
@@ -89,6 +92,8 @@
     std::set<CrashSuspect> m_watchedSuspects;
     std::set<CrashSuspect> m_quarantinedSuspects;
     bool m_suspectsPending = false;
+    std::set<TargetId> m_silentServers;
+    bool m_silentServersPending = false;
     /// The whole state, as of the update with the number m_snapshotUpdate; empty if it has not been encoded since then.
     std::vector<SharedFrame> m_snapshot;
     std::uint64_t m_snapshotUpdate = 0;
--- a/include/tamarackcove/Fleet/CrashAttribution.h
+++ b/include/tamarackcove/Fleet/CrashAttribution.h
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -62,11 +61,18 @@
         std::function<bool(const ServerIdentity &, const Endpoint &, TimePoint now)> hasEnded;
         /// How long a crash counts.
         seconds crashLifetime{30};
-        /// Largest numbers of crashes, of suspects in one crash, and of suspects in all crashes that are kept. They
-        /// bound the time of an evaluation as well.
+        /// Largest numbers of crashes, of suspects in one crash, of suspects in all crashes, and of answered suspects
+        /// that are kept. They bound the time of an evaluation as well.
         std::size_t maxCrashes = 256;
         std::size_t maxSuspectsPerCrash = 512;
         std::size_t maxSuspects = 2048;
+        std::size_t maxAnswers = 4096;
+        /// Largest number of watched suspects.
+        std::size_t maxWatched = 64;
+        /// Shortest time between two evaluations, and the largest number of suspects that evaluations visit in a
+        /// second; see nextEvaluationAt(). A visit takes up to 0.5 us.
+        milliseconds evaluationInterval{20};
+        std::uint64_t maxVisitsPerSecond = 40000;
     };
 
     /// What an entry knows of a start of a server that has not answered some of its requests.
@@ -109,15 +115,21 @@
     /// those of which another host has heard.
     void beginDecisions(TimePoint at);
 
-    /// The suspects that may be convicted unless they are answered: entries report when that happens.
-    [[nodiscard]] std::set<CrashSuspect> watched(TimePoint now) const;
+    /// When the evidence may be evaluated next, by takeConvicted() and the functions that follow it, so that
+    /// evaluations keep within Options::maxVisitsPerSecond.
+    [[nodiscard]] TimePoint nextEvaluationAt() const;
+    /// Whether a crash of this start of a server, or its silence, is recorded.
+    [[nodiscard]] bool hasEvidence(const ServerIdentity &server) const;
+    /// The suspects that may be convicted unless they are answered: entries report when that happens. Those that
+    /// explain the most crashes if there are more than Options::maxWatched.
+    [[nodiscard]] std::set<CrashSuspect> watched(TimePoint now);
     /// Counts the servers that have fallen silent and ended as crashed, and returns the suspects whose conviction is
     /// due now; they count as convicted from then on.
     [[nodiscard]] std::vector<CrashSuspect> takeConvicted(TimePoint now);
     /// The convicted suspects that too few crashes speak against any more; they do not count as convicted from then on.
     [[nodiscard]] std::vector<CrashSuspect> takeAcquitted();
     /// When takeConvicted() may next have a result without further records; nothing if never.
-    [[nodiscard]] std::optional<TimePoint> nextDecisionAt(TimePoint now) const;
+    [[nodiscard]] std::optional<TimePoint> nextDecisionAt(TimePoint now);
     /// How many suspects of crashes were visited since the construction to find whom the crashes speak against: what
     /// evaluations cost.
     [[nodiscard]] std::uint64_t visits() const;
@@ -156,9 +168,11 @@
 
     Crash &crashOf(const ServerIdentity &server, TimePoint now);
     void addSuspects(Crash &crash, const std::map<CrashSuspect, TimePoint> &sentTimes,
-                     const std::set<CrashSuspect> &sentAgain) const;
+                     const std::set<CrashSuspect> &sentAgain);
     void countEndedServers(TimePoint now);
-    void dropOldCrashes(TimePoint now);
+    void dropOldEvidence(TimePoint now);
+    /// Drops the crashes that are too many.
+    void limitCrashes();
     [[nodiscard]] bool hasExpired(const Crash &crash, TimePoint now) const;
     /// When the server has crashed, as far as is known.
     [[nodiscard]] TimePoint timeOf(const Crash &crash) const;
@@ -168,7 +182,9 @@
     /// Whether the crash counts against suspects of the kind: neither a convicted suspect nor, for a kind of requests
     /// that are not equal, one that stands for fewer requests explains it.
     [[nodiscard]] bool countsAgainst(SuspectKind kind, const Crash &crash, const Suspicions &all) const;
-    [[nodiscard]] Suspicions suspicions(TimePoint now) const;
+    /// What the crashes say of each suspect. Computed again only after the evidence has changed.
+    [[nodiscard]] const Suspicions &suspicions(TimePoint now);
+    [[nodiscard]] Suspicions findSuspicions(TimePoint now);
     /// The suspects of the kind to convict next: those that explain the most crashes, if they may be convicted
     /// together.
     [[nodiscard]] std::vector<CrashSuspect> strongest(const Suspicions &all, SuspectKind kind) const;
@@ -176,8 +192,9 @@
 
     Options m_options;
     TimePoint m_decisionsBeginAt;
-    /// Oldest report first.
-    std::deque<Crash> m_crashes;
+    std::map<ServerIdentity, Crash> m_crashes;
+    /// Number of suspects in all crashes.
+    std::size_t m_suspectCount = 0;
     /// When the suspects were last answered.
     std::map<CrashSuspect, TimePoint> m_answeredAt;
     std::set<CrashSuspect> m_convicted;
@@ -185,8 +202,15 @@
     std::set<CrashSuspect> m_unrecorded;
     std::set<CrashSuspect> m_onProbation;
     std::set<CrashSuspect> m_acquitted;
+    /// The result of the last evaluation and until when it holds; absent if the evidence has changed since.
+    std::optional<Suspicions> m_suspicions;
+    TimePoint m_suspicionsHoldUntil;
+    /// When the evidence was last evaluated, and visits() before that.
+    TimePoint m_evaluatedAt;
+    std::uint64_t m_visitsBefore = 0;
+    TimePoint m_evidenceCheckedAt;
     /// See visits().
-    mutable std::uint64_t m_visits = 0;
+    std::uint64_t m_visits = 0;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -149,14 +149,17 @@
     /// The weight of this entry's requests in progress, for each server that has any.
     [[nodiscard]] std::vector<std::pair<TargetId, double>> inFlight() const;
     [[nodiscard]] std::vector<OfferedServer> offered() const;
-    /// Whether this start of a server has ended as far as this entry can tell: the directory has another start of it or
-    /// none at all, or it is avoided after at least two broken or missing answers in a row. Does not hold for one that
-    /// is leaving.
+    /// Whether the directory has another start of the server or none at all. Does not hold for one that is leaving.
+    [[nodiscard]] bool isGone(const ServerIdentity &server) const;
+    /// Whether this start of a server has ended as far as this entry can tell: it is gone, or it is avoided after at
+    /// least two broken or missing answers in a row. Does not hold for one that is leaving.
     [[nodiscard]] bool seemsEnded(const ServerIdentity &server, TimePoint now) const;
     /// Servers that are avoided at present after at least two broken or missing answers in a row.
     [[nodiscard]] std::vector<TargetId> unreachable(TimePoint now) const;
 
 private:
+    [[nodiscard]] bool hasStatedLeaving(const ServerIdentity &server) const;
+
     /// An adapter that a server holds or loads.
     struct Holding
     {
--- a/include/tamarackcove/Fleet/ServerRegistry.h
+++ b/include/tamarackcove/Fleet/ServerRegistry.h
@@ -60,6 +60,8 @@
     /// start has replaced it, or they have stopped. Does not hold for a start that has never been in the registry,
     /// unless a later one is at the address, nor for one that drains.
     [[nodiscard]] bool seemsEnded(const ServerIdentity &server, const Endpoint &endpoint, TimePoint now) const;
+    /// The servers whose heartbeats have stopped for longer than Options::maxHeartbeatGap, but for those that drain.
+    [[nodiscard]] std::set<TargetId> silentServers(TimePoint now) const;
     /// Applies a departure that is in the replicated state. `gone` says that the server has ended; otherwise it drains.
     void applyDeparture(const ServerIdentity &server, bool gone);
     /// Removes the servers whose Server::lastHeard is longer ago than Options::heartbeatTimeout.
--- a/include/tamarackcove/Gateway/CrashSuspectWatch.h
+++ b/include/tamarackcove/Gateway/CrashSuspectWatch.h
@@ -42,6 +42,10 @@
     /// which needs the reports of the entries first.
     static constexpr seconds OwnQuarantineTime{300};
     static constexpr seconds LeaderDecisionTime{2};
+    /// Shortest time between two reports that a suspect was answered.
+    static constexpr milliseconds AnswerInterval{200};
+    /// No limit on the items of a report.
+    static constexpr std::size_t Unlimited = SIZE_MAX;
 
     /// Replaces the lists of the leader.
     void setLists(const std::vector<std::string> &watched, const std::vector<std::string> &quarantined, TimePoint now);
@@ -63,15 +67,25 @@
     /// before a request is checked with findQuarantined().
     void decideWithoutLeader(bool leaderConnected, TimePoint now);
 
+    /// Sets the servers whose heartbeats have stopped, as far as the leader knows.
+    void setSilentServers(const std::vector<std::string> &silent);
+    /// Makes the servers that have fallen silent and that have ended part of the next reports. Called when the known
+    /// servers have changed.
+    void noteEndedServers();
     /// Adds the crashes to a report that have changed after `since`, a result of an earlier call, or all for 0. Returns
-    /// the time of the newest change, as a number for the next call.
-    std::uint64_t addCrashes(FleetReportMessage &report, std::uint64_t since, TimePoint now);
+    /// the time of the newest change, as a number for the next call. Servers that have fallen silent are added once
+    /// they have ended. Crashes and suspects are passed over, the oldest first, if there are more than `maxItems`; what
+    /// was in one request stays together, and may exceed that number.
+    std::uint64_t addCrashes(FleetReportMessage &report, std::uint64_t since, TimePoint now,
+                             std::size_t maxItems = Unlimited);
     /// Moves the answered suspects that are to be reported to the leader into a report; with `toNewLeader`, of all
-    /// crashes.
-    void addAnswered(FleetReportMessage &report, bool toNewLeader, TimePoint now);
+    /// crashes. If there are more than `maxItems`, the others remain for the next reports.
+    void addAnswered(FleetReportMessage &report, bool toNewLeader, TimePoint now, std::size_t maxItems = Unlimited);
 
     /// Called when a report should be sent soon.
     std::function<void()> onNews;
+    /// Whether this start of a server has been removed or replaced, as far as the leader has said.
+    std::function<bool(const ServerIdentity &)> isGone;
     /// Whether a server that has fallen silent has ended, as far as this entry can tell.
     std::function<bool(const ServerIdentity &, const Endpoint &, TimePoint now)> hasEnded;
 
@@ -94,11 +108,15 @@
         TimePoint recordedAt;
         std::map<CrashSuspect, Sent> suspects;
         std::uint64_t change = 0;
+        /// Whether a server that has only fallen silent has ended.
+        bool ended = false;
     };
 
     Crash &crashOf(const ServerIdentity &server, TimePoint now);
     void addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects, TimePoint sentAt, bool again,
                      TimePoint now);
+    /// Makes all that is known of a crash part of the next reports.
+    void renew(Crash &crash);
     [[nodiscard]] std::optional<TimePoint> lastHeard(const ServerIdentity &server) const;
     [[nodiscard]] bool answeredLately(const CrashSuspect &suspect, TimePoint now) const;
     /// What the crashes of this entry convict.
@@ -120,8 +138,13 @@
     std::deque<Crash> m_crashes;
     /// Number of changes of the crashes.
     std::uint64_t m_changes = 0;
-    /// The answered suspects of the next report.
+    /// The answered suspects of the next report, and the last one of the report before.
     std::set<CrashSuspect> m_answered;
+    CrashSuspect m_lastAnswered;
+    /// When it was last noted that a watched suspect was answered.
+    std::map<CrashSuspect, TimePoint> m_answerNotedAt;
+    /// The servers whose heartbeats have stopped.
+    std::set<TargetId> m_silentServers;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -145,10 +145,14 @@
     std::vector<std::string> watchedParts;
     /// Parts of prompts, and requests, that crash servers. The entry refuses them.
     std::vector<std::string> quarantinedParts;
+    /// Whether the list that follows replaces that of the entry.
+    bool listsSilentServers = false;
+    /// Servers whose heartbeats have stopped. The entry reports the requests that they have left without an answer.
+    std::vector<std::string> silentServers;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, configurationVersion, document, versions, servers, removed,
                                    relisted, holdings, complete, all, loads, listsPromptParts, watchedParts,
-                                   quarantinedParts)
+                                   quarantinedParts, listsSilentServers, silentServers)
 
 /// Requests that wait for an adapter.
 struct DemandMessage
@@ -224,7 +228,8 @@
     fromArray(json, message.suspect, message.agoMs, message.again);
 }
 
-/// A start of a server that has broken off requests before it began to answer them, or has not answered them.
+/// A start of a server that has broken off requests before it began to answer them, or that has not answered them and
+/// has ended.
 struct CrashMessage
 {
     std::string server;
@@ -260,8 +265,8 @@
     std::string zone;
     std::uint64_t configurationVersion = 0;
     /// Crashes that requests of the entry have met since its previous report to this control host; in its first report
-    /// on a connection or to a new leader, all that still count. Hosts that do not lead get them too, so that they are
-    /// known to the next leader if the entry ends with this one.
+    /// on a connection or to a new leader, all that still count; the newest within what the entry may tell. Hosts that
+    /// do not lead get them too, so that they are known to the next leader if the entry ends with this one.
     std::vector<CrashMessage> crashes;
     /// The suspects that the leader watches or that are in `crashes`, and that servers have answered lately.
     std::vector<SuspectMessage> answeredSuspects;
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -173,6 +173,7 @@
         && (std::holds_alternative<QuarantineSuspect>(*command) || std::holds_alternative<ReleaseSuspect>(*command))) {
         readVerdicts();
         publishSuspects();
+        evaluateCrashesSoon();
         return;
     }
     if (const auto *departure = command == nullptr ? nullptr : std::get_if<NoteDeparture>(command)) {
@@ -275,6 +276,9 @@
         co_await timer.async_wait(asio::use_awaitable);
         registry.expire(Clock::now());
         publishServers();
+        if (leading && feed.setSilentServers(registry.silentServers(Clock::now()))) {
+            links.scheduleStateUpdate();
+        }
         releaseSuspects();
     }
 }
--- a/lib/Control/Fleet/FleetNodeCrashes.cpp
+++ b/lib/Control/Fleet/FleetNodeCrashes.cpp
@@ -12,9 +12,6 @@
 
 namespace tamarackcove {
 
-/// Shortest time between two evaluations of the crashes. It bounds the CPU time of the leader however many entries
-/// report the same crash.
-static constexpr milliseconds AttributionInterval{20};
 /// Time after which the crashes are evaluated again if the log has not accepted a verdict.
 static constexpr milliseconds VerdictRetryDelay{100};
 
@@ -38,6 +35,7 @@
             }
         }
         const ServerIdentity server{.id = TargetId(crash.server), .startedAt = Incarnation(crash.startedAt)};
+        const bool isNew = !crashes.hasEvidence(server);
         if (crash.silent) {
             CrashAttribution::Silence silence;
             silence.endpoint = Endpoint::parse(crash.endpoint).value_or(Endpoint{});
@@ -52,13 +50,16 @@
         if (crash.closed) {
             crashes.recordCrash(server, now - milliseconds(crash.agoMs), sentTimes, now, sentAgain);
         }
-        LogLine(LogLevel::Info, "server_crash_reported")
-            .add("server", crash.server)
-            .add("started_at", crash.startedAt)
-            .add("how", crash.closed ? "closed" : "silent")
-            .add("ago_ms", crash.closed ? crash.agoMs : crash.firstSentAgoMs)
-            .add("parts", static_cast<std::uint64_t>(crash.suspects.size()))
-            .add("entry", report.entry);
+        // One line for each server, however many entries report it.
+        if (isNew) {
+            LogLine(LogLevel::Info, "server_crash_reported")
+                .add("server", crash.server)
+                .add("started_at", crash.startedAt)
+                .add("how", crash.closed ? "closed" : "silent")
+                .add("ago_ms", crash.closed ? crash.agoMs : crash.firstSentAgoMs)
+                .add("parts", static_cast<std::uint64_t>(crash.suspects.size()))
+                .add("entry", report.entry);
+        }
     }
     evaluateCrashesSoon();
 }
@@ -66,7 +67,9 @@
 void FleetNode::Impl::evaluateCrashesSoon()
 {
     crashesReported = true;
-    crashTimer.cancel();
+    if (leading) {
+        crashTimer.cancel();
+    }
 }
 
 static std::set<CrashSuspect> suspectsOf(const FleetState::SuspectTimes &times)
@@ -101,17 +104,20 @@
                         });
 }
 
-void FleetNode::Impl::publishSuspects()
+void FleetNode::Impl::decideOnCrashes()
 {
-    if (leading) {
-        for (const auto &suspect : crashes.takeConvicted(Clock::now())) {
-            LogLine(LogLevel::Warning, isRequest(suspect) ? "crashing_request_convicted" : "prompt_part_convicted")
-                .add("part", suspect.value());
-            proposeVerdict(QuarantineSuspect{.suspect = suspect});
-        }
+    for (const auto &suspect : crashes.takeConvicted(Clock::now())) {
+        LogLine(LogLevel::Warning, isRequest(suspect) ? "crashing_request_convicted" : "prompt_part_convicted")
+            .add("part", suspect.value());
+        proposeVerdict(QuarantineSuspect{.suspect = suspect});
     }
-    const auto quarantined = suspectsOf(log.state().quarantinedSuspects());
-    if (feed.setSuspects(crashes.watched(Clock::now()), quarantined) && leading) {
+    watchedSuspects = crashes.watched(Clock::now());
+    publishSuspects();
+}
+
+void FleetNode::Impl::publishSuspects()
+{
+    if (feed.setSuspects(watchedSuspects, suspectsOf(log.state().quarantinedSuspects())) && leading) {
         links.scheduleStateUpdate();
     }
 }
@@ -148,21 +154,24 @@
 
 asio::awaitable<void> FleetNode::Impl::attributeCrashes()
 {
-    TimePoint evaluatedAt;
     std::optional<TimePoint> decisionAt;
     for (;;) {
-        const auto dueAt = crashesReported ? evaluatedAt : decisionAt.value_or(TimePoint::max());
-        crashTimer.expires_at(std::max(dueAt, evaluatedAt + AttributionInterval));
+        const bool isDue = leading && crashesReported;
+        const auto dueAt = isDue ? TimePoint() : decisionAt.value_or(TimePoint::max());
+        crashTimer.expires_at(std::max(dueAt, crashes.nextEvaluationAt()));
         boost::system::error_code ignored;
         co_await crashTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         const auto now = Clock::now();
-        if (now < evaluatedAt + AttributionInterval || (!crashesReported && (!decisionAt || now < *decisionAt))) {
+        if (!leading) {
+            decisionAt.reset();
+            continue;
+        }
+        if (now < crashes.nextEvaluationAt() || (!crashesReported && (!decisionAt || now < *decisionAt))) {
             continue;
         }
-        evaluatedAt = now;
         crashesReported = false;
-        publishSuspects();
-        decisionAt = leading ? crashes.nextDecisionAt(now) : std::nullopt;
+        decideOnCrashes();
+        decisionAt = crashes.nextDecisionAt(now);
     }
 }
 
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -75,13 +75,15 @@
     void noteLeaving(const ServerIdentity &identity, std::string_view reportedBy);
     /// Passes the crashes and the answered suspects of a report on to the attribution of crashes.
     void applyCrashes(const FleetReportMessage &report);
-    /// Has the task attributeCrashes() evaluate the crashes.
+    /// Has the task attributeCrashes() evaluate the crashes, if this host leads.
     void evaluateCrashesSoon();
     /// Passes the verdicts of the replicated state on to the attribution of crashes.
     void readVerdicts();
     /// Proposes a command about a suspect. If the log does not accept it, the crashes are evaluated again.
     void proposeVerdict(const FleetCommand &command);
-    /// Quarantines the suspects that are convicted, and tells entries which ones are watched.
+    /// Proposes the verdicts on the suspects that are convicted now, and tells entries which ones are watched.
+    void decideOnCrashes();
+    /// Tells entries which suspects are watched and which are in quarantine.
     void publishSuspects();
     /// How long the suspect stays in quarantine after a verdict.
     [[nodiscard]] milliseconds quarantineTimeOf(const CrashSuspect &suspect) const;
@@ -115,6 +117,8 @@
     CrashAttribution crashes;
     /// The acquitted suspects that are still in quarantine by the replicated state.
     std::set<CrashSuspect> acquittedSuspects;
+    /// The suspects whose answers entries report.
+    std::set<CrashSuspect> watchedSuspects;
     Timer crashTimer;
     /// Whether entries have reported crashes or answered suspects since the last evaluation, or another one is due for
     /// another reason.
--- a/lib/Control/Fleet/FleetNodeLeadership.cpp
+++ b/lib/Control/Fleet/FleetNodeLeadership.cpp
@@ -63,6 +63,7 @@
     planner.reset();
     demands.clear();
     acquittedSuspects.clear();
+    watchedSuspects.clear();
     registry.clear();
     links.resendEverything();
 }
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -104,6 +104,24 @@
     }
 }
 
+bool UpdateFeed::setSilentServers(std::set<TargetId> silent)
+{
+    if (silent == m_silentServers) {
+        return false;
+    }
+    m_silentServers = std::move(silent);
+    m_silentServersPending = true;
+    return true;
+}
+
+void UpdateFeed::addSilentServers(FleetUpdateMessage &update) const
+{
+    update.listsSilentServers = true;
+    for (const auto &server : m_silentServers) {
+        update.silentServers.push_back(server.value());
+    }
+}
+
 static HoldingMessage toHoldingMessage(const AdapterPlanner::HoldingChange &change)
 {
     return {.server = change.server.value(),
@@ -192,9 +210,12 @@
     if (m_suspectsPending) {
         addSuspects(update);
     }
-    const bool empty = !update.listsPromptParts && update.document.empty() && update.versions.empty()
-        && update.removed.empty() && update.servers.empty() && update.holdings.empty() && update.loads.empty()
-        && !update.complete;
+    if (m_silentServersPending) {
+        addSilentServers(update);
+    }
+    const bool empty = !update.listsPromptParts && !update.listsSilentServers && update.document.empty()
+        && update.versions.empty() && update.removed.empty() && update.servers.empty() && update.holdings.empty()
+        && update.loads.empty() && !update.complete;
     m_publishedConfigurationVersion = m_state.configurationVersion();
     m_publishedRevision = m_state.revision();
     m_completeListPublished = m_serversComplete;
@@ -202,6 +223,7 @@
     m_pendingHoldings.clear();
     m_pendingLoads.clear();
     m_suspectsPending = false;
+    m_silentServersPending = false;
     if (empty) {
         return false;
     }
@@ -236,6 +258,7 @@
     };
     addState(update, 0, Revision());
     addSuspects(update);
+    addSilentServers(update);
     addFrame();
     for (const auto &[id, server] : m_registry.servers()) {
         update.servers.push_back(toServerMessage(server));
--- a/lib/Fleet/CrashAttribution.cpp
+++ b/lib/Fleet/CrashAttribution.cpp
@@ -7,6 +7,9 @@
 
 namespace tamarackcove {
 
+/// Interval at which old evidence is dropped.
+static constexpr seconds EvidenceCheckInterval{1};
+
 /// The order in which suspects are convicted: those that stand for equal requests go before those that do not.
 static constexpr std::array Kinds{SuspectKind::Part, SuspectKind::Request, SuspectKind::RequestBody,
                                   SuspectKind::RequestPath};
@@ -27,40 +30,56 @@
     return std::min(timeOf(crash), crash.reportedAt) + m_options.crashLifetime < now;
 }
 
-void CrashAttribution::dropOldCrashes(TimePoint now)
+void CrashAttribution::dropOldEvidence(TimePoint now)
 {
-    std::erase_if(m_crashes, [&](const Crash &crash) { return hasExpired(crash, now); });
-    std::size_t suspects = 0;
-    for (const auto &crash : m_crashes) {
-        suspects += crash.sentTimes.size();
+    if (now < m_evidenceCheckedAt + EvidenceCheckInterval) {
+        return;
     }
-    while (m_crashes.size() > m_options.maxCrashes || (suspects > m_options.maxSuspects && m_crashes.size() > 1)) {
+    m_evidenceCheckedAt = now;
+    std::erase_if(m_crashes, [&](const auto &item) {
+        const bool expired = hasExpired(item.second, now);
+        m_suspectCount -= expired ? item.second.sentTimes.size() : 0;
+        return expired;
+    });
+    const auto lifetime
+        = m_answeredAt.size() > m_options.maxAnswers ? m_options.crashLifetime / 2 : m_options.crashLifetime;
+    std::erase_if(m_answeredAt, [&](const auto &item) { return item.second + lifetime < now; });
+}
+
+void CrashAttribution::limitCrashes()
+{
+    while (m_crashes.size() > m_options.maxCrashes
+           || (m_suspectCount > m_options.maxSuspects && m_crashes.size() > 1)) {
         // Silence is the weaker evidence, and under overload there is much of it.
-        auto dropped
-            = std::find_if(m_crashes.begin(), m_crashes.end(), [](const Crash &crash) { return !crash.countsSince; });
-        if (dropped == m_crashes.end()) {
-            dropped = m_crashes.begin();
-        }
-        suspects -= dropped->sentTimes.size();
+        const auto dropped = std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto &a, const auto &b) {
+            return std::tuple(a.second.countsSince.has_value(), a.second.reportedAt)
+                < std::tuple(b.second.countsSince.has_value(), b.second.reportedAt);
+        });
+        m_suspectCount -= dropped->second.sentTimes.size();
         m_crashes.erase(dropped);
     }
-    std::erase_if(m_answeredAt, [&](const auto &item) { return item.second + m_options.crashLifetime < now; });
 }
 
 CrashAttribution::Crash &CrashAttribution::crashOf(const ServerIdentity &server, TimePoint now)
 {
-    const auto known
-        = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash &item) { return item.server == server; });
-    if (known != m_crashes.end()) {
-        return *known;
+    m_suspicions.reset();
+    const auto [known, isNew] = m_crashes.try_emplace(server);
+    if (isNew) {
+        known->second.server = server;
+        known->second.reportedAt = now;
     }
-    m_crashes.push_back({.server = server, .reportedAt = now});
-    return m_crashes.back();
+    return known->second;
+}
+
+bool CrashAttribution::hasEvidence(const ServerIdentity &server) const
+{
+    return m_crashes.contains(server);
 }
 
 void CrashAttribution::addSuspects(Crash &crash, const std::map<CrashSuspect, TimePoint> &sentTimes,
-                                   const std::set<CrashSuspect> &sentAgain) const
+                                   const std::set<CrashSuspect> &sentAgain)
 {
+    const auto before = crash.sentTimes.size();
     for (const auto &[suspect, sentAt] : sentTimes) {
         const bool again = sentAgain.contains(suspect);
         const auto known = crash.sentTimes.find(suspect);
@@ -76,6 +95,7 @@
             }
         }
     }
+    m_suspectCount += crash.sentTimes.size() - before;
 }
 
 void CrashAttribution::recordCrash(const ServerIdentity &server, TimePoint crashedAt,
@@ -86,7 +106,7 @@
     crash.closedAt = std::min(crash.closedAt.value_or(crashedAt), crashedAt);
     crash.countsSince = std::max(*crash.closedAt, m_decisionsBeginAt);
     addSuspects(crash, sentTimes, sentAgain);
-    dropOldCrashes(now);
+    limitCrashes();
 }
 
 void CrashAttribution::recordSilence(const ServerIdentity &server, const Silence &silence, TimePoint now)
@@ -103,15 +123,15 @@
                                 .sentAgain = {}};
     }
     addSuspects(crash, silence.sentTimes, silence.sentAgain);
-    dropOldCrashes(now);
+    limitCrashes();
 }
 
 void CrashAttribution::countEndedServers(TimePoint now)
 {
-    for (auto &crash : m_crashes) {
-        if (!crash.countsSince && m_options.hasEnded
-            && m_options.hasEnded(crash.server, crash.silence->endpoint, now)) {
+    for (auto &[server, crash] : m_crashes) {
+        if (!crash.countsSince && m_options.hasEnded && m_options.hasEnded(server, crash.silence->endpoint, now)) {
             crash.countsSince = now;
+            m_suspicions.reset();
         }
     }
 }
@@ -134,23 +154,33 @@
 void CrashAttribution::recordAnswered(const CrashSuspect &suspect, TimePoint at)
 {
     auto &answeredAt = m_answeredAt[suspect];
-    answeredAt = std::max(answeredAt, at);
+    if (answeredAt >= at) {
+        return;
+    }
+    answeredAt = at;
+    if (m_suspicions && m_suspicions->contains(suspect)) {
+        m_suspicions.reset();
+    }
 }
 
 void CrashAttribution::recordAlive(const ServerIdentity &server, TimePoint now)
 {
-    const auto crash
-        = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash &item) { return item.server == server; });
-    if (crash == m_crashes.end() || now < timeOf(*crash) + m_options.heartbeatDelay) {
+    const auto crash = m_crashes.find(server);
+    if (crash == m_crashes.end() || now < timeOf(crash->second) + m_options.heartbeatDelay) {
         return;
     }
-    const auto suspects = std::move(crash->sentTimes);
+    m_suspicions.reset();
+    const auto suspects = std::move(crash->second.sentTimes);
+    m_suspectCount -= suspects.size();
     m_crashes.erase(crash);
     for (const auto &[suspect, sentAt] : suspects) {
-        const auto remaining = std::count_if(m_crashes.begin(), m_crashes.end(), [id = suspect](const Crash &item) {
-            return item.countsSince && item.sentTimes.contains(id);
+        if (!m_convicted.contains(suspect)) {
+            continue;
+        }
+        const auto remaining = std::count_if(m_crashes.begin(), m_crashes.end(), [id = suspect](const auto &item) {
+            return item.second.countsSince && item.second.sentTimes.contains(id);
         });
-        if (m_convicted.contains(suspect) && static_cast<std::size_t>(remaining) < requiredCrashes(suspect)) {
+        if (static_cast<std::size_t>(remaining) < requiredCrashes(suspect)) {
             m_convicted.erase(suspect);
             m_unrecorded.erase(suspect);
             m_acquitted.insert(suspect);
@@ -165,10 +195,11 @@
             continue;
         }
         // The crashes before the release have led to the quarantine that has ended.
-        for (auto &crash : m_crashes) {
-            crash.sentTimes.erase(suspect);
+        for (auto &[server, crash] : m_crashes) {
+            m_suspectCount -= crash.sentTimes.erase(suspect);
         }
     }
+    m_suspicions.reset();
     std::erase_if(m_unrecorded, [&](const CrashSuspect &suspect) { return convicted.contains(suspect); });
     m_convicted = std::move(convicted);
     m_convicted.insert(m_unrecorded.begin(), m_unrecorded.end());
@@ -185,7 +216,8 @@
 void CrashAttribution::beginDecisions(TimePoint at)
 {
     m_decisionsBeginAt = at;
-    for (auto &crash : m_crashes) {
+    m_suspicions.reset();
+    for (auto &[server, crash] : m_crashes) {
         if (crash.countsSince) {
             crash.countsSince = std::max(*crash.countsSince, at);
         }
@@ -222,12 +254,23 @@
                         [&](const auto &item) { return explains(item.first); });
 }
 
-CrashAttribution::Suspicions CrashAttribution::suspicions(TimePoint now) const
+const CrashAttribution::Suspicions &CrashAttribution::suspicions(TimePoint now)
+{
+    if (!m_suspicions || now > m_suspicionsHoldUntil) {
+        m_suspicions = findSuspicions(now);
+    }
+    return *m_suspicions;
+}
+
+CrashAttribution::Suspicions CrashAttribution::findSuspicions(TimePoint now)
 {
+    m_suspicionsHoldUntil = TimePoint::max();
     std::vector<const Crash *> counted;
-    for (const auto &crash : m_crashes) {
+    for (const auto &[server, crash] : m_crashes) {
         if (crash.countsSince && !hasExpired(crash, now)) {
             counted.push_back(&crash);
+            m_suspicionsHoldUntil
+                = std::min(m_suspicionsHoldUntil, std::min(timeOf(crash), crash.reportedAt) + m_options.crashLifetime);
         }
     }
     std::stable_sort(counted.begin(), counted.end(),
@@ -312,24 +355,42 @@
     return best;
 }
 
-std::set<CrashSuspect> CrashAttribution::watched(TimePoint now) const
+TimePoint CrashAttribution::nextEvaluationAt() const
 {
-    std::set<CrashSuspect> suspects;
+    const auto visits = static_cast<std::int64_t>(m_visits - m_visitsBefore);
+    const auto pause
+        = std::chrono::microseconds(seconds(1)) * visits / static_cast<std::int64_t>(m_options.maxVisitsPerSecond);
+    return m_evaluatedAt + std::max<Duration>(pause, m_options.evaluationInterval);
+}
+
+std::set<CrashSuspect> CrashAttribution::watched(TimePoint now)
+{
+    std::vector<std::pair<std::size_t, const CrashSuspect *>> suspected;
     for (const auto &[suspect, suspicion] : suspicions(now)) {
         if (suspicion.crashes >= 2) {
-            suspects.insert(suspect);
+            suspected.emplace_back(suspicion.crashes, &suspect);
         }
     }
+    const auto count = std::min(suspected.size(), m_options.maxWatched);
+    std::partial_sort(suspected.begin(), suspected.begin() + static_cast<std::ptrdiff_t>(count), suspected.end(),
+                      [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::set<CrashSuspect> suspects;
+    for (std::size_t i = 0; i < count; ++i) {
+        suspects.insert(*suspected[i].second);
+    }
     return suspects;
 }
 
 std::vector<CrashSuspect> CrashAttribution::takeConvicted(TimePoint now)
 {
+    m_evaluatedAt = now;
+    m_visitsBefore = m_visits;
     std::vector<CrashSuspect> convicted;
+    dropOldEvidence(now);
     countEndedServers(now);
-    auto all = suspicions(now);
     for (const auto kind : Kinds) {
         for (;;) {
+            const auto &all = suspicions(now);
             const auto suspects = strongest(all, kind);
             if (suspects.empty() || std::any_of(suspects.begin(), suspects.end(), [&](const auto &suspect) {
                     return dueAt(all.at(suspect)) > now;
@@ -339,7 +400,7 @@
             m_convicted.insert(suspects.begin(), suspects.end());
             m_unrecorded.insert(suspects.begin(), suspects.end());
             convicted.insert(convicted.end(), suspects.begin(), suspects.end());
-            all = suspicions(now);
+            m_suspicions.reset();
         }
     }
     return convicted;
@@ -351,9 +412,9 @@
     return {acquitted.begin(), acquitted.end()};
 }
 
-std::optional<TimePoint> CrashAttribution::nextDecisionAt(TimePoint now) const
+std::optional<TimePoint> CrashAttribution::nextDecisionAt(TimePoint now)
 {
-    const auto all = suspicions(now);
+    const auto &all = suspicions(now);
     std::optional<TimePoint> next;
     for (const auto kind : Kinds) {
         std::optional<TimePoint> due;
@@ -364,8 +425,8 @@
             next = std::min(next.value_or(*due), *due);
         }
     }
-    const bool awaitsEnd = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash &crash) {
-        return !crash.countsSince && !hasExpired(crash, now);
+    const bool awaitsEnd = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &item) {
+        return !item.second.countsSince && !hasExpired(item.second, now);
     });
     if (awaitsEnd) {
         const auto checkAt = now + m_options.silenceCheckInterval;
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -163,10 +163,24 @@
     return server.consecutiveFailures >= MinConsecutiveFailures && server.avoidUntil > now;
 }
 
-bool ServerDirectory::seemsEnded(const ServerIdentity &server, TimePoint now) const
+bool ServerDirectory::hasStatedLeaving(const ServerIdentity &server) const
 {
     const auto stated = m_statements.find(server);
-    if (stated != m_statements.end() && stated->second.leaving) {
+    return stated != m_statements.end() && stated->second.leaving;
+}
+
+bool ServerDirectory::isGone(const ServerIdentity &server) const
+{
+    if (hasStatedLeaving(server)) {
+        return false;
+    }
+    const auto found = m_servers.find(server.id);
+    return found == m_servers.end() || found->second.offered.identity != server;
+}
+
+bool ServerDirectory::seemsEnded(const ServerIdentity &server, TimePoint now) const
+{
+    if (hasStatedLeaving(server)) {
         return false;
     }
     const auto found = m_servers.find(server.id);
--- a/lib/Fleet/ServerRegistry.cpp
+++ b/lib/Fleet/ServerRegistry.cpp
@@ -101,6 +101,17 @@
     return newest != m_newestStartByAddress.end() && newest->second.startedAt >= server.startedAt;
 }
 
+std::set<TargetId> ServerRegistry::silentServers(TimePoint now) const
+{
+    std::set<TargetId> silent;
+    for (const auto &[id, server] : m_servers) {
+        if (!server.draining && server.lastHeard + m_options.maxHeartbeatGap < now) {
+            silent.insert(id);
+        }
+    }
+    return silent;
+}
+
 void ServerRegistry::applyDeparture(const ServerIdentity &server, bool gone)
 {
     auto &hasEnded = m_departures[server];
--- a/lib/Gateway/CrashSuspectWatch.cpp
+++ b/lib/Gateway/CrashSuspectWatch.cpp
@@ -38,6 +38,7 @@
         }
     }
     m_watched = std::move(newlyWatched);
+    std::erase_if(m_answerNotedAt, [this](const auto &item) { return !m_watched.contains(item.first); });
     auto newlyQuarantined = toSuspects(quarantined);
     for (const auto &suspect : newlyQuarantined) {
         if (!m_quarantined.contains(suspect)) {
@@ -132,8 +133,12 @@
                                     TimePoint sentAt, TimePoint now, bool again)
 {
     auto &crash = crashOf(server, now);
+    const bool wasReported = crash.closedAt || crash.ended;
     crash.closedAt = crash.closedAt.value_or(now);
     addSuspects(crash, suspects, sentAt, again, now);
+    if (!wasReported) {
+        renew(crash);
+    }
     if (onNews) {
         onNews();
     }
@@ -159,7 +164,12 @@
     bool news = false;
     for (const auto &suspect : suspects) {
         m_answeredAt[suspect] = now;
-        if (m_watched.contains(suspect)) {
+        if (!m_watched.contains(suspect)) {
+            continue;
+        }
+        auto &notedAt = m_answerNotedAt[suspect];
+        if (notedAt + AnswerInterval <= now) {
+            notedAt = now;
             news = m_answered.insert(suspect).second || news;
         }
     }
@@ -227,11 +237,71 @@
     }
 }
 
-std::uint64_t CrashSuspectWatch::addCrashes(FleetReportMessage &report, std::uint64_t since, TimePoint now)
+void CrashSuspectWatch::renew(Crash &crash)
+{
+    crash.change = ++m_changes;
+    for (auto &[suspect, sent] : crash.suspects) {
+        sent.change = crash.change;
+    }
+}
+
+void CrashSuspectWatch::setSilentServers(const std::vector<std::string> &silent)
+{
+    m_silentServers.clear();
+    for (const auto &server : silent) {
+        m_silentServers.emplace(server);
+    }
+    noteEndedServers();
+}
+
+void CrashSuspectWatch::noteEndedServers()
+{
+    bool news = false;
+    for (auto &crash : m_crashes) {
+        if (crash.closedAt || crash.ended
+            || !(m_silentServers.contains(crash.server.id) || (isGone && isGone(crash.server)))) {
+            continue;
+        }
+        crash.ended = true;
+        renew(crash);
+        news = true;
+    }
+    if (news && onNews) {
+        onNews();
+    }
+}
+
+std::uint64_t CrashSuspectWatch::addCrashes(FleetReportMessage &report, std::uint64_t since, TimePoint now,
+                                            std::size_t maxItems)
 {
     forgetOldEvidence(now);
+    const auto isReported = [&](const Crash &crash) {
+        return crash.change > since && (crash.closedAt || crash.ended);
+    };
+    // How much each change adds: the changes are those of one request, or of one server that has ended.
+    std::map<std::uint64_t, std::size_t, std::greater<>> itemsOfChange;
     for (const auto &crash : m_crashes) {
-        if (crash.change <= since) {
+        if (!isReported(crash)) {
+            continue;
+        }
+        ++itemsOfChange[crash.change];
+        for (const auto &[suspect, sent] : crash.suspects) {
+            if (sent.change > since) {
+                ++itemsOfChange[sent.change];
+            }
+        }
+    }
+    std::uint64_t oldest = since + 1;
+    std::size_t items = 0;
+    for (const auto &[change, count] : itemsOfChange) {
+        if (items >= maxItems) {
+            break;
+        }
+        items += count;
+        oldest = change;
+    }
+    for (const auto &crash : m_crashes) {
+        if (!isReported(crash) || crash.change < oldest) {
             continue;
         }
         CrashMessage message;
@@ -250,7 +320,7 @@
             }
         }
         for (const auto &[suspect, sent] : crash.suspects) {
-            if (sent.change > since) {
+            if (sent.change >= oldest) {
                 message.suspects.push_back(
                     {.suspect = suspect.value(), .agoMs = ageMs(sent.at, now), .again = sent.again});
             }
@@ -260,7 +330,7 @@
     return m_changes;
 }
 
-void CrashSuspectWatch::addAnswered(FleetReportMessage &report, bool toNewLeader, TimePoint now)
+void CrashSuspectWatch::addAnswered(FleetReportMessage &report, bool toNewLeader, TimePoint now, std::size_t maxItems)
 {
     if (toNewLeader) {
         for (const auto &crash : m_crashes) {
@@ -271,9 +341,17 @@
             }
         }
     }
-    for (const auto &suspect : std::exchange(m_answered, {})) {
-        if (const auto answered = m_answeredAt.find(suspect); answered != m_answeredAt.end()) {
-            report.answeredSuspects.push_back({.suspect = suspect.value(), .agoMs = ageMs(answered->second, now)});
+    // Goes on after the last one reported, so that suspects that are answered all the time do not keep others back.
+    auto next = m_answered.upper_bound(m_lastAnswered);
+    while (!m_answered.empty() && report.answeredSuspects.size() < maxItems) {
+        if (next == m_answered.end()) {
+            next = m_answered.begin();
+        }
+        m_lastAnswered = *next;
+        next = m_answered.erase(next);
+        if (const auto answered = m_answeredAt.find(m_lastAnswered); answered != m_answeredAt.end()) {
+            report.answeredSuspects.push_back(
+                {.suspect = m_lastAnswered.value(), .agoMs = ageMs(answered->second, now)});
         }
     }
 }
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Gateway/FleetLink.h"
 
+#include "tamarackcove/Gateway/CrashReporter.h"
 #include "tamarackcove/Gateway/FleetView.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Wire/Codec.h"
@@ -34,9 +35,10 @@
 
 struct FleetLink::Host
 {
-    Host(std::string hostName, const asio::any_io_executor &executor)
+    Host(std::string hostName, const asio::any_io_executor &executor, CrashSuspectWatch &suspects)
         : name(std::move(hostName))
         , wake(executor)
+        , crashes(suspects)
     {
     }
 
@@ -47,8 +49,8 @@
     bool nextReportIsFirst = false;
     /// Whether the next report includes the adapter history: the adapters that servers have held most recently.
     bool nextReportHasHistory = false;
-    /// Up to which change the crashes that this entry has met were reported to this host.
-    std::uint64_t crashesReported = 0;
+    /// What this host was told of the crashes that this entry has met.
+    CrashReporter crashes;
     /// Whether the next report is sent without waiting for the report interval.
     bool reportNow = false;
     /// Whether its last status said that it leads in a term before that of the latest leader.
@@ -82,7 +84,7 @@
     if (host) {
         return;
     }
-    host = std::make_unique<Host>(name, m_tasks.executor());
+    host = std::make_unique<Host>(name, m_tasks.executor(), m_view.crashSuspects());
     m_tasks.start("control-" + name, [this, &added = *host] { return run(added); }, {.restart = Restart::Always});
 }
 
@@ -95,7 +97,7 @@
         auto connected = co_await FramedConnection::connect(std::move(endpoint), ConnectTimeout);
         if (connected.has_value()) {
             auto &connection = *connected.value();
-            host.crashesReported = 0;
+            host.crashes.restart();
             reportInFull(host);
             co_await (readUpdates(host, connection) || writeReports(host, connection));
             if (host.connected) {
@@ -140,7 +142,7 @@
         // A new leader learns of the servers sooner from the entries than from heartbeats of the servers, and of the
         // crashes only from the entries.
         host.nextReportIsFirst = true;
-        host.crashesReported = 0;
+        host.crashes.restart();
         reportInFull(host);
     }
     if (status.wantsHistory) {
@@ -150,6 +152,11 @@
     m_term = status.term;
     host.clockZero = Clock::now() - milliseconds(status.clockMs);
     m_view.noteStatus(status.entries, Clock::now());
+    if (status.entries > 0) {
+        for (auto &[name, each] : m_hosts) {
+            each->crashes.setEntries(status.entries);
+        }
+    }
 }
 
 void FleetLink::reportInFull(Host &host)
@@ -219,7 +226,8 @@
 {
     for (;;) {
         const auto interval = m_leader == &host ? ReportInterval : IdleReportInterval;
-        const auto nextAt = host.reportNow ? host.reportedAt + MinReportInterval : host.fullReportAt + interval;
+        auto nextAt = host.reportNow ? host.reportedAt + MinReportInterval : host.fullReportAt + interval;
+        nextAt = std::min(nextAt, host.crashes.dueAt().value_or(nextAt));
         if (nextAt > Clock::now()) {
             host.wake.expires_at(nextAt);
             boost::system::error_code ignored;
@@ -247,11 +255,7 @@
     auto report = !leads ? m_view.makeReportHeader()
         : isFull         ? m_view.takeReport(toNewLeader, std::exchange(host.nextReportHasHistory, false))
                          : m_view.takeNewDemands();
-    auto &suspects = m_view.crashSuspects();
-    host.crashesReported = suspects.addCrashes(report, host.crashesReported, now);
-    if (leads) {
-        suspects.addAnswered(report, toNewLeader, now);
-    }
+    host.crashes.addTo(report, leads, now);
     return report;
 }
 
@@ -276,9 +280,12 @@
 
 void FleetLink::reportCrashesSoon()
 {
+    const auto now = Clock::now();
     for (auto &[name, host] : m_hosts) {
-        host->reportNow = true;
-        host->wake.cancel();
+        if (!host->crashes.dueAt()) {
+            host->crashes.noteNews(m_leader == host.get(), now);
+            host->wake.cancel();
+        }
     }
 }
 
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -34,6 +34,9 @@
     m_crashSuspects.hasEnded = [this](const ServerIdentity &server, const Endpoint &, TimePoint now) {
         return m_servers.seemsEnded(server, now);
     };
+    m_crashSuspects.isGone = [this](const ServerIdentity &server) {
+        return m_servers.isGone(server);
+    };
 }
 
 static std::optional<OfferedServer> toOfferedServer(const ServerMessage &message)
@@ -127,6 +130,11 @@
         m_crashSuspects.setLists(update.watchedParts, update.quarantinedParts, now);
         changed = true;
     }
+    if (update.listsSilentServers) {
+        m_crashSuspects.setSilentServers(update.silentServers);
+    } else if (!update.servers.empty() || !update.removed.empty() || update.complete) {
+        m_crashSuspects.noteEndedServers();
+    }
     if (changed) {
         wakeWaiters();
     }
--- a/unittests/Gateway/CrashEvidenceLoadTest.cpp
+++ b/unittests/Gateway/CrashEvidenceLoadTest.cpp
@@ -1,4 +1,5 @@
 #include "tamarackcove/Fleet/CrashAttribution.h"
+#include "tamarackcove/Gateway/CrashReporter.h"
 #include "tamarackcove/Gateway/CrashSuspectWatch.h"
 #include "tamarackcove/Wire/FleetMessages.h"
 
@@ -27,8 +28,9 @@
         : m_entries(entries)
     {
         for (auto &entry : m_entries) {
-            entry.watch.onNews = [&entry] {
-                entry.reportNow = true;
+            entry.reporter.setEntries(entries);
+            entry.watch.onNews = [this, &entry] {
+                entry.reporter.noteNews(true, m_now);
             };
         }
     }
@@ -59,9 +61,7 @@
     struct Entry
     {
         CrashSuspectWatch watch;
-        std::uint64_t reported = 0;
-        bool reportNow = false;
-        TimePoint reportedAt;
+        CrashReporter reporter{watch};
         TimePoint fullReportAt;
     };
 
@@ -87,19 +87,15 @@
 
     void report(std::size_t index)
     {
-        constexpr milliseconds MinInterval{20};
         auto &entry = m_entries[index];
         const bool full = m_now >= entry.fullReportAt + ReportInterval;
-        if (!full && (!entry.reportNow || m_now < entry.reportedAt + MinInterval)) {
+        if (!full && entry.reporter.dueAt().value_or(TimePoint::max()) > m_now) {
             return;
         }
-        entry.reportNow = false;
-        entry.reportedAt = m_now;
         entry.fullReportAt = full ? m_now : entry.fullReportAt;
         extraReports += full ? 0 : 1;
         FleetReportMessage message;
-        entry.reported = entry.watch.addCrashes(message, entry.reported, m_now);
-        entry.watch.addAnswered(message, false, m_now);
+        entry.reporter.addTo(message, true, m_now);
         for (const auto &crash : message.crashes) {
             evidence += 1 + crash.suspects.size();
             const ServerIdentity server{.id = TargetId(crash.server), .startedAt = Incarnation(crash.startedAt)};
@@ -128,12 +124,10 @@
 
     void evaluate()
     {
-        constexpr milliseconds Interval{20};
-        if (!m_evidenceCame || m_now < m_evaluatedAt + Interval) {
+        if (!m_evidenceCame || m_now < crashes.nextEvaluationAt()) {
             return;
         }
         m_evidenceCame = false;
-        m_evaluatedAt = m_now;
         (void)crashes.takeConvicted(m_now);
         std::vector<std::string> watched;
         for (const auto &suspect : crashes.watched(m_now)) {
@@ -149,12 +143,11 @@
     std::mt19937_64 m_random{1};
     std::vector<Entry> m_entries;
     TimePoint m_now{seconds(100)};
-    TimePoint m_evaluatedAt;
     bool m_evidenceCame = false;
 };
 
-// Guards against a leader that is kept from its work, and loses its lease, by evidence of crashes in a day of trouble in
-// which no server ends.
+// Guards against a leader that is kept from its work, and loses its lease, by evidence of crashes in a day of trouble
+// in which no server ends.
 TEST_CASE("the work of a control host with crash evidence has a bound that does not grow with entries or requests")
 {
     constexpr std::uint64_t MaxEvidencePerSecond = 2500;
--- a/unittests/Gateway/CrashSuspectWatchTest.cpp
+++ b/unittests/Gateway/CrashSuspectWatchTest.cpp
@@ -3,6 +3,8 @@
 #include "tamarackcove/Wire/FleetMessages.h"
 
 #include <doctest/doctest.h>
+#include <set>
+#include <string>
 
 using namespace tamarackcove;
 
@@ -105,14 +107,24 @@
     CHECK(reportOf(watch, false, start, reportedToFollower).crashes.empty());
 }
 
-// Guards against a silent server that is unknown to the leader, and against one that is only slow.
-TEST_CASE("a server that does not answer is reported as silent until it answers another request")
+// Guards against a silent server that is unknown to the leader, against one that is only slow, and against reports of
+// each caller that leaves.
+TEST_CASE("a server that does not answer is reported as silent once it has ended, unless it answers another request")
 {
     CrashSuspectWatch watch;
     const TimePoint start{seconds(100)};
     std::uint64_t reported = 0;
     watch.recordAnswered(server(1), {Other}, start);
     watch.recordSilence(server(1), Address, {Request}, start + milliseconds(10), start + milliseconds(300));
+    CHECK(reportOf(watch, false, start + milliseconds(305), reported).crashes.empty());
+    int news = 0;
+    watch.onNews = [&news] {
+        ++news;
+    };
+    watch.setSilentServers({"s2"});
+    CHECK(news == 0);
+    watch.setSilentServers({"s1"});
+    CHECK(news == 1);
     const auto report = reportOf(watch, false, start + milliseconds(310), reported);
     REQUIRE(report.crashes.size() == 1);
     const auto &crash = report.crashes.front();
@@ -166,3 +178,84 @@
     watch.decideWithoutLeader(false, now + milliseconds(40));
     CHECK(watch.findQuarantined(suspects) != nullptr);
 }
+
+// Guards against a silent server whose requests the leader never learns of, as another start has taken its place.
+TEST_CASE("a server that has not answered is reported as silent once it is gone")
+{
+    CrashSuspectWatch watch;
+    const TimePoint now{seconds(100)};
+    bool gone = false;
+    watch.isGone = [&gone](const ServerIdentity &) {
+        return gone;
+    };
+    std::uint64_t reported = 0;
+    watch.recordSilence(server(1), Address, {Request}, now, now);
+    watch.noteEndedServers();
+    CHECK(reportOf(watch, false, now, reported).crashes.empty());
+    gone = true;
+    watch.noteEndedServers();
+    CHECK(reportOf(watch, false, now, reported).crashes.size() == 1);
+    // What is recorded later is reported as well.
+    watch.recordSilence(server(1), Address, {Other}, now, now);
+    const auto later = reportOf(watch, false, now, reported);
+    REQUIRE(later.crashes.size() == 1);
+    CHECK(later.crashes.front().suspects.front().suspect == Other.value());
+}
+
+// Guards against evidence of silence that is lost when a connection of the server is closed later.
+TEST_CASE("what a server has not answered is reported with the first connection that it closes")
+{
+    CrashSuspectWatch watch;
+    const TimePoint now{seconds(100)};
+    std::uint64_t reported = 0;
+    watch.recordSilence(server(1), Address, {Request}, now, now);
+    CHECK(reportOf(watch, false, now, reported).crashes.empty());
+    watch.recordCrash(server(1), {Other}, now, now);
+    const auto report = reportOf(watch, false, now, reported);
+    REQUIRE(report.crashes.size() == 1);
+    CHECK(report.crashes.front().closed);
+    CHECK(report.crashes.front().silent);
+    CHECK(report.crashes.front().suspects.size() == 2);
+}
+
+// Guards against a deadly request whose evidence waits behind that of sound ones.
+TEST_CASE("the newest crashes are reported if there are more than a report may hold")
+{
+    CrashSuspectWatch watch;
+    const TimePoint now{seconds(100)};
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+        watch.recordCrash(server(i), {CrashSuspect("request:" + std::to_string(i)), Other}, now, now);
+    }
+    FleetReportMessage report;
+    const auto reported = watch.addCrashes(report, 0, now, 6);
+    REQUIRE(report.crashes.size() == 2);
+    CHECK(report.crashes.front().server == "s9");
+    CHECK(report.crashes.back().server == "s10");
+    CHECK(report.crashes.back().suspects.size() == 2);
+    FleetReportMessage next;
+    watch.addCrashes(next, reported, now, 6);
+    CHECK(next.crashes.empty());
+}
+
+// Guards against suspects that are answered all the time and keep the objections to others back.
+TEST_CASE("answered suspects are reported in turn if there are more than a report may hold")
+{
+    CrashSuspectWatch watch;
+    TimePoint now{seconds(100)};
+    const std::vector<std::string> names{"a", "b", "c", "d"};
+    watch.setLists(names, {}, now);
+    std::set<std::string> reported;
+    for (int i = 0; i < 2; ++i) {
+        now += CrashSuspectWatch::AnswerInterval;
+        for (const auto &name : names) {
+            watch.recordAnswered(server(1), {CrashSuspect(name)}, now);
+        }
+        FleetReportMessage report;
+        watch.addAnswered(report, false, now, 2);
+        CHECK(report.answeredSuspects.size() == 2);
+        for (const auto &answered : report.answeredSuspects) {
+            reported.insert(answered.suspect);
+        }
+    }
+    CHECK(reported.size() == names.size());
+}
