Attribution of crashes: spare the parts of sound requests when many servers end together

Callers saw: sound requests refused, for up to 30 minutes, after a fifth of the servers had ended or a zone was cut off with resets.

Cause: each crash counted alike. Of many servers that end in one moment, a part that one request in some hundred has is at three or four by chance, and 250 ms without an answer is no long time for it.

Change: of the crashes within 100 ms, a part that is in fewer than half of them counts one. A part that was answered before, and is in fewer than two thirds of the crashes around those that it has met, needs two more and 2 s without an answer; one that was never answered, in fewer than half, 250 ms. What explains its crashes is convicted as soon as before.

--- a/include/tamarackcove/Fleet/CrashAttribution.h
+++ b/include/tamarackcove/Fleet/CrashAttribution.h
@@ -43,13 +43,23 @@
         /// The smallest number of crashes for which a suspect is convicted.
         std::size_t minCrashes = 3;
         /// How many more crashes convict suspects that explain the same number of them, as they come together in all
-        /// requests so far, and suspects that stand for requests that are not equal.
+        /// requests so far, suspects that stand for requests that are not equal, and those that were answered before
+        /// and are in fewer than two thirds of the crashes; see doubtTime.
         std::size_t tieCrashes = 2;
         /// Time from the second crash of a suspect to its conviction, in which entries can report that they have seen
         /// it answered.
         milliseconds objectionTime{60};
         /// Time from the crash that makes a suspect due to its conviction if it was answered before the crashes.
         milliseconds confirmationTime{250};
+        /// Crashes that begin within this time of the first one are of one moment. A part that is in fewer than half of
+        /// them counts as having met one, as the parts of sound requests are in some of many by chance.
+        milliseconds momentLength{100};
+        /// Time from the crash that makes a part due to its conviction if it was answered before and is in fewer than
+        /// two thirds of the crashes since doubtSpan before the first that it has met. Parts of sound requests are
+        /// answered elsewhere within this time. A part that was never answered is convicted after confirmationTime if
+        /// it is in fewer than half of them.
+        milliseconds doubtTime{2000};
+        milliseconds doubtSpan{1000};
         /// How long after a crash a heartbeat of the server may still arrive that was sent before.
         milliseconds heartbeatDelay{1000};
         /// How long after its last sign of life a server that has fallen silent may have crashed.
@@ -156,6 +166,11 @@
         std::size_t crashes = 0;
         /// In how many of them the suspect was in a first attempt of a caller.
         std::size_t attempts = 0;
+        /// How many crashes it may explain, whether they count or not, and the time of the first of them.
+        std::size_t met = 0;
+        TimePoint firstMetAt;
+        /// Whether it is in too few of the crashes; see Options::doubtTime.
+        bool amongMany = false;
         TimePoint lastCrashAt;
         /// Since when all of them count, the first two, and as many as requiredCrashes().
         TimePoint countsSince;
@@ -185,6 +200,8 @@
     /// What the crashes say of each suspect. Computed again only after the evidence has changed.
     [[nodiscard]] const Suspicions &suspicions(TimePoint now);
     [[nodiscard]] Suspicions findSuspicions(TimePoint now);
+    /// Counts the crashes of one moment, in order of time, for the suspects of a kind.
+    void countMoment(SuspectKind kind, const std::vector<const Crash *> &moment, Suspicions &ofKind);
     /// The suspects of the kind to convict next: those that explain the most crashes, if they may be convicted
     /// together.
     [[nodiscard]] std::vector<CrashSuspect> strongest(const Suspicions &all, SuspectKind kind) const;
--- a/lib/Fleet/CrashAttribution.cpp
+++ b/lib/Fleet/CrashAttribution.cpp
@@ -284,48 +284,95 @@
     Suspicions all;
     for (const auto kind : present) {
         Suspicions ofKind;
+        std::vector<const Crash *> moment;
+        std::vector<TimePoint> times;
         for (const auto *crash : counted) {
             if (!countsAgainst(kind, *crash, all)) {
                 continue;
             }
-            const auto crashedAt = timeOf(*crash);
-            m_visits += crash->sentTimes.size();
-            for (const auto &[suspect, sentAt] : crash->sentTimes) {
-                if (kindOf(suspect) != kind || !mayExplain(*crash, sentAt)) {
-                    continue;
-                }
-                const auto answered = m_answeredAt.find(suspect);
-                auto &suspicion = ofKind[suspect];
-                suspicion.onProbation = m_onProbation.contains(suspect);
-                suspicion.answeredBefore = answered != m_answeredAt.end();
-                const bool answeredSince = suspicion.answeredBefore && answered->second >= crashedAt;
-                const bool repeated
-                    = kind == SuspectKind::Part || suspicion.crashes == 0 || sentAt >= suspicion.lastCrashAt;
-                if (answeredSince || !repeated) {
-                    continue;
-                }
-                ++suspicion.crashes;
-                suspicion.attempts += crash->sentAgain.contains(suspect) ? 0 : 1;
-                suspicion.lastCrashAt = crashedAt;
-                suspicion.countsSince = std::max(suspicion.countsSince, *crash->countsSince);
-                if (suspicion.crashes == 2) {
-                    suspicion.secondCrashAt = suspicion.countsSince;
-                }
-                if (suspicion.crashes == requiredCrashes(suspect)) {
-                    suspicion.suspectAt = suspicion.countsSince;
-                }
+            times.push_back(timeOf(*crash));
+            const bool together = kind == SuspectKind::Part && !moment.empty()
+                && timeOf(*crash) < timeOf(*moment.front()) + m_options.momentLength;
+            if (!together) {
+                countMoment(kind, moment, ofKind);
+                moment.clear();
             }
+            moment.push_back(crash);
+        }
+        countMoment(kind, moment, ofKind);
+        for (auto &[suspect, suspicion] : ofKind) {
+            const auto first = std::lower_bound(times.begin(), times.end(), suspicion.firstMetAt - m_options.doubtSpan);
+            // A part that was answered before is more likely to be at a crashed server by chance.
+            const auto around = static_cast<std::size_t>(times.end() - first);
+            suspicion.amongMany = kind == SuspectKind::Part
+                && (suspicion.answeredBefore ? 3 * suspicion.met < 2 * around : 2 * suspicion.met < around);
         }
         all.merge(ofKind);
     }
     return all;
 }
 
+void CrashAttribution::countMoment(SuspectKind kind, const std::vector<const Crash *> &moment, Suspicions &ofKind)
+{
+    struct Explained
+    {
+        const Crash *crash;
+        TimePoint sentAt;
+    };
+    std::map<CrashSuspect, std::vector<Explained>> explainedBy;
+    for (const auto *crash : moment) {
+        m_visits += crash->sentTimes.size();
+        for (const auto &[suspect, sentAt] : crash->sentTimes) {
+            if (kindOf(suspect) != kind || !mayExplain(*crash, sentAt)) {
+                continue;
+            }
+            const auto answered = m_answeredAt.find(suspect);
+            auto &suspicion = ofKind[suspect];
+            suspicion.onProbation = m_onProbation.contains(suspect);
+            suspicion.answeredBefore = answered != m_answeredAt.end();
+            if (!suspicion.answeredBefore || answered->second < timeOf(*crash)) {
+                explainedBy[suspect].push_back({.crash = crash, .sentAt = sentAt});
+            }
+        }
+    }
+    for (const auto &[suspect, explained] : explainedBy) {
+        auto &suspicion = ofKind[suspect];
+        const bool byChance = 2 * explained.size() < moment.size();
+        if (suspicion.met == 0) {
+            suspicion.firstMetAt = timeOf(*explained.front().crash);
+        }
+        suspicion.met += explained.size();
+        for (const auto &[crash, sentAt] : explained) {
+            if (kind != SuspectKind::Part && suspicion.crashes > 0 && sentAt < suspicion.lastCrashAt) {
+                continue;
+            }
+            ++suspicion.crashes;
+            suspicion.attempts += crash->sentAgain.contains(suspect) ? 0 : 1;
+            suspicion.lastCrashAt = timeOf(*crash);
+            suspicion.countsSince = std::max(suspicion.countsSince, *crash->countsSince);
+            if (suspicion.crashes == 2) {
+                suspicion.secondCrashAt = suspicion.countsSince;
+            }
+            if (suspicion.crashes == requiredCrashes(suspect)) {
+                suspicion.suspectAt = suspicion.countsSince;
+            }
+            if (byChance) {
+                break;
+            }
+        }
+    }
+}
+
 TimePoint CrashAttribution::dueAt(const Suspicion &suspicion) const
 {
     const auto objected = suspicion.secondCrashAt + m_options.objectionTime;
-    return suspicion.answeredBefore ? std::max(objected, suspicion.suspectAt + m_options.confirmationTime)
-                                    : std::max(objected, suspicion.suspectAt);
+    milliseconds confirmation{0};
+    if (suspicion.answeredBefore) {
+        confirmation = suspicion.amongMany ? m_options.doubtTime : m_options.confirmationTime;
+    } else if (suspicion.amongMany) {
+        confirmation = m_options.confirmationTime;
+    }
+    return std::max(objected, suspicion.suspectAt + confirmation);
 }
 
 std::vector<CrashSuspect> CrashAttribution::strongest(const Suspicions &all, SuspectKind kind) const
@@ -336,7 +383,9 @@
     std::vector<CrashSuspect> best;
     Rank bestRank;
     for (const auto &[suspect, suspicion] : all) {
-        if (kindOf(suspect) != kind || suspicion.crashes < requiredCrashes(suspect)) {
+        const auto required
+            = requiredCrashes(suspect) + (suspicion.amongMany && suspicion.answeredBefore ? m_options.tieCrashes : 0);
+        if (kindOf(suspect) != kind || suspicion.crashes < required) {
             continue;
         }
         const Rank rank(suspicion.onProbation, !suspicion.answeredBefore, suspicion.crashes);
--- a/unittests/Fleet/SoundSuspectsTest.cpp
+++ b/unittests/Fleet/SoundSuspectsTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <deque>
 #include <doctest/doctest.h>
 #include <map>
 #include <random>
@@ -48,9 +49,9 @@
     /// seconds.
     void breakOff(int servers, milliseconds duration)
     {
+        const auto start = m_now;
         for (int i = 0; i < servers; ++i) {
-            const auto at = m_now + duration * i / servers;
-            playUntil(at);
+            playUntil(start + duration * i / servers);
             const auto server = (m_nextBroken++ * 5) % Servers;
             m_downUntil[server] = m_now + seconds(3);
             std::map<CrashSuspect, TimePoint> sentTimes;
@@ -79,6 +80,14 @@
         TimePoint answeredAt;
     };
 
+    /// What an entry reports of a watched part.
+    struct Objection
+    {
+        TimePoint arrivesAt;
+        CrashSuspect part;
+        TimePoint answeredAt;
+    };
+
     void sendRequests()
     {
         std::poisson_distribution<int> arrivals(RequestsPerSecond * std::chrono::duration<double>(Step).count());
@@ -114,11 +123,14 @@
     void object()
     {
         for (const auto &part : crashes.watched(m_now)) {
-            const auto answered = m_answeredAt.find(part);
-            if (answered != m_answeredAt.end() && answered->second + ObjectionDelay <= m_now) {
-                crashes.recordAnswered(part, answered->second);
+            if (const auto answered = m_answeredAt.find(part); answered != m_answeredAt.end()) {
+                m_objections.push_back(
+                    {.arrivesAt = m_now + ObjectionDelay, .part = part, .answeredAt = answered->second});
             }
         }
+        for (; !m_objections.empty() && m_objections.front().arrivesAt <= m_now; m_objections.pop_front()) {
+            crashes.recordAnswered(m_objections.front().part, m_objections.front().answeredAt);
+        }
     }
 
     std::mt19937_64 m_random;
@@ -126,13 +138,15 @@
     TimePoint m_now{seconds(100)};
     std::vector<Request> m_requests;
     std::map<CrashSuspect, TimePoint> m_answeredAt;
+    std::deque<Objection> m_objections;
     std::map<int, TimePoint> m_downUntil;
     int m_nextBroken = 0;
     std::uint64_t m_starts = 0;
 };
 
 // Guards against refusing sound requests for half an hour because many servers ended or were cut off together. The
-// pattern: a fifth of the servers ends within 300 ms, a quarter shortly after, and a zone is cut off.
+// pattern: a fifth of the servers ends within 300 ms, a quarter shortly after, a zone is cut off, and a fifth ends one
+// after the other.
 TEST_CASE("no part of sound requests is convicted when a fifth of the servers ends in one moment, and again")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
@@ -144,7 +158,10 @@
         load.breakOff(22, milliseconds(300));
         load.playUntil(TimePoint(seconds(112)));
         load.breakOff(22, milliseconds(20));
-        load.playUntil(TimePoint(seconds(115)));
+        load.playUntil(TimePoint(seconds(118)));
+        load.breakOff(17, milliseconds(2500));
+        load.playUntil(TimePoint(seconds(123)));
+        INFO("refused ", load.refused.size());
         CHECK(load.refused.empty());
     }
 }
