Control: entries are not told at once that a suspect is not watched any more

Cause: a suspect leaves the list of watched suspects when it is answered and comes back with the next crash. Each change of the list goes to all entries at once, at most every 20 ms, so that control work under trouble still grew with entries times evaluations.

Change: a change that only removes suspects waits until 500 ms after the last one. Found by reading; not measured by itself.

--- a/lib/Control/Fleet/FleetNodeCrashes.cpp
+++ b/lib/Control/Fleet/FleetNodeCrashes.cpp
@@ -14,6 +14,9 @@
 
 /// Time after which the crashes are evaluated again if the log has not accepted a verdict.
 static constexpr milliseconds VerdictRetryDelay{100};
+/// Shortest time between two changes of the list of watched suspects that only remove some. Each change goes to all
+/// entries at once.
+static constexpr milliseconds UnwatchInterval{500};
 
 void FleetNode::Impl::applyCrashes(const FleetReportMessage &report)
 {
@@ -111,7 +114,15 @@
             .add("part", suspect.value());
         proposeVerdict(QuarantineSuspect{.suspect = suspect});
     }
-    watchedSuspects = crashes.watched(Clock::now());
+    const auto now = Clock::now();
+    auto watched = crashes.watched(now);
+    // Suspects leave the list when they are answered, and may be back soon after.
+    const bool onlyRemovals
+        = std::includes(watchedSuspects.begin(), watchedSuspects.end(), watched.begin(), watched.end());
+    if (!onlyRemovals || now >= watchedSuspectsSetAt + UnwatchInterval) {
+        watchedSuspects = std::move(watched);
+        watchedSuspectsSetAt = now;
+    }
     publishSuspects();
 }
 
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -117,8 +117,9 @@
     CrashAttribution crashes;
     /// The acquitted suspects that are still in quarantine by the replicated state.
     std::set<CrashSuspect> acquittedSuspects;
-    /// The suspects whose answers entries report.
+    /// The suspects whose answers entries report, and when they were set.
     std::set<CrashSuspect> watchedSuspects;
+    TimePoint watchedSuspectsSetAt;
     Timer crashTimer;
     /// Whether entries have reported crashes or answered suspects since the last evaluation, or another one is due for
     /// another reason.
