Entry: an answer clears its request once it has arrived in full

Callers saw: a request under which servers crash after the head of their answer went on crashing them, and requests to these servers were lost.

Cause: the head of an answer counted as proof that the request is sound, and an answer that broke off was no evidence.

Change: an answer that is no stream clears its suspects when it has ended. One that breaks off is evidence of silence, which counts once the server has ended: servers break off answers for other reasons as well.

Streams are cleared by their first event, as before.

--- a/include/tamarackcove/Gateway/CrashSuspectWatch.h
+++ b/include/tamarackcove/Gateway/CrashSuspectWatch.h
@@ -60,7 +60,8 @@
     /// Records that a server has not answered such a request until now, on an open connection.
     void recordSilence(const ServerIdentity &server, const Endpoint &endpoint,
                        const std::vector<CrashSuspect> &suspects, TimePoint sentAt, TimePoint now, bool again = false);
-    /// Records that a server has begun to answer a request with these suspects.
+    /// Records that a server has begun a stream for a request with these suspects, or has answered it in full; without
+    /// suspects, that it was heard of.
     void recordAnswered(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects, TimePoint now);
 
     /// Quarantines what has crashed servers by the crashes that this entry has met, if no leader is connected. Called
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -102,8 +102,8 @@
     /// the request has disconnected.
     [[nodiscard]] Step recordLostAnswer(Exchange &exchange, const ServerDirectory::Choice &choice,
                                         ServerOutcome outcome, std::string_view reason);
-    /// Records that an attempt ended, or was given up, before the server began to answer, which is evidence that the
-    /// server may have crashed under the request. `error` is that of its last read or write.
+    /// Records that an attempt ended, or was given up, before the first event of a stream or the end of another answer,
+    /// which is evidence that the server may have crashed under the request. `error` is that of its last read or write.
     void recordUnanswered(const Exchange &exchange, const Attempt &attempt, const HttpError &error);
     /// Whether this entry is being stopped and has given up the answers of servers.
     [[nodiscard]] bool answersGivenUp(TimePoint now) const;
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -175,7 +175,8 @@
     const auto &choice = attempt->choice;
     auto &servers = m_parts.view.servers();
     auto buffer = std::make_unique<AnswerBuffer>(m_answerBudget);
-    m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, Clock::now());
+    attempt->answerBegun = true;
+    m_parts.view.crashSuspects().recordAnswered(choice.server, {}, Clock::now());
     for (;;) {
         const auto timeout = exchange.answerReadTimeout(Clock::now());
         if (!timeout) {
@@ -183,6 +184,7 @@
         }
         const auto piece = co_await attempt->connection->readPiece(*timeout);
         if (piece.has_error()) {
+            recordUnanswered(exchange, *attempt, piece.error());
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, piece.error().detail);
         }
         if (!piece.value()) {
@@ -196,6 +198,8 @@
         }
         head.body += *piece.value();
     }
+    // Not before: the server may crash in the middle of its answer.
+    m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, Clock::now());
     exchange.watched.connection = nullptr;
     m_parts.connections.release(choice.server, std::move(attempt->connection));
     const bool failed = head.status >= 500;
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -58,6 +58,8 @@
     EventStreamSplitter splitterWhenSilent;
     /// Counts the bytes of the event that has not arrived in full.
     AnswerBuffer eventBuffer;
+    /// Whether the head of an answer that is no stream has arrived.
+    bool answerBegun = false;
     /// Whether the server was recorded as giving no answer when it fell silent.
     bool silenceRecorded = false;
 };
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -386,9 +386,12 @@
     }
     auto &watch = m_parts.view.crashSuspects();
     const auto &server = attempt.choice.server;
-    // The connection of a caller that has left was closed by this entry.
-    const bool closed = error.code == HttpErrorCode::Closed && !exchange.watched.isCallerGone();
-    const bool silent = error.code == HttpErrorCode::TimedOut || exchange.watched.isCallerGone();
+    // The connection of a caller that has left was closed by this entry. A server that breaks off an answer may go on,
+    // and has crashed only if it has ended as well.
+    const bool lost = error.code == HttpErrorCode::Closed || error.code == HttpErrorCode::TimedOut;
+    const bool closed
+        = error.code == HttpErrorCode::Closed && !exchange.watched.isCallerGone() && !attempt.answerBegun;
+    const bool silent = !closed && (lost || exchange.watched.isCallerGone());
     if (closed) {
         watch.recordCrash(server, exchange.suspects, attempt.sentAt, now, attempt.sentAgain);
     } else if (silent) {
