--- a/unittests/Platform/CrashingPromptTest.cpp
+++ b/unittests/Platform/CrashingPromptTest.cpp
@@ -13,13 +13,14 @@
 
 namespace {
 
-/// An engine that closes the connection instead of answering a request whose prompt has the part "dead", and streams
-/// one event otherwise.
+/// An engine that streams one event, and closes the connection instead if the prompt of the request has the part
+/// "dead", or after the event, with a stream that has not ended. It is another start of the engine after that.
 class CrashingEngine
 {
 public:
-    CrashingEngine(const asio::any_io_executor &executor, int number)
+    CrashingEngine(const asio::any_io_executor &executor, int number, bool crashesInStream = false)
         : m_number(number)
+        , m_crashesInStream(crashesInStream)
         , m_acceptor(executor, {asio::ip::make_address("127.0.0.1"), 0})
     {
         asio::co_spawn(executor, accept(), asio::detached);
@@ -29,15 +30,16 @@
     {
         return "e" + std::to_string(m_number);
     }
-    [[nodiscard]] nlohmann::json heartbeat() const
+    [[nodiscard]] nlohmann::json heartbeat()
     {
+        ++m_heartbeats;
         return {{"service", "engines"},
                 {"addr", "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())},
                 {"zone", "z"},
                 {"slots", 8},
                 {"state", "ready"},
-                {"seq", 1},
-                {"born", m_number},
+                {"seq", m_heartbeats},
+                {"born", m_number + 100 * crashes},
                 {"models", {{{"name", "m"}, {"version", 1}, {"adapters", nlohmann::json::array()}}}}};
     }
     void close()
@@ -71,30 +73,37 @@
             }
             const auto head = received.substr(0, size);
             received.clear();
-            if (head.find("dead:") != std::string::npos) {
+            const bool dead = head.find("dead:") != std::string::npos;
+            if (dead) {
                 ++crashes;
+            }
+            if (dead && !m_crashesInStream) {
                 co_return;
             }
             constexpr std::string_view Name = "Tamarackcove-Attempt-Id: ";
             const auto at = head.find(Name) + Name.size();
             const bool report = head.find("/v1/report") != std::string::npos;
-            const std::string body = report ? R"({"born":)" + std::to_string(m_number)
+            const std::string body = report ? R"({"born":)" + std::to_string(m_number + 100 * crashes)
                     + R"(,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0})"
                                             : "id: 1\ndata: x\n\n";
-            std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size());
+            constexpr std::size_t MissingBytes = 100;
+            std::string answer
+                = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size() + (dead ? MissingBytes : 0));
             if (!report) {
                 answer += "\r\nContent-Type: text/event-stream\r\nTamarackcove-Server-Seal: seal\r\n"
                     + std::string(Name) + head.substr(at, head.find("\r\n", at) - at);
             }
             answer += "\r\n\r\n" + body;
             const auto [writeError, written] = co_await asio::async_write(socket, asio::buffer(answer), UseTuple);
-            if (writeError) {
+            if (writeError || dead) {
                 co_return;
             }
         }
     }
 
     int m_number;
+    bool m_crashesInStream;
+    int m_heartbeats = 0;
     asio::ip::tcp::acceptor m_acceptor;
 };
 
@@ -143,3 +152,29 @@
         }
     });
 }
+
+// Guards against a deadly part that is taken as sound because servers crash only after the first event of their stream.
+TEST_CASE("requests with a part of the prompt under which servers crash in the middle of a stream are refused")
+{
+    constexpr int MaxCrashes = 6;
+    Deployment deployment;
+    deployment.addServer("p1", "plain", answerInFull);
+    std::vector<std::unique_ptr<CrashingEngine>> engines;
+    for (int i = 1; i <= 8; ++i) {
+        engines.push_back(std::make_unique<CrashingEngine>(deployment.executor(), i, true));
+        deployment.addExternalServer(engines.back()->id(), engines.back()->heartbeat());
+    }
+    deployment.run([&]() -> asio::awaitable<void> {
+        int crashes = 0;
+        for (int i = 0; i < 12; ++i) {
+            const auto number = std::to_string(i);
+            (void)co_await deployment.callWithPrompt("deadly" + number, "shared:155,dead:40,other" + number + ":9");
+            co_await deployment.sleepFor(milliseconds(100));
+        }
+        for (const auto &engine : engines) {
+            crashes += engine->crashes;
+            engine->close();
+        }
+        CHECK(crashes <= MaxCrashes);
+    });
+}
