--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -389,8 +389,7 @@
     // The connection of a caller that has left was closed by this entry. A server that breaks off an answer may go on,
     // and has crashed only if it has ended as well.
     const bool lost = error.code == HttpErrorCode::Closed || error.code == HttpErrorCode::TimedOut;
-    const bool closed
-        = error.code == HttpErrorCode::Closed && !exchange.watched.isCallerGone() && !attempt.answerBegun;
+    const bool closed = error.code == HttpErrorCode::Closed && !exchange.watched.isCallerGone() && !attempt.answerBegun;
     const bool silent = !closed && (lost || exchange.watched.isCallerGone());
     if (closed) {
         watch.recordCrash(server, exchange.suspects, attempt.sentAt, now, attempt.sentAgain);
