--- a/include/tamarackcove/Fleet/CrashAttribution.h
+++ b/include/tamarackcove/Fleet/CrashAttribution.h
@@ -80,7 +80,7 @@
         /// Largest number of watched suspects.
         std::size_t maxWatched = 64;
         /// Shortest time between two evaluations, and the largest number of suspects that evaluations visit in a
-        /// second; see nextEvaluationAt(). A visit takes up to 0.5 us.
+        /// second; see nextEvaluationAt().
         milliseconds evaluationInterval{20};
         std::uint64_t maxVisitsPerSecond = 40000;
     };
--- a/unittests/Platform/CrashingServer.h
+++ b/unittests/Platform/CrashingServer.h
@@ -48,6 +48,17 @@
                 {"state", "ready"},   {"seq", ++m_heartbeats},
                 {"born", m_start}};
     }
+    /// The start before this one, and the heartbeat that it sent just before it crashed.
+    [[nodiscard]] std::string formerId() const
+    {
+        return "p" + std::to_string(m_number) + "-" + std::to_string(m_start - 1);
+    }
+    [[nodiscard]] nlohmann::json lastHeartbeatOfFormer()
+    {
+        auto former = heartbeat();
+        former["born"] = m_start - 1;
+        return former;
+    }
     void close()
     {
         m_acceptor.close();
--- a/unittests/Platform/UnrecognisedRequestTest.cpp
+++ b/unittests/Platform/UnrecognisedRequestTest.cpp
@@ -228,3 +228,29 @@
         crashing.close();
     });
 }
+
+// Guards against a deadly request whose crashes are disproved by heartbeats that the servers sent before they crashed.
+TEST_CASE("a request that crashes servers is refused although their last heartbeats arrive late")
+{
+    constexpr milliseconds DownTime{1500};
+    constexpr milliseconds HeartbeatDelay{1200};
+    constexpr int Attempts = 8;
+    CrashingDeployment crashing(End::ClosesConnections, DownTime);
+    auto &deployment = crashing.deployment;
+    deployment.run([&]() -> asio::awaitable<void> {
+        for (int i = 0; i < Attempts; ++i) {
+            (void)co_await crashing.send(CrashingDeployment::deadlyRequest(++crashing.attempts));
+            co_await deployment.sleepFor(HeartbeatDelay);
+            for (const auto &server : crashing.servers) {
+                if (!server->isUp()) {
+                    (void)co_await deployment.callControl("POST", "/v1/Instances.Heartbeat/" + server->formerId(),
+                                                          server->lastHeartbeatOfFormer().dump());
+                }
+            }
+            co_await deployment.sleepFor(DownTime - HeartbeatDelay + milliseconds(100));
+            co_await crashing.announceServers();
+        }
+        CHECK(crashing.crashes() <= MaxCrashes);
+        crashing.close();
+    });
+}
