--- a/unittests/Control/Fleet/UpdateFeedTest.cpp
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -256,3 +256,27 @@
     UpdateFeed::Position later;
     CHECK(receive(later).complete);
 }
+
+// Guards against an entry that does not learn which servers have fallen silent, and against updates that repeat it.
+TEST_CASE_FIXTURE(UpdateFeedFixture,
+                  "the servers that have fallen silent are sent when they change, and in the whole state")
+{
+    UpdateFeed::Position position;
+    (void)feed.framesAfter(position);
+    CHECK(feed.setSilentServers({TargetId("s3")}));
+    CHECK_FALSE(feed.setSilentServers({TargetId("s3")}));
+    CHECK(feed.publish());
+    CHECK_FALSE(feed.publish());
+    const auto frames = feed.framesAfter(position);
+    REQUIRE(frames.size() == 1);
+    const auto update = decode(frames.front());
+    CHECK(update.listsSilentServers);
+    CHECK(update.silentServers == std::vector<std::string>{"s3"});
+    UpdateFeed::Position newEntry;
+    bool listed = false;
+    for (const auto &frame : feed.framesAfter(newEntry)) {
+        const auto state = decode(frame);
+        listed = listed || (state.listsSilentServers && state.silentServers == update.silentServers);
+    }
+    CHECK(listed);
+}
--- a/unittests/Fleet/ServerRegistryTest.cpp
+++ b/unittests/Fleet/ServerRegistryTest.cpp
@@ -152,3 +152,19 @@
         CHECK_FALSE(registry.seemsEnded(first, Address, Start + seconds(10)));
     }
 }
+
+// Guards against evidence of crashes that entries keep to themselves, as nobody tells them that a server has ended; and
+// against evidence of each server that drains.
+TEST_CASE("a server whose heartbeats have stopped is silent until it is heard of again, unless it drains")
+{
+    ServerRegistry registry({.heartbeatTimeout = milliseconds(6000), .maxHeartbeatGap = milliseconds(2500)});
+    (void)registry.heartbeat(heartbeat("a", 1, 1), Start);
+    auto draining = heartbeat("b", 1, 1);
+    draining.endpoint.port = 81;
+    draining.draining = true;
+    (void)registry.heartbeat(draining, Start);
+    CHECK(registry.silentServers(Start + milliseconds(2500)).empty());
+    CHECK(registry.silentServers(Start + milliseconds(2501)) == std::set{TargetId("a")});
+    (void)registry.heartbeat(heartbeat("a", 1, 2), Start + milliseconds(3000));
+    CHECK(registry.silentServers(Start + milliseconds(3000)).empty());
+}
