Attribution of crashes: what a silent server was sent before it ended counts, also when sent again

Cause: of a request at a silent server only the last send was kept. Sent once more to the server that had ended, and was not known to have, it came too late to explain the end, and the evidence of the first send was lost.

Change: the first send is kept for a server that has only fallen silent.

--- a/include/tamarackcove/Fleet/CrashAttribution.h
+++ b/include/tamarackcove/Fleet/CrashAttribution.h
@@ -156,7 +156,8 @@
         /// fallen silent.
         TimePoint reportedAt;
         std::optional<TimePoint> countsSince;
-        /// When the requests with the suspect were sent that were last sent.
+        /// When the requests with the suspect were sent that were last sent; those that were first sent if the server
+        /// has only fallen silent.
         std::map<CrashSuspect, TimePoint> sentTimes;
         std::set<CrashSuspect> sentAgain;
     };
--- a/include/tamarackcove/Gateway/CrashSuspectWatch.h
+++ b/include/tamarackcove/Gateway/CrashSuspectWatch.h
@@ -93,7 +93,8 @@
 private:
     struct Sent
     {
-        /// When the request with the suspect was sent that was last sent.
+        /// When the request with the suspect was sent that was last sent; the one that was first sent if the server has
+        /// only fallen silent.
         TimePoint at;
         /// Whether each of them had been sent to another server before.
         bool again = false;
--- a/lib/Fleet/CrashAttribution.cpp
+++ b/lib/Fleet/CrashAttribution.cpp
@@ -84,7 +84,8 @@
         const bool again = sentAgain.contains(suspect);
         const auto known = crash.sentTimes.find(suspect);
         if (known != crash.sentTimes.end()) {
-            known->second = std::max(known->second, sentAt);
+            // See mayExplain().
+            known->second = crash.closedAt ? std::max(known->second, sentAt) : std::min(known->second, sentAt);
             if (!again) {
                 crash.sentAgain.erase(suspect);
             }
--- a/lib/Gateway/CrashSuspectWatch.cpp
+++ b/lib/Gateway/CrashSuspectWatch.cpp
@@ -117,9 +117,11 @@
     for (const auto &suspect : suspects) {
         const auto known = crash.suspects.find(suspect);
         if (known != crash.suspects.end()) {
-            known->second = {.at = std::max(known->second.at, sentAt),
-                             .again = known->second.again && again,
-                             .change = crash.change};
+            // What a silent server was sent once more, after it had ended, was there before it ended all the same.
+            known->second
+                = {.at = crash.closedAt ? std::max(known->second.at, sentAt) : std::min(known->second.at, sentAt),
+                   .again = known->second.again && again,
+                   .change = crash.change};
         } else if (crash.suspects.size() < MaxSuspectsPerCrash) {
             crash.suspects.emplace(suspect, Sent{.at = sentAt, .again = again, .change = crash.change});
         }
--- a/unittests/Fleet/CrashAttributionTest.cpp
+++ b/unittests/Fleet/CrashAttributionTest.cpp
@@ -492,3 +492,19 @@
     crashes.setVerdicts({request(9)}, {});
     CHECK(crashes.takeConvicted(now + milliseconds(20)).empty());
 }
+
+// Guards against evidence that is lost because the request was sent to the silent server once more, after it had ended.
+TEST_CASE("a request that a silent server got before it ended, and once more after that, is convicted")
+{
+    CrashAttribution crashes({.hasEnded = [](const ServerIdentity &, const Endpoint &, TimePoint) {
+        return true;
+    }});
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 3; ++i) {
+        now += milliseconds(400);
+        recordSilence(crashes, server(i), {request(0)}, now, now, now);
+        recordSilence(crashes, server(i), {request(0)}, now + milliseconds(300), now, now);
+    }
+    CHECK(crashes.takeConvicted(now + seconds(1)).empty());
+    CHECK(crashes.takeConvicted(now + seconds(1) + milliseconds(60)) == std::vector{request(0)});
+}
