--- a/unittests/Control/Fleet/UpdateFeedTest.cpp
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -275,8 +275,8 @@
     UpdateFeed::Position newEntry;
     bool listed = false;
     for (const auto &frame : feed.framesAfter(newEntry)) {
-        const auto state = decode(frame);
-        listed = listed || (state.listsSilentServers && state.silentServers == update.silentServers);
+        const auto part = decode(frame);
+        listed = listed || (part.listsSilentServers && part.silentServers == update.silentServers);
     }
     CHECK(listed);
 }
