Workspaces: identify the workspace of a request by its key, and keep keys from servers

The configuration of a deployment may list workspaces with keys. Servers got the callers' keys, and requests with keys that no configuration held were served. The entry now looks each key up in the configuration in force, refuses missing and unknown keys with 401, and names the workspace to servers instead of the key. A configuration in which two workspaces share a key is refused.

--- a/include/tamarackcove/Fleet/DeploymentConfiguration.h
+++ b/include/tamarackcove/Fleet/DeploymentConfiguration.h
@@ -2,6 +2,7 @@
 
 #include "tamarackcove/Fleet/RouteRule.h"
 #include "tamarackcove/Fleet/ServiceProfile.h"
+#include "tamarackcove/Fleet/Workspace.h"
 
 #include <cstdint>
 #include <optional>
@@ -21,13 +22,15 @@
     milliseconds idleTimeout = seconds(60);
 };
 
-/// The routes and services of one deployment, as set by the operator.
+/// The routes, services and workspaces of one deployment, as set by the operator.
 struct DeploymentConfiguration
 {
     /// Set by the operator; the highest version is in force.
     std::uint64_t version = 0;
     std::vector<RouteRule> routes;
     std::vector<ServiceProfile> services;
+    /// Empty if requests need no key.
+    std::vector<Workspace> workspaces;
     CallerLimits limits;
 
     /// Null when no service has this name.
--- a/include/tamarackcove/Fleet/RouteRule.h
+++ b/include/tamarackcove/Fleet/RouteRule.h
@@ -46,6 +46,8 @@
     /// Number of servers at which one request may run, one after another. A server that has refused the request without
     /// running it does not count.
     int maxServers = 1;
+    /// Whether requests need no key of a workspace.
+    bool isPublic = false;
     /// Whether a stream that broke off may be continued by another server.
     bool resumable = false;
 
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -30,6 +30,8 @@
     std::vector<CrashSuspect> promptParts;
     /// Who sends the request, as far as the request says; empty if it does not.
     std::string callerId;
+    /// The key of a workspace; empty if the request carries none.
+    std::string workspaceKey;
 };
 
 /// Values that the entry adds to a request when it sends it to a server.
@@ -42,6 +44,11 @@
     std::optional<std::uint64_t> minVersion;
     /// When an interrupted stream is resumed: id of the last event that the caller has received.
     std::optional<std::string> lastEventId;
+    /// Whether the configuration has workspaces: the server then gets neither the credentials of the caller nor a
+    /// workspace that the caller names.
+    bool withholdCredentials = false;
+    /// The workspace that holds the key of the request; absent if the request needs no key.
+    std::optional<WorkspaceName> workspace;
 };
 
 /// Properties of a server's answer, read from its head.
@@ -70,6 +77,8 @@
     NoRoute,
     /// The entry has not received a configuration yet.
     NotReady,
+    /// The request needs the key of a workspace, and no workspace holds the one that it carries.
+    UnknownKey,
     /// No server can take the request in time; it has not run.
     NoServer,
     /// The request or a part of its prompt crashes servers; the request has not run.
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -69,6 +69,10 @@
     };
 
     boost::asio::awaitable<void> awaitConfiguration(Exchange &exchange);
+    /// Decides whether the request may be sent to servers. Otherwise refuses it and returns false.
+    boost::asio::awaitable<bool> admit(Exchange &exchange);
+    /// Finds the workspace of the request. Returns false if the request needs a key that no workspace holds.
+    [[nodiscard]] static bool identifyWorkspace(Exchange &exchange);
     /// Sends the request to one server after the other until it is answered or may not be sent again.
     boost::asio::awaitable<void> tryServers(Exchange &exchange);
     boost::asio::awaitable<Step> tryNextServer(Exchange &exchange);
--- a/lib/Fleet/DeploymentConfiguration.cpp
+++ b/lib/Fleet/DeploymentConfiguration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
 namespace tamarackcove {
 
@@ -47,6 +48,29 @@
     return std::nullopt;
 }
 
+/// The message names no key: keys are credentials, and the message is logged.
+static std::optional<std::string> workspaceError(const std::vector<Workspace> &workspaces)
+{
+    std::set<WorkspaceName> names;
+    std::set<std::string_view> keys;
+    for (const auto &workspace : workspaces) {
+        const auto prefix = "workspace \"" + workspace.name.value() + "\": ";
+        if (workspace.name.empty() || !names.insert(workspace.name).second) {
+            return prefix + "the name must not be empty or belong to two workspaces";
+        }
+        std::set<std::string_view> ownKeys;
+        for (const auto &key : workspace.keys) {
+            if (key.empty()) {
+                return prefix + "a key must not be empty";
+            }
+            if (ownKeys.insert(key).second && !keys.insert(key).second) {
+                return prefix + "another workspace has the same key";
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> DeploymentConfiguration::validationError() const
 {
     if (version == 0) {
@@ -67,7 +91,7 @@
             return "route \"" + route.name + "\": another route has the same host and path prefix";
         }
     }
-    return std::nullopt;
+    return workspaceError(workspaces);
 }
 
 } // namespace tamarackcove
--- a/lib/Fleet/RouteTable.cpp
+++ b/lib/Fleet/RouteTable.cpp
@@ -16,6 +16,7 @@
 
 RouteTable::RouteTable(std::shared_ptr<const DeploymentConfiguration> configuration)
     : m_configuration(std::move(configuration))
+    , m_workspaces(m_configuration->workspaces)
 {
     for (const auto &route : m_configuration->routes) {
         m_routesByHost[normalisedHost(route.host)].push_back(&route);
@@ -45,6 +46,11 @@
     return *m_configuration;
 }
 
+const WorkspaceTable &RouteTable::workspaces() const
+{
+    return m_workspaces;
+}
+
 const ServiceName &RouteTable::chooseService(const RouteRule &route, double draw)
 {
     assert(!route.services.empty() && "a valid route has at least one service");
--- /dev/null
+++ b/lib/Fleet/WorkspaceTable.cpp
@@ -0,0 +1,28 @@
+#include "tamarackcove/Fleet/WorkspaceTable.h"
+
+#include "tamarackcove/Fleet/Workspace.h"
+
+namespace tamarackcove {
+
+WorkspaceTable::WorkspaceTable(const std::vector<Workspace> &workspaces)
+    : m_empty(workspaces.empty())
+{
+    for (const auto &workspace : workspaces) {
+        for (const auto &key : workspace.keys) {
+            m_byKey.emplace(key, &workspace);
+        }
+    }
+}
+
+const Workspace *WorkspaceTable::find(const std::string &key) const
+{
+    const auto found = m_byKey.find(key);
+    return found == m_byKey.end() ? nullptr : found->second;
+}
+
+bool WorkspaceTable::empty() const
+{
+    return m_empty;
+}
+
+} // namespace tamarackcove
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -95,7 +95,11 @@
     std::vector<CrashSuspect> suspects;
     std::shared_ptr<const RouteTable> routes;
     const RouteRule *route = nullptr;
+    /// The workspace that holds the key of the request; null if the request needs no key.
+    const Workspace *workspace = nullptr;
     ServiceName service;
+    /// That of the workspace if it has one, otherwise that of the route; 0 is the most urgent.
+    int priority = 0;
     TimePoint arrivedAt;
     /// The time by which the answer must be sent to the caller. While this entry is being stopped, answerBy() may be
     /// earlier.
@@ -147,6 +151,11 @@
     /// Whether all steps of the request are logged, even if it succeeds at once.
     bool sampled = false;
 
+    /// Empty if the request has no workspace.
+    [[nodiscard]] std::string_view workspaceName() const
+    {
+        return workspace == nullptr ? std::string_view() : std::string_view(workspace->name.value());
+    }
     /// How long the next read of an answer may wait. At the deadline, this is the shortest wait, so that bytes that
     /// have arrived are still relayed; nothing once MaxLateAnswerTime has passed as well, when bytes arrive without a
     /// pause.
--- a/lib/Gateway/RequestRecord.cpp
+++ b/lib/Gateway/RequestRecord.cpp
@@ -36,6 +36,7 @@
         .add("request", exchange.caller.attemptId)
         .add("route", exchange.route->name)
         .add("service", exchange.service.value())
+        .add("workspace", exchange.workspaceName())
         .add("adapter", adapterOf(exchange.caller))
         .add("configuration", exchange.routes->configuration().version)
         .add("left_ms", exchange.remainingTime(exchange.arrivedAt));
--- a/lib/Gateway/RequestRefusals.cpp
+++ b/lib/Gateway/RequestRefusals.cpp
@@ -77,6 +77,8 @@
         return "no_route";
     case EntryRefusal::NotReady:
         return "not_ready";
+    case EntryRefusal::UnknownKey:
+        return "unknown_key";
     case EntryRefusal::NoServer:
         return "no_server";
     case EntryRefusal::Quarantined:
@@ -99,6 +101,7 @@
         .add("request", exchange.caller.attemptId)
         .add("route", exchange.route == nullptr ? std::string_view() : std::string_view(exchange.route->name))
         .add("service", exchange.service.value())
+        .add("workspace", exchange.workspaceName())
         .add("adapter",
              exchange.caller.adapter ? std::string_view(exchange.caller.adapter->adapter) : std::string_view())
         .add("reason", exchange.failureReason)
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -73,6 +73,10 @@
         recordEnd(exchange);
         co_return;
     }
+    if (!co_await admit(exchange)) {
+        recordEnd(exchange);
+        co_return;
+    }
     const auto &route = *exchange.route;
     std::uniform_real_distribution<double> draw(0, 1);
     exchange.service = RouteTable::chooseService(route, draw(m_random));
@@ -305,6 +309,10 @@
     Dispatch dispatch;
     dispatch.server = choice.server;
     dispatch.timeLeft = exchange.remainingTime(startTime);
+    dispatch.withholdCredentials = !exchange.routes->workspaces().empty();
+    if (exchange.workspace != nullptr) {
+        dispatch.workspace = exchange.workspace->name;
+    }
     if (exchange.caller.adapter) {
         const auto required = m_parts.view.requiredVersion(*exchange.caller.adapter, startTime);
         if (required > 0) {
--- a/unittests/Platform/CodecTest.cpp
+++ b/unittests/Platform/CodecTest.cpp
@@ -54,6 +54,31 @@
     }
 }
 
+TEST_CASE("workspaces are parsed with their keys, priority and allowance")
+{
+    auto withWorkspaces = document();
+    withWorkspaces["routes"][1]["public"] = true;
+    withWorkspaces["tenants"] = json::parse(R"([
+        {"name":"w1","apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,"ratePerS":405571,"burst":1000},
+        {"name":"w2","apiKeys":["k3"],"ratePerS":0,"burst":0}])");
+    const auto read = platform::readConfiguration(withWorkspaces.dump());
+    REQUIRE(read.has_value());
+    CHECK_FALSE(read.value().routes[0].isPublic);
+    CHECK(read.value().routes[1].isPublic);
+    REQUIRE(read.value().workspaces.size() == 2);
+    const auto &first = read.value().workspaces[0];
+    CHECK(first.name == WorkspaceName("w1"));
+    CHECK(first.keys == std::vector<std::string>{"k1", "k2"});
+    CHECK(first.priority == 1);
+    REQUIRE(first.allowance.has_value());
+    CHECK(first.allowance->unit == WorkspaceAllowance::Unit::Tokens);
+    CHECK(first.allowance->ratePerSecond == 405571);
+    CHECK(first.allowance->burst == 1000);
+    CHECK(first.allowance->plainRequestTokens == 200);
+    CHECK_FALSE(read.value().workspaces[1].priority.has_value());
+    CHECK_FALSE(read.value().workspaces[1].allowance.has_value());
+}
+
 static json heartbeat()
 {
     return json::parse(R"({"service":"s1","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":24,"state":"ready",
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -132,7 +132,7 @@
     /// Sends a configuration of a higher version that is longer than this, and returns the answer.
     boost::asio::awaitable<HttpResponse> putLongConfiguration(std::size_t bytes)
     {
-        auto document = configuration();
+        auto document = adjustedConfiguration();
         document["version"] = 8;
         document["note"] = std::string(bytes, 'x');
         HttpRequest request;
@@ -262,6 +262,16 @@
         co_return std::pair(std::move(entry), std::move(control));
     }
 
+    /// Sends the configuration with the present adjustment under another version, and returns the status of the answer.
+    boost::asio::awaitable<int> putConfiguration(std::uint64_t version)
+    {
+        auto document = adjustedConfiguration();
+        document["version"] = version;
+        return callControl("POST", "/v1/Config.Replace", document.dump());
+    }
+
+    /// Changes the configuration before it is sent.
+    std::function<void(nlohmann::json &)> adjustConfiguration;
     /// How the control host writes its files. Set before run().
     FileHooks files = FileHooks::system();
     /// How long the control host keeps what crashes servers in quarantine. Set before run().
@@ -306,6 +316,15 @@
             {"services", {{{"name", "plain"}}, {{"name", "engines"}, {"engine", engine}}}}};
     }
 
+    [[nodiscard]] nlohmann::json adjustedConfiguration() const
+    {
+        auto document = configuration();
+        if (adjustConfiguration) {
+            adjustConfiguration(document);
+        }
+        return document;
+    }
+
     void startControl()
     {
         FleetNode::Hooks hooks;
@@ -355,7 +374,7 @@
         }
         const auto before = co_await call("GET", "/again/x", "early");
         CHECK(before.status == 503);
-        const auto document = configuration().dump();
+        const auto document = adjustedConfiguration().dump();
         while (co_await callControl("POST", "/v1/Config.Replace", document) != 200) {
             co_await sleepFor(milliseconds(20));
         }
