Adapter loads: learn how long a load from the store takes

Requests are sent to a server at the expected end of a load. The leader now follows the time within which nearly all loads end, from the late loads that entries report, within 255 and 320 ms and only while the store is not congested.

--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackcove/Fleet/AdapterLoadTime.h"
 #include "tamarackcove/Fleet/CachedAdapters.h"
 #include "tamarackcove/Fleet/ServerOrder.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
@@ -29,10 +30,11 @@
 public:
     struct Options
     {
-        /// Expected time for a server to load an adapter from the store, and from a copy in its own memory. Servers do
-        /// not report the end of an adapter load, so entries send requests for the adapter after the expected time, and
-        /// send them again while the server refuses them because the load is still in progress.
-        milliseconds storeLoadTime{255};
+        /// Expected time for a server to load an adapter from the store, learned from loads that end late, and from a
+        /// copy in its own memory. Servers do not report the end of an adapter load, so entries send requests for the
+        /// adapter after the expected time, and send them again while the server refuses them because the load is still
+        /// in progress.
+        AdapterLoadTime::Options storeLoadTime{};
         milliseconds memoryLoadTime{30};
         StoreLoadWindow::Options store{};
         /// Adapter loads that may be in progress at one server at a time (a limit of the engines).
@@ -181,6 +183,8 @@
     [[nodiscard]] std::vector<TargetId> serversWithKnownState() const;
     [[nodiscard]] Totals totals(TimePoint now) const;
     [[nodiscard]] const StoreLoadWindow &storeLoadWindow() const;
+    /// How long a load from the store is expected to take.
+    [[nodiscard]] milliseconds storeLoadTime() const;
     /// Adapter loads from the store that are expected to be in progress, over all servers.
     [[nodiscard]] std::size_t storeLoadsInTransit(TimePoint now) const;
 
@@ -204,6 +208,8 @@
         bool loadUnanswered = false;
         /// Whether the load of this copy has been recorded as late or on time in m_storeLoadWindow.
         bool loadTimeRecorded = false;
+        /// Whether the load of this copy has been recorded as late in m_storeLoadTime.
+        bool lateLoadRecorded = false;
         /// When it was last checked whether the adapter needs another copy.
         TimePoint copiesCheckedAt;
         /// Number of requests in progress that use the copy, by entry.
@@ -307,6 +313,7 @@
 
     Options m_options;
     StoreLoadWindow m_storeLoadWindow;
+    AdapterLoadTime m_storeLoadTime;
     std::map<TargetId, Server> m_servers;
     /// The newest version of each adapter, as set by setNewestVersion().
     std::map<AdapterKey, std::uint64_t> m_versions;
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -143,6 +143,7 @@
     gauge("adapters_wanted", totals.wanted);
     gauge("store_loads", totals.fromStore);
     gauge("store_load_window", planner.storeLoadWindow().window());
+    gauge("store_load_time_ms", planner.storeLoadTime().count());
 }
 
 void FleetNode::Impl::readConfigurationInForce()
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -15,6 +15,7 @@
 AdapterPlanner::AdapterPlanner(Options options)
     : m_options(options)
     , m_storeLoadWindow(options.store)
+    , m_storeLoadTime(options.storeLoadTime)
 {
 }
 
@@ -97,8 +98,9 @@
     }
     for (const auto &[adapter, version] : report.pending) {
         if (!server.adapters.contains(adapter)) {
-            setCopy(server, adapter,
-                    {.version = version, .readyAt = now + m_options.storeLoadTime, .lastUse = now, .fromStore = true});
+            setCopy(
+                server, adapter,
+                {.version = version, .readyAt = now + m_storeLoadTime.expected(), .lastUse = now, .fromStore = true});
         }
     }
     // An adapter that the report does not list has been unloaded, unless its load was ordered after the report's state
@@ -154,7 +156,7 @@
             const bool inMemory = server.cached.contains(order.weights);
             const auto loadTime = outcome == OrderOutcome::Done ? milliseconds(0)
                 : inMemory                                      ? m_options.memoryLoadTime
-                                                                : m_options.storeLoadTime;
+                                                                : m_storeLoadTime.expected();
             setCopy(server, order.weights,
                     {.version = order.version, .readyAt = now + loadTime, .lastUse = now, .fromStore = !inMemory});
             server.cached.add(order.weights, maxCached(server));
@@ -290,7 +292,12 @@
         return;
     }
     held->second.loadTimeRecorded = true;
-    m_storeLoadWindow.recordLate(by, storeLoadsInTransit(now), now);
+    const auto inTransit = storeLoadsInTransit(now);
+    const bool firstReport = !std::exchange(held->second.lateLoadRecorded, true);
+    if (firstReport && by < m_storeLoadWindow.lateTolerance() && !m_storeLoadWindow.mayBeCongested(inTransit)) {
+        m_storeLoadTime.recordLate();
+    }
+    m_storeLoadWindow.recordLate(by, inTransit, now);
     // The adapter load is still in progress, so the copy is not ready before now.
     held->second.readyAt = std::max(held->second.readyAt, now);
 }
@@ -337,7 +344,7 @@
                                            .lastDemandAt = TimePoint::max(),
                                            .isReplacement = true,
                                            .notBefore = notBefore});
-            notBefore = std::min(notBefore + m_options.storeLoadTime, now + MaxReplacementDelay);
+            notBefore = std::min(notBefore + m_storeLoadTime.expected(), now + MaxReplacementDelay);
             wake(id);
         }
     }
@@ -419,6 +426,11 @@
     return totals;
 }
 
+milliseconds AdapterPlanner::storeLoadTime() const
+{
+    return m_storeLoadTime.expected();
+}
+
 const StoreLoadWindow &AdapterPlanner::storeLoadWindow() const
 {
     return m_storeLoadWindow;
--- a/lib/Fleet/AdapterPlannerDemands.cpp
+++ b/lib/Fleet/AdapterPlannerDemands.cpp
@@ -86,7 +86,7 @@
         return false;
     }
     const bool cannotFreeSlot = queuedLoad->waitingRequests > 0
-        && queuedLoad->newestRequestAt + m_options.storeLoadTime < now && !hasRoom(server, adapter.model)
+        && queuedLoad->newestRequestAt + m_storeLoadTime.expected() < now && !hasRoom(server, adapter.model)
         && !evictionCandidate(server, now);
     if (cannotFreeSlot) {
         // No slot or memory of this server can be freed for the adapter. Another server may be able to free one by now.
@@ -123,6 +123,7 @@
     }
     if (held->second.fromStore && !std::exchange(held->second.loadTimeRecorded, true)) {
         m_storeLoadWindow.recordOnTime(storeLoadsInTransit(now), now);
+        m_storeLoadTime.recordOnTime();
     }
     // Adding ln 2 / half-life for each request makes the decaying sum an estimate of the requests per second.
     const std::chrono::duration<double> halfLife = m_options.rateHalfLife;
--- a/lib/Fleet/AdapterPlannerSteps.cpp
+++ b/lib/Fleet/AdapterPlannerSteps.cpp
@@ -237,8 +237,10 @@
     if (held == server.adapters.end()) {
         // The copy occupies the slot from now on. It is added to m_changes, and so sent to entries, only when the
         // server has accepted the order.
-        server.adapters[queuedLoad.adapter] = {
-            .version = queuedLoad.version, .readyAt = now + m_options.storeLoadTime, .lastUse = now, .fromStore = true};
+        server.adapters[queuedLoad.adapter] = {.version = queuedLoad.version,
+                                               .readyAt = now + m_storeLoadTime.expected(),
+                                               .lastUse = now,
+                                               .fromStore = true};
     }
     return orderStep(server, ServerOrder::Action::Load, queuedLoad.adapter, queuedLoad.version);
 }
--- a/unittests/Fleet/AdapterPlannerTest.cpp
+++ b/unittests/Fleet/AdapterPlannerTest.cpp
@@ -161,7 +161,7 @@
     (void)adapterPlanner.requestLoad(adapter(1), 0, LocalZone, 1, Start);
     adapterPlanner.applyOrderOutcome(adapterPlanner.nextStep(TargetId("a"), Start).order, OrderOutcome::Accepted,
                                      Start);
-    const auto ready = Start + AdapterPlanner::Options{}.storeLoadTime;
+    const auto ready = Start + AdapterPlanner::Options{}.storeLoadTime.initial;
     (void)adapterPlanner.requestLoad(adapter(2), 0, LocalZone, 1, ready + milliseconds(100));
     CHECK(adapterPlanner.nextStep(TargetId("a"), ready + milliseconds(100)).kind == Step::Kind::Wait);
 }
