--- a/include/tamarackcove/Fleet/AdapterLoadTime.h
+++ b/include/tamarackcove/Fleet/AdapterLoadTime.h
@@ -4,7 +4,7 @@
 
 namespace tamarackcove {
 
-/// Estimates how long a server takes to load an adapter from a store that is not congested. That time is not part of a
+/// Estimates how long a server takes to load an adapter from the store. That time is not part of a
 /// deployment's configuration. Requests are sent to the server at the expected end of a load: if that is too early, the
 /// server refuses them, and each refusal uses up a retry of the service.
 ///
@@ -26,6 +26,8 @@
     explicit AdapterLoadTime(Options options);
 
     [[nodiscard]] milliseconds expected() const;
+    /// By how much the estimate exceeds the initial one.
+    [[nodiscard]] milliseconds growth() const;
     /// Records a load that was still in progress at its expected end.
     void recordLate();
     /// Records a load that had ended by its expected end.
--- a/include/tamarackcove/Fleet/StoreLoadWindow.h
+++ b/include/tamarackcove/Fleet/StoreLoadWindow.h
@@ -42,8 +42,6 @@
 
     /// Whether no further adapter load from the store may be started while `inTransit` loads are in progress.
     [[nodiscard]] bool isFull(std::size_t inTransit) const;
-    /// Whether so many loads are in progress that a late one may be due to congestion of the store.
-    [[nodiscard]] bool mayBeCongested(std::size_t inTransit) const;
     /// The longest delay of a load that is within the variation of load times between deployments.
     [[nodiscard]] milliseconds lateTolerance() const;
     /// The number of adapter loads from the store that may be in progress at the same time; not rounded.
--- a/lib/Fleet/AdapterLoadTime.cpp
+++ b/lib/Fleet/AdapterLoadTime.cpp
@@ -23,6 +23,11 @@
     return std::chrono::ceil<milliseconds>(m_estimate);
 }
 
+milliseconds AdapterLoadTime::growth() const
+{
+    return expected() - m_options.initial;
+}
+
 void AdapterLoadTime::recordLate()
 {
     m_estimate = std::min(m_estimate + Step * (1 - LateShare), FractionalMilliseconds(m_options.max));
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -292,12 +292,13 @@
         return;
     }
     held->second.loadTimeRecorded = true;
-    const auto inTransit = storeLoadsInTransit(now);
+    // The window counts from the initial estimate: a longer one must not hide that the store is congested.
+    const auto delay = by + m_storeLoadTime.growth();
     const bool firstReport = !std::exchange(held->second.lateLoadRecorded, true);
-    if (firstReport && by < m_storeLoadWindow.lateTolerance() && !m_storeLoadWindow.mayBeCongested(inTransit)) {
+    if (firstReport && delay < m_storeLoadWindow.lateTolerance()) {
         m_storeLoadTime.recordLate();
     }
-    m_storeLoadWindow.recordLate(by, inTransit, now);
+    m_storeLoadWindow.recordLate(delay, storeLoadsInTransit(now), now);
     // The adapter load is still in progress, so the copy is not ready before now.
     held->second.readyAt = std::max(held->second.readyAt, now);
 }
--- a/lib/Fleet/StoreLoadWindow.cpp
+++ b/lib/Fleet/StoreLoadWindow.cpp
@@ -30,11 +30,6 @@
     return static_cast<double>(inTransit) >= m_window;
 }
 
-bool StoreLoadWindow::mayBeCongested(std::size_t inTransit) const
-{
-    return static_cast<double>(inTransit) >= MinCongestedShare * m_window;
-}
-
 milliseconds StoreLoadWindow::lateTolerance() const
 {
     return m_options.lateTolerance;
@@ -47,14 +42,16 @@
 
 void StoreLoadWindow::recordOnTime(std::size_t inTransit, TimePoint now)
 {
-    if (mayBeCongested(inTransit) && now >= m_lastDecreaseAt + m_options.minDecreaseInterval) {
+    const bool congested = static_cast<double>(inTransit) >= MinCongestedShare * m_window;
+    if (congested && now >= m_lastDecreaseAt + m_options.minDecreaseInterval) {
         m_window = std::min(m_options.maxShare * m_initialWindow, m_window + 1 / m_window);
     }
 }
 
 void StoreLoadWindow::recordLate(milliseconds overdue, std::size_t inTransit, TimePoint now)
 {
-    if (!mayBeCongested(inTransit) || overdue < m_options.lateTolerance
+    const bool congested = static_cast<double>(inTransit) >= MinCongestedShare * m_window;
+    if (!congested || overdue < m_options.lateTolerance
         || now < m_lastDecreaseAt + m_options.minDecreaseInterval) {
         return;
     }
