--- a/include/tamarackcove/Fleet/AdapterLoadTime.h
+++ b/include/tamarackcove/Fleet/AdapterLoadTime.h
@@ -20,14 +20,12 @@
         /// The estimate before any load has ended, and its lower bound.
         milliseconds initial{255};
         /// The upper bound: a longer load has another cause than the speed of the deployment.
-        milliseconds max{320};
+        milliseconds max{300};
     };
 
     explicit AdapterLoadTime(Options options);
 
     [[nodiscard]] milliseconds expected() const;
-    /// By how much the estimate exceeds the initial one.
-    [[nodiscard]] milliseconds growth() const;
     /// Records a load that was still in progress at its expected end.
     void recordLate();
     /// Records a load that had ended by its expected end.
--- a/include/tamarackcove/Fleet/AdapterPlanner.h
+++ b/include/tamarackcove/Fleet/AdapterPlanner.h
@@ -208,8 +208,10 @@
         bool loadUnanswered = false;
         /// Whether the load of this copy has been recorded as late or on time in m_storeLoadWindow.
         bool loadTimeRecorded = false;
-        /// Whether the load of this copy has been recorded as late in m_storeLoadTime.
+        /// Whether the load of this copy has been recorded as late in m_storeLoadTime, and as so late that the store
+        /// may be congested in m_storeLoadWindow.
         bool lateLoadRecorded = false;
+        bool congestionRecorded = false;
         /// When it was last checked whether the adapter needs another copy.
         TimePoint copiesCheckedAt;
         /// Number of requests in progress that use the copy, by entry.
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -143,6 +143,8 @@
     /// Ends a request that startRequest() has counted with the same weight. Avoids the server for a while if the
     /// outcome is Full, Broken or NoAnswer; Served ends the avoidance.
     void endRequest(const TargetId &id, double weight, ServerOutcome outcome, TimePoint now);
+    /// Whether the requests of all entries at a server, as far as known, are at least as many as its slots.
+    [[nodiscard]] bool slotsInUse(const TargetId &id) const;
     /// Identifies the present start of a server; nothing when the server is not in the directory.
     [[nodiscard]] std::optional<ServerIdentity> identityOf(const TargetId &id) const;
     [[nodiscard]] std::size_t size() const;
--- a/include/tamarackcove/Fleet/StoreLoadWindow.h
+++ b/include/tamarackcove/Fleet/StoreLoadWindow.h
@@ -50,7 +50,8 @@
     /// Records an adapter load from the store that ended on time: requests were sent to the server before any entry
     /// reported the load as late. `inTransit` is the number of loads from the store in progress.
     void recordOnTime(std::size_t inTransit, TimePoint now);
-    /// Records that a request found the adapter still loading, `overdue` after the expected end of the load.
+    /// Records that a request found the adapter still loading, `overdue` after the expected end of the load. Called
+    /// once for each load.
     void recordLate(milliseconds overdue, std::size_t inTransit, TimePoint now);
 
 private:
@@ -58,6 +59,9 @@
     double m_initialWindow = 0;
     double m_window = 0;
     TimePoint m_lastDecreaseAt;
+    /// Loads that were recorded as late since m_lateSince, which is minDecreaseInterval ago at most.
+    int m_lateLoads = 0;
+    TimePoint m_lateSince;
 };
 
 } // namespace tamarackcove
--- a/lib/Fleet/AdapterLoadTime.cpp
+++ b/lib/Fleet/AdapterLoadTime.cpp
@@ -10,7 +10,7 @@
 /// within a tenth of a second.
 static constexpr FractionalMilliseconds Step{4};
 /// The share of loads that may end after the estimate.
-static constexpr double LateShare = 0.05;
+static constexpr double LateShare = 0.02;
 
 AdapterLoadTime::AdapterLoadTime(Options options)
     : m_options(options)
@@ -23,11 +23,6 @@
     return std::chrono::ceil<milliseconds>(m_estimate);
 }
 
-milliseconds AdapterLoadTime::growth() const
-{
-    return expected() - m_options.initial;
-}
-
 void AdapterLoadTime::recordLate()
 {
     m_estimate = std::min(m_estimate + Step * (1 - LateShare), FractionalMilliseconds(m_options.max));
--- a/lib/Fleet/AdapterPlanner.cpp
+++ b/lib/Fleet/AdapterPlanner.cpp
@@ -292,13 +292,14 @@
         return;
     }
     held->second.loadTimeRecorded = true;
-    // The window counts from the initial estimate: a longer one must not hide that the store is congested.
-    const auto delay = by + m_storeLoadTime.growth();
     const bool firstReport = !std::exchange(held->second.lateLoadRecorded, true);
-    if (firstReport && delay < m_storeLoadWindow.lateTolerance()) {
+    if (by >= m_storeLoadWindow.lateTolerance()) {
+        if (!std::exchange(held->second.congestionRecorded, true)) {
+            m_storeLoadWindow.recordLate(by, storeLoadsInTransit(now), now);
+        }
+    } else if (firstReport) {
         m_storeLoadTime.recordLate();
     }
-    m_storeLoadWindow.recordLate(delay, storeLoadsInTransit(now), now);
     // The adapter load is still in progress, so the copy is not ready before now.
     held->second.readyAt = std::max(held->second.readyAt, now);
 }
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -293,6 +293,13 @@
     }
 }
 
+bool ServerDirectory::slotsInUse(const TargetId &id) const
+{
+    const auto found = m_servers.find(id);
+    return found != m_servers.end()
+        && found->second.inFlight + found->second.otherEntriesLoad >= found->second.offered.slots;
+}
+
 std::optional<ServerIdentity> ServerDirectory::identityOf(const TargetId &id) const
 {
     const auto found = m_servers.find(id);
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -97,7 +97,9 @@
     const bool isOtherServer = answeredByOtherServer(choice, answer);
     // The server counts as still loading the adapter if the expected end of the load is recent, or if the server
     // refuses requests while it replaces an older version of the adapter.
-    const bool loading = adapter && !isOtherServer
+    // A server refuses with the same status when it is full, which must not count as a slow store.
+    const bool full = !answer.wrongServer && servers.slotsInUse(choice.server.id);
+    const bool loading = adapter && !isOtherServer && !full
         && (choice.expectedAt + MaxLoadOverrun > now
             || (!answer.wrongServer && choice.version < m_parts.view.latestVersion(*adapter)));
     servers.endRequest(choice.server.id, exchange.weight,
--- a/unittests/Fleet/StoreLoadWindowTest.cpp
+++ b/unittests/Fleet/StoreLoadWindowTest.cpp
@@ -136,3 +136,21 @@
     loads.recordLate(seconds(1), 26, Start);
     CHECK(loads.window() < 27);
 }
+
+// Guards against a window that collapses although the store has room: at 90 loads in progress there is always a server
+// that is late for a reason of its own.
+TEST_CASE("a single late load among many does not shrink the window, and several do")
+{
+    StoreLoadWindow loads({});
+    loads.setServers(60);
+    const auto initial = loads.window();
+    constexpr std::size_t InTransit = 80;
+    for (int second = 0; second < 5; ++second) {
+        loads.recordLate(milliseconds(400), InTransit, Start + seconds(second));
+    }
+    CHECK(loads.window() == initial);
+    for (int load = 0; load < 3; ++load) {
+        loads.recordLate(milliseconds(400), InTransit, Start + seconds(10));
+    }
+    CHECK(loads.window() < initial);
+}
