--- a/include/tamarackcove/Fleet/StoreLoadWindow.h
+++ b/include/tamarackcove/Fleet/StoreLoadWindow.h
@@ -42,13 +42,16 @@
 
     /// Whether no further adapter load from the store may be started while `inTransit` loads are in progress.
     [[nodiscard]] bool isFull(std::size_t inTransit) const;
+    /// The longest delay of a load that is within the variation of load times between deployments.
+    [[nodiscard]] milliseconds lateTolerance() const;
     /// The number of adapter loads from the store that may be in progress at the same time; not rounded.
     [[nodiscard]] double window() const;
 
     /// Records an adapter load from the store that ended on time: requests were sent to the server before any entry
     /// reported the load as late. `inTransit` is the number of loads from the store in progress.
     void recordOnTime(std::size_t inTransit, TimePoint now);
-    /// Records that a request found the adapter still loading, `overdue` after the expected end of the load.
+    /// Records that a request found the adapter still loading, `overdue` after the expected end of the load. Called
+    /// once for each load.
     void recordLate(milliseconds overdue, std::size_t inTransit, TimePoint now);
 
 private:
@@ -56,6 +59,9 @@
     double m_initialWindow = 0;
     double m_window = 0;
     TimePoint m_lastDecreaseAt;
+    /// Loads that were recorded as late since m_lateSince, which is minDecreaseInterval ago at most.
+    int m_lateLoads = 0;
+    TimePoint m_lateSince;
 };
 
 } // namespace tamarackcove
