--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include "tamarackcove/Fleet/ChoiceReason.h"
+#include "tamarackcove/Fleet/LoadEstimate.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
+#include "tamarackcove/Fleet/ServiceLoad.h"
+#include "tamarackcove/Fleet/UsualTime.h"
 
 #include <map>
 #include <memory>
@@ -68,6 +72,10 @@
         /// do not return together.
         double pauseSpread = 0.2;
         milliseconds maxPauseSpread{500};
+        /// From this number of connected entries on, servers are chosen at random by their load. An entry then has less
+        /// than one request at a server with 6 slots, so that its own count says nothing, and entries that choose the
+        /// least loaded server by the same report all choose the same one.
+        std::size_t manyEntries = 32;
         std::uint64_t seed = 1;
     };
     /// What a request needs of a server.
@@ -82,6 +90,8 @@
         std::uint64_t minVersion = 0;
         /// Servers that must not be chosen, because an earlier attempt of the request at them has failed.
         std::set<TargetId> excluded;
+        /// Latency goal for the answer or for the first event; zero if there is none.
+        milliseconds goal{0};
     };
     struct Choice
     {
@@ -96,6 +106,10 @@
         TimePoint readyAt;
         /// When the load of the adapter was first expected to end.
         TimePoint expectedAt;
+        ChoiceReason reason = ChoiceReason::LeastLoaded;
+        /// The request load per slot by which the server was chosen, and the age of the report that it is based on.
+        double load = 0;
+        Duration loadAge = Duration::max();
     };
 
     explicit ServerDirectory(Options options);
@@ -129,8 +143,14 @@
     /// Number of paused servers that hold the adapter of the request and could otherwise serve it.
     [[nodiscard]] int pausedHolders(const Requirements &requirements, TimePoint now) const;
     /// Sets the request load of a server: the weight of the requests that all entries together have in progress there,
-    /// as last sent by the control host.
-    void setLoad(const TargetId &id, double load);
+    /// as last sent by the control host. `reportedAt` is when that was sent; it may be left out where few entries are
+    /// connected, because the choice does not depend on it there.
+    void setLoad(const TargetId &id, double load, TimePoint reportedAt = {});
+    /// Sets the number of connected entries, which decides how servers are chosen; see Options::manyEntries.
+    void setEntryCount(std::size_t entries);
+    /// Sum of the request load and the slots of the servers of a service that take requests now: those that drain, are
+    /// leaving or paused, or cannot be reached do not count.
+    [[nodiscard]] ServiceLoad serviceLoad(const ServiceName &service, TimePoint now) const;
 
     /// The best server for a request now; nothing if none can serve it. A server that is still loading the adapter is
     /// chosen only if no server holds it.
@@ -143,6 +163,11 @@
     /// Ends a request that startRequest() has counted with the same weight. Avoids the server for a while if the
     /// outcome is Full, Broken or NoAnswer; Served ends the avoidance.
     void endRequest(const TargetId &id, double weight, ServerOutcome outcome, TimePoint now);
+    /// Records how long a request was at a server until the first event of its stream, or until its answer. An answer
+    /// that took a multiple of the usual time raises the estimated load of the server for a while.
+    void recordFirstAnswer(const TargetId &id, Duration elapsed, TimePoint now);
+    /// Records how long a request that was served was in progress at a server.
+    void recordDuration(const TargetId &id, Duration elapsed);
     /// Identifies the present start of a server; nothing when the server is not in the directory.
     [[nodiscard]] std::optional<ServerIdentity> identityOf(const TargetId &id) const;
     [[nodiscard]] std::size_t size() const;
@@ -176,8 +201,8 @@
         std::unordered_map<AdapterKey, Holding> holdings;
         /// Weight of this entry's requests in progress.
         double inFlight = 0;
-        /// Weight of the other entries' requests in progress.
-        double otherEntriesLoad = 0;
+        /// Weight of the other entries' requests in progress, and what this entry has met itself.
+        LoadEstimate estimate;
         /// Broken or missing answers in a row.
         int consecutiveFailures = 0;
         TimePoint avoidUntil;
@@ -195,6 +220,31 @@
         TimePoint pausedUntil;
     };
 
+    /// A server that can take a request.
+    struct Candidate
+    {
+        const Server *server = nullptr;
+        const Holding *holding = nullptr;
+    };
+    /// How long the requests of a service usually take.
+    struct ServiceTimes
+    {
+        /// Until the first event or the answer at a server that is not crowded: near the shortest times.
+        UsualTime firstAnswer{0.2, 0.02};
+        /// From the start to the end of a request.
+        UsualTime duration{0.05, 0.05};
+    };
+
+    /// The candidates of the best rank: a server that is loading the adapter, and still more one that is avoided, is a
+    /// candidate only if there is no better one.
+    [[nodiscard]] std::vector<Candidate> findCandidates(const Requirements &requirements, TimePoint now) const;
+    [[nodiscard]] Choice chooseLeastLoaded(const std::vector<Candidate> &candidates, TimePoint now);
+    [[nodiscard]] Choice chooseAtRandom(const std::vector<Candidate> &candidates, const Requirements &requirements,
+                                        TimePoint now);
+    [[nodiscard]] static Choice toChoice(const Candidate &candidate, TimePoint now);
+    /// Age of the last report of loads; Duration::max() if there was none.
+    [[nodiscard]] Duration reportAge(TimePoint now) const;
+
     /// Request load of the server: weight of the requests in progress, plus otherZonePenalty for another zone, divided
     /// by the number of slots.
     [[nodiscard]] double load(const Server &server) const;
@@ -207,6 +257,11 @@
     std::mt19937_64 m_random;
     std::map<TargetId, Server> m_servers;
     std::map<ServerIdentity, Statement> m_statements;
+    std::map<ServiceName, ServiceTimes> m_times;
+    std::size_t m_entryCount = 1;
+    /// When loads were last reported. The leader names only the servers whose load has changed, so that this holds for
+    /// all servers.
+    std::optional<TimePoint> m_loadsReportedAt;
 };
 
 } // namespace tamarackcove
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -151,12 +151,6 @@
     }));
 }
 
-double ServerDirectory::load(const Server &server) const
-{
-    const double zonePenalty = server.offered.zone == m_options.zone ? 0 : m_options.otherZonePenalty;
-    return (server.inFlight + server.otherEntriesLoad + zonePenalty) / std::max(1, server.offered.slots);
-}
-
 bool ServerDirectory::unreachable(const Server &server, TimePoint now)
 {
     constexpr int MinConsecutiveFailures = 2;
@@ -199,56 +193,6 @@
     return ids;
 }
 
-std::optional<ServerDirectory::Choice> ServerDirectory::choose(const Requirements &requirements, TimePoint now)
-{
-    struct Candidate
-    {
-        const Server *server = nullptr;
-        const Holding *holding = nullptr;
-        /// Lower is better: 1 is added while the adapter is loading on the server, 2 while the server is avoided.
-        int rank = 0;
-        double load = 0;
-    };
-    std::optional<Candidate> best;
-    std::uniform_real_distribution<double> tieBreak(0, 0.01);
-    for (const auto &[id, server] : m_servers) {
-        if (server.pausedUntil > now || !suits(server, requirements)) {
-            continue;
-        }
-        Candidate candidate{.server = &server};
-        if (requirements.adapter) {
-            const auto held = server.holdings.find(*requirements.adapter);
-            // An unreachable server has most likely crashed, so it is no candidate. If no candidate is left, the entry
-            // asks the control host to load the adapter on another server.
-            if (held == server.holdings.end() || held->second.version < requirements.minVersion
-                || unreachable(server, now)) {
-                continue;
-            }
-            candidate.holding = &held->second;
-            candidate.rank += held->second.readyAt > now ? 1 : 0;
-        }
-        candidate.rank += server.avoidUntil > now ? 2 : 0;
-        candidate.load = load(server) + tieBreak(m_random);
-        if (!best || std::pair(candidate.rank, candidate.load) < std::pair(best->rank, best->load)) {
-            best = candidate;
-        }
-    }
-    if (!best) {
-        return std::nullopt;
-    }
-    const auto &offered = best->server->offered;
-    Choice choice{.server = offered.identity,
-                  .endpoint = offered.endpoint,
-                  .zone = offered.zone,
-                  .avoided = best->server->avoidUntil > now};
-    if (best->holding != nullptr) {
-        choice.version = best->holding->version;
-        choice.readyAt = best->holding->readyAt;
-        choice.expectedAt = best->holding->expectedAt;
-    }
-    return choice;
-}
-
 bool ServerDirectory::offers(const ServiceName &service, const std::optional<BaseModel> &model) const
 {
     return std::any_of(m_servers.begin(), m_servers.end(),
@@ -278,6 +222,7 @@
         return;
     case ServerOutcome::Full:
         server.avoidUntil = std::max(server.avoidUntil, now + m_options.firstAvoidance / 4);
+        server.estimate.recordFull(now);
         return;
     case ServerOutcome::Broken:
     case ServerOutcome::NoAnswer: {
@@ -325,12 +270,19 @@
     return all;
 }
 
-void ServerDirectory::setLoad(const TargetId &id, double load)
+void ServerDirectory::setLoad(const TargetId &id, double load, TimePoint reportedAt)
 {
+    m_loadsReportedAt = std::max(m_loadsReportedAt.value_or(reportedAt), reportedAt);
     const auto found = m_servers.find(id);
     if (found != m_servers.end()) {
-        found->second.otherEntriesLoad = std::max(0.0, load - found->second.inFlight);
+        auto &server = found->second;
+        server.estimate.setReport(std::max(0.0, load - server.inFlight), reportedAt);
     }
 }
 
+void ServerDirectory::setEntryCount(std::size_t entries)
+{
+    m_entryCount = entries;
+}
+
 } // namespace tamarackcove
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -69,6 +69,7 @@
         return;
     }
     m_entryCount = entries;
+    m_servers.setEntryCount(entries);
     for (auto &[service, window] : m_retryBudgets) {
         window.setEntries(m_entryCount);
     }
@@ -124,7 +125,7 @@
         }
     }
     for (const auto &load : update.loads) {
-        m_servers.setLoad(TargetId(load.server), load.load);
+        m_servers.setLoad(TargetId(load.server), load.load, now);
     }
     if (update.listsPromptParts) {
         m_crashSuspects.setLists(update.watchedParts, update.quarantinedParts, now);
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -203,8 +203,14 @@
     exchange.watched.connection = nullptr;
     m_parts.connections.release(choice.server, std::move(attempt->connection));
     const bool failed = head.status >= 500;
-    servers.endRequest(choice.server.id, exchange.weight, failed ? ServerOutcome::Failed : ServerOutcome::Served,
-                       Clock::now());
+    const auto now = Clock::now();
+    constexpr int FirstErrorStatus = 400;
+    if (head.status < FirstErrorStatus) {
+        // An error may come much sooner than other answers, and says nothing of the usual time.
+        servers.recordFirstAnswer(choice.server.id, now - attempt->sentAt, now);
+        servers.recordDuration(choice.server.id, now - attempt->sentAt);
+    }
+    servers.endRequest(choice.server.id, exchange.weight, failed ? ServerOutcome::Failed : ServerOutcome::Served, now);
     ++exchange.possibleRuns;
     if (failed) {
         exchange.failureDetail = "a server answered with a 5xx status";
@@ -310,6 +316,8 @@
         if (!exchange.streamStarted) {
             exchange.streamStarted = true;
             exchange.firstEventAt = exchange.lastProgressAt;
+            servers.recordFirstAnswer(choice.server.id, exchange.lastProgressAt - attempt->sentAt,
+                                      exchange.lastProgressAt);
             m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, exchange.lastProgressAt);
             const auto started = co_await exchange.responder.beginStream(*attempt->streamHead);
             if (started.has_error()) {
@@ -331,7 +339,9 @@
     exchange.watched.connection = nullptr;
     connection.setSilenceHook({});
     m_parts.connections.release(choice.server, std::move(attempt->connection));
-    servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Served, Clock::now());
+    const auto now = Clock::now();
+    servers.recordDuration(choice.server.id, now - attempt->sentAt);
+    servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Served, now);
     exchange.outcome = RequestOutcome::Answered;
     (void)co_await exchange.responder.endStream();
     co_return Step::Finished;
--- a/lib/Gateway/RequestRecord.cpp
+++ b/lib/Gateway/RequestRecord.cpp
@@ -56,9 +56,12 @@
 
 void RequestRelay::logSent(const Exchange &exchange, const ServerDirectory::Choice &choice, milliseconds timeLeft) const
 {
+    m_parts.metrics.count(Metrics::labelled(
+        "server_choices_total", {{"service", exchange.service.value()}, {"reason", choiceReasonName(choice.reason)}}));
     if (exchange.sendCount == 1 && !exchange.sampled) {
         return;
     }
+    const auto noReport = choice.loadAge == Duration::max();
     LogLine(LogLevel::Info, exchange.streamStarted ? "stream_resumed" : "request_sent")
         .add("request", exchange.caller.attemptId)
         .add("server", choice.server.id.value())
@@ -66,6 +69,9 @@
         .add("zone", choice.zone.value())
         .add("version", choice.version)
         .add("sent", exchange.sendCount)
+        .add("choice", choiceReasonName(choice.reason))
+        .add("load", choice.load)
+        .add("load_age_ms", noReport ? milliseconds(-1) : duration_cast<milliseconds>(choice.loadAge))
         .add("last_event", exchange.streamStarted ? exchange.splitter.lastId().value_or("") : std::string())
         .add("left_ms", timeLeft);
 }
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -196,7 +196,8 @@
     ServerDirectory::Requirements requirements{.service = exchange.service,
                                                .model = exchange.caller.model,
                                                .adapter = exchange.caller.adapter,
-                                               .excluded = exchange.excludedServers};
+                                               .excluded = exchange.excludedServers,
+                                               .goal = exchange.route->goal};
     if (exchange.silentAttempt) {
         requirements.excluded.insert(exchange.silentAttempt->choice.server.id);
     }
--- a/lib/Gateway/RequestTakeover.cpp
+++ b/lib/Gateway/RequestTakeover.cpp
@@ -52,7 +52,8 @@
         ServerDirectory::Requirements requirements{.service = exchange.service,
                                                    .model = exchange.caller.model,
                                                    .adapter = exchange.caller.adapter,
-                                                   .excluded = exchange.excludedServers};
+                                                   .excluded = exchange.excludedServers,
+                                                   .goal = exchange.route->goal};
         requirements.excluded.insert(silent);
         if (requirements.adapter) {
             requirements.minVersion = m_parts.view.requiredVersion(*requirements.adapter, now);
