--- a/include/tamarackcove/Control/Fleet/UpdateFeed.h
+++ b/include/tamarackcove/Control/Fleet/UpdateFeed.h
@@ -84,7 +84,7 @@
     bool m_completeListPublished = false;
     std::set<TargetId> m_pendingServers;
     std::map<std::pair<TargetId, AdapterKey>, AdapterPlanner::HoldingChange> m_pendingHoldings;
-    std::map<std::string, double> m_loads;
+    std::map<std::string, ServerLoadMessage> m_loads;
     /// Whether entries have reported loads since restart(). From then on a server without load is sent as such, because
     /// entries may still have its load from an earlier leader.
     bool m_loadsKnown = false;
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -92,6 +92,8 @@
         std::set<TargetId> excluded;
         /// Latency goal for the answer or for the first event; zero if there is none.
         milliseconds goal{0};
+        /// Tokens that the request is expected to hold in the memory of the server.
+        double memoryTokens = 0;
     };
     struct Choice
     {
@@ -148,6 +150,21 @@
     void setLoad(const TargetId &id, double load, TimePoint reportedAt = {});
     /// Sets the number of connected entries, which decides how servers are chosen; see Options::manyEntries.
     void setEntryCount(std::size_t entries);
+    /// Whether so many entries are connected that servers are chosen at random; see Options::manyEntries.
+    [[nodiscard]] bool hasManyEntries() const;
+    /// Sets the tokens that each server of a service holds in memory for its requests; 0 if not known. Where many
+    /// entries are connected, a server whose memory may not suffice for a request is not chosen.
+    void setMemory(const ServiceName &service, double tokens);
+    /// Sets the tokens in the memory of a server for the requests of all entries, as last sent by the control host.
+    void setMemoryInUse(const TargetId &id, double tokens);
+    /// Counts the tokens of a request of this entry in the memory of a server. Each reserveMemory() is followed by one
+    /// releaseMemory() with the same number.
+    void reserveMemory(const TargetId &id, double tokens);
+    void releaseMemory(const TargetId &id, double tokens);
+    /// Tokens that the requests of this entry hold in the memory of a server.
+    [[nodiscard]] double reservedMemory(const TargetId &id) const;
+    /// Whether a server of the service with no other request has memory for one of this size.
+    [[nodiscard]] bool fitsIntoMemory(const ServiceName &service, double tokens) const;
     /// Sum of the request load and the slots of the servers of a service that take requests now: those that drain, are
     /// leaving or paused, or cannot be reached do not count.
     [[nodiscard]] ServiceLoad serviceLoad(const ServiceName &service, TimePoint now) const;
@@ -203,6 +220,9 @@
         double inFlight = 0;
         /// Weight of the other entries' requests in progress, and what this entry has met itself.
         LoadEstimate estimate;
+        /// Tokens in its memory for requests of this entry, and of the others.
+        double ownMemory = 0;
+        double othersMemory = 0;
         /// Broken or missing answers in a row.
         int consecutiveFailures = 0;
         TimePoint avoidUntil;
@@ -241,6 +261,8 @@
     [[nodiscard]] Choice chooseLeastLoaded(const std::vector<Candidate> &candidates, TimePoint now);
     [[nodiscard]] Choice chooseAtRandom(const std::vector<Candidate> &candidates, const Requirements &requirements,
                                         TimePoint now);
+    /// Whether the server is expected to have memory for the request besides those that it holds.
+    [[nodiscard]] bool hasMemory(const Server &server, const Requirements &requirements) const;
     [[nodiscard]] static Choice toChoice(const Candidate &candidate, TimePoint now);
     /// Age of the last report of loads; Duration::max() if there was none.
     [[nodiscard]] Duration reportAge(TimePoint now) const;
@@ -258,6 +280,8 @@
     std::map<TargetId, Server> m_servers;
     std::map<ServerIdentity, Statement> m_statements;
     std::map<ServiceName, ServiceTimes> m_times;
+    /// Tokens in the memory of each server; only of services for which that is known.
+    std::map<ServiceName, double> m_memory;
     std::size_t m_entryCount = 1;
     /// When loads were last reported. The leader names only the servers whose load has changed, so that this holds for
     /// all servers.
--- a/include/tamarackcove/Fleet/ServiceProfile.h
+++ b/include/tamarackcove/Fleet/ServiceProfile.h
@@ -36,6 +36,9 @@
     double weightsMb = 0;
     /// Memory of one engine for copies of weights that it no longer serves.
     double hostMemoryMb = 0;
+    /// Memory of one engine for the requests that it holds, in tokens; 0 if not known. An engine crashes when its
+    /// requests exceed it.
+    double requestMemoryTokens = 0;
     /// Rate limit of model loads from the weight store, over all engines.
     double storeLoadsPerSecond = 0;
     std::vector<ModelProfile> models;
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -26,6 +26,9 @@
     std::optional<AdapterKey> adapter;
     /// Length of the prompt; 0 if the request does not say.
     int promptTokens = 0;
+    /// The most tokens that the request may generate, and how many its caller expects; 0 if the request does not say.
+    int maxOutputTokens = 0;
+    int expectedOutputTokens = 0;
     /// The parts of the prompt in their order; empty if the request does not say.
     std::vector<CrashSuspect> promptParts;
     /// Who sends the request, as far as the request says; empty if it does not.
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tamarackcove/Fleet/CostEstimator.h"
 #include "tamarackcove/Fleet/PlannedStop.h"
 #include "tamarackcove/Fleet/ServerDirectory.h"
 #include "tamarackcove/Gateway/AnswerBudget.h"
@@ -139,6 +140,12 @@
     void giveUpSilentAttempt(Exchange &exchange, std::string_view reason);
     /// Ends the attempt at the silent server, if there is one, because the request has ended.
     void endSilentAttempt(Exchange &exchange);
+    /// Estimates what the request costs a server, and what it adds to the request load.
+    void estimateCost(Exchange &exchange) const;
+    /// Records what the request has cost. Precondition: a server has served it.
+    void recordCost(const Exchange &exchange);
+    /// What the request needs of a server.
+    [[nodiscard]] static ServerDirectory::Requirements requirementsOf(const Exchange &exchange);
     void logRouted(const Exchange &exchange) const;
     void logAdapterWait(const Exchange &exchange, Duration waited, std::string_view result) const;
     void logSent(const Exchange &exchange, const ServerDirectory::Choice &choice, milliseconds timeLeft) const;
@@ -151,6 +158,7 @@
     std::mt19937_64 m_random;
     std::uint64_t m_requestCount = 0;
     AnswerBudget m_answerBudget;
+    CostEstimator m_costs;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -73,14 +73,16 @@
     std::string server;
     /// In units of the load of one ordinary request.
     double load = 0;
+    /// Tokens that the requests are expected to hold in the memory of the server.
+    double memoryTokens = 0;
 };
 inline void to_json(nlohmann::json &json, const ServerLoadMessage &message)
 {
-    json = toArray(message.server, message.load);
+    json = toArray(message.server, message.load, message.memoryTokens);
 }
 inline void from_json(const nlohmann::json &json, ServerLoadMessage &message)
 {
-    fromArray(json, message.server, message.load);
+    fromArray(json, message.server, message.load, message.memoryTokens);
 }
 
 struct WeightVersionMessage
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -157,16 +157,19 @@
         return m_totalLoads;
     }
     m_totalLoadsAt = now;
-    std::map<std::string_view, double> sums;
+    std::map<std::string_view, ServerLoadMessage> sums;
     for (const auto *link : m_links) {
         for (const auto &load : link->loads) {
-            sums[load.server] += load.load;
+            auto &sum = sums[load.server];
+            sum.load += load.load;
+            sum.memoryTokens += load.memoryTokens;
         }
     }
     m_totalLoads.clear();
     m_totalLoads.reserve(sums.size());
-    for (const auto &[server, load] : sums) {
-        m_totalLoads.push_back({.server = std::string(server), .load = load});
+    for (auto &[server, sum] : sums) {
+        sum.server = server;
+        m_totalLoads.push_back(std::move(sum));
     }
     return m_totalLoads;
 }
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -61,16 +61,17 @@
             m_pendingLoads.insert(id.value());
         }
     }
-    std::map<std::string, double> previous = std::exchange(m_loads, {});
+    std::map<std::string, ServerLoadMessage> previous = std::exchange(m_loads, {});
     for (const auto &load : loads) {
         const auto known = previous.find(load.server);
-        if (known == previous.end() || known->second != load.load) {
+        if (known == previous.end() || known->second.load != load.load
+            || known->second.memoryTokens != load.memoryTokens) {
             m_pendingLoads.insert(load.server);
         }
         if (known != previous.end()) {
             previous.erase(known);
         }
-        m_loads[load.server] = load.load;
+        m_loads[load.server] = load;
     }
     for (const auto &[server, load] : previous) {
         m_pendingLoads.insert(server);
@@ -183,7 +184,7 @@
 ServerLoadMessage UpdateFeed::toLoadMessage(const std::string &server) const
 {
     const auto load = m_loads.find(server);
-    return {.server = server, .load = load == m_loads.end() ? 0 : load->second};
+    return load == m_loads.end() ? ServerLoadMessage{.server = server} : load->second;
 }
 
 bool UpdateFeed::publish()
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -20,8 +20,10 @@
     if (server.offered.identity != offered.identity) {
         // Discards the state of the earlier start, except for its requests that have not ended yet.
         const auto inFlight = server.inFlight;
+        const auto ownMemory = server.ownMemory;
         server = Server{};
         server.inFlight = inFlight;
+        server.ownMemory = ownMemory;
         if (const auto stated = m_statements.find(offered.identity); stated != m_statements.end()) {
             server.leaving = stated->second.leaving;
             server.pausedUntil = stated->second.pausedUntil;
@@ -285,4 +287,9 @@
     m_entryCount = entries;
 }
 
+bool ServerDirectory::hasManyEntries() const
+{
+    return m_entryCount >= m_options.manyEntries;
+}
+
 } // namespace tamarackcove
--- a/lib/Fleet/ServerDirectoryChoice.cpp
+++ b/lib/Fleet/ServerDirectoryChoice.cpp
@@ -22,7 +22,7 @@
     std::vector<Candidate> candidates;
     int bestRank = 0;
     for (const auto &[id, server] : m_servers) {
-        if (server.pausedUntil > now || !suits(server, requirements)) {
+        if (server.pausedUntil > now || !suits(server, requirements) || !hasMemory(server, requirements)) {
             continue;
         }
         Candidate candidate{.server = &server};
@@ -59,8 +59,7 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    return m_entryCount < m_options.manyEntries ? chooseLeastLoaded(candidates, now)
-                                                : chooseAtRandom(candidates, requirements, now);
+    return hasManyEntries() ? chooseAtRandom(candidates, requirements, now) : chooseLeastLoaded(candidates, now);
 }
 
 ServerDirectory::Choice ServerDirectory::chooseLeastLoaded(const std::vector<Candidate> &candidates, TimePoint now)
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -86,6 +86,9 @@
         } else {
             m_routes = std::make_shared<const RouteTable>(
                 std::make_shared<const DeploymentConfiguration>(std::move(read).value()));
+            for (const auto &service : m_routes->configuration().services) {
+                m_servers.setMemory(service.name, service.engine ? service.engine->requestMemoryTokens : 0);
+            }
             LogLine(LogLevel::Info, "configuration_in_force").add("version", update.configurationVersion);
             changed = true;
         }
@@ -126,6 +129,7 @@
     }
     for (const auto &load : update.loads) {
         m_servers.setLoad(TargetId(load.server), load.load, now);
+        m_servers.setMemoryInUse(TargetId(load.server), load.memoryTokens);
     }
     if (update.listsPromptParts) {
         m_crashSuspects.setLists(update.watchedParts, update.quarantinedParts, now);
@@ -246,7 +250,8 @@
     }
     std::erase_if(m_uses, [](const auto &item) { return item.second.running == 0; });
     for (const auto &[server, load] : m_servers.inFlight()) {
-        report.loads.push_back({.server = server.value(), .load = load});
+        report.loads.push_back(
+            {.server = server.value(), .load = load, .memoryTokens = m_servers.reservedMemory(server)});
     }
     for (const auto &[server, adapter] : m_missingAdapters) {
         report.uses.push_back(
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -341,6 +341,7 @@
     m_parts.connections.release(choice.server, std::move(attempt->connection));
     const auto now = Clock::now();
     servers.recordDuration(choice.server.id, now - attempt->sentAt);
+    recordCost(exchange);
     servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Served, now);
     exchange.outcome = RequestOutcome::Answered;
     (void)co_await exchange.responder.endStream();
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "AdapterUse.h"
+#include "MemoryReservation.h"
 #include "tamarackcove/Fleet/CrashSuspect.h"
 #include "tamarackcove/Fleet/PlannedStop.h"
+#include "tamarackcove/Fleet/RequestCost.h"
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Gateway/AnswerBuffer.h"
 #include "tamarackcove/Gateway/EventStreamSplitter.h"
@@ -47,6 +49,7 @@
     ServerDirectory::Choice choice;
     std::unique_ptr<HttpConnection> connection;
     std::optional<AdapterUse> adapterUse;
+    std::optional<MemoryReservation> memoryReservation;
     TimePoint sentAt;
     /// Whether the request may have run at another server before.
     bool sentAgain = false;
@@ -120,6 +123,8 @@
     bool retryGranted = false;
     /// Number of attempts that ended without the request having run.
     int serverRefusals = 0;
+    /// What the request is expected to cost its server.
+    RequestCost cost;
     /// What the request adds to the request load of a server, in units of an ordinary request.
     double weight = 1;
     /// Connections on which a server that may get this request again has refused it. They are given back once the
--- a/lib/Gateway/RequestRecord.cpp
+++ b/lib/Gateway/RequestRecord.cpp
@@ -71,6 +71,8 @@
         .add("sent", exchange.sendCount)
         .add("choice", choiceReasonName(choice.reason))
         .add("load", choice.load)
+        .add("weight", exchange.weight)
+        .add("memory_tokens", exchange.cost.memoryTokens())
         .add("load_age_ms", noReport ? milliseconds(-1) : duration_cast<milliseconds>(choice.loadAge))
         .add("last_event", exchange.streamStarted ? exchange.splitter.lastId().value_or("") : std::string())
         .add("left_ms", timeLeft);
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -42,15 +42,6 @@
 {
 }
 
-/// Weight of a request in the request load of a server; 1 for an ordinary request. One half is constant and the other
-/// grows with the prompt, because reading a prompt delays the other requests of the server in proportion to the length
-/// of the prompt. A request that does not state the length of its prompt counts as ordinary.
-static double weightOf(const CallerRequest &caller)
-{
-    constexpr double OrdinaryPromptTokens = 650;
-    return caller.promptTokens == 0 ? 1.0 : 0.5 + 0.5 * caller.promptTokens / OrdinaryPromptTokens;
-}
-
 asio::awaitable<void> RequestRelay::serve(const HttpRequest &request, HttpResponder &responder)
 {
     Exchange exchange(request, responder, m_parts.watch, m_stop);
@@ -82,7 +73,7 @@
     exchange.service = RouteTable::chooseService(route, draw(m_random));
     exchange.deadline = exchange.arrivedAt
         + std::min(route.timeout, exchange.caller.callerTimeout.value_or(route.timeout)) - Exchange::AnswerMargin;
-    exchange.weight = weightOf(exchange.caller);
+    estimateCost(exchange);
     m_parts.view.retryBudget(exchange.service).noteRequest(exchange.arrivedAt);
     logRouted(exchange);
     co_await tryServers(exchange);
@@ -193,11 +184,7 @@
 asio::awaitable<std::optional<ServerDirectory::Choice>> RequestRelay::awaitServer(Exchange &exchange)
 {
     auto &view = m_parts.view;
-    ServerDirectory::Requirements requirements{.service = exchange.service,
-                                               .model = exchange.caller.model,
-                                               .adapter = exchange.caller.adapter,
-                                               .excluded = exchange.excludedServers,
-                                               .goal = exchange.route->goal};
+    auto requirements = requirementsOf(exchange);
     if (exchange.silentAttempt) {
         requirements.excluded.insert(exchange.silentAttempt->choice.server.id);
     }
@@ -244,6 +231,11 @@
             }
             co_return choice;
         }
+        if (!view.servers().fitsIntoMemory(exchange.service, requirements.memoryTokens)) {
+            exchange.failureDetail = "the request needs more memory than a server has";
+            recordWait("no_server", now);
+            co_return std::nullopt;
+        }
         if (!requirements.adapter || !view.servers().offers(exchange.service, requirements.model)) {
             exchange.failureDetail = view.servers().earliestReturn(requirements, now)
                 ? "all servers have asked for no requests for now"
@@ -326,6 +318,9 @@
     if (exchange.caller.adapter) {
         attempt->adapterUse.emplace(m_parts.view, attempt->choice.server.id, *exchange.caller.adapter);
     }
+    if (exchange.cost.memoryTokens() > 0) {
+        attempt->memoryReservation.emplace(servers, attempt->choice.server.id, exchange.cost.memoryTokens());
+    }
     if (exchange.streamStarted) {
         dispatch.lastEventId = exchange.splitter.lastId();
     }
--- a/lib/Gateway/RequestTakeover.cpp
+++ b/lib/Gateway/RequestTakeover.cpp
@@ -49,11 +49,7 @@
         if (now < exchange.nextTakeoverAt) {
             return std::min(left, std::chrono::ceil<milliseconds>(exchange.nextTakeoverAt - now));
         }
-        ServerDirectory::Requirements requirements{.service = exchange.service,
-                                                   .model = exchange.caller.model,
-                                                   .adapter = exchange.caller.adapter,
-                                                   .excluded = exchange.excludedServers,
-                                                   .goal = exchange.route->goal};
+        auto requirements = requirementsOf(exchange);
         requirements.excluded.insert(silent);
         if (requirements.adapter) {
             requirements.minVersion = m_parts.view.requiredVersion(*requirements.adapter, now);
--- a/unittests/Control/Fleet/UpdateFeedTest.cpp
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -175,6 +175,21 @@
     CHECK(update.loads[1].load == 0);
 }
 
+// Guards against entries that fill the memory of an engine because they do not learn of the requests of others.
+TEST_CASE_FIXTURE(UpdateFeedFixture, "a load is sent when only the memory in use has changed")
+{
+    UpdateFeed::Position position;
+    feed.setLoads({{.server = "s1", .load = 2, .memoryTokens = 900}, {.server = "s2", .load = 1}});
+    feed.publish();
+    (void)feed.framesAfter(position);
+    feed.setLoads({{.server = "s1", .load = 2, .memoryTokens = 9000}, {.server = "s2", .load = 1}});
+    feed.publish();
+    const auto update = receive(position);
+    REQUIRE(update.loads.size() == 1);
+    CHECK(update.loads[0].server == "s1");
+    CHECK(update.loads[0].memoryTokens == 9000);
+}
+
 // Guards against an entry that keeps the holdings which have ended while it was disconnected or far behind.
 TEST_CASE_FIXTURE(UpdateFeedFixture, "the whole state names the servers whose holdings it lists in full")
 {
--- a/unittests/Fleet/ServerChoiceTest.cpp
+++ b/unittests/Fleet/ServerChoiceTest.cpp
@@ -213,6 +213,37 @@
     CHECK_FALSE(entry.choose(request, Start).has_value());
 }
 
+// Guards against engines that crash because the requests that they hold exceed their memory: 16 slots and a queue of 48
+// take more of the long prompts than fit.
+TEST_CASE("no engine gets more requests than its memory holds, counting those of other entries")
+{
+    auto entry = entryIn("here", 17);
+    entry.put(server("small", "here", 16));
+    entry.put(server("other", "elsewhere", 16));
+    entry.setMemory(Service, 100000);
+    const ServerDirectory::Requirements large{.service = Service, .goal = milliseconds(800), .memoryTokens = 10000};
+    entry.setMemoryInUse(TargetId("small"), 60000);
+    entry.reserveMemory(TargetId("small"), 10000);
+    CHECK(entry.choose(large, Start)->server.id == TargetId("other"));
+    auto counts = countChoices(entry, {.service = Service, .memoryTokens = 500}, 200, Start);
+    CHECK(counts["small"] > 0);
+    entry.setMemoryInUse(TargetId("other"), 90000);
+    CHECK(entry.choose(large, Start)->server.id == TargetId("small"));
+    entry.setMemoryInUse(TargetId("small"), 80000);
+    CHECK_FALSE(entry.choose(large, Start).has_value());
+    // The report includes the requests of this entry.
+    entry.setMemoryInUse(TargetId("small"), 70000);
+    CHECK(entry.choose(large, Start)->server.id == TargetId("small"));
+    entry.releaseMemory(TargetId("small"), 10000);
+    CHECK(entry.reservedMemory(TargetId("small")) == 0);
+    CHECK(entry.fitsIntoMemory(Service, 80000));
+    CHECK_FALSE(entry.fitsIntoMemory(Service, 100000));
+    // Among few entries the memory is not looked at.
+    entry.setEntryCount(31);
+    entry.setMemoryInUse(TargetId("small"), 90000);
+    CHECK(entry.choose(large, Start).has_value());
+}
+
 TEST_CASE("the load of a service sums the servers that take requests, with the age of the report")
 {
     auto entry = entryIn("here", 1);
--- a/unittests/Platform/CodecTest.cpp
+++ b/unittests/Platform/CodecTest.cpp
@@ -17,7 +17,7 @@
         {"name":"r2","host":"h.example","pathPrefix":"/b/","type":"non_idempotent","timeoutMs":800,"service":"s2"}],
         "services":[{"name":"s1","healthPath":"/healthz","maxConns":200,"engine":{"slots":24,"models":[
             {"name":"m","weightsMb":65.5,"loadS":1.9,"adapters":3000,"adapterMb":12.0,"warmS":0.6,"diskS":0.78}],
-            "weightsMb":666.0,"adapterSlots":13,"loadsPerS":6.8}},{"name":"s2"}],
+            "weightsMb":666.0,"adapterSlots":13,"loadsPerS":6.8,"kvCapacity":174805}},{"name":"s2"}],
         "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
 }
 
@@ -37,6 +37,7 @@
     CHECK_FALSE(configuration.routes[1].repeatable());
     REQUIRE(configuration.services[0].engine.has_value());
     CHECK(configuration.services[0].engine->adapterSlots == 13);
+    CHECK(configuration.services[0].engine->requestMemoryTokens == 174805);
     CHECK(configuration.services[0].engine->models[0].storeLoadTime == milliseconds(1900));
     CHECK(configuration.limits.idleTimeout == milliseconds(15000));
 }
@@ -273,6 +274,23 @@
     CHECK(dialect.refuse({}, EntryRefusal::NoRoute, milliseconds(0)).status == 404);
 }
 
+// Guards against a request that lowers the load of a server, or makes it count as full, by an odd statement.
+TEST_CASE("the tokens that a request states are read, and odd statements count as none")
+{
+    const auto read = [](const std::string &usage, const std::string &hint) {
+        HttpRequest request;
+        request.headers.set("Tamarackcove-Token-Usage", usage);
+        request.headers.set("Tamarackcove-Length-Hint", hint);
+        const auto caller = platform::callerDialect().readRequest(request);
+        return std::vector{caller.promptTokens, caller.maxOutputTokens, caller.expectedOutputTokens};
+    };
+    CHECK(read("646,200", "120") == std::vector{646, 200, 120});
+    CHECK(read("646, 200", "") == std::vector{646, 200, 0});
+    CHECK(read("646", "x") == std::vector{646, 0, 0});
+    CHECK(read("", "-7") == std::vector{0, 0, 0});
+    CHECK(read("-646,-200", "99999999999999") == std::vector{0, 0, 0});
+}
+
 // Guards against blaming the wrong part of a prompt, and against a list that takes a process down.
 TEST_CASE("the parts of a prompt are read, and malformed ones are passed over")
 {
