--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -6,6 +6,7 @@
 #include "tamarackcove/Fleet/ServiceLoad.h"
 #include "tamarackcove/Fleet/UsualTime.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -92,6 +93,8 @@
         std::set<TargetId> excluded;
         /// Latency goal for the answer or for the first event; zero if there is none.
         milliseconds goal{0};
+        /// Tokens that the request is expected to hold in the memory of the server.
+        double memoryTokens = 0;
     };
     struct Choice
     {
@@ -114,6 +117,10 @@
 
     explicit ServerDirectory(Options options);
 
+    /// Whether a connection to this start of a server is open and idle, which raises the probability of the server
+    /// among servers chosen at random. May be empty.
+    std::function<bool(const ServerIdentity &, TimePoint)> hasIdleConnection;
+
     /// Adds or updates a server. After a restart of the server, everything recorded about its earlier start is
     /// discarded, except for the weight of the requests of this entry that are still in progress there.
     void put(OfferedServer server);
@@ -148,6 +155,21 @@
     void setLoad(const TargetId &id, double load, TimePoint reportedAt = {});
     /// Sets the number of connected entries, which decides how servers are chosen; see Options::manyEntries.
     void setEntryCount(std::size_t entries);
+    /// Whether so many entries are connected that servers are chosen at random; see Options::manyEntries.
+    [[nodiscard]] bool hasManyEntries() const;
+    /// Sets the tokens that each server of a service holds in memory for its requests; 0 if not known. Where many
+    /// entries are connected, a server whose memory may not suffice for a request is not chosen.
+    void setMemory(const ServiceName &service, double tokens);
+    /// Sets the tokens in the memory of a server for the requests of all entries, as last sent by the control host.
+    void setMemoryInUse(const TargetId &id, double tokens);
+    /// Counts the tokens of a request of this entry in the memory of a server. Each reserveMemory() is followed by one
+    /// releaseMemory() with the same number.
+    void reserveMemory(const TargetId &id, double tokens);
+    void releaseMemory(const TargetId &id, double tokens);
+    /// Tokens that the requests of this entry hold in the memory of a server.
+    [[nodiscard]] double reservedMemory(const TargetId &id) const;
+    /// Whether a server of the service with no other request has memory for one of this size.
+    [[nodiscard]] bool fitsIntoMemory(const ServiceName &service, double tokens) const;
     /// Sum of the request load and the slots of the servers of a service that take requests now: those that drain, are
     /// leaving or paused, or cannot be reached do not count.
     [[nodiscard]] ServiceLoad serviceLoad(const ServiceName &service, TimePoint now) const;
@@ -205,6 +227,9 @@
         double inFlight = 0;
         /// Weight of the other entries' requests in progress, and what this entry has met itself.
         LoadEstimate estimate;
+        /// Tokens in its memory for requests of this entry, and of the others.
+        double ownMemory = 0;
+        double othersMemory = 0;
         /// Broken or missing answers in a row.
         int consecutiveFailures = 0;
         TimePoint avoidUntil;
@@ -243,6 +268,8 @@
     [[nodiscard]] Choice chooseLeastLoaded(const std::vector<Candidate> &candidates, TimePoint now);
     [[nodiscard]] Choice chooseAtRandom(const std::vector<Candidate> &candidates, const Requirements &requirements,
                                         TimePoint now);
+    /// Whether the server is expected to have memory for the request besides those that it holds.
+    [[nodiscard]] bool hasMemory(const Server &server, const Requirements &requirements) const;
     [[nodiscard]] static Choice toChoice(const Candidate &candidate, TimePoint now);
     /// Age of the last report of loads; Duration::max() if there was none.
     [[nodiscard]] Duration reportAge(TimePoint now) const;
@@ -260,6 +287,8 @@
     std::map<TargetId, Server> m_servers;
     std::map<ServerIdentity, Statement> m_statements;
     std::map<ServiceName, ServiceTimes> m_times;
+    /// Tokens in the memory of each server; only of services for which that is known.
+    std::map<ServiceName, double> m_memory;
     std::size_t m_entryCount = 1;
     /// When loads were last reported. The leader names only the servers whose load has changed, so that this holds for
     /// all servers.
--- a/lib/Fleet/ServerDirectoryChoice.cpp
+++ b/lib/Fleet/ServerDirectoryChoice.cpp
@@ -22,7 +22,7 @@
     std::vector<Candidate> candidates;
     int bestRank = 0;
     for (const auto &[id, server] : m_servers) {
-        if (server.pausedUntil > now || !suits(server, requirements)) {
+        if (server.pausedUntil > now || !suits(server, requirements) || !hasMemory(server, requirements)) {
             continue;
         }
         Candidate candidate{.server = &server};
@@ -59,8 +59,7 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    return m_entryCount < m_options.manyEntries ? chooseLeastLoaded(candidates, now)
-                                                : chooseAtRandom(candidates, requirements, now);
+    return hasManyEntries() ? chooseAtRandom(candidates, requirements, now) : chooseLeastLoaded(candidates, now);
 }
 
 ServerDirectory::Choice ServerDirectory::chooseLeastLoaded(const std::vector<Candidate> &candidates, TimePoint now)
@@ -99,6 +98,7 @@
         const auto &server = *candidate.server;
         weighed.push_back({.slots = std::max(1, server.offered.slots),
                            .inOwnZone = server.offered.zone == m_options.zone,
+                           .connected = hasIdleConnection && hasIdleConnection(server.offered.identity, now),
                            .ownLoad = server.inFlight,
                            .estimate = &server.estimate});
     }
--- a/unittests/Fleet/ServerChoiceTest.cpp
+++ b/unittests/Fleet/ServerChoiceTest.cpp
@@ -213,6 +213,56 @@
     CHECK_FALSE(entry.choose(request, Start).has_value());
 }
 
+// Guards against engines that crash because the requests that they hold exceed their memory: 16 slots and a queue of 48
+// take more of the long prompts than fit.
+TEST_CASE("no engine gets more requests than its memory holds, counting those of other entries")
+{
+    auto entry = entryIn("here", 17);
+    entry.put(server("small", "here", 16));
+    entry.put(server("other", "elsewhere", 16));
+    entry.setMemory(Service, 100000);
+    const ServerDirectory::Requirements large{.service = Service, .goal = milliseconds(800), .memoryTokens = 10000};
+    entry.setMemoryInUse(TargetId("small"), 60000);
+    entry.reserveMemory(TargetId("small"), 10000);
+    CHECK(entry.choose(large, Start)->server.id == TargetId("other"));
+    auto counts = countChoices(entry, {.service = Service, .memoryTokens = 500}, 200, Start);
+    CHECK(counts["small"] > 0);
+    entry.setMemoryInUse(TargetId("other"), 90000);
+    CHECK(entry.choose(large, Start)->server.id == TargetId("small"));
+    entry.setMemoryInUse(TargetId("small"), 80000);
+    CHECK_FALSE(entry.choose(large, Start).has_value());
+    // The report includes the requests of this entry.
+    entry.setMemoryInUse(TargetId("small"), 70000);
+    CHECK(entry.choose(large, Start)->server.id == TargetId("small"));
+    entry.releaseMemory(TargetId("small"), 10000);
+    CHECK(entry.reservedMemory(TargetId("small")) == 0);
+    CHECK(entry.fitsIntoMemory(Service, 80000));
+    CHECK_FALSE(entry.fitsIntoMemory(Service, 100000));
+    // Among few entries the memory is not looked at.
+    entry.setEntryCount(31);
+    entry.setMemoryInUse(TargetId("small"), 90000);
+    CHECK(entry.choose(large, Start).has_value());
+}
+
+// Guards against a new connection for two requests in three, as an entry uses each of 90 engines once in some seconds;
+// and against an entry that uses only the servers to which it has one.
+TEST_CASE("an open connection raises the share of a server by half at equal load, and does not outweigh load")
+{
+    auto entry = entryIn("here", 19);
+    for (const auto *id : {"open", "b", "c", "d"}) {
+        entry.put(server(id, "here", 16));
+        entry.setLoad(TargetId(id), 6, Start);
+    }
+    entry.recordDuration(TargetId("open"), milliseconds(1500));
+    CHECK(countChoices(entry, {.service = Service}, 9000, Start)["open"] == doctest::Approx(2250).epsilon(0.1));
+    entry.hasIdleConnection = [](const ServerIdentity &identity, TimePoint) {
+        return identity.id == TargetId("open");
+    };
+    CHECK(countChoices(entry, {.service = Service}, 9000, Start)["open"] == doctest::Approx(3000).epsilon(0.1));
+    entry.setLoad(TargetId("open"), 14, Start);
+    CHECK(countChoices(entry, {.service = Service}, 9000, Start + milliseconds(600))["open"] < 1500);
+}
+
 TEST_CASE("the load of a service sums the servers that take requests, with the age of the report")
 {
     auto entry = entryIn("here", 1);
