Allowances of workspaces: shares leased by the leader, and one-time leases from its pool

Workspaces could use any amount. The leader now leases each entry a share of each allowance, grants one-time leases for requests that no share holds, and entries refuse what is beyond with 429 and Retry-After.

--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -45,6 +45,9 @@
         /// Whether the planner of this host can use the adapter histories of entries, which list the adapters that
         /// servers held before this host gave orders. True while this host sends orders.
         std::function<bool()> wantsHistory;
+        /// What the leader answers to the reports of an entry about allowances; null if there is nothing to answer.
+        /// Sent after each status of a leader.
+        std::function<SharedFrame(const EntryId &)> allowanceFrame;
         std::function<void(const FleetReportMessage &)> onReport;
         std::function<void(const EntryId &)> onEntryDisconnected;
     };
@@ -74,6 +77,8 @@
     /// Sends all entries the status of this host, and the whole state if it is leader. Called when this host has become
     /// leader or is no longer leader.
     void resendEverything();
+    /// Sends these entries their next messages at once.
+    void sendSoon(const std::set<EntryId> &entries);
     /// The number of open connections of entries.
     [[nodiscard]] std::size_t size() const;
     /// Request load of each server: the weight of its requests in progress, summed over the last reports of all
--- a/include/tamarackcove/Fleet/WorkspaceAllowance.h
+++ b/include/tamarackcove/Fleet/WorkspaceAllowance.h
@@ -18,6 +18,17 @@
     double burst = 0;
     /// The cost of a request that does not state its tokens, in tokens.
     double plainRequestTokens = 0;
+
+    /// The cost of a request with these tokens, in units. Both numbers are 0 if the request does not state them.
+    /// Thread safe.
+    [[nodiscard]] double costOf(int promptTokens, int maxOutputTokens) const
+    {
+        if (unit == Unit::Requests) {
+            return 1;
+        }
+        const auto tokens = static_cast<double>(promptTokens) + static_cast<double>(maxOutputTokens);
+        return tokens > 0 ? tokens : plainRequestTokens;
+    }
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -26,6 +26,8 @@
     std::optional<AdapterKey> adapter;
     /// Length of the prompt; 0 if the request does not say.
     int promptTokens = 0;
+    /// The most tokens that the request may generate; 0 if the request does not say.
+    int maxOutputTokens = 0;
     /// The parts of the prompt in their order; empty if the request does not say.
     std::vector<CrashSuspect> promptParts;
     /// Who sends the request, as far as the request says; empty if it does not.
@@ -79,6 +81,8 @@
     NotReady,
     /// The request needs the key of a workspace, and no workspace holds the one that it carries.
     UnknownKey,
+    /// The workspace of the request is over its allowance; the request has not run.
+    OverAllowance,
     /// No server can take the request in time; it has not run.
     NoServer,
     /// The request or a part of its prompt crashes servers; the request has not run.
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -5,6 +5,7 @@
 #include "tamarackcove/Fleet/RouteTable.h"
 #include "tamarackcove/Fleet/ServerDirectory.h"
 #include "tamarackcove/Gateway/CrashSuspectWatch.h"
+#include "tamarackcove/Gateway/WorkspaceAdmission.h"
 #include "tamarackcove/Supervision/Timer.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -50,6 +51,7 @@
     [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
     [[nodiscard]] ServerDirectory &servers();
     [[nodiscard]] CrashSuspectWatch &crashSuspects();
+    [[nodiscard]] WorkspaceAdmission &admission();
     [[nodiscard]] RetryWindow &retryBudget(const ServiceName &service);
     /// The lowest version of an adapter on which requests may run; 0 if any version may be used.
     [[nodiscard]] std::uint64_t requiredVersion(const AdapterKey &adapter, TimePoint now) const;
@@ -120,6 +122,7 @@
     TimePoint m_updatedAt;
     ServerDirectory m_servers;
     CrashSuspectWatch m_crashSuspects;
+    WorkspaceAdmission m_admission;
     AdapterHistory m_history;
     std::unordered_map<AdapterKey, AnnouncedVersion> m_versions;
     std::map<ServiceName, RetryWindow> m_retryBudgets;
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -73,6 +73,10 @@
     boost::asio::awaitable<bool> admit(Exchange &exchange);
     /// Finds the workspace of the request. Returns false if the request needs a key that no workspace holds.
     [[nodiscard]] static bool identifyWorkspace(Exchange &exchange);
+    /// Takes the cost of the request from the allowance of its workspace. Otherwise refuses it and returns false.
+    boost::asio::awaitable<bool> takeAllowance(Exchange &exchange);
+    /// Returns the cost of a request that was not sent to any server to the allowance of its workspace.
+    void returnAllowance(const Exchange &exchange);
     /// Sends the request to one server after the other until it is answered or may not be sent again.
     boost::asio::awaitable<void> tryServers(Exchange &exchange);
     boost::asio::awaitable<Step> tryNextServer(Exchange &exchange);
@@ -141,6 +145,7 @@
     void endSilentAttempt(Exchange &exchange);
     void logRouted(const Exchange &exchange) const;
     void logAdapterWait(const Exchange &exchange, Duration waited, std::string_view result) const;
+    void logOverAllowance(const Exchange &exchange, double units, std::string_view decision, milliseconds retryAfter);
     void logSent(const Exchange &exchange, const ServerDirectory::Choice &choice, milliseconds timeLeft) const;
     /// Logs the end of a request and updates the request metrics.
     void recordEnd(const Exchange &exchange);
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "tamarackcove/Wire/AllowanceMessages.h"
+#include "tamarackcove/Wire/ArrayFields.h"
+
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -15,25 +18,6 @@
 // The messages that come by the thousand a second are encoded as arrays of their fields, in the order of declaration:
 // without the field names they take a fraction of the time to encode and decode.
 
-/// Encodes the fields of a message as an array.
-template<typename... Fields>
-[[nodiscard]] nlohmann::json toArray(const Fields &...fields)
-{
-    auto array = nlohmann::json::array();
-    array.get_ref<nlohmann::json::array_t &>().reserve(sizeof...(fields));
-    (array.push_back(fields), ...);
-    return array;
-}
-
-/// Decodes the fields of a message from an array. Throws nlohmann::json::exception when one is absent or of the wrong
-/// type.
-template<typename... Fields>
-void fromArray(const nlohmann::json &array, Fields &...fields)
-{
-    std::size_t index = 0;
-    (array.at(index++).get_to(fields), ...);
-}
-
 /// The attributes of a server that entries route by.
 struct ServerMessage
 {
@@ -271,7 +255,7 @@
     /// The suspects that the leader watches or that are in `crashes`, and that servers have answered lately.
     std::vector<SuspectMessage> answeredSuspects;
     /// Whether the report only adds demands to those of the previous report. The fields after `demands` are then empty
-    /// and say nothing.
+    /// and say nothing, except `allowances`.
     bool onlyNewDemands = false;
     std::vector<DemandMessage> demands;
     std::vector<UseMessage> uses;
@@ -284,8 +268,11 @@
     std::vector<ServerMessage> servers;
     /// Sent only when the control host has asked for it with `wantsHistory`.
     std::vector<HistoryMessage> histories;
+    /// Allowances; only to the leader, and also in a report of only new demands.
+    AllowanceReportMessage allowances;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, crashes, answeredSuspects,
-                                   onlyNewDemands, demands, uses, loads, unreachable, leaving, servers, histories)
+                                   onlyNewDemands, demands, uses, loads, unreachable, leaving, servers, histories,
+                                   allowances)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -224,6 +224,9 @@
                 frames.push_back(std::make_shared<const std::vector<std::uint8_t>>(batch.value()));
             }
             frames.insert(frames.end(), updates.begin(), updates.end());
+            if (auto allowances = link.entry.empty() ? nullptr : m_hooks.allowanceFrame(EntryId(link.entry))) {
+                frames.push_back(std::move(allowances));
+            }
         }
         if (!frames.front()) {
             co_return;
@@ -331,6 +334,15 @@
     scheduleStateUpdate();
 }
 
+void EntryLinks::sendSoon(const std::set<EntryId> &entries)
+{
+    for (auto *link : m_links) {
+        if (entries.contains(EntryId(link->entry))) {
+            link->wakeNow();
+        }
+    }
+}
+
 std::size_t EntryLinks::size() const
 {
     return m_links.size();
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -65,6 +65,7 @@
     , planner({})
     , demands({})
     , planTimer(executor)
+    , leaseTimer(executor)
     , crashes({.hasEnded =
                    [this](const ServerIdentity &server, const Endpoint &endpoint, TimePoint now) {
                        return registry.seemsEnded(server, endpoint, now);
@@ -95,11 +96,13 @@
              .hosts = [this] { return hosts(); },
              .serversAnnounced = [this] { return Clock::now() > leadershipStartedAt + settings.heartbeatInterval * 3; },
              .wantsHistory = [this] { return dispatcher.active(); },
+             .allowanceFrame = [this](const EntryId &entry) { return allowanceFrame(entry); },
              .onReport = [this](const FleetReportMessage &report) { applyReport(report); },
              .onEntryDisconnected =
                  [this](const EntryId &entry) {
                      planner.removeEntry(entry);
                      demands.removeEntry(entry);
+                     allowances.noteDisconnected(entry);
                  }})
     , metricsEndpoint(executor, metrics, [this](Metrics &gauges) { setGauges(gauges); })
 {
@@ -143,6 +146,9 @@
     gauge("adapters_wanted", totals.wanted);
     gauge("store_loads", totals.fromStore);
     gauge("store_load_window", planner.storeLoadWindow().window());
+    if (allowances.active()) {
+        setAllowanceGauges(gauges);
+    }
 }
 
 void FleetNode::Impl::readConfigurationInForce()
@@ -159,6 +165,7 @@
     }
     configuration = std::make_shared<const DeploymentConfiguration>(std::move(read).value());
     LogLine(LogLevel::Info, "configuration_in_force").add("version", configuration->version);
+    setAllowances();
 }
 
 void FleetNode::Impl::handleStateChange(const FleetCommand *command)
@@ -351,6 +358,7 @@
     impl.root.start("entry-links", [&impl] { return impl.links.run(); });
     impl.root.start("entry-updates", [&impl] { return impl.links.publishUpdates(); });
     impl.root.start("plan-loads", [&impl] { return impl.planLoads(); });
+    impl.root.start("decide-leases", [&impl] { return impl.decideLeases(); });
     impl.root.start("attribute-crashes", [&impl] { return impl.attributeCrashes(); });
     impl.root.start("watch-delay", [&impl] { return impl.watchDelay(); });
     impl.metricsEndpoint.start(impl.root);
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -8,6 +8,7 @@
 #include "tamarackcove/Control/LogStatus.h"
 #include "tamarackcove/Control/Replica/ReplicaTask.h"
 #include "tamarackcove/Fleet/AdapterPlanner.h"
+#include "tamarackcove/Fleet/AllowanceLedger.h"
 #include "tamarackcove/Fleet/CrashAttribution.h"
 #include "tamarackcove/Fleet/DemandTable.h"
 #include "tamarackcove/Http/MetricsEndpoint.h"
@@ -22,8 +23,8 @@
 namespace tamarackcove {
 
 /// The root of the supervisor tree of a control host, and what its children share. Its functions are in FleetNode.cpp
-/// (calls, servers, replicated state), FleetNodeLeadership.cpp (leadership and the order duty) and FleetNodeReports.cpp
-/// (reports and demands of entries).
+/// (calls, servers, replicated state), FleetNodeLeadership.cpp (leadership and the order duty), FleetNodeReports.cpp
+/// (reports and demands of entries), FleetNodeCrashes.cpp and FleetNodeAllowances.cpp.
 struct FleetNode::Impl
 {
     Impl(const boost::asio::any_io_executor &executor, FleetControlSettings nodeSettings, Hooks nodeHooks);
@@ -69,6 +70,17 @@
     /// Passes a heartbeat to the planner and the dispatcher if this host holds the order duty.
     void updatePlanner(const ServerHeartbeat &heartbeat);
     void applyReport(const FleetReportMessage &report);
+    /// Passes what a report says of allowances on to the ledger.
+    void applyAllowances(const FleetReportMessage &report);
+    /// Sends the entries with a decision on a one-time lease their answers.
+    void sendLeaseDecisions();
+    /// Has the ledger decide on one-time leases that wait for its pools.
+    boost::asio::awaitable<void> decideLeases();
+    /// The answer of the ledger to an entry as a frame; null if there is none.
+    [[nodiscard]] SharedFrame allowanceFrame(const EntryId &entry);
+    /// Gives the ledger the allowances of the configuration in force, if this host leads.
+    void setAllowances();
+    void setAllowanceGauges(Metrics &gauges);
     void applyDemands(const FleetReportMessage &report, TimePoint now);
     /// Makes a server that has stated that it is leaving a draining one, for all entries and for later leaders. Has no
     /// effect for an earlier start of the server.
@@ -114,6 +126,8 @@
     AdapterPlanner planner;
     DemandTable demands;
     Timer planTimer;
+    AllowanceLedger allowances;
+    Timer leaseTimer;
     CrashAttribution crashes;
     /// The acquitted suspects that are still in quarantine by the replicated state.
     std::set<CrashSuspect> acquittedSuspects;
--- a/lib/Control/Fleet/FleetNodeLeadership.cpp
+++ b/lib/Control/Fleet/FleetNodeLeadership.cpp
@@ -62,6 +62,7 @@
     dispatcher.end();
     planner.reset();
     demands.clear();
+    allowances.begin(Clock::now());
     acquittedSuspects.clear();
     watchedSuspects.clear();
     registry.clear();
@@ -75,6 +76,8 @@
     ++leadershipCount;
     links.resendEverything();
     leadershipStartedAt = Clock::now();
+    allowances.begin(leadershipStartedAt);
+    setAllowances();
     crashes.beginDecisions(leadershipStartedAt + ObjectionDelay);
     // Entries that have ended since they reported crashes do not report them again.
     evaluateCrashesSoon();
--- a/lib/Control/Fleet/FleetNodeReports.cpp
+++ b/lib/Control/Fleet/FleetNodeReports.cpp
@@ -28,6 +28,7 @@
         applyCrashes(report);
         return;
     }
+    applyAllowances(report);
     for (const auto &server : report.servers) {
         const auto endpoint = Endpoint::parse(server.endpoint);
         ServerHeartbeat reportedServer;
--- a/lib/Gateway/FleetLink.cpp
+++ b/lib/Gateway/FleetLink.cpp
@@ -111,6 +111,7 @@
         host.connected = false;
         if (m_leader == &host) {
             m_leader = nullptr;
+            m_view.admission().allowances().loseLeader(Clock::now());
         }
         updateReachability(Clock::now());
         Timer pause(m_tasks.executor(), backoff);
@@ -133,6 +134,7 @@
     if (!status.leads || host.outdated) {
         if (m_leader == &host) {
             m_leader = nullptr;
+            m_view.admission().allowances().loseLeader(Clock::now());
         }
         return;
     }
@@ -143,6 +145,7 @@
         // crashes only from the entries.
         host.nextReportIsFirst = true;
         host.crashes.restart();
+        m_view.admission().allowances().meetLeader();
         reportInFull(host);
     }
     if (status.wantsHistory) {
@@ -194,6 +197,17 @@
             awaitedUpdates = announced.value().updates;
             continue;
         }
+        if (message.value().type == AllowanceAnswerMessage::Type) {
+            const auto answer = fromMessage<AllowanceAnswerMessage>(message.value());
+            if (answer.has_error()) {
+                LogLine(LogLevel::Warning, "allowances_refused").add("reason", answer.error().detail);
+                co_return;
+            }
+            if (m_leader == &host) {
+                m_view.admission().apply(answer.value(), Clock::now());
+            }
+            continue;
+        }
         auto update = fromMessage<FleetUpdateMessage>(message.value());
         if (update.has_error()) {
             LogLine(LogLevel::Warning, "update_refused").add("reason", update.error().detail);
@@ -256,6 +270,9 @@
         : isFull         ? m_view.takeReport(toNewLeader, std::exchange(host.nextReportHasHistory, false))
                          : m_view.takeNewDemands();
     host.crashes.addTo(report, leads, now);
+    if (leads) {
+        m_view.admission().addTo(report, now);
+    }
     return report;
 }
 
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -5,6 +5,7 @@
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Wire/FleetMessages.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <random>
@@ -85,6 +86,10 @@
         } else {
             m_routes = std::make_shared<const RouteTable>(
                 std::make_shared<const DeploymentConfiguration>(std::move(read).value()));
+            const auto &workspaces = m_routes->configuration().workspaces;
+            m_admission.allowances().setActive(
+                std::any_of(workspaces.begin(), workspaces.end(),
+                            [](const Workspace &workspace) { return workspace.allowance.has_value(); }));
             LogLine(LogLevel::Info, "configuration_in_force").add("version", update.configurationVersion);
             changed = true;
         }
@@ -272,6 +277,11 @@
     return m_servers;
 }
 
+WorkspaceAdmission &FleetView::admission()
+{
+    return m_admission;
+}
+
 CrashSuspectWatch &FleetView::crashSuspects()
 {
     return m_crashSuspects;
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -56,6 +56,9 @@
         view.onNewDemand = [this] {
             link.reportSoon();
         };
+        view.admission().onLeaseRequest = [this] {
+            link.reportSoon();
+        };
         view.crashSuspects().onNews = [this] {
             link.reportCrashesSoon();
         };
@@ -114,6 +117,17 @@
     gauges.gauge("control_update_age_seconds", std::chrono::duration<double>(view.updateAge(now)).count());
     gauges.gauge("configuration_version", routes ? static_cast<double>(routes->configuration().version) : 0.0);
     gauges.gauge("server_connections_opened", static_cast<double>(connections.openedCount()));
+    auto &allowances = view.admission().allowances();
+    for (const auto &usage : allowances.usage(now)) {
+        const auto gauge = [&gauges, &name = usage.workspace.value()](std::string_view metric, double value) {
+            gauges.gauge(Metrics::labelled(metric, {{"workspace", name}}), value);
+        };
+        gauge("workspace_share_units_per_second", usage.share.rate);
+        gauge("workspace_standalone_units_per_second", usage.share.standaloneRate);
+        gauge("workspace_share_units", usage.level);
+        gauge("workspace_admitted_ratio", usage.share.admittedPart);
+        gauge("workspace_share_age_seconds", std::chrono::duration<double>(now - allowances.renewedAt()).count());
+    }
     for (const auto &[service, left] : view.retriesLeft(now)) {
         gauges.gauge(Metrics::labelled("retries_left", {{"service", service.value()}}), left);
     }
--- a/lib/Gateway/RequestAdmission.cpp
+++ b/lib/Gateway/RequestAdmission.cpp
@@ -1,7 +1,11 @@
 #include "RequestExchange.h"
+#include "tamarackcove/Gateway/FleetView.h"
+#include "tamarackcove/Gateway/WorkspaceAdmission.h"
 #include "tamarackcove/Observe/Metrics.h"
+#include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/awaitable.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
 
@@ -33,7 +37,53 @@
     if (exchange.workspace != nullptr) {
         m_parts.metrics.count(Metrics::labelled("workspace_requests_total", {{"workspace", exchange.workspaceName()}}));
     }
-    co_return true;
+    if (exchange.workspace == nullptr || !exchange.workspace->allowance) {
+        co_return true;
+    }
+    co_return co_await takeAllowance(exchange);
+}
+
+asio::awaitable<bool> RequestRelay::takeAllowance(Exchange &exchange)
+{
+    const auto &workspace = *exchange.workspace;
+    const auto units = workspace.allowance->costOf(exchange.caller.promptTokens, exchange.caller.maxOutputTokens);
+    Timer timer(co_await asio::this_coro::executor);
+    exchange.watched.timer = &timer;
+    const auto decision = co_await m_parts.view.admission().decide(workspace, units, timer);
+    exchange.watched.timer = nullptr;
+    const bool granted = decision.verdict == EntryAllowances::Verdict::Granted;
+    auto &metrics = m_parts.metrics;
+    metrics.count(Metrics::labelled("allowance_decisions_total",
+                                    {{"workspace", exchange.workspaceName()},
+                                     {"decision", granted ? "granted" : "refused"},
+                                     {"reason", decision.reason}}));
+    if (granted) {
+        exchange.allowanceUnits = units;
+        metrics.count(Metrics::labelled("workspace_used_units_total", {{"workspace", exchange.workspaceName()}}),
+                      static_cast<std::uint64_t>(units));
+        if (exchange.watched.isCallerGone()) {
+            returnAllowance(exchange);
+            co_return false;
+        }
+        co_return true;
+    }
+    if (exchange.watched.isCallerGone()) {
+        co_return false;
+    }
+    const auto now = Clock::now();
+    auto &allowances = m_parts.view.admission().allowances();
+    const auto retryAfter = allowances.retryAfter(workspace.name, units, now);
+    logOverAllowance(exchange, units, decision.reason, retryAfter);
+    exchange.failureDetail = "the workspace is over its allowance";
+    co_await refuse(exchange, EntryRefusal::OverAllowance, retryAfter);
+    co_return false;
+}
+
+void RequestRelay::returnAllowance(const Exchange &exchange)
+{
+    if (exchange.allowanceUnits > 0 && exchange.sendCount == 0) {
+        m_parts.view.admission().allowances().giveBack(exchange.workspace->name, exchange.allowanceUnits, Clock::now());
+    }
 }
 
 } // namespace tamarackcove
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -97,6 +97,8 @@
     const RouteRule *route = nullptr;
     /// The workspace that holds the key of the request; null if the request needs no key.
     const Workspace *workspace = nullptr;
+    /// What was taken from the allowance of the workspace.
+    double allowanceUnits = 0;
     ServiceName service;
     /// That of the workspace if it has one, otherwise that of the route; 0 is the most urgent.
     int priority = 0;
--- a/lib/Gateway/RequestRecord.cpp
+++ b/lib/Gateway/RequestRecord.cpp
@@ -70,6 +70,29 @@
         .add("left_ms", timeLeft);
 }
 
+void RequestRelay::logOverAllowance(const Exchange &exchange, double units, std::string_view decision,
+                                    milliseconds retryAfter)
+{
+    const auto now = Clock::now();
+    auto &allowances = m_parts.view.admission().allowances();
+    for (const auto &usage : allowances.usage(now)) {
+        if (usage.workspace != exchange.workspace->name) {
+            continue;
+        }
+        LogLine(LogLevel::Info, "over_allowance")
+            .add("request", exchange.caller.attemptId)
+            .add("workspace", exchange.workspaceName())
+            .add("decision", decision)
+            .add("units", units)
+            .add("level", usage.level)
+            .add("share_rate", usage.share.rate)
+            .add("standalone_rate", usage.share.standaloneRate)
+            .add("admitted_part", usage.share.admittedPart)
+            .add("share_age_ms", duration_cast<milliseconds>(now - allowances.renewedAt()))
+            .add("retry_after_ms", retryAfter);
+    }
+}
+
 void RequestRelay::recordEnd(const Exchange &exchange)
 {
     const auto now = Clock::now();
--- a/lib/Gateway/RequestRefusals.cpp
+++ b/lib/Gateway/RequestRefusals.cpp
@@ -79,6 +79,8 @@
         return "not_ready";
     case EntryRefusal::UnknownKey:
         return "unknown_key";
+    case EntryRefusal::OverAllowance:
+        return "over_allowance";
     case EntryRefusal::NoServer:
         return "no_server";
     case EntryRefusal::Quarantined:
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -87,6 +87,7 @@
     logRouted(exchange);
     co_await tryServers(exchange);
     endSilentAttempt(exchange);
+    returnAllowance(exchange);
     for (auto &[server, connection] : exchange.refusedConnections) {
         m_parts.connections.release(server, std::move(connection));
     }
--- a/unittests/Platform/CodecTest.cpp
+++ b/unittests/Platform/CodecTest.cpp
@@ -3,6 +3,7 @@
 #include "platform/ServerCodec.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 using namespace tamarackcove;
@@ -165,6 +166,7 @@
     CHECK(caller.callerTimeout == milliseconds(5000));
     CHECK(caller.adapter == AdapterKey{BaseModel("m"), "a3"});
     CHECK(caller.promptTokens == 1460);
+    CHECK(caller.maxOutputTokens == 80);
     CHECK(caller.promptParts.empty());
     Dispatch dispatch;
     dispatch.server.id = TargetId("i-1");
@@ -267,12 +269,37 @@
     CHECK(refused.status == 503);
     CHECK(refused.headers.find("Retry-After") == "0.30");
     CHECK(dialect.refuse({}, EntryRefusal::NotReady, milliseconds(300)).status == 503);
+    const auto overAllowance = dialect.refuse({}, EntryRefusal::OverAllowance, milliseconds(450));
+    CHECK(overAllowance.status == 429);
+    CHECK(overAllowance.headers.find("Retry-After") == "0.45");
     const auto stopping = dialect.refuse({}, EntryRefusal::Stopping, milliseconds(0));
     CHECK(stopping.status == 503);
     CHECK(stopping.headers.find("Retry-After") == "0.00");
     CHECK(dialect.refuse({}, EntryRefusal::NoRoute, milliseconds(0)).status == 404);
 }
 
+// Guards against requests that cost nothing, or give units to their workspace, because they state their tokens badly.
+TEST_CASE("the tokens of a request are never negative, and numbers that are too long count as the largest")
+{
+    const auto dialect = platform::callerDialect();
+    const auto tokens = [&](const std::string &usage) {
+        HttpRequest request;
+        request.headers = {{"Tamarackcove-Token-Usage", usage}};
+        const auto caller = dialect.readRequest(request);
+        return std::pair(caller.promptTokens, caller.maxOutputTokens);
+    };
+    CHECK(tokens("10, 20") == std::pair(10, 20));
+    CHECK(tokens("10") == std::pair(10, 0));
+    CHECK(tokens("-5,x") == std::pair(0, 0));
+    CHECK(tokens("") == std::pair(0, 0));
+    CHECK(tokens("99999999999,1") == std::pair(std::numeric_limits<int>::max(), 1));
+    const WorkspaceAllowance allowance{
+        .unit = WorkspaceAllowance::Unit::Tokens, .ratePerSecond = 1, .burst = 1, .plainRequestTokens = 7};
+    CHECK(allowance.costOf(10, 20) == doctest::Approx(30));
+    CHECK(allowance.costOf(0, 0) == doctest::Approx(7));
+    CHECK(WorkspaceAllowance{}.costOf(10, 20) == doctest::Approx(1));
+}
+
 // Guards against blaming the wrong part of a prompt, and against a list that takes a process down.
 TEST_CASE("the parts of a prompt are read, and malformed ones are passed over")
 {
