--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -82,6 +82,8 @@
     NotReady,
     /// The request needs the key of a workspace, and no workspace holds the one that it carries.
     UnknownKey,
+    /// The workspace of the request is over its allowance; the request has not run.
+    OverAllowance,
     /// No server can take the request in time; it has not run.
     NoServer,
     /// The request or a part of its prompt crashes servers; the request has not run.
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -5,6 +5,7 @@
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Wire/FleetMessages.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <random>
@@ -89,6 +90,10 @@
             for (const auto &service : m_routes->configuration().services) {
                 m_servers.setMemory(service.name, service.engine ? service.engine->requestMemoryTokens : 0);
             }
+            const auto &workspaces = m_routes->configuration().workspaces;
+            m_admission.allowances().setActive(
+                std::any_of(workspaces.begin(), workspaces.end(),
+                            [](const Workspace &workspace) { return workspace.allowance.has_value(); }));
             LogLine(LogLevel::Info, "configuration_in_force").add("version", update.configurationVersion);
             changed = true;
         }
@@ -278,6 +283,11 @@
     return m_servers;
 }
 
+WorkspaceAdmission &FleetView::admission()
+{
+    return m_admission;
+}
+
 CrashSuspectWatch &FleetView::crashSuspects()
 {
     return m_crashSuspects;
