Allowances: no overdraft for the first entries after a start of everything; restarted entries, lint

The first entries to report after a start divided the whole overdraft among them. Until a second has passed, or an entry has reported shares of an earlier leader, shares carry no overdraft.

--- a/include/tamarackcove/Fleet/WorkspaceAccount.h
+++ b/include/tamarackcove/Fleet/WorkspaceAccount.h
@@ -117,11 +117,17 @@
     void refill(TimePoint now);
     void decayDemand(TimePoint now);
     [[nodiscard]] double burst() const;
+    /// What may be used beyond the limit for failures, in a window.
     [[nodiscard]] double failureReserve() const;
     /// Units that the pool may be overdrawn by, so that the decision does not depend on the size of a request.
     [[nodiscard]] double poolOverdraft() const;
     [[nodiscard]] bool poolGrants(double units) const;
     [[nodiscard]] Sums sumUp(const std::map<EntryId, EntryState> &entries);
+    /// Decides whether entries use their shares while the leader answers.
+    void chooseSharesInUse(double sharedBurst, double live);
+    /// The share with this standalone rate. `sharedBurst` is what all shares together have of the burst.
+    [[nodiscard]] LeasedShare shareAt(double standaloneRate, double sharedBurst, bool mayOverdraw,
+                                      bool isColdStart) const;
     void updatePool(const Sums &sums, double unknown);
     void updateAdmittedPart(const Sums &sums);
 
--- a/lib/Fleet/WorkspaceAccount.cpp
+++ b/lib/Fleet/WorkspaceAccount.cpp
@@ -36,6 +36,8 @@
 /// A share is changed if it differs from what the entry should have by more than this part.
 static constexpr double ShareTolerance = 0.25;
 static constexpr double AdmittedTolerance = 0.1;
+/// A share is sent again if one of its terms has changed by more than this part.
+static constexpr double TermTolerance = 0.05;
 /// While the allowance is exceeded, requests for this part of the capacity are considered, so that it is used in full.
 static constexpr double AdmittedSurplus = 1.1;
 static constexpr double MinAdmittedPart = 0.02;
@@ -240,6 +242,50 @@
     m_admittedPart = exceeded ? std::clamp(AdmittedSurplus * capacity / load, MinAdmittedPart, 1.0) : 1.0;
 }
 
+void WorkspaceAccount::chooseSharesInUse(double sharedBurst, double live)
+{
+    const auto meanCost = m_sampleRequests > 0 ? m_sampleUnits / m_sampleRequests : 0.0;
+    // The bounds differ, so that the choice does not alternate.
+    const auto neededBurst = RequestsPerShare * live * meanCost * (m_sharesInUse ? 0.75 : 1.25);
+    m_sharesInUse = meanCost > 0 && sharedBurst >= neededBurst;
+}
+
+LeasedShare WorkspaceAccount::shareAt(double standaloneRate, double sharedBurst, bool mayOverdraw,
+                                      bool isColdStart) const
+{
+    const auto leasable = LeasedPart * m_allowance.ratePerSecond;
+    const auto part = leasable > 0 ? standaloneRate / leasable : 0.0;
+    const auto holders = std::max<std::uint64_t>(m_holders.size(), m_reportedHolders);
+    LeasedShare share;
+    share.rate = m_sharesInUse ? LocalPart * standaloneRate : 0;
+    share.burst = m_sharesInUse ? sharedBurst * part : 0;
+    share.standaloneRate = standaloneRate;
+    share.standaloneBurst = part * (burst() + StandaloneBurstSeconds * m_allowance.ratePerSecond);
+    share.fallbackRate = ReservePart * m_allowance.ratePerSecond / static_cast<double>(holders);
+    // The first entries to report after a start of everything would divide the whole overdraft among them.
+    share.overdraft = isColdStart ? 0 : OverdraftPart * failureReserve() / static_cast<double>(holders);
+    share.mayOverdraw = mayOverdraw && m_admittedPart == 1;
+    share.holders = holders;
+    share.admittedPart = m_admittedPart;
+    return share;
+}
+
+static bool differs(double a, double b, double tolerance)
+{
+    return std::abs(a - b) > tolerance * b;
+}
+
+/// Whether an entry must be told of the new share.
+static bool differs(const LeasedShare &next, const LeasedShare &sent)
+{
+    return differs(next.standaloneRate, sent.standaloneRate, TermTolerance)
+        || differs(next.rate, sent.rate, TermTolerance) || differs(next.burst, sent.burst, TermTolerance)
+        || differs(next.standaloneBurst, sent.standaloneBurst, TermTolerance)
+        || differs(next.overdraft, sent.overdraft, ShareTolerance)
+        || differs(next.admittedPart, sent.admittedPart, AdmittedTolerance) || next.mayOverdraw != sent.mayOverdraw
+        || (next.admittedPart == 1) != (sent.admittedPart == 1);
+}
+
 std::vector<EntryId> WorkspaceAccount::review(const std::map<EntryId, EntryState> &entries, TimePoint unknownUntil,
                                               bool settling, TimePoint now)
 {
@@ -267,14 +313,8 @@
     }
 
     const auto live = static_cast<double>(sums.live);
-    const auto holders = static_cast<double>(m_holders.size());
     const auto sharedBurst = burst() - std::max(PoolPart * burst(), std::min(MaxPoolPart * burst(), PoolTokens));
-    const auto meanCost = m_sampleRequests > 0 ? m_sampleUnits / m_sampleRequests : 0.0;
-    // The bounds differ, so that the mode does not alternate.
-    const auto neededBurst = RequestsPerShare * live * meanCost * (m_sharesInUse ? 0.75 : 1.25);
-    m_sharesInUse = meanCost > 0 && sharedBurst >= neededBurst;
-
-    const auto standaloneBurst = burst() + StandaloneBurstSeconds * m_allowance.ratePerSecond;
+    chooseSharesInUse(sharedBurst, live);
     const auto target = [&](const Holder &holder) {
         const auto byDemand = sums.requests < 1 ? 1 / live : holder.requests / sums.requests;
         return leasable * (EqualPart / live + (1 - EqualPart) * byDemand);
@@ -288,6 +328,8 @@
     const auto free = std::max(leasable - sums.leased - unknown, 0.0);
     const auto raisePart = wanted > 0 ? std::min(free / wanted, 1.0) : 0.0;
 
+    const bool mayOverdraw = settling || sums.silent + unknown > 0;
+    const bool isColdStart = m_reportedHolders == 0 && now < unknownUntil;
     std::vector<EntryId> changed;
     for (auto &[id, holder] : m_holders) {
         ++m_visits;
@@ -302,25 +344,8 @@
             // What the entry may still hold of an earlier share is counted as leased already.
             rate = std::max(rate, holder.countedStandaloneRate + raisePart * (aim - holder.countedStandaloneRate));
         }
-        LeasedShare next;
-        next.standaloneRate = rate;
-        next.standaloneBurst = standaloneBurst * (leasable > 0 ? rate / leasable : 0);
-        next.fallbackRate = ReservePart * m_allowance.ratePerSecond / holders;
-        next.holders = m_holders.size();
-        next.mayOverdraw = (settling || sums.silent + unknown > 0) && m_admittedPart == 1;
-        next.overdraft = OverdraftPart * failureReserve() / holders;
-        next.rate = m_sharesInUse ? LocalPart * rate : 0;
-        next.burst = m_sharesInUse && leasable > 0 ? sharedBurst * rate / leasable : 0;
-        next.admittedPart = m_admittedPart;
-        const auto &sent = holder.share;
-        const bool differs = !holder.hasShare
-            || std::abs(next.standaloneRate - sent.standaloneRate) > 0.05 * sent.standaloneRate
-            || std::abs(next.rate - sent.rate) > 0.05 * sent.rate
-            || std::abs(next.standaloneBurst - sent.standaloneBurst) > 0.05 * sent.standaloneBurst
-            || std::abs(next.overdraft - sent.overdraft) > ShareTolerance * sent.overdraft
-            || std::abs(next.admittedPart - sent.admittedPart) > AdmittedTolerance * sent.admittedPart
-            || next.mayOverdraw != sent.mayOverdraw || (next.admittedPart == 1) != (sent.admittedPart == 1);
-        if (!differs) {
+        const auto next = shareAt(rate, sharedBurst, mayOverdraw, isColdStart);
+        if (holder.hasShare && !differs(next, holder.share)) {
             continue;
         }
         holder.share = next;
--- a/unittests/Fleet/AllowanceFailureTest.cpp
+++ b/unittests/Fleet/AllowanceFailureTest.cpp
@@ -21,6 +21,22 @@
     return (rate * std::chrono::duration<double>(Window).count() + burst) * 1.1 + Slack;
 }
 
+/// A workspace whose load rises to 7.5 times the usual one, some time before the failure or together with it.
+struct Load
+{
+    double rate = 0;
+    double use = 0;
+    seconds peakTime{0};
+};
+
+std::vector<Load> loads()
+{
+    return {{29000, UsualUse, seconds(4)},
+            {250000, UsualUse, seconds(4)},
+            {29000, 0.1, seconds(0)},
+            {250000, 0.1, seconds(0)}};
+}
+
 /// What fails while requests arrive.
 struct Failure
 {
@@ -43,6 +59,11 @@
              simulation.killEntries(0, Entries / 2);
              simulation.run(seconds(12));
          }},
+        {"half of the entries restart",
+         [](AllowanceSimulation &simulation) {
+             simulation.restartEntries(0, Entries / 2);
+             simulation.run(seconds(10));
+         }},
         {"no leader for 10 s",
          [](AllowanceSimulation &simulation) {
              simulation.loseLeader();
@@ -100,21 +121,19 @@
 TEST_CASE("no failure lets more through in a window than the allowance and the reserves")
 {
     for (const auto &failure : failures()) {
-        // The peak begins before the failure, or together with it after a time of little use.
-        for (const auto &[rate, use, peakTime] :
-             {std::tuple(29000.0, UsualUse, seconds(4)), std::tuple(250000.0, UsualUse, seconds(4)),
-              std::tuple(29000.0, 0.1, seconds(0)), std::tuple(250000.0, 0.1, seconds(0))}) {
+        for (const auto &load : loads()) {
             CAPTURE(failure.name);
-            CAPTURE(rate);
+            CAPTURE(load.rate);
             AllowanceSimulation simulation(Entries);
-            const auto index = simulation.addCustomer("w", rate, use);
+            const auto index = simulation.addCustomer("w", load.rate, load.use);
             simulation.run(seconds(10));
-            simulation.customers[index].requestRate *= PeakUse / use;
-            simulation.run(peakTime);
+            simulation.customers[index].requestRate *= PeakUse / load.use;
+            simulation.run(load.peakTime);
             failure.play(simulation);
             const auto most = AllowanceSimulation::maxInWindow(simulation.customers[index], Window);
-            MESSAGE(failure.name << ", rate " << rate << ": " << most / bound(rate, rate) << " of the bound");
-            CHECK(most <= bound(rate, rate));
+            MESSAGE(failure.name << ", rate " << load.rate << ": " << most / bound(load.rate, load.rate)
+                                 << " of the bound");
+            CHECK(most <= bound(load.rate, load.rate));
         }
     }
 }
--- a/unittests/Fleet/AllowanceLoadTest.cpp
+++ b/unittests/Fleet/AllowanceLoadTest.cpp
@@ -91,7 +91,6 @@
         deviation += std::pow(entry.served - mean * entry.asked, 2);
         expected += mean * (1 - mean) * entry.asked;
     }
-    // Ten times the variance of independent draws would be a spread of a fifth over entries.
     MESSAGE("variance over entries " << deviation / expected << " times that of independent draws");
     CHECK(deviation / expected <= 5);
 }
@@ -135,7 +134,8 @@
         }
         const auto workspaces = static_cast<double>(LargeWorkspaces + SmallWorkspaces);
         for (const auto each : visits) {
-            CHECK(each <= 50 * workspaces * static_cast<double>(entries));
+            CHECK(each <= 25 * workspaces * static_cast<double>(entries));
         }
+        CHECK(visits.back() <= 1.5 * visits.front());
     }
 }
--- a/unittests/Fleet/AllowanceSimulation.h
+++ b/unittests/Fleet/AllowanceSimulation.h
@@ -138,6 +138,17 @@
             m_ledger.noteDisconnected(m_entries[i]->id);
         }
     }
+    /// Ends entries and starts them again under their names; the new processes hold nothing.
+    void restartEntries(std::size_t first, std::size_t end)
+    {
+        killEntries(first, end);
+        for (auto i = first; i < end; ++i) {
+            auto entry = std::make_unique<Entry>(m_entries[i]->id, m_random());
+            entry->weight = m_entries[i]->weight;
+            entry->allowances.setActive(true);
+            m_entries[i] = std::move(entry);
+        }
+    }
     /// Ends the leader as a process that is killed: entries notice at once.
     void loseLeader()
     {
