Admission control: hold or refuse requests for an overloaded service at the entry

Servers queue in FIFO order, so that in a burst of some seconds nearly every request is answered late. Entries now send a share of the requests that they compute from the reported load, hold the others for at most three quarters of their time, and send them by goal, priority and work. Engines get the urgency of a request.

--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tamarackcove/Fleet/ServerRecord.h"
+#include "tamarackcove/Fleet/ServiceLoad.h"
 
 #include <map>
 #include <memory>
@@ -138,6 +139,9 @@
     /// Whether a server of the service that does not drain is offered, and holds the model if one is given.
     [[nodiscard]] bool offers(const ServiceName &service, const std::optional<BaseModel> &model) const;
 
+    /// The request load and slots of all servers of a service that take new requests. Its age is 0.
+    [[nodiscard]] ServiceLoad serviceLoad(const ServiceName &service, TimePoint now) const;
+
     /// Adds a request that is sent to a server to the request load of the server. An ordinary request weighs 1.
     void startRequest(const TargetId &id, double weight);
     /// Ends a request that startRequest() has counted with the same weight. Avoids the server for a while if the
--- a/include/tamarackcove/Fleet/WorkspaceTable.h
+++ b/include/tamarackcove/Fleet/WorkspaceTable.h
@@ -21,10 +21,13 @@
     [[nodiscard]] const Workspace *find(const std::string &key) const;
     /// Whether the configuration has no workspaces, so that requests need no key.
     [[nodiscard]] bool empty() const;
+    /// Whether a workspace has a priority.
+    [[nodiscard]] bool hasPriorities() const;
 
 private:
     std::unordered_map<std::string, const Workspace *> m_byKey;
     bool m_empty;
+    bool m_hasPriorities;
 };
 
 } // namespace tamarackcove
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -49,6 +49,10 @@
     bool withholdCredentials = false;
     /// The workspace that holds the key of the request; absent if the request needs no key.
     std::optional<WorkspaceName> workspace;
+    /// From 0, the most urgent, to MaxUrgency: the order in which an engine runs requests. Absent if the engine is to
+    /// treat the request as one of medium urgency.
+    std::optional<int> urgency;
+    static constexpr int MaxUrgency = 9;
 };
 
 /// Properties of a server's answer, read from its head.
@@ -81,6 +85,8 @@
     UnknownKey,
     /// No server can take the request in time; it has not run.
     NoServer,
+    /// The servers of the service are overloaded and have no room for the request in time; it has not run.
+    Overloaded,
     /// The request or a part of its prompt crashes servers; the request has not run.
     Quarantined,
     /// This entry is being stopped and may be killed before the request has to be answered; it has not run.
--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -57,6 +57,8 @@
     [[nodiscard]] std::uint64_t latestVersion(const AdapterKey &adapter) const;
     /// Time since the last message of a leader; before the first update, time since the start.
     [[nodiscard]] milliseconds updateAge(TimePoint now) const;
+    /// Number of connected entries, as the leader counts them.
+    [[nodiscard]] std::size_t entryCount() const;
     /// Number of requests that wait for an adapter or for the first configuration.
     [[nodiscard]] std::size_t waitingRequests() const;
     /// The number of retries left to this entry in the retry budget of each service.
@@ -92,6 +94,8 @@
     /// Called when the first request waits for an adapter that must be loaded, and when a request begins to wait that
     /// more servers have failed than any earlier one that waits for the adapter.
     std::function<void()> onNewDemand;
+    /// Called for each report of the leader on the loads of servers, also if none of them has changed.
+    std::function<void(TimePoint now)> onLoads;
 
 private:
     /// The requests of this entry that wait for an adapter to be loaded: their number, the highest version that they
@@ -111,6 +115,7 @@
     };
 
     void wakeWaiters();
+    void noteLoads(TimePoint now);
     void addHistory(FleetReportMessage &report) const;
 
     boost::asio::any_io_executor m_executor;
@@ -118,6 +123,7 @@
     const CallerDialect &m_dialect;
     std::shared_ptr<const RouteTable> m_routes;
     TimePoint m_updatedAt;
+    TimePoint m_loadsAt;
     ServerDirectory m_servers;
     CrashSuspectWatch m_crashSuspects;
     AdapterHistory m_history;
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -4,6 +4,7 @@
 #include "tamarackcove/Fleet/ServerDirectory.h"
 #include "tamarackcove/Gateway/AnswerBudget.h"
 #include "tamarackcove/Gateway/CallerDialect.h"
+#include "tamarackcove/Gateway/ServiceAdmission.h"
 #include "tamarackcove/Http/HttpError.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -34,6 +35,7 @@
         FleetView &view;
         ServerConnections &connections;
         CallerWatch &watch;
+        ServiceAdmission &admission;
         Metrics &metrics;
         const CallerDialect &dialect;
         /// Whether the leader of the control hosts is connected.
@@ -73,6 +75,15 @@
     boost::asio::awaitable<bool> admit(Exchange &exchange);
     /// Finds the workspace of the request. Returns false if the request needs a key that no workspace holds.
     [[nodiscard]] static bool identifyWorkspace(Exchange &exchange);
+    /// Waits until the overload of the service, if there is one, leaves room for the request. Returns false if it was
+    /// refused or its caller has disconnected. Only for a request that was not sent to any server.
+    boost::asio::awaitable<bool> awaitAdmission(Exchange &exchange);
+    /// The request as admission control sees it.
+    [[nodiscard]] static ServiceAdmission::Applicant applicantOf(const Exchange &exchange);
+    /// Records how long an answered request has occupied its server.
+    void recordServiceTime(const Exchange &exchange);
+    /// The urgency with which an engine runs the request; absent if the engine is to treat all requests alike.
+    [[nodiscard]] std::optional<int> urgencyOf(const Exchange &exchange, TimePoint now) const;
     /// Sends the request to one server after the other until it is answered or may not be sent again.
     boost::asio::awaitable<void> tryServers(Exchange &exchange);
     boost::asio::awaitable<Step> tryNextServer(Exchange &exchange);
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -255,6 +255,18 @@
                        [&](const auto &item) { return suits(item.second, {.service = service, .model = model}); });
 }
 
+ServiceLoad ServerDirectory::serviceLoad(const ServiceName &service, TimePoint now) const
+{
+    ServiceLoad sum;
+    for (const auto &[id, server] : m_servers) {
+        if (suits(server, {.service = service}) && !unreachable(server, now)) {
+            sum.inProgress += server.inFlight + server.otherEntriesLoad;
+            sum.slots += server.offered.slots;
+        }
+    }
+    return sum;
+}
+
 void ServerDirectory::startRequest(const TargetId &id, double weight)
 {
     const auto found = m_servers.find(id);
--- a/lib/Fleet/WorkspaceTable.cpp
+++ b/lib/Fleet/WorkspaceTable.cpp
@@ -2,10 +2,14 @@
 
 #include "tamarackcove/Fleet/Workspace.h"
 
+#include <algorithm>
+
 namespace tamarackcove {
 
 WorkspaceTable::WorkspaceTable(const std::vector<Workspace> &workspaces)
     : m_empty(workspaces.empty())
+    , m_hasPriorities(std::any_of(workspaces.begin(), workspaces.end(),
+                                  [](const auto &workspace) { return workspace.priority.has_value(); }))
 {
     for (const auto &workspace : workspaces) {
         for (const auto &key : workspace.keys) {
@@ -25,4 +29,9 @@
     return m_empty;
 }
 
+bool WorkspaceTable::hasPriorities() const
+{
+    return m_hasPriorities;
+}
+
 } // namespace tamarackcove
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -19,6 +19,9 @@
 /// Assumed number of entries that share the retry budget, until the leader of the control hosts has sent the real
 /// number.
 static constexpr std::size_t AssumedEntries = 8;
+/// The leader sends the loads of servers five times a second if they have changed. After this time without any, they
+/// count as reported again with its status.
+static constexpr milliseconds MaxLoadsInterval{300};
 /// Number of adapters in the history of each server. Engines keep copies of somewhat fewer adapters in memory.
 static constexpr std::size_t HistoryPerServer = 128;
 
@@ -65,6 +68,9 @@
 void FleetView::noteStatus(std::size_t entries, TimePoint now)
 {
     m_updatedAt = now;
+    if (now >= m_loadsAt + MaxLoadsInterval) {
+        noteLoads(now);
+    }
     if (entries == 0 || entries == m_entryCount) {
         return;
     }
@@ -138,6 +144,17 @@
     if (changed) {
         wakeWaiters();
     }
+    if (!update.loads.empty()) {
+        noteLoads(now);
+    }
+}
+
+void FleetView::noteLoads(TimePoint now)
+{
+    m_loadsAt = now;
+    if (onLoads) {
+        onLoads(now);
+    }
 }
 
 void FleetView::wakeWaiters()
@@ -307,6 +324,11 @@
     return duration_cast<milliseconds>(now - m_updatedAt);
 }
 
+std::size_t FleetView::entryCount() const
+{
+    return m_entryCount;
+}
+
 std::size_t FleetView::waitingRequests() const
 {
     return m_waiters.size();
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -5,6 +5,7 @@
 #include "tamarackcove/Gateway/FleetView.h"
 #include "tamarackcove/Gateway/RequestRelay.h"
 #include "tamarackcove/Gateway/ServerConnections.h"
+#include "tamarackcove/Gateway/ServiceAdmission.h"
 #include "tamarackcove/Http/CallerWatch.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Http/HttpServer.h"
@@ -36,9 +37,11 @@
         , view(executor, settings, dialect)
         , link(root, settings, view)
         , watch(executor)
+        , admission(view, metrics)
         , relay({.view = view,
                  .connections = connections,
                  .watch = watch,
+                 .admission = admission,
                  .metrics = metrics,
                  .dialect = dialect,
                  .leaderConnected =
@@ -56,6 +59,9 @@
         view.onNewDemand = [this] {
             link.reportSoon();
         };
+        view.onLoads = [this](TimePoint now) {
+            admission.recordLoads(now);
+        };
         view.crashSuspects().onNews = [this] {
             link.reportCrashesSoon();
         };
@@ -75,6 +81,7 @@
     FleetLink link;
     ServerConnections connections;
     CallerWatch watch;
+    ServiceAdmission admission;
     RequestRelay relay;
     HttpServer callers;
     HttpServer ready;
--- a/lib/Gateway/RequestAdmission.cpp
+++ b/lib/Gateway/RequestAdmission.cpp
@@ -1,7 +1,10 @@
 #include "RequestExchange.h"
+#include "tamarackcove/Gateway/FleetView.h"
+#include "tamarackcove/Gateway/ServiceAdmission.h"
 #include "tamarackcove/Observe/Metrics.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/this_coro.hpp>
 
 namespace asio = boost::asio;
 
@@ -36,4 +39,77 @@
     co_return true;
 }
 
+ServiceAdmission::Applicant RequestRelay::applicantOf(const Exchange &exchange)
+{
+    return {.attemptId = exchange.caller.attemptId,
+            .service = exchange.service,
+            .request = {.priority = exchange.priority,
+                        .weight = exchange.weight,
+                        .firstSentAt = exchange.firstSentAt,
+                        .goal = exchange.route->goal,
+                        .deadline = exchange.deadline}};
+}
+
+asio::awaitable<bool> RequestRelay::awaitAdmission(Exchange &exchange)
+{
+    auto &admission = m_parts.admission;
+    exchange.firstSentAt = exchange.arrivedAt;
+    // A request that is refused anyway must not wait before that.
+    if (!admission.enabled() || quarantinedSuspect(exchange) != nullptr || refusedByStop(exchange)) {
+        co_return true;
+    }
+    if (exchange.caller.callerTimeout) {
+        exchange.firstSentAt -= admission.timeSinceFirstAttempt(exchange.route->name, *exchange.caller.callerTimeout,
+                                                                exchange.arrivedAt);
+    }
+    auto applicant = applicantOf(exchange);
+    auto decision = admission.offer(applicant, Clock::now());
+    if (decision.verdict == AdmissionControl::Verdict::Hold) {
+        Timer timer(co_await asio::this_coro::executor);
+        exchange.watched.timer = &timer;
+        const auto interrupted = [this, &exchange] {
+            return exchange.watched.isCallerGone() || refusedByStop(exchange);
+        };
+        decision = co_await admission.awaitRoom(std::move(applicant), decision, timer, interrupted);
+        exchange.watched.timer = nullptr;
+    }
+    if (exchange.watched.isCallerGone()) {
+        co_return false;
+    }
+    if (decision.verdict == AdmissionControl::Verdict::Refuse) {
+        exchange.failureDetail = "the service is overloaded";
+        co_await refuse(exchange, EntryRefusal::Overloaded, decision.retryAfter);
+        co_return false;
+    }
+    co_return true;
+}
+
+void RequestRelay::recordServiceTime(const Exchange &exchange)
+{
+    // Of a request that was sent more than once, the answer may come from an earlier server.
+    if (exchange.outcome != RequestOutcome::Answered || exchange.sendCount != 1) {
+        return;
+    }
+    const auto now = Clock::now();
+    const auto answeredAt = exchange.firstEventAt.value_or(now);
+    m_parts.admission.recordAnswer(exchange.service, applicantOf(exchange).request, now - exchange.sentAt,
+                                   answeredAt - exchange.sentAt);
+}
+
+std::optional<int> RequestRelay::urgencyOf(const Exchange &exchange, TimePoint now) const
+{
+    const auto *profile = exchange.routes->configuration().find(exchange.service);
+    const bool limited = m_parts.admission.limits(exchange.service);
+    if (profile == nullptr || !profile->engine || (!limited && !exchange.routes->workspaces().hasPriorities())) {
+        return std::nullopt;
+    }
+    // Leaves room between the priorities for requests that have missed their goal, and at both ends of the scale for
+    // requests of the system itself.
+    constexpr int MostUrgent = 2;
+    constexpr int PriorityStep = 2;
+    const int missed = limited && m_parts.admission.missesGoal(applicantOf(exchange), now) ? 1 : 0;
+    return std::min(MostUrgent + PriorityStep * std::clamp(exchange.priority, 0, Dispatch::MaxUrgency) + missed,
+                    Dispatch::MaxUrgency);
+}
+
 } // namespace tamarackcove
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -104,6 +104,10 @@
     /// The time by which the answer must be sent to the caller. While this entry is being stopped, answerBy() may be
     /// earlier.
     TimePoint deadline;
+    /// When the caller first sent the request, which may have been an earlier attempt.
+    TimePoint firstSentAt;
+    /// When the request was last sent to a server.
+    TimePoint sentAt;
     /// Servers to which this request is not sent again.
     std::set<TargetId> excludedServers;
     /// How often the request was sent to a server.
--- a/lib/Gateway/RequestRefusals.cpp
+++ b/lib/Gateway/RequestRefusals.cpp
@@ -81,6 +81,8 @@
         return "unknown_key";
     case EntryRefusal::NoServer:
         return "no_server";
+    case EntryRefusal::Overloaded:
+        return "overloaded";
     case EntryRefusal::Quarantined:
         return "quarantined";
     case EntryRefusal::Stopping:
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -85,8 +85,11 @@
     exchange.weight = weightOf(exchange.caller);
     m_parts.view.retryBudget(exchange.service).noteRequest(exchange.arrivedAt);
     logRouted(exchange);
-    co_await tryServers(exchange);
+    if (co_await awaitAdmission(exchange)) {
+        co_await tryServers(exchange);
+    }
     endSilentAttempt(exchange);
+    recordServiceTime(exchange);
     for (auto &[server, connection] : exchange.refusedConnections) {
         m_parts.connections.release(server, std::move(connection));
     }
@@ -319,6 +322,7 @@
             dispatch.minVersion = required;
         }
     }
+    dispatch.urgency = urgencyOf(exchange, startTime);
     auto attempt = std::make_unique<Attempt>(std::move(choice), std::move(connection), m_answerBudget);
     attempt->sentAt = attempt->progressAt = startTime;
     attempt->sentAgain = exchange.possibleRuns > 0 || exchange.silentAttempt != nullptr;
@@ -333,7 +337,7 @@
     exchange.retryGranted = false;
     exchange.lastServer = attempt->choice.server.id;
     logSent(exchange, attempt->choice, dispatch.timeLeft);
-    exchange.lastProgressAt = startTime;
+    exchange.lastProgressAt = exchange.sentAt = startTime;
     servers.startRequest(attempt->choice.server.id, exchange.weight);
     exchange.watched.connection = attempt->connection.get();
     const auto written = co_await attempt->connection->writeRequest(std::move(request), WriteTimeout);
