--- a/lib/Gateway/RequestRefusals.cpp
+++ b/lib/Gateway/RequestRefusals.cpp
@@ -83,6 +83,8 @@
         return "over_allowance";
     case EntryRefusal::NoServer:
         return "no_server";
+    case EntryRefusal::Overloaded:
+        return "overloaded";
     case EntryRefusal::Quarantined:
         return "quarantined";
     case EntryRefusal::Stopping:
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -76,9 +76,12 @@
     estimateCost(exchange);
     m_parts.view.retryBudget(exchange.service).noteRequest(exchange.arrivedAt);
     logRouted(exchange);
-    co_await tryServers(exchange);
+    if (co_await awaitAdmission(exchange)) {
+        co_await tryServers(exchange);
+    }
     endSilentAttempt(exchange);
     returnAllowance(exchange);
+    recordServiceTime(exchange);
     for (auto &[server, connection] : exchange.refusedConnections) {
         m_parts.connections.release(server, std::move(connection));
     }
@@ -313,6 +316,7 @@
             dispatch.minVersion = required;
         }
     }
+    dispatch.urgency = urgencyOf(exchange, startTime);
     auto attempt = std::make_unique<Attempt>(std::move(choice), std::move(connection), m_answerBudget);
     attempt->sentAt = attempt->progressAt = startTime;
     attempt->sentAgain = exchange.possibleRuns > 0 || exchange.silentAttempt != nullptr;
@@ -330,7 +334,7 @@
     exchange.retryGranted = false;
     exchange.lastServer = attempt->choice.server.id;
     logSent(exchange, attempt->choice, dispatch.timeLeft);
-    exchange.lastProgressAt = startTime;
+    exchange.lastProgressAt = exchange.sentAt = startTime;
     servers.startRequest(attempt->choice.server.id, exchange.weight);
     exchange.watched.connection = attempt->connection.get();
     const auto written = co_await attempt->connection->writeRequest(std::move(request), WriteTimeout);
