--- a/include/tamarackcove/Control/Fleet/EntryLinks.h
+++ b/include/tamarackcove/Control/Fleet/EntryLinks.h
@@ -4,6 +4,7 @@
 #include "tamarackcove/Base/Result.h"
 #include "tamarackcove/Control/Fleet/UpdateFeed.h"
 #include "tamarackcove/Fleet/DemandTable.h"
+#include "tamarackcove/Fleet/ServerSpeed.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Supervision/Timer.h"
 #include "tamarackcove/Wire/FleetMessages.h"
@@ -12,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -77,7 +79,8 @@
     /// The number of open connections of entries.
     [[nodiscard]] std::size_t size() const;
     /// Request load of each server: the weight of its requests in progress, summed over the last reports of all
-    /// entries. Computed at most ten times a second; between two computations the previous result is returned.
+    /// entries, and whether it is slow. Computed at most ten times a second; between two computations the previous
+    /// result is returned.
     [[nodiscard]] const std::vector<ServerLoadMessage> &totalLoads();
 
 private:
@@ -86,6 +89,7 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<Link> link);
     boost::asio::awaitable<void> readReports(Link &link);
     boost::asio::awaitable<void> writeUpdates(Link &link);
+    void addTimes(const FleetReportMessage &report);
     /// Publishes what is pending and wakes the connections that send it now.
     void publish(TimePoint now);
     /// Makes publishUpdates() publish after ChangeDelay.
@@ -114,6 +118,8 @@
     bool m_wakeAll = false;
     SharedFrame m_status;
     TimePoint m_statusAt;
+    /// Speed of each server of which entries have reported times.
+    std::map<std::string, ServerSpeed, std::less<>> m_speeds;
     std::vector<ServerLoadMessage> m_totalLoads;
     TimePoint m_totalLoadsAt;
     /// Number of entries that were asked for their adapter history since this host became leader.
--- a/include/tamarackcove/Fleet/ServerChoice.h
+++ b/include/tamarackcove/Fleet/ServerChoice.h
@@ -32,6 +32,8 @@
         bool connected = false;
         /// Weight of the requests of this entry in progress.
         double ownLoad = 0;
+        /// How many times as long as usual the server takes; at least 1.
+        double slowness = 1;
         /// The load of the other entries, and the experience of this one. Not null.
         const LoadEstimate *estimate = nullptr;
         /// Set by choose(): the expected load per slot, and the probability relative to the other candidates.
@@ -44,6 +46,8 @@
         milliseconds goal{0};
         /// How long a request of the service is usually in progress; zero if not known.
         Duration usualDuration{0};
+        /// How long the first event or the answer usually takes without a wait; zero if not known.
+        Duration usualFirstAnswer{0};
         /// Age of the report from which the loads are taken.
         Duration reportAge{0};
     };
@@ -63,6 +67,8 @@
                                        std::mt19937_64 &random);
 
 private:
+    /// Expected time until the first event or the answer. Precondition: the load is set.
+    [[nodiscard]] static Duration expectedTime(const Candidate &candidate, const Inputs &inputs);
     static void estimateLoads(std::span<Candidate> candidates, const Inputs &inputs, TimePoint now);
     /// Draws a candidate by the weights. Precondition: one has a weight, in the own zone if only that counts.
     [[nodiscard]] static std::size_t draw(std::span<const Candidate> candidates, bool onlyOwnZone,
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -4,6 +4,7 @@
 #include "tamarackcove/Fleet/LoadEstimate.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
 #include "tamarackcove/Fleet/ServiceLoad.h"
+#include "tamarackcove/Fleet/TimeRatios.h"
 #include "tamarackcove/Fleet/UsualTime.h"
 
 #include <functional>
@@ -113,6 +114,8 @@
         /// The request load per slot by which the server was chosen, and the age of the report that it is based on.
         double load = 0;
         Duration loadAge = Duration::max();
+        /// How many times as long as usual the server takes; 1 if it is not slow.
+        double slowness = 1;
     };
 
     explicit ServerDirectory(Options options);
@@ -188,6 +191,13 @@
     /// Records how long a request was at a server until the first event of its stream, or until its answer. An answer
     /// that took a multiple of the usual time raises the estimated load of the server for a while.
     void recordFirstAnswer(const TargetId &id, Duration elapsed, TimePoint now);
+    /// Records how long a part of a request took at a server that is the same work for all requests of the service: the
+    /// time for one event, or for the answer of a plain service that is not crowded.
+    void recordUnitTime(const TargetId &id, Duration time);
+    /// The unit times of each server relative to those that this entry observes of the service, since the last call.
+    [[nodiscard]] std::map<TargetId, TimeRatios> takeTimeRatios();
+    /// Sets how many times as long as usual a server takes, as last sent by the control host; 1 if it is not slow.
+    void setSlowness(const TargetId &id, double slowness);
     /// Records how long a request that was served was in progress at a server.
     void recordDuration(const TargetId &id, Duration elapsed);
     /// Identifies the present start of a server; nothing when the server is not in the directory.
@@ -228,6 +238,8 @@
         /// Tokens in its memory for requests of this entry, and of the others.
         double ownMemory = 0;
         double othersMemory = 0;
+        /// How many times as long as usual the server takes.
+        double slowness = 1;
         /// Broken or missing answers in a row.
         int consecutiveFailures = 0;
         TimePoint avoidUntil;
@@ -258,6 +270,8 @@
         UsualTime firstAnswer{0.2, 0.02};
         /// From the start to the end of a request.
         UsualTime duration{0.05, 0.05};
+        /// See recordUnitTime().
+        UsualTime unit{0.05, 0.05};
     };
 
     /// The candidates of the best rank: a server that is loading the adapter, and still more one that is avoided, is a
@@ -285,6 +299,7 @@
     std::map<TargetId, Server> m_servers;
     std::map<ServerIdentity, Statement> m_statements;
     std::map<ServiceName, ServiceTimes> m_times;
+    std::map<TargetId, TimeRatios> m_timeRatios;
     /// Tokens in the memory of each server; only of services for which that is known.
     std::map<ServiceName, double> m_memory;
     std::size_t m_entryCount = 1;
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -144,6 +144,12 @@
     void estimateCost(Exchange &exchange) const;
     /// Records what the request has cost. Precondition: a server has served it.
     void recordCost(const Exchange &exchange);
+    /// Tokens that the server has generated so far.
+    [[nodiscard]] static int tokensGenerated(const Exchange &exchange);
+    /// Records the time between the first events of a stream, once. Precondition: the first event has arrived.
+    void recordEventTime(Exchange &exchange, const Attempt &attempt);
+    /// Records the time of a complete answer.
+    void recordAnswerTime(const Attempt &attempt, TimePoint now);
     /// What the request needs of a server.
     [[nodiscard]] static ServerDirectory::Requirements requirementsOf(const Exchange &exchange);
     void logRouted(const Exchange &exchange) const;
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cmath>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -70,19 +71,43 @@
 /// The load of the requests in progress at a server.
 struct ServerLoadMessage
 {
+    /// Slowness is encoded in quarters.
+    static constexpr double SlownessSteps = 4;
     std::string server;
     /// In units of the load of one ordinary request.
     double load = 0;
-    /// Tokens that the requests are expected to hold in the memory of the server.
+    /// Tokens that the requests are expected to hold in the memory of the server; encoded as a whole number.
     double memoryTokens = 0;
+    /// How many times as long as usual the server takes, as found by the leader; 1 in reports of entries.
+    double slowness = 1;
 };
 inline void to_json(nlohmann::json &json, const ServerLoadMessage &message)
 {
-    json = toArray(message.server, message.load, message.memoryTokens);
+    // Whole numbers take a third of the bytes of fractions.
+    json = toArray(message.server, message.load, std::llround(message.memoryTokens),
+                   std::lround(message.slowness * ServerLoadMessage::SlownessSteps));
 }
 inline void from_json(const nlohmann::json &json, ServerLoadMessage &message)
 {
-    fromArray(json, message.server, message.load, message.memoryTokens);
+    fromArray(json, message.server, message.load, message.memoryTokens, message.slowness);
+    message.slowness /= ServerLoadMessage::SlownessSteps;
+}
+
+/// How long a server has taken relative to what is usual, as one entry has observed it since its previous report.
+struct TimeRatiosMessage
+{
+    std::string server;
+    int count = 0;
+    /// Sum of the natural logarithms of the ratios.
+    double logSum = 0;
+};
+inline void to_json(nlohmann::json &json, const TimeRatiosMessage &message)
+{
+    json = toArray(message.server, message.count, message.logSum);
+}
+inline void from_json(const nlohmann::json &json, TimeRatiosMessage &message)
+{
+    fromArray(json, message.server, message.count, message.logSum);
 }
 
 struct WeightVersionMessage
@@ -286,8 +311,10 @@
     std::vector<ServerMessage> servers;
     /// Sent only when the control host has asked for it with `wantsHistory`.
     std::vector<HistoryMessage> histories;
+    std::vector<TimeRatiosMessage> timeRatios;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, crashes, answeredSuspects,
-                                   onlyNewDemands, demands, uses, loads, unreachable, leaving, servers, histories)
+                                   onlyNewDemands, demands, uses, loads, unreachable, leaving, servers, histories,
+                                   timeRatios)
 
 } // namespace tamarackcove
--- a/lib/Control/Fleet/EntryLinks.cpp
+++ b/lib/Control/Fleet/EntryLinks.cpp
@@ -145,11 +145,20 @@
         }
         if (!report.value().onlyNewDemands) {
             link.loads = report.value().loads;
+            addTimes(report.value());
         }
         m_hooks.onReport(report.value());
     }
 }
 
+void EntryLinks::addTimes(const FleetReportMessage &report)
+{
+    const auto now = Clock::now();
+    for (const auto &ratios : report.timeRatios) {
+        m_speeds[ratios.server].add({.count = ratios.count, .logSum = ratios.logSum}, now);
+    }
+}
+
 const std::vector<ServerLoadMessage> &EntryLinks::totalLoads()
 {
     const auto now = Clock::now();
@@ -165,6 +174,14 @@
             sum.memoryTokens += load.memoryTokens;
         }
     }
+    std::erase_if(m_speeds, [now](const auto &item) { return item.second.isForgotten(now); });
+    for (const auto &[server, speed] : m_speeds) {
+        const double slowness = speed.slowness(now);
+        // A slow server without load is named too, because one that is not named counts as neither loaded nor slow.
+        if (slowness > 1) {
+            sums[server].slowness = slowness;
+        }
+    }
     m_totalLoads.clear();
     m_totalLoads.reserve(sums.size());
     for (auto &[server, sum] : sums) {
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -65,7 +65,7 @@
     for (const auto &load : loads) {
         const auto known = previous.find(load.server);
         if (known == previous.end() || known->second.load != load.load
-            || known->second.memoryTokens != load.memoryTokens) {
+            || known->second.memoryTokens != load.memoryTokens || known->second.slowness != load.slowness) {
             m_pendingLoads.insert(load.server);
         }
         if (known != previous.end()) {
--- a/lib/Fleet/ServerChoice.cpp
+++ b/lib/Fleet/ServerChoice.cpp
@@ -47,6 +47,12 @@
     return duration_cast<Duration>(duration * wait);
 }
 
+Duration ServerChoice::expectedTime(const Candidate &candidate, const Inputs &inputs)
+{
+    const auto time = inputs.usualFirstAnswer + expectedWait(candidate.load, candidate.slots, inputs.usualDuration);
+    return duration_cast<Duration>(time * candidate.slowness);
+}
+
 void ServerChoice::estimateLoads(std::span<Candidate> candidates, const Inputs &inputs, TimePoint now)
 {
     double othersLoad = 0;
@@ -65,7 +71,9 @@
         const double othersPerSlot = trust * candidate.load / candidate.slots + (1 - trust) * meanLoad;
         const double load = othersPerSlot + candidate.ownLoad / candidate.slots;
         candidate.load = candidate.estimate->withExperience(load, now);
-        candidate.weight = candidate.slots / std::pow(1 + candidate.load, exponent)
+        // Once for the requests that the server serves in a given time, and once more because each of them is later.
+        const double speed = 1 / (candidate.slowness * candidate.slowness);
+        candidate.weight = speed * candidate.slots / std::pow(1 + candidate.load, exponent)
             * (candidate.connected ? ConnectedPreference : 1);
     }
 }
@@ -98,18 +106,17 @@
 double ServerChoice::chanceToLeave(const Candidate &own, std::span<const Candidate> candidates, const Inputs &inputs)
 {
     double weight = 0;
-    Duration weightedWait{0};
+    Duration weightedTime{0};
     for (const auto &candidate : candidates) {
         if (!candidate.inOwnZone) {
             weight += candidate.weight;
-            weightedWait += duration_cast<Duration>(expectedWait(candidate.load, candidate.slots, inputs.usualDuration)
-                                                    * candidate.weight);
+            weightedTime += duration_cast<Duration>(expectedTime(candidate, inputs) * candidate.weight);
         }
     }
     if (weight == 0) {
         return 0;
     }
-    const auto delay = expectedWait(own.load, own.slots, inputs.usualDuration) - weightedWait / weight;
+    const auto delay = expectedTime(own, inputs) - weightedTime / weight;
     const auto maxDelay = inputs.goal > milliseconds(0)
         ? inputs.goal * ZoneDelayShare
         : std::chrono::duration<double, std::milli>(ZoneDelayWithoutGoal);
--- a/lib/Fleet/ServerDirectoryChoice.cpp
+++ b/lib/Fleet/ServerDirectoryChoice.cpp
@@ -2,6 +2,8 @@
 #include "tamarackcove/Fleet/ServerDirectory.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace tamarackcove {
 
@@ -90,6 +92,7 @@
                                 .usualDuration = requirements.goal / AssumedDurationsInGoal,
                                 .reportAge = reportAge(now)};
     if (const auto times = m_times.find(requirements.service); times != m_times.end()) {
+        inputs.usualFirstAnswer = times->second.firstAnswer.value().value_or(Duration(0));
         inputs.usualDuration = times->second.duration.value().value_or(inputs.usualDuration);
     }
     std::vector<ServerChoice::Candidate> weighed;
@@ -100,6 +103,7 @@
                            .inOwnZone = server.offered.zone == m_options.zone,
                            .connected = hasIdleConnection && hasIdleConnection(server.offered.identity, now),
                            .ownLoad = server.inFlight,
+                           .slowness = server.slowness,
                            .estimate = &server.estimate});
     }
     const auto drawn = ServerChoice::choose(weighed, inputs, now, m_random);
@@ -116,7 +120,8 @@
     Choice choice{.server = offered.identity,
                   .endpoint = offered.endpoint,
                   .zone = offered.zone,
-                  .avoided = candidate.server->avoidUntil > now};
+                  .avoided = candidate.server->avoidUntil > now,
+                  .slowness = candidate.server->slowness};
     if (candidate.holding != nullptr) {
         choice.version = candidate.holding->version;
         choice.readyAt = candidate.holding->readyAt;
@@ -159,6 +164,32 @@
     server.estimate.recordLateAnswer(1 + wait / duration, now);
 }
 
+void ServerDirectory::recordUnitTime(const TargetId &id, Duration time)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end() || time <= Duration(0) || !hasManyEntries()) {
+        return;
+    }
+    auto &usual = m_times[found->second.offered.service].unit;
+    usual.note(time);
+    auto &ratios = m_timeRatios[id];
+    ++ratios.count;
+    ratios.logSum += std::log(std::chrono::duration<double>(time) / *usual.value());
+}
+
+std::map<TargetId, TimeRatios> ServerDirectory::takeTimeRatios()
+{
+    return std::exchange(m_timeRatios, {});
+}
+
+void ServerDirectory::setSlowness(const TargetId &id, double slowness)
+{
+    const auto found = m_servers.find(id);
+    if (found != m_servers.end()) {
+        found->second.slowness = std::max(1.0, slowness);
+    }
+}
+
 void ServerDirectory::recordDuration(const TargetId &id, Duration elapsed)
 {
     const auto found = m_servers.find(id);
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -130,6 +130,7 @@
     for (const auto &load : update.loads) {
         m_servers.setLoad(TargetId(load.server), load.load, now);
         m_servers.setMemoryInUse(TargetId(load.server), load.memoryTokens);
+        m_servers.setSlowness(TargetId(load.server), load.slowness);
     }
     if (update.listsPromptParts) {
         m_crashSuspects.setLists(update.watchedParts, update.quarantinedParts, now);
@@ -253,6 +254,9 @@
         report.loads.push_back(
             {.server = server.value(), .load = load, .memoryTokens = m_servers.reservedMemory(server)});
     }
+    for (const auto &[server, ratios] : m_servers.takeTimeRatios()) {
+        report.timeRatios.push_back({.server = server.value(), .count = ratios.count, .logSum = ratios.logSum});
+    }
     for (const auto &[server, adapter] : m_missingAdapters) {
         report.uses.push_back(
             {.server = server.value(), .model = adapter.model.value(), .adapter = adapter.adapter, .missing = true});
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -207,8 +207,7 @@
     constexpr int FirstErrorStatus = 400;
     if (head.status < FirstErrorStatus) {
         // An error may come much sooner than other answers, and says nothing of the usual time.
-        servers.recordFirstAnswer(choice.server.id, now - attempt->sentAt, now);
-        servers.recordDuration(choice.server.id, now - attempt->sentAt);
+        recordAnswerTime(*attempt, now);
     }
     servers.endRequest(choice.server.id, exchange.weight, failed ? ServerOutcome::Failed : ServerOutcome::Served, now);
     ++exchange.possibleRuns;
@@ -315,6 +314,7 @@
         attempt->progressAt = exchange.lastProgressAt = Clock::now();
         if (!exchange.streamStarted) {
             exchange.streamStarted = true;
+            exchange.tokensInFirstBlock = tokensGenerated(exchange);
             exchange.firstEventAt = exchange.lastProgressAt;
             servers.recordFirstAnswer(choice.server.id, exchange.lastProgressAt - attempt->sentAt,
                                       exchange.lastProgressAt);
@@ -325,6 +325,7 @@
                 co_return Step::Finished;
             }
         }
+        recordEventTime(exchange, *attempt);
         if (!events.empty()) {
             const auto relayed = co_await exchange.responder.writePiece(events);
             if (relayed.has_error()) {
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -136,6 +136,9 @@
     bool streamStarted = false;
     /// Blocks of events relayed to the caller; the end of the stream counts as one.
     int eventCount = 0;
+    /// Tokens that had been generated when the first block arrived, and whether the time between events was recorded.
+    int tokensInFirstBlock = 0;
+    bool eventTimeRecorded = false;
     /// When the request was last sent or the last event arrived, whichever is later.
     TimePoint lastProgressAt;
     /// A server's answer with a 5xx status, kept while another server is tried and relayed if none answers.
--- a/lib/Gateway/RequestRecord.cpp
+++ b/lib/Gateway/RequestRecord.cpp
@@ -71,6 +71,7 @@
         .add("sent", exchange.sendCount)
         .add("choice", choiceReasonName(choice.reason))
         .add("load", choice.load)
+        .add("slowness", choice.slowness)
         .add("weight", exchange.weight)
         .add("memory_tokens", exchange.cost.memoryTokens())
         .add("load_age_ms", noReport ? milliseconds(-1) : duration_cast<milliseconds>(choice.loadAge))
--- a/unittests/Control/Fleet/UpdateFeedTest.cpp
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -190,6 +190,22 @@
     CHECK(update.loads[0].memoryTokens == 9000);
 }
 
+// Guards against entries that are not told that a server has become slow, or is so no longer.
+TEST_CASE_FIXTURE(UpdateFeedFixture, "a load is sent when only the slowness of the server has changed")
+{
+    UpdateFeed::Position position;
+    feed.setLoads({{.server = "s1", .load = 2}});
+    feed.publish();
+    (void)feed.framesAfter(position);
+    for (const double slowness : {2.5, 1.0}) {
+        feed.setLoads({{.server = "s1", .load = 2, .slowness = slowness}});
+        feed.publish();
+        const auto update = receive(position);
+        REQUIRE(update.loads.size() == 1);
+        CHECK(update.loads[0].slowness == slowness);
+    }
+}
+
 // Guards against an entry that keeps the holdings which have ended while it was disconnected or far behind.
 TEST_CASE_FIXTURE(UpdateFeedFixture, "the whole state names the servers whose holdings it lists in full")
 {
--- a/unittests/Fleet/ServerChoiceTest.cpp
+++ b/unittests/Fleet/ServerChoiceTest.cpp
@@ -263,6 +263,44 @@
     CHECK(countChoices(entry, {.service = Service}, 9000, Start + milliseconds(600))["open"] < 1500);
 }
 
+// Guards against a slow server that gets its share because its load does not show how slow it is yet; and against bytes
+// between zones for the sake of a server that is not slow.
+TEST_CASE("a server that all entries find slow by 5 gets few requests, also in the own zone")
+{
+    auto entry = entryIn("here", 23);
+    entry.put(server("near", "here", 6));
+    entry.put(server("far", "elsewhere", 6));
+    entry.recordFirstAnswer(TargetId("far"), milliseconds(30), Start);
+    entry.recordDuration(TargetId("far"), milliseconds(30));
+    entry.setLoad(TargetId("near"), 2, Start);
+    entry.setLoad(TargetId("far"), 2, Start);
+    CHECK(countChoices(entry, plainRequest(), 1000, Start)["near"] == 1000);
+    entry.setSlowness(TargetId("near"), 5);
+    CHECK(countChoices(entry, plainRequest(), 1000, Start)["near"] < 100);
+    CHECK(entry.choose(plainRequest(), Start)->server.id == TargetId("far"));
+    entry.setSlowness(TargetId("near"), 1);
+    CHECK(countChoices(entry, plainRequest(), 1000, Start)["near"] == 1000);
+}
+
+TEST_CASE("an entry reports how long each server takes relative to the others, once")
+{
+    auto entry = entryIn("here", 29);
+    entry.put(server("slow", "here", 16));
+    entry.put(server("sound", "here", 16));
+    for (int i = 0; i < 50; ++i) {
+        entry.recordUnitTime(TargetId("sound"), milliseconds(7));
+    }
+    entry.recordUnitTime(TargetId("slow"), milliseconds(35));
+    entry.recordUnitTime(TargetId("removed"), milliseconds(35));
+    const auto ratios = entry.takeTimeRatios();
+    REQUIRE(ratios.size() == 2);
+    CHECK(ratios.at(TargetId("sound")).count == 50);
+    CHECK(ratios.at(TargetId("sound")).logSum == doctest::Approx(0));
+    CHECK(ratios.at(TargetId("slow")).count == 1);
+    CHECK(ratios.at(TargetId("slow")).logSum > 1.3);
+    CHECK(entry.takeTimeRatios().empty());
+}
+
 TEST_CASE("the load of a service sums the servers that take requests, with the age of the report")
 {
     auto entry = entryIn("here", 1);
--- a/unittests/Gateway/FleetViewTest.cpp
+++ b/unittests/Gateway/FleetViewTest.cpp
@@ -161,3 +161,33 @@
     // The leader has not read the state of this server yet.
     CHECK(holds("old", "s1"));
 }
+
+// Guards against entries that choose as if they were few, or that know neither the memory in use nor the slow servers.
+TEST_CASE("among many entries, reports and updates carry memory in use, slowness and observed times")
+{
+    FleetViewFixture fixture;
+    auto &view = fixture.view;
+    const auto now = Clock::now();
+    view.noteStatus(70, now);
+    CHECK(view.servers().hasManyEntries());
+    FleetUpdateMessage update;
+    update.servers = {{.id = "s1", .service = "s", .endpoint = "10.0.0.1:80", .zone = "z", .slots = 16}};
+    update.loads = {{.server = "s1", .load = 4, .memoryTokens = 3000, .slowness = 2.5}};
+    view.apply(update, now, now);
+    view.servers().setMemory(ServiceName("s"), 10000);
+    const auto choice = view.servers().choose({.service = ServiceName("s"), .memoryTokens = 5000}, now);
+    REQUIRE(choice.has_value());
+    CHECK(choice->slowness == 2.5);
+    CHECK(choice->loadAge == Duration(0));
+    CHECK_FALSE(view.servers().choose({.service = ServiceName("s"), .memoryTokens = 6000}, now).has_value());
+    view.servers().startRequest(TargetId("s1"), 1);
+    view.servers().reserveMemory(TargetId("s1"), 800);
+    view.servers().recordUnitTime(TargetId("s1"), milliseconds(7));
+    const auto report = view.takeReport(false, false);
+    REQUIRE(report.loads.size() == 1);
+    CHECK(report.loads[0].memoryTokens == 800);
+    REQUIRE(report.timeRatios.size() == 1);
+    CHECK(report.timeRatios[0].server == "s1");
+    CHECK(report.timeRatios[0].count == 1);
+    CHECK(view.takeReport(false, false).timeRatios.empty());
+}
