Bound the memory that clients make a process hold

Cause: bodies were read by http::async_read into a string without a bound on the chunk framing, each connection for itself, and an entry held a body three times (parsed, copied for the server, copied into the written text). Connections were limited to 4,096 whatever the machine has.

Change: MemoryBudget and MemoryAccount (lib/Http) bound bodies, unread answers and connections of a process, by the settings memory_mb and max_descriptors (templates: limits.memoryMb, limits.maxFds). The largest and oldest unfinished bodies are shed first, with 503; a request that runs is never shed. Chunk framing of requests is limited to 16 KB. Bodies are held once: the codec makes only the head for the server. Readiness and metrics have budgets of their own.

--- a/include/tamarackcove/Control/Fleet/FleetControlSettings.h
+++ b/include/tamarackcove/Control/Fleet/FleetControlSettings.h
@@ -46,6 +46,9 @@
     milliseconds pathQuarantineTime{std::chrono::minutes(1)};
     /// Time for the calls in progress to end at shutdown.
     milliseconds drainTimeout{3000};
+    /// Memory and descriptors that this process may take; absent if they are not limited.
+    std::optional<std::size_t> memoryBytes;
+    std::optional<std::size_t> maxDescriptors;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/include/tamarackcove/Gateway/AnswerBudget.h
+++ b/include/tamarackcove/Gateway/AnswerBudget.h
@@ -14,16 +14,22 @@
 class AnswerBudget
 {
 public:
-    /// Limit on all answers together. Strings that grow and the copy that is sent take up to three times as much, and
-    /// an entry has 160 MB.
+    /// Limit on all answers together, unless another one is set.
     static constexpr std::size_t MaxTotalBytes = 32 * 1024 * 1024;
     /// How much more is lent to other answers until the ones that give way have been given up.
     static constexpr std::size_t MaxOverdraftBytes = 8 * 1024 * 1024;
 
-    AnswerBudget() = default;
+    explicit AnswerBudget(std::size_t maxTotalBytes = MaxTotalBytes)
+        : m_maxTotalBytes(maxTotalBytes)
+    {
+    }
     AnswerBudget(const AnswerBudget &) = delete;
     AnswerBudget &operator=(const AnswerBudget &) = delete;
 
+    [[nodiscard]] std::size_t maxTotalBytes() const
+    {
+        return m_maxTotalBytes;
+    }
     [[nodiscard]] std::size_t totalBytes() const
     {
         return m_totalBytes;
@@ -35,6 +41,7 @@
     /// The largest answer that has not given way yet; null if there is none.
     [[nodiscard]] AnswerBuffer *largest() const;
 
+    const std::size_t m_maxTotalBytes;
     std::size_t m_totalBytes = 0;
     std::set<AnswerBuffer *> m_answers;
 };
--- a/include/tamarackcove/Gateway/CallerDialect.h
+++ b/include/tamarackcove/Gateway/CallerDialect.h
@@ -96,7 +96,8 @@
 {
     std::function<Result<DeploymentConfiguration, std::string>(std::string_view document)> readConfiguration;
     std::function<CallerRequest(const HttpRequest &)> readRequest;
-    /// Makes the request that is sent to the server from the caller's request.
+    /// Makes the head of the request that is sent to the server from the caller's request. Leaves the body empty, as
+    /// the entry sends the body of the caller's request without a copy.
     std::function<HttpRequest(const HttpRequest &, const Dispatch &)> serverRequest;
     std::function<ServerAnswer(const CallerRequest &, const HttpResponse &)> readAnswer;
     /// Makes the answer to a request that the entry refuses.
--- a/include/tamarackcove/Gateway/RequestRelay.h
+++ b/include/tamarackcove/Gateway/RequestRelay.h
@@ -38,6 +38,8 @@
         const CallerDialect &dialect;
         /// Whether the leader of the control hosts is connected.
         std::function<bool()> leaderConnected;
+        /// Limit on the answers of servers that have not arrived in full, together.
+        std::size_t maxAnswerBytes = AnswerBudget::MaxTotalBytes;
     };
 
     explicit RequestRelay(Parts parts);
--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace tamarackcove {
 
@@ -40,6 +41,10 @@
     /// Sends a request. After a failure, requestBytesWritten() tells whether the peer may have received a part of the
     /// request. Precondition: the response to the previous request was read to its end.
     boost::asio::awaitable<Result<void, HttpError>> writeRequest(HttpRequest request, milliseconds timeout);
+    /// The same with this body, which is not copied if it is large. The body of `head` is ignored.
+    /// Precondition: the body is valid until the operation has ended.
+    boost::asio::awaitable<Result<void, HttpError>> writeRequest(HttpRequest head, std::string_view body,
+                                                                 milliseconds timeout);
     /// The number of bytes of the last request that were handed to the kernel.
     [[nodiscard]] std::size_t requestBytesWritten() const;
 
--- a/include/tamarackcove/Http/HttpLimits.h
+++ b/include/tamarackcove/Http/HttpLimits.h
@@ -22,4 +22,11 @@
     milliseconds writeTimeout = seconds(30);
 };
 
+/// Limits of a server for probes of readiness and metrics, whose requests have no body.
+inline constexpr HttpLimits ProbeLimits{.maxBodyBytes = 4 * 1024,
+                                        .idleTimeout = seconds(15),
+                                        .headerTimeout = seconds(3),
+                                        .requestTimeout = seconds(3),
+                                        .writeTimeout = seconds(10)};
+
 } // namespace tamarackcove
--- a/include/tamarackcove/Http/HttpServer.h
+++ b/include/tamarackcove/Http/HttpServer.h
@@ -13,6 +13,7 @@
 namespace tamarackcove {
 
 class HttpResponder;
+class MemoryBudget;
 class Supervisor;
 struct HttpRequest;
 
@@ -26,8 +27,10 @@
     /// logged and treated the same way, except that a boost::system::system_error ends the connection.
     using Handler = std::function<boost::asio::awaitable<void>(const HttpRequest &, HttpResponder &)>;
 
-    /// Precondition: the supervisor outlives the server.
-    HttpServer(Supervisor &connections, HttpLimits limits, Handler handler);
+    /// The budget bounds what clients make the process hold, and may be shared with other servers; without one, the
+    /// server has one of its own with the default limits. Precondition: the supervisor outlives the server.
+    HttpServer(Supervisor &connections, HttpLimits limits, Handler handler,
+               std::shared_ptr<MemoryBudget> budget = nullptr);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/lib/Control/Fleet/FleetControlSettings.cpp
+++ b/lib/Control/Fleet/FleetControlSettings.cpp
@@ -8,6 +8,8 @@
 
 namespace tamarackcove {
 
+static constexpr double BytesPerMb = 1024 * 1024;
+
 static constexpr std::string_view Schema = R"({
     "type": "object",
     "additionalProperties": false,
@@ -26,6 +28,8 @@
         "heartbeat_ms": {"type": "integer", "minimum": 1, "maximum": 86400000},
         "order_lease_ms": {"type": "integer", "minimum": 1, "maximum": 86400000},
         "drain_timeout_ms": {"type": "integer", "minimum": 1, "maximum": 86400000},
+        "memory_mb": {"type": "number", "minimum": 16, "maximum": 1048576},
+        "max_descriptors": {"type": "integer", "minimum": 64, "maximum": 1048576},
         "log_level": {"enum": ["debug", "info", "warning", "error"]}
     }
 })";
@@ -59,6 +63,12 @@
     readIfPresent(json, "heartbeat_ms", settings.heartbeatInterval);
     readIfPresent(json, "order_lease_ms", settings.orderLease);
     readIfPresent(json, "drain_timeout_ms", settings.drainTimeout);
+    if (json.contains("memory_mb")) {
+        settings.memoryBytes = static_cast<std::size_t>(json.at("memory_mb").get<double>() * BytesPerMb);
+    }
+    if (json.contains("max_descriptors")) {
+        settings.maxDescriptors = json.at("max_descriptors").get<std::size_t>();
+    }
     settings.logLevel = logLevelOf(json.value("log_level", std::string("info")));
     return settings;
 }
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -2,6 +2,7 @@
 
 #include "FleetNodeImpl.h"
 #include "tamarackcove/Control/Fleet/FleetCodec.h"
+#include "tamarackcove/Http/ClientMemory.h"
 
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
@@ -88,7 +89,9 @@
                        crashes.recordAlive(heartbeat.identity, Clock::now());
                        updatePlanner(heartbeat);
                    }})
-    , http(callConnections, limits(), hooks.frontEnd(control))
+    , clientMemory(
+          std::make_shared<MemoryBudget>(MemoryBudget::limitsFor(settings.memoryBytes, settings.maxDescriptors)))
+    , http(callConnections, limits(), hooks.frontEnd(control), clientMemory)
     , links(entryConnections, feed, demands,
             {.leads = [this] { return leading; },
              .term = [this] { return leadershipTerm; },
@@ -143,6 +146,7 @@
     gauge("adapters_wanted", totals.wanted);
     gauge("store_loads", totals.fromStore);
     gauge("store_load_window", planner.storeLoadWindow().window());
+    setClientMemoryGauges(gauges, *clientMemory);
 }
 
 void FleetNode::Impl::readConfigurationInForce()
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -10,6 +10,7 @@
 #include "tamarackcove/Fleet/AdapterPlanner.h"
 #include "tamarackcove/Fleet/CrashAttribution.h"
 #include "tamarackcove/Fleet/DemandTable.h"
+#include "tamarackcove/Http/MemoryBudget.h"
 #include "tamarackcove/Http/MetricsEndpoint.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
@@ -17,6 +18,7 @@
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Supervision/Timer.h"
 
+#include <memory>
 #include <set>
 
 namespace tamarackcove {
@@ -127,6 +129,7 @@
     UpdateFeed feed;
     OrderDispatcher dispatcher;
     FleetControl control;
+    std::shared_ptr<MemoryBudget> clientMemory;
     HttpServer http;
     EntryLinks links;
     MetricsEndpoint metricsEndpoint;
--- a/lib/Gateway/AnswerBuffer.cpp
+++ b/lib/Gateway/AnswerBuffer.cpp
@@ -36,10 +36,10 @@
         return false;
     }
     const auto newTotal = total - m_bytes + bytes;
-    if (grows && bytes > GuaranteedBytes && newTotal > AnswerBudget::MaxTotalBytes) {
+    if (grows && bytes > GuaranteedBytes && newTotal > m_budget.maxTotalBytes()) {
         auto *largest = m_budget.largest();
         if (largest == this || largest == nullptr
-            || newTotal > AnswerBudget::MaxTotalBytes + AnswerBudget::MaxOverdraftBytes) {
+            || newTotal > m_budget.maxTotalBytes() + AnswerBudget::MaxOverdraftBytes) {
             return false;
         }
         largest->m_givesWay = true;
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -6,14 +6,17 @@
 #include "tamarackcove/Gateway/RequestRelay.h"
 #include "tamarackcove/Gateway/ServerConnections.h"
 #include "tamarackcove/Http/CallerWatch.h"
+#include "tamarackcove/Http/ClientMemory.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Http/HttpServer.h"
+#include "tamarackcove/Http/MemoryBudget.h"
 #include "tamarackcove/Http/MetricsEndpoint.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Supervision/Timer.h"
 
+#include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
@@ -24,6 +27,14 @@
 /// Added to the idle timeout of the configuration before a connection of a caller is closed: callers may keep a
 /// connection idle for most of that timeout and then send a request.
 static constexpr milliseconds IdleMargin{1000};
+/// Part of the memory of this process for answers of servers that have not arrived in full.
+static constexpr std::size_t AnswerDivisor = 6;
+
+static std::size_t maxAnswerBytes(const GatewaySettings &settings)
+{
+    return settings.memoryBytes ? std::min(*settings.memoryBytes / AnswerDivisor, AnswerBudget::MaxTotalBytes)
+                                : AnswerBudget::MaxTotalBytes;
+}
 
 struct GatewayNode::Impl
 {
@@ -41,16 +52,18 @@
                  .watch = watch,
                  .metrics = metrics,
                  .dialect = dialect,
-                 .leaderConnected =
-                     [this] {
-                         return link.connectedToLeader();
-                     }})
+                 .leaderConnected = [this] { return link.connectedToLeader(); },
+                 .maxAnswerBytes = maxAnswerBytes(settings)})
+        , clientMemory(
+              std::make_shared<MemoryBudget>(MemoryBudget::limitsFor(settings.memoryBytes, settings.maxDescriptors)))
         , callers(
               callerConnections, {},
-              [this](const HttpRequest &request, HttpResponder &responder) { return relay.serve(request, responder); })
+              [this](const HttpRequest &request, HttpResponder &responder) { return relay.serve(request, responder); },
+              clientMemory)
         , ready(
-              readyConnections, {},
-              [this](const HttpRequest &request, HttpResponder &responder) { return answerReady(request, responder); })
+              readyConnections, ProbeLimits,
+              [this](const HttpRequest &request, HttpResponder &responder) { return answerReady(request, responder); },
+              std::make_shared<MemoryBudget>(MemoryBudget::limitsForProbes()))
         , metricsEndpoint(executor, metrics, [this](Metrics &gauges) { setGauges(gauges); })
     {
         view.onNewDemand = [this] {
@@ -76,6 +89,7 @@
     ServerConnections connections;
     CallerWatch watch;
     RequestRelay relay;
+    std::shared_ptr<MemoryBudget> clientMemory;
     HttpServer callers;
     HttpServer ready;
     MetricsEndpoint metricsEndpoint;
@@ -114,6 +128,7 @@
     gauges.gauge("control_update_age_seconds", std::chrono::duration<double>(view.updateAge(now)).count());
     gauges.gauge("configuration_version", routes ? static_cast<double>(routes->configuration().version) : 0.0);
     gauges.gauge("server_connections_opened", static_cast<double>(connections.openedCount()));
+    setClientMemoryGauges(gauges, *clientMemory);
     for (const auto &[service, left] : view.retriesLeft(now)) {
         gauges.gauge(Metrics::labelled("retries_left", {{"service", service.value()}}), left);
     }
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -8,6 +8,8 @@
 
 namespace tamarackcove {
 
+static constexpr double BytesPerMb = 1024 * 1024;
+
 static constexpr std::string_view Schema = R"({
     "type": "object",
     "additionalProperties": false,
@@ -25,6 +27,8 @@
         "retry_slack": {"type": "number", "minimum": 0},
         "retry_window_s": {"type": "number", "minimum": 1, "maximum": 86400},
         "grace_s": {"type": "number", "minimum": 1, "maximum": 86400},
+        "memory_mb": {"type": "number", "minimum": 16, "maximum": 1048576},
+        "max_descriptors": {"type": "integer", "minimum": 64, "maximum": 1048576},
         "log_level": {"enum": ["debug", "info", "warning", "error"]}
     }
 })";
@@ -59,6 +63,12 @@
     readIfPresent(json, "retry_slack", settings.retrySlack);
     settings.retryWindow = secondsAt(json, "retry_window_s", settings.retryWindow);
     settings.gracePeriod = secondsAt(json, "grace_s", settings.gracePeriod);
+    if (json.contains("memory_mb")) {
+        settings.memoryBytes = static_cast<std::size_t>(json.at("memory_mb").get<double>() * BytesPerMb);
+    }
+    if (json.contains("max_descriptors")) {
+        settings.maxDescriptors = json.at("max_descriptors").get<std::size_t>();
+    }
     settings.logLevel = logLevelOf(json.value("log_level", std::string("info")));
     return settings;
 }
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -192,7 +192,7 @@
         }
         if (!buffer->add(piece.value()->size())) {
             const auto reason = "the body exceeds " + std::to_string(AnswerBuffer::MaxAnswerBytes) + " bytes, or "
-                + std::to_string(AnswerBudget::MaxTotalBytes) + " bytes with the other answers; read "
+                + std::to_string(m_answerBudget.maxTotalBytes()) + " bytes with the other answers; read "
                 + std::to_string(buffer->size());
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, reason);
         }
@@ -223,6 +223,8 @@
     endSilentAttempt(exchange);
     exchange.outcome = failed ? RequestOutcome::ServerFailed : RequestOutcome::Answered;
     exchange.failureReason = failed ? "server_error" : "";
+    // From here on the connection of the caller counts what the caller has not read.
+    buffer.reset();
     (void)co_await exchange.responder.send(std::move(head));
     co_return Step::Finished;
 }
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -39,6 +39,7 @@
 RequestRelay::RequestRelay(Parts parts)
     : m_parts(parts)
     , m_random(std::random_device()())
+    , m_answerBudget(parts.maxAnswerBytes)
 {
 }
 
@@ -336,7 +337,8 @@
     exchange.lastProgressAt = startTime;
     servers.startRequest(attempt->choice.server.id, exchange.weight);
     exchange.watched.connection = attempt->connection.get();
-    const auto written = co_await attempt->connection->writeRequest(std::move(request), WriteTimeout);
+    const auto written
+        = co_await attempt->connection->writeRequest(std::move(request), exchange.request.body, WriteTimeout);
     if (written.has_error()) {
         exchange.watched.connection = nullptr;
         if (attempt->connection->requestBytesWritten() > 0) {
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -26,6 +26,8 @@
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 static constexpr std::size_t ReadBytes = 8 * 1024;
+/// Longer bodies are written by a call of their own instead of being copied behind their head.
+static constexpr std::size_t MaxCopiedBodyBytes = 16 * 1024;
 static constexpr unsigned SwitchingProtocols = 101;
 /// Responses with a lower status are interim responses: the response to the request follows them.
 static constexpr unsigned FirstFinalStatus = 200;
@@ -160,7 +162,7 @@
     co_return std::unique_ptr<HttpConnection>(new HttpConnection(std::move(impl)));
 }
 
-static std::string requestText(const HttpRequest &request)
+static std::string headText(const HttpRequest &request, std::size_t bodyBytes)
 {
     std::string text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
     if (!request.headers.find("host")) {
@@ -169,20 +171,34 @@
     for (const auto &[name, value] : request.headers.fields()) {
         text += fmt::format("{}: {}\r\n", name, value);
     }
-    text += fmt::format("content-length: {}\r\n\r\n", request.body.size());
-    text += request.body;
+    text += fmt::format("content-length: {}\r\n\r\n", bodyBytes);
     return text;
 }
 
 asio::awaitable<Result<void, HttpError>> HttpConnection::writeRequest(HttpRequest request, milliseconds timeout)
+{
+    const auto body = std::move(request.body);
+    co_return co_await writeRequest(std::move(request), body, timeout);
+}
+
+asio::awaitable<Result<void, HttpError>> HttpConnection::writeRequest(HttpRequest head, std::string_view body,
+                                                                      milliseconds timeout)
 {
     auto &impl = *m_impl;
     assert(!impl.inExchange && "the previous response must be read to its end");
     impl.inExchange = true;
-    impl.expectsBody = request.method != "HEAD";
+    impl.expectsBody = head.method != "HEAD";
     impl.startParser();
-    const auto text = requestText(request);
-    const auto error = co_await impl.socket.writeAll(text, timeout, impl.requestBytesWritten);
+    auto text = headText(head, body.size());
+    if (body.size() <= MaxCopiedBodyBytes) {
+        text += std::exchange(body, {});
+    }
+    auto error = co_await impl.socket.writeAll(text, timeout, impl.requestBytesWritten);
+    if (!error && !body.empty()) {
+        std::size_t bodyBytesWritten = 0;
+        error = co_await impl.socket.writeAll(body, timeout, bodyBytesWritten);
+        impl.requestBytesWritten += bodyBytesWritten;
+    }
     if (error) {
         impl.unusable = true;
         co_return toHttpError(error);
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -22,6 +22,8 @@
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
+/// Shortest time between two log lines about what clients have lost. There can be thousands of losses a second.
+static constexpr milliseconds LossLogInterval{1000};
 /// How long a connection that has sent nothing yet when the server begins to drain may take to begin its request. Its
 /// caller has just opened it for one.
 static constexpr milliseconds FirstRequestDrainTime{500};
@@ -34,7 +36,9 @@
     const auto number = ++accepted;
     connections.startTemporary(fmt::format("connection-{}", number), [this, shared, number]() -> asio::awaitable<void> {
         ServerConnection connection(*this, std::move(*shared), number);
-        co_await connection.run();
+        if (connection.admit()) {
+            co_await connection.run();
+        }
     });
 }
 
@@ -51,8 +55,31 @@
     }
 }
 
-HttpServer::HttpServer(Supervisor &connections, HttpLimits limits, Handler handler)
-    : m_impl(std::make_unique<Impl>(connections, limits, std::move(handler)))
+void HttpServer::Impl::logLoss(std::string_view what, std::uint64_t connection, std::size_t bytes, TimePoint since)
+{
+    const auto now = Clock::now();
+    if (now < lossLoggedAt + LossLogInterval) {
+        ++unloggedLosses;
+        return;
+    }
+    lossLoggedAt = now;
+    LogLine(LogLevel::Warning, "client_shed")
+        .add("what", what)
+        .add("connection", connection)
+        .add("bytes", static_cast<std::uint64_t>(bytes))
+        .add("age_ms", duration_cast<milliseconds>(now - since))
+        .add("held_bytes", static_cast<std::uint64_t>(budget->bytes()))
+        .add("max_bytes", static_cast<std::uint64_t>(budget->limits().bytes))
+        .add("connections", static_cast<std::uint64_t>(budget->connections()))
+        .add("max_connections", static_cast<std::uint64_t>(budget->limits().connections))
+        .add("unlogged", std::exchange(unloggedLosses, 0));
+}
+
+HttpServer::HttpServer(Supervisor &connections, HttpLimits limits, Handler handler,
+                       std::shared_ptr<MemoryBudget> budget)
+    : m_impl(
+        std::make_unique<Impl>(connections, limits, std::move(handler),
+                               budget ? std::move(budget) : std::make_shared<MemoryBudget>(MemoryBudget::Limits())))
 {
 }
 
@@ -60,7 +87,13 @@
 
 Result<void, HttpError> HttpServer::listen(const Endpoint &endpoint)
 {
-    const auto error = listenOn(m_impl->acceptor, endpoint);
+    auto error = listenOn(m_impl->acceptor, endpoint);
+    if (!error && m_impl->budget->limits().boundsSockets) {
+        // Accepted connections inherit the sizes of the buffers. Listening again only changes the backlog.
+        m_impl->acceptor.set_option(asio::socket_base::receive_buffer_size(MemoryBudget::SocketBufferBytes), error);
+        m_impl->acceptor.set_option(asio::socket_base::send_buffer_size(MemoryBudget::SocketBufferBytes), error);
+        m_impl->acceptor.listen(MemoryBudget::ListenBacklog, error);
+    }
     if (error) {
         return HttpError{HttpErrorCode::ConnectFailed,
                          "cannot listen on " + endpoint.toString() + ": " + error.message()};
--- a/lib/Http/MetricsEndpoint.cpp
+++ b/lib/Http/MetricsEndpoint.cpp
@@ -3,6 +3,7 @@
 #include "tamarackcove/Http/HttpRequest.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Http/HttpResponse.h"
+#include "tamarackcove/Http/MemoryBudget.h"
 #include "tamarackcove/Observe/Metrics.h"
 
 namespace asio = boost::asio;
@@ -14,8 +15,10 @@
     : m_connections(executor, "metrics")
     , m_metrics(metrics)
     , m_setGauges(std::move(setGauges))
-    , m_server(m_connections, {},
-               [this](const HttpRequest &request, HttpResponder &responder) { return answer(request, responder); })
+    , m_server(
+          m_connections, ProbeLimits,
+          [this](const HttpRequest &request, HttpResponder &responder) { return answer(request, responder); },
+          std::make_shared<MemoryBudget>(MemoryBudget::limitsForProbes()))
 {
 }
 
--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -4,6 +4,7 @@
 #include "MessageFraming.h"
 #include "tamarackcove/Observe/LogLine.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -20,8 +21,14 @@
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 static constexpr std::size_t ReadSize = 4096;
+/// A read buffer that has grown for a body is freed with it.
+static constexpr std::size_t KeptBufferBytes = 8 * 1024;
+/// Longer bodies are written by a call of their own instead of being copied behind their head.
+static constexpr std::size_t MaxCopiedBodyBytes = 16 * 1024;
 static constexpr unsigned Http11Version = 11;
 static constexpr int NoContent = 204;
+static constexpr int FirstServerError = 500;
+static constexpr int ServiceUnavailable = 503;
 static constexpr int NotModified = 304;
 /// How long, and for how many bytes, a connection is read on after the refusal of an unreadable request.
 static constexpr milliseconds LingerTime{500};
@@ -51,6 +58,31 @@
     bool &m_busy;
 };
 
+bool ServerConnection::admit()
+{
+    if (m_account.open(Clock::now())) {
+        return true;
+    }
+    m_server.logLoss("connection_refused", m_connectionNumber, 0, Clock::now());
+    return false;
+}
+
+void ServerConnection::giveUp(MemoryAccount::Loss loss)
+{
+    beast::error_code ignored;
+    if (loss == MemoryAccount::Loss::Connection) {
+        m_server.logLoss(m_wholeAnswer ? "answer" : "connection", m_connectionNumber, 0, m_account.since());
+        m_socket.socket().close(ignored);
+        return;
+    }
+    m_server.logLoss("body", m_connectionNumber, m_incomingBody ? m_incomingBody->size() : 0, m_account.since());
+    m_bodyShed = true;
+    if (m_incomingBody != nullptr) {
+        std::string().swap(*m_incomingBody);
+    }
+    m_socket.socket().cancel(ignored);
+}
+
 asio::awaitable<void> ServerConnection::run()
 {
     while (m_keepAlive && !m_closeSent && (!m_server.draining || m_isNew)) {
@@ -61,7 +93,16 @@
         const BusyGuard guard(m_server.busy, m_busy);
         m_isNew = false;
         m_requestBegun = false;
+        if (!m_account.startRequest(Clock::now())) {
+            m_server.logLoss("request_refused", m_connectionNumber, request.body.size(), m_account.since());
+            std::string().swap(request.body);
+            m_account.release();
+            co_await refuse(ServiceUnavailable, "too many requests are in progress", "too_many_requests");
+            break;
+        }
         co_await answer(request);
+        m_account.release();
+        m_wholeAnswer = false;
     }
     beast::error_code ignored;
     m_socket.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -70,6 +111,7 @@
 asio::awaitable<Result<std::size_t, HttpError>> ServerConnection::readHead()
 {
     MessageFraming framing(MessageKind::Request, m_server.limits.maxHeaderBytes);
+    m_account.setReceiving(Clock::now());
     // The wait for the first byte has its own timeout, as a connection may stay idle for longer than a caller may take
     // to send a head.
     m_socket.expireAfter(m_server.limits.idleTimeout);
@@ -83,6 +125,7 @@
             m_requestBegun = true;
             if (!std::exchange(begun, true)) {
                 m_socket.expireAfter(m_server.limits.headerTimeout);
+                m_account.setReceiving(Clock::now());
             }
         }
         const auto [error, count] = co_await m_socket.readSome(m_buffer.prepare(ReadSize));
@@ -105,7 +148,7 @@
         co_return false;
     }
     m_requestBegun = true;
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(m_server.limits.maxHeaderBytes));
     parser.body_limit(m_server.limits.maxBodyBytes);
     beast::error_code error;
@@ -119,28 +162,40 @@
             (void)co_await writeAll("HTTP/1.1 100 Continue\r\n\r\n");
         }
     }
-    if (!error && !parser.is_done()) {
-        m_socket.expireAfter(m_server.limits.requestTimeout);
-        std::size_t bodyBytes = 0;
-        std::tie(error, bodyBytes) = co_await http::async_read(m_socket.socket(), m_buffer, parser, UseTuple);
-    }
     m_socket.expireNever();
     if (error) {
         auto reason = toHttpError(error);
-        if (error == http::error::partial_message) {
-            reason.code = HttpErrorCode::Malformed;
-        } else if (error == http::error::need_more) {
+        if (error == http::error::need_more) {
             // The head is complete: the parser stops like this at a byte that does not belong there.
             reason = {HttpErrorCode::Malformed, "a control character in the head"};
         }
         co_await rejectUnreadable(std::move(reason));
         co_return false;
     }
+    if (!parser.is_done()) {
+        m_bodyShed = false;
+        m_incomingBody = &request.body;
+        auto read = co_await readBody(parser, request.body);
+        m_incomingBody = nullptr;
+        m_socket.expireNever();
+        if (m_buffer.size() == 0 && m_buffer.capacity() > KeptBufferBytes) {
+            m_buffer.shrink_to_fit();
+        }
+        if (m_bodyShed || read.has_error()) {
+            std::string().swap(request.body);
+            m_account.release();
+            if (m_bodyShed) {
+                co_await refuse(ServiceUnavailable, "no memory is left for the request", "out_of_memory");
+            } else {
+                co_await rejectUnreadable(std::move(read).error());
+            }
+            co_return false;
+        }
+    }
     m_keepAlive = parser.get().keep_alive() && !m_isHttp10 && !m_server.closeAfterResponse;
     auto parsed = parser.release();
     request.method = std::string(parsed.method_string());
     request.target = std::string(parsed.target());
-    request.body = std::move(parsed.body());
     co_return true;
 }
 
@@ -149,16 +204,27 @@
     if (error.code != HttpErrorCode::TooLarge && error.code != HttpErrorCode::Malformed) {
         co_return;
     }
+    const bool tooLarge = error.code == HttpErrorCode::TooLarge;
+    LogLine(LogLevel::Warning, "request_unreadable").add("reason", error.detail);
+    const auto message = fmt::format("request is {}: {}", tooLarge ? "too large" : "malformed", error.detail);
+    co_await refuse(tooLarge ? 413 : 400, message, tooLarge ? "too_large" : "malformed");
+}
+
+asio::awaitable<void> ServerConnection::refuse(int status, std::string_view message, std::string_view code)
+{
     m_responseStarted = false;
     m_keepAlive = false;
     m_isHead = false;
-    const bool tooLarge = error.code == HttpErrorCode::TooLarge;
-    LogLine(LogLevel::Warning, "request_unreadable").add("reason", error.detail);
-    (void)co_await send(jsonResponse(
-        tooLarge ? 413 : 400,
-        fmt::format(
-            R"({{"error":{{"message":"request is {}: {}","type":"invalid_request_error","code":"{}","param":null}}}})",
-            tooLarge ? "too large" : "malformed", error.detail, tooLarge ? "too_large" : "malformed")));
+    auto response
+        = jsonResponse(status,
+                       fmt::format(R"({{"error":{{"message":"{}","type":"{}","code":"{}","param":null}}}})", message,
+                                   status < FirstServerError ? "invalid_request_error" : "server_error", code));
+    if (status == ServiceUnavailable) {
+        response.headers.set("retry-after", "1");
+    }
+    (void)co_await send(std::move(response));
+    m_wholeAnswer = false;
+    m_account.setReceiving(m_account.since());
     co_await discardUnread();
 }
 
@@ -180,6 +246,7 @@
 asio::awaitable<void> ServerConnection::answer(const HttpRequest &request)
 {
     m_responseStarted = false;
+    m_wholeAnswer = false;
     m_streaming = false;
     m_streamEnded = false;
     try {
@@ -224,15 +291,47 @@
     return text;
 }
 
-asio::awaitable<Result<void, HttpError>> ServerConnection::writeAll(std::string_view bytes)
+asio::awaitable<Result<void, HttpError>> ServerConnection::writeAll(std::string_view bytes, std::string_view more)
 {
     beast::error_code error;
-    const auto written = m_socket.tryWrite(bytes, error);
-    if (!error && written < bytes.size()) {
+    bytes.remove_prefix(m_socket.tryWrite(bytes, error));
+    if (!error && bytes.empty() && !more.empty()) {
+        more.remove_prefix(m_socket.tryWrite(more, error));
+    }
+    if (!error && (!bytes.empty() || !more.empty())) {
         // The kernel did not accept all bytes because the caller reads slowly. Only this case needs another coroutine.
-        std::size_t writtenLater = 0;
-        error = co_await m_socket.writeAll(bytes.substr(written), m_server.limits.writeTimeout, writtenLater);
+        co_return co_await writeSlowly(bytes, more);
+    }
+    m_socket.expireNever();
+    if (error) {
+        m_keepAlive = false;
+        co_return toHttpError(error);
+    }
+    co_return ok();
+}
+
+asio::awaitable<Result<void, HttpError>> ServerConnection::writeSlowly(std::string_view bytes, std::string_view more)
+{
+    // The kernel holds as much again as its buffer for its own bookkeeping.
+    constexpr std::size_t KernelBytes = 2 * MemoryBudget::SocketBufferBytes;
+    const auto heldBytes = m_account.bytes();
+    if (m_wholeAnswer) {
+        m_account.setAnswered(Clock::now());
     }
+    beast::error_code error;
+    // A stream is written on without room in the budget: its request is still running.
+    if (!m_account.resize(heldBytes + bytes.size() + more.size() + KernelBytes) && m_wholeAnswer) {
+        m_server.logLoss("answer_refused", m_connectionNumber, bytes.size() + more.size(), m_account.since());
+        m_socket.socket().close(error);
+        error = asio::error::operation_aborted;
+    }
+    for (const auto part : {bytes, more}) {
+        std::size_t written = 0;
+        if (!error) {
+            error = co_await m_socket.writeAll(part, m_server.limits.writeTimeout, written);
+        }
+    }
+    (void)m_account.resize(std::min(heldBytes, m_account.bytes()));
     m_socket.expireNever();
     if (error) {
         m_keepAlive = false;
@@ -245,12 +344,14 @@
 {
     assert(!m_responseStarted && "a request has one response");
     m_responseStarted = true;
+    m_wholeAnswer = true;
     const bool hasBody = response.status != NoContent && response.status != NotModified;
     auto text = headText(response, hasBody ? fmt::format("content-length: {}\r\n", response.body.size()) : "");
-    if (hasBody && !m_isHead) {
-        text += response.body;
+    std::string_view body = hasBody && !m_isHead ? std::string_view(response.body) : std::string_view();
+    if (body.size() <= MaxCopiedBodyBytes) {
+        text += std::exchange(body, {});
     }
-    co_return co_await writeAll(text);
+    co_return co_await writeAll(text, body);
 }
 
 asio::awaitable<Result<void, HttpError>> ServerConnection::beginStream(HttpResponse head)
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -15,6 +15,7 @@
     "seeds": ["10.1.0.40:8144", "10.2.0.42:8144"], "dataDir": "/data/x", "heartbeatMs": 1200,
     "faultTolerance": {"machines": 1}, "bounds": {"retryRatio": 0.2, "retrySlack": 54, "retryWindowS": 10,
                                                   "graceS": 8, "leaseMs": 3000},
+    "limits": {"memoryMb": 160, "maxFds": 4100},
 }
 
 
