--- a/lib/Http/ServerConnection.cpp
+++ b/lib/Http/ServerConnection.cpp
@@ -5,7 +5,6 @@
 #include "tamarackcove/Observe/LogLine.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
@@ -19,7 +18,6 @@
 
 namespace tamarackcove {
 
-static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 static constexpr std::size_t ReadSize = 4096;
 /// A read buffer that has grown for a body is freed with it.
 static constexpr std::size_t KeptBufferBytes = 8 * 1024;
--- a/unittests/Http/ServerMemoryTest.cpp
+++ b/unittests/Http/ServerMemoryTest.cpp
@@ -225,8 +225,10 @@
 {
     const auto budget = std::make_shared<MemoryBudget>(MemoryBudget::Limits{.bytes = 256 * Kb, .connections = 4});
     withServer(budget, echo, [](Endpoint endpoint) -> asio::awaitable<void> {
+        constexpr std::size_t Connections = 20;
         std::vector<asio::ip::tcp::socket> silent;
-        for (int i = 0; i < 20; ++i) {
+        silent.reserve(Connections);
+        for (std::size_t i = 0; i < Connections; ++i) {
             silent.push_back(co_await openSocket(endpoint));
         }
         HttpRequest request;
