--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -297,6 +297,7 @@
     std::vector<HistoryMessage> histories;
     /// Allowances; only to the leader, and also in a report of only new demands.
     AllowanceReportMessage allowances;
+    /// How long servers took for what requests of the entry did there, against the usual time of their service.
     std::vector<TimeRatiosMessage> timeRatios;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetReportMessage, entry, zone, configurationVersion, crashes, answeredSuspects,
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -2,6 +2,7 @@
 
 #include "FleetNodeImpl.h"
 #include "tamarackcove/Control/Fleet/FleetCodec.h"
+#include "tamarackcove/Http/ClientMemory.h"
 
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
@@ -89,7 +90,9 @@
                        crashes.recordAlive(heartbeat.identity, Clock::now());
                        updatePlanner(heartbeat);
                    }})
-    , http(callConnections, limits(), hooks.frontEnd(control))
+    , clientMemory(
+          std::make_shared<MemoryBudget>(MemoryBudget::limitsFor(settings.memoryBytes, settings.maxDescriptors)))
+    , http(callConnections, limits(), hooks.frontEnd(control), clientMemory)
     , links(entryConnections, feed, demands,
             {.leads = [this] { return leading; },
              .term = [this] { return leadershipTerm; },
@@ -150,6 +153,7 @@
     if (allowances.active()) {
         setAllowanceGauges(gauges);
     }
+    setClientMemoryGauges(gauges, *clientMemory);
 }
 
 void FleetNode::Impl::readConfigurationInForce()
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -11,6 +11,7 @@
 #include "tamarackcove/Fleet/AllowanceLedger.h"
 #include "tamarackcove/Fleet/CrashAttribution.h"
 #include "tamarackcove/Fleet/DemandTable.h"
+#include "tamarackcove/Http/MemoryBudget.h"
 #include "tamarackcove/Http/MetricsEndpoint.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
@@ -18,6 +19,7 @@
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Supervision/Timer.h"
 
+#include <memory>
 #include <set>
 
 namespace tamarackcove {
@@ -141,6 +143,7 @@
     UpdateFeed feed;
     OrderDispatcher dispatcher;
     FleetControl control;
+    std::shared_ptr<MemoryBudget> clientMemory;
     HttpServer http;
     EntryLinks links;
     MetricsEndpoint metricsEndpoint;
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -7,14 +7,17 @@
 #include "tamarackcove/Gateway/ServerConnections.h"
 #include "tamarackcove/Gateway/ServiceAdmission.h"
 #include "tamarackcove/Http/CallerWatch.h"
+#include "tamarackcove/Http/ClientMemory.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Http/HttpServer.h"
+#include "tamarackcove/Http/MemoryBudget.h"
 #include "tamarackcove/Http/MetricsEndpoint.h"
 #include "tamarackcove/Observe/LogLine.h"
 #include "tamarackcove/Observe/Metrics.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Supervision/Timer.h"
 
+#include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace asio = boost::asio;
@@ -25,6 +28,14 @@
 /// Added to the idle timeout of the configuration before a connection of a caller is closed: callers may keep a
 /// connection idle for most of that timeout and then send a request.
 static constexpr milliseconds IdleMargin{1000};
+/// Part of the memory of this process for answers of servers that have not arrived in full.
+static constexpr std::size_t AnswerDivisor = 6;
+
+static std::size_t maxAnswerBytes(const GatewaySettings &settings)
+{
+    return settings.memoryBytes ? std::min(*settings.memoryBytes / AnswerDivisor, AnswerBudget::MaxTotalBytes)
+                                : AnswerBudget::MaxTotalBytes;
+}
 
 struct GatewayNode::Impl
 {
@@ -44,16 +55,18 @@
                  .admission = admission,
                  .metrics = metrics,
                  .dialect = dialect,
-                 .leaderConnected =
-                     [this] {
-                         return link.connectedToLeader();
-                     }})
+                 .leaderConnected = [this] { return link.connectedToLeader(); },
+                 .maxAnswerBytes = maxAnswerBytes(settings)})
+        , clientMemory(
+              std::make_shared<MemoryBudget>(MemoryBudget::limitsFor(settings.memoryBytes, settings.maxDescriptors)))
         , callers(
               callerConnections, {},
-              [this](const HttpRequest &request, HttpResponder &responder) { return relay.serve(request, responder); })
+              [this](const HttpRequest &request, HttpResponder &responder) { return relay.serve(request, responder); },
+              clientMemory)
         , ready(
-              readyConnections, {},
-              [this](const HttpRequest &request, HttpResponder &responder) { return answerReady(request, responder); })
+              readyConnections, ProbeLimits,
+              [this](const HttpRequest &request, HttpResponder &responder) { return answerReady(request, responder); },
+              std::make_shared<MemoryBudget>(MemoryBudget::limitsForProbes()))
         , metricsEndpoint(executor, metrics, [this](Metrics &gauges) { setGauges(gauges); })
     {
         view.servers().hasIdleConnection = [this](const ServerIdentity &server, TimePoint now) {
@@ -89,6 +102,7 @@
     CallerWatch watch;
     ServiceAdmission admission;
     RequestRelay relay;
+    std::shared_ptr<MemoryBudget> clientMemory;
     HttpServer callers;
     HttpServer ready;
     MetricsEndpoint metricsEndpoint;
@@ -138,6 +152,7 @@
         gauge("workspace_admitted_ratio", usage.share.admittedPart);
         gauge("workspace_share_age_seconds", std::chrono::duration<double>(now - allowances.renewedAt()).count());
     }
+    setClientMemoryGauges(gauges, *clientMemory);
     for (const auto &[service, left] : view.retriesLeft(now)) {
         gauges.gauge(Metrics::labelled("retries_left", {{"service", service.value()}}), left);
     }
