Admission control: a setting that is off by default

Entries disagreed on the service time and held requests although the service had room. It is now on only where the setting admission_control says so.

--- a/include/tamarackcove/Gateway/FleetView.h
+++ b/include/tamarackcove/Gateway/FleetView.h
@@ -59,8 +59,6 @@
     [[nodiscard]] std::uint64_t latestVersion(const AdapterKey &adapter) const;
     /// Time since the last message of a leader; before the first update, time since the start.
     [[nodiscard]] milliseconds updateAge(TimePoint now) const;
-    /// Number of connected entries, as the leader counts them.
-    [[nodiscard]] std::size_t entryCount() const;
     /// Number of requests that wait for an adapter or for the first configuration.
     [[nodiscard]] std::size_t waitingRequests() const;
     /// The number of retries left to this entry in the retry budget of each service.
--- a/include/tamarackcove/Gateway/GatewaySettings.h
+++ b/include/tamarackcove/Gateway/GatewaySettings.h
@@ -35,6 +35,8 @@
     milliseconds retryWindow{10000};
     /// Time from SIGTERM or SIGINT until the process is killed from outside; the shutdown must end before then.
     milliseconds gracePeriod{8000};
+    /// Whether requests for an overloaded service are held or refused here.
+    bool admissionControl = false;
     /// Memory and descriptors that this process may take; absent if they are not limited.
     std::optional<std::size_t> memoryBytes;
     std::optional<std::size_t> maxDescriptors;
--- a/include/tamarackcove/Gateway/ServiceAdmission.h
+++ b/include/tamarackcove/Gateway/ServiceAdmission.h
@@ -23,7 +23,7 @@
 {
 public:
     /// Precondition: the view and the metrics outlive this object.
-    ServiceAdmission(FleetView &view, Metrics &metrics);
+    ServiceAdmission(FleetView &view, Metrics &metrics, bool enabled);
 
     /// A request that asks to be sent.
     struct Applicant
@@ -33,8 +33,7 @@
         AdmissionControl::Request request;
     };
 
-    /// Whether admission is controlled in this deployment: it has workspaces, or so many entries that none of them
-    /// knows the load of a server by its own requests. Otherwise every request is sent at once.
+    /// Whether the settings ask for admission control. Otherwise every request is sent at once.
     [[nodiscard]] bool enabled() const;
     /// Passes the loads of the last report on to all services. Called for each report of the leader.
     void recordLoads(TimePoint now);
@@ -74,6 +73,7 @@
 
     FleetView &m_view;
     Metrics &m_metrics;
+    bool m_enabled;
     std::map<ServiceName, Service> m_services;
     std::map<std::string, CallerBudget> m_callerBudgets;
 };
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -344,11 +344,6 @@
     return duration_cast<milliseconds>(now - m_updatedAt);
 }
 
-std::size_t FleetView::entryCount() const
-{
-    return m_entryCount;
-}
-
 std::size_t FleetView::waitingRequests() const
 {
     return m_waiters.size();
--- a/lib/Gateway/GatewayNode.cpp
+++ b/lib/Gateway/GatewayNode.cpp
@@ -48,7 +48,7 @@
         , view(executor, settings, dialect)
         , link(root, settings, view)
         , watch(executor)
-        , admission(view, metrics)
+        , admission(view, metrics, settings.admissionControl)
         , relay({.view = view,
                  .connections = connections,
                  .watch = watch,
--- a/lib/Gateway/GatewaySettings.cpp
+++ b/lib/Gateway/GatewaySettings.cpp
@@ -27,6 +27,7 @@
         "retry_slack": {"type": "number", "minimum": 0},
         "retry_window_s": {"type": "number", "minimum": 1, "maximum": 86400},
         "grace_s": {"type": "number", "minimum": 1, "maximum": 86400},
+        "admission_control": {"type": "boolean"},
         "memory_mb": {"type": "number", "minimum": 16, "maximum": 1048576},
         "max_descriptors": {"type": "integer", "minimum": 64, "maximum": 1048576},
         "log_level": {"enum": ["debug", "info", "warning", "error"]}
@@ -69,6 +70,7 @@
     if (json.contains("max_descriptors")) {
         settings.maxDescriptors = json.at("max_descriptors").get<std::size_t>();
     }
+    readIfPresent(json, "admission_control", settings.admissionControl);
     settings.logLevel = logLevelOf(json.value("log_level", std::string("info")));
     return settings;
 }
--- a/lib/Gateway/ServiceAdmission.cpp
+++ b/lib/Gateway/ServiceAdmission.cpp
@@ -12,9 +12,6 @@
 
 namespace tamarackcove {
 
-/// From this number of entries on, an entry has less than one request in progress at most servers, so that its own
-/// requests say nothing about their load.
-static constexpr std::size_t ManyEntries = 32;
 /// Interval of the log lines on a service that is limited.
 static constexpr seconds LogInterval{1};
 
@@ -65,9 +62,10 @@
     };
 }
 
-ServiceAdmission::ServiceAdmission(FleetView &view, Metrics &metrics)
+ServiceAdmission::ServiceAdmission(FleetView &view, Metrics &metrics, bool enabled)
     : m_view(view)
     , m_metrics(metrics)
+    , m_enabled(enabled)
 {
 }
 
@@ -80,8 +78,7 @@
 
 bool ServiceAdmission::enabled() const
 {
-    const auto routes = m_view.routes();
-    return m_view.entryCount() >= ManyEntries || (routes && !routes->workspaces().empty());
+    return m_enabled;
 }
 
 void ServiceAdmission::recordLoads(TimePoint now)
--- a/unittests/Platform/AdmissionTest.cpp
+++ b/unittests/Platform/AdmissionTest.cpp
@@ -124,6 +124,7 @@
     Deployment deployment;
     BlockableServer server(deployment);
     deployment.adjustConfiguration = addWorkspaces;
+    deployment.admissionControl = true;
     ConcurrentCalls calls(deployment);
     deployment.run([&]() -> asio::awaitable<void> {
         for (int i = 0; i < FirstRequests; ++i) {
@@ -167,6 +168,7 @@
               return sendEvents(request, responder, 2, 2);
           });
     deployment.adjustConfiguration = addWorkspaces;
+    deployment.admissionControl = true;
     deployment.run([&]() -> asio::awaitable<void> {
         const auto first = co_await callWithKey(deployment, "/stream/x", "one", "key-one", milliseconds(4000));
         CHECK(first.status == 200);
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -270,6 +270,8 @@
         return callControl("POST", "/v1/Config.Replace", document.dump());
     }
 
+    /// Whether the entry holds or refuses requests for an overloaded service. Set before run().
+    bool admissionControl = false;
     /// Changes the configuration before it is sent.
     std::function<void(nlohmann::json &)> adjustConfiguration;
     /// How the control host writes its files. Set before run().
@@ -351,6 +353,7 @@
         settings.seeds = {"127.0.0.1"};
         settings.retrySlack = 50;
         settings.gracePeriod = gracePeriod;
+        settings.admissionControl = admissionControl;
         m_entry = std::make_unique<GatewayNode>(m_io.get_executor(), settings, platform::callerDialect());
         REQUIRE(m_entry->open().has_value());
         m_callerPort = m_entry->callerPort();
