--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Builds, lints and tests everything. CI and `make check` run this script. The tests, which mostly wait, run beside the
 # linter, but not beside a build: while compilers write, a sync of the disk can take seconds, longer than the tests of
-# control hosts wait.
+# control hosts wait. The tests of untrusted clients bound the memory of processes and run last, alone.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/steps.sh
@@ -27,4 +27,6 @@
 start step "integration tests" scripts/integration.sh
 start unit_tests_of_both_builds
 join
+start step "untrusted clients" scripts/integration.sh --untrusted-clients
+join
 report_passed
--- a/scripts/integration.sh
+++ b/scripts/integration.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs the integration tests with real processes. Arguments are passed to pytest.
+# Runs the integration tests with real processes. Arguments are passed to pytest. The tests of untrusted clients bound the
+# memory of processes and run apart from other load: only with --untrusted-clients as the first argument, and then alone.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if ! compgen -G 'test/test_*.py' > /dev/null; then
@@ -16,5 +17,11 @@
         esac
     done < KNOWN-RED.txt
 fi
+untrusted=test/test_untrusted_clients.py
+selected=(test "--ignore=$untrusted")
+if [ "${1:-}" = --untrusted-clients ]; then
+    shift
+    selected=("$untrusted")
+fi
 . scripts/test-folder.sh
-exec /usr/bin/python3 -m pytest -q -p no:cacheprovider test "${skipped[@]}" "$@"
+exec /usr/bin/python3 -m pytest -q -p no:cacheprovider "${selected[@]}" "${skipped[@]}" "$@"
