--- a/unittests/Fleet/AllowanceLoadTest.cpp
+++ b/unittests/Fleet/AllowanceLoadTest.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t LargeWorkspaces = 3;
 constexpr std::size_t SmallWorkspaces = 13;
 
-/// The workspaces of atlas-sentinelle: a few large ones and many small ones. The large ones come first.
+/// A few large workspaces and many small ones. The large ones come first.
 void addWorkspaces(AllowanceSimulation &simulation)
 {
     for (std::size_t i = 0; i < LargeWorkspaces + SmallWorkspaces; ++i) {
