Refuse answers whose status HTTP does not allow

What callers saw: a server in trouble answered with status 000. The answer itself did not pass, but it counted as an interim response: whatever followed it on the connection was passed on as the answer. If the connection closed after it, this counted as evidence of a crash, so that sound requests could be quarantined. Statuses 600 to 999 were passed on as they came. At a control host the same bytes passed as the state of a server, in tamarackcovectl as the confirmation of a command.

Cause: the parser of Beast takes any three digits as a status, and HttpConnection took everything below 200 as an interim response.

Change: MessageFraming, which examines the head of every answer that this project reads, refuses a status outside 100 to 599 (RFC 9110, section 15). The answer counts as lost: the request may have run, goes on at another server only if it may be repeated, and is no evidence of a crash.

--- a/lib/Http/MessageFraming.cpp
+++ b/lib/Http/MessageFraming.cpp
@@ -80,6 +80,10 @@
     }
     if (m_kind == MessageKind::Response) {
         const auto status = line.substr(std::min(Http11.size() + 1, line.size()));
+        // Other statuses are invalid (RFC 9110, section 15). One below 100 would count as an interim response.
+        if (status.empty() || status.front() < '1' || status.front() > '5') {
+            return malformed("the status is not between 100 and 599");
+        }
         m_isBodiless = status.starts_with('1') || status.starts_with(NoContentStatus);
     }
     return ok();
--- a/lib/Http/MessageFraming.h
+++ b/lib/Http/MessageFraming.h
@@ -16,7 +16,8 @@
 
 /// Finds the end of the head of an HTTP/1.x message and checks that the head frames the message in one way only (RFC
 /// 9112, sections 2.2, 5.1, 5.2, 6.1 to 6.3 and 11.2). A message that another recipient could end elsewhere is refused,
-/// as the bytes after its end would count as a further message there.
+/// as the bytes after its end would count as a further message there. A response with a status outside 100 to 599 is
+/// refused as well.
 ///
 /// Stricter than the parser of Beast, which unfolds lines, ignores a transfer coding other than chunked, and lets a
 /// message have several equal lengths.
--- a/unittests/Http/MessageFramingTest.cpp
+++ b/unittests/Http/MessageFramingTest.cpp
@@ -1,6 +1,6 @@
 #include "../Supervision/RunThenStop.h"
+#include "AnsweringPeer.h"
 #include "Framings.h"
-#include "tamarackcove/Http/HttpConnection.h"
 #include "tamarackcove/Http/HttpResponder.h"
 #include "tamarackcove/Http/HttpServer.h"
 #include "tamarackcove/Supervision/Supervisor.h"
@@ -13,11 +13,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <cctype>
 #include <doctest/doctest.h>
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using namespace tamarackcove;
+using test::exchangeWith;
 using test::Framing;
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
@@ -114,6 +116,25 @@
     }
 }
 
+// Guards against a field that a server reads under another name than this process.
+TEST_CASE("a request with a field whose name holds a byte that no name may hold is refused")
+{
+    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+    for (int value = 0; value < 256; ++value) {
+        const auto byte = static_cast<char>(value);
+        const bool isToken = value < 0x80 && (std::isalnum(value) != 0 || Marks.find(byte) != std::string_view::npos);
+        // A colon ends the name.
+        if (byte == ':') {
+            continue;
+        }
+        CAPTURE(value);
+        const auto received
+            = sendTo(answerOk, std::string("GET / HTTP/1.1\r\nHost: h\r\nX-") + byte + "Field: 1\r\n\r\n");
+        CHECK(received.requests.size() == (isToken ? 1 : 0));
+        CHECK(received.bytes.starts_with(isToken ? "HTTP/1.1 200" : "HTTP/1.1 400"));
+    }
+}
+
 // Guards against fields that arrive after the body and replace those by which the request was routed.
 TEST_CASE("the fields of a trailer do not change those of the head")
 {
@@ -148,45 +169,6 @@
     CHECK(cut.reset);
 }
 
-struct Exchanged
-{
-    Result<HttpResponse, HttpError> response = HttpError{};
-    bool reusable = false;
-};
-
-/// The result of an exchange with a peer that answers with these bytes and then closes the connection.
-static Exchanged exchangeWith(const std::string &method, const std::string &bytes)
-{
-    Exchanged exchanged;
-    asio::io_context io;
-    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-            std::string request(4096, '\0');
-            (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
-            (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
-            socket.shutdown(tcp::socket::shutdown_send);
-            (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
-        },
-        asio::detached);
-    asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            Endpoint endpoint{.host = "127.0.0.1", .port = acceptor.local_endpoint().port()};
-            auto connection = co_await HttpConnection::connect(std::move(endpoint), seconds(5));
-            REQUIRE(connection.has_value());
-            HttpRequest request;
-            request.method = method;
-            exchanged.response = co_await connection.value()->exchange(std::move(request), seconds(5));
-            exchanged.reusable = connection.value()->reusable();
-        },
-        asio::detached);
-    io.run();
-    return exchanged;
-}
-
 // Guards against an answer whose end a server means elsewhere: what follows it would be read as the answer to the next
 // request on the connection, or a body would be passed on that is not the server's.
 TEST_CASE("a response that can be framed in more than one way fails, and its connection is not used again")
--- a/unittests/Operator/OperatorToolTest.cpp
+++ b/unittests/Operator/OperatorToolTest.cpp
@@ -7,10 +7,15 @@
 #include "tamarackcove/Settings/SettingsFile.h"
 #include "tamarackcove/Supervision/Supervisor.h"
 
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
@@ -178,3 +183,79 @@
     REQUIRE(ids.size() == 2);
     CHECK(ids[0] == ids[1]);
 }
+
+namespace {
+
+/// Answers the first connection with the first of these texts and further ones with the last, and counts them.
+class RawControlHost
+{
+public:
+    explicit RawControlHost(std::vector<std::string> answers)
+        : m_answers(std::move(answers))
+        , m_acceptor(m_io, {asio::ip::address_v4::loopback(), 0})
+    {
+        asio::co_spawn(m_io, accept(), asio::detached);
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+    ~RawControlHost()
+    {
+        asio::post(m_io, [this] { m_acceptor.close(); });
+        m_thread.join();
+    }
+    RawControlHost(const RawControlHost &) = delete;
+    RawControlHost &operator=(const RawControlHost &) = delete;
+
+    [[nodiscard]] Outcome run(std::vector<std::string> arguments)
+    {
+        const auto port = m_acceptor.local_endpoint().port();
+        arguments.insert(arguments.end(), {"--control", Endpoint{"127.0.0.1", port}.toString()});
+        return ctl(arguments);
+    }
+    [[nodiscard]] int connections() const
+    {
+        return m_connections;
+    }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+        for (;;) {
+            auto [error, socket] = co_await m_acceptor.async_accept(UseTuple);
+            if (error) {
+                co_return;
+            }
+            std::string request(4096, '\0');
+            (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
+            const auto &answer = m_connections++ == 0 ? m_answers.front() : m_answers.back();
+            (void)co_await asio::async_write(socket, asio::buffer(answer), UseTuple);
+        }
+    }
+
+    std::vector<std::string> m_answers;
+    asio::io_context m_io;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<int> m_connections = 0;
+    std::thread m_thread;
+};
+
+std::string answerWith(const std::string &startLine, const std::string &body)
+{
+    return startLine + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+// Guards against a command that counts as confirmed by an answer that is none.
+TEST_CASE("a command whose answer HTTP does not allow is sent again")
+{
+    const auto confirmed = answerWith("HTTP/1.1 200 OK", R"({"plan":"plan-1","revision":1})");
+    for (const auto &broken : {"HTTP/1.1 000 Status\r\n\r\n" + confirmed, answerWith("HTTP/1.1 600 Status", "{}"),
+                               answerWith("HTTP/1.1 200 OK\r\nX\001Field: 1", "{}")}) {
+        CAPTURE(broken);
+        RawControlHost host({broken, confirmed});
+        const auto outcome = host.run({"plan", "confirm", "plan-1", "--base-revision", "0"});
+        CHECK(outcome.exitCode == 0);
+        CHECK(host.connections() == 2);
+    }
+}
--- a/unittests/Platform/TruncatedHeadTest.cpp
+++ b/unittests/Platform/TruncatedHeadTest.cpp
@@ -1,12 +1,5 @@
-#include "Deployment.h"
-
-#include <array>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
+#include "RawServer.h"
+
 #include <utility>
 
 namespace asio = boost::asio;
@@ -14,7 +7,6 @@
 using namespace tamarackcove;
 using namespace tamarackcove::test;
 
-static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 static const std::string Head = "HTTP/1.1 200 OK\r\nTamarackcove-Attempt-Id: cut\r\nTamarackcove-Server-Seal: seal\r\n";
 static const std::string StreamHead = Head + "Content-Type: text/event-stream\r\n";
 static const std::string FirstEvent = "id: 1\ndata: x\n\n";
@@ -22,99 +14,24 @@
 
 namespace {
 
-/// How a server ends its connection after the bytes of its answer.
-enum class Ending {
-    Close,
-    Reset,
-};
-
-/// A server that writes the bytes of `answer` in reply to the request "cut" and ends the connection. Other requests get
-/// a whole answer. Thread safety: used on the thread of the executor.
-class CuttingServer
+/// Writes the bytes of `answer` in reply to the request "cut" and ends the connection.
+class CuttingServer : public RawServer
 {
 public:
     CuttingServer(const asio::any_io_executor &executor, std::string service)
-        : m_service(std::move(service))
-        , m_acceptor(executor, {asio::ip::make_address("127.0.0.1"), 0})
+        : RawServer(executor, std::move(service), [this](tcp::socket &socket) { return cut(socket); })
     {
-        asio::co_spawn(executor, accept(), asio::detached);
-    }
-
-    [[nodiscard]] nlohmann::json heartbeat() const
-    {
-        return {{"service", m_service},
-                {"addr", "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())},
-                {"zone", "z"},
-                {"slots", 8},
-                {"state", "ready"},
-                {"seq", 1},
-                {"born", 1},
-                {"models", {{{"name", "m"}, {"version", 1}, {"adapters", nlohmann::json::array()}}}}};
-    }
-    void close()
-    {
-        m_acceptor.close();
     }
 
     std::string answer;
     Ending ending = Ending::Close;
-    /// Number of answers to the request "cut".
-    int cutAnswers = 0;
 
 private:
-    asio::awaitable<void> accept()
+    asio::awaitable<void> cut(tcp::socket &socket)
     {
-        for (;;) {
-            auto [error, socket] = co_await m_acceptor.async_accept(UseTuple);
-            if (error) {
-                co_return;
-            }
-            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
-        }
+        (void)co_await asio::async_write(socket, asio::buffer(answer), UseTuple);
+        endConnection(socket, ending);
     }
-
-    asio::awaitable<void> serve(tcp::socket socket)
-    {
-        std::string received;
-        for (;;) {
-            // The requests of these tests have no body.
-            const auto [error, headBytes]
-                = co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", UseTuple);
-            if (error) {
-                co_return;
-            }
-            const auto head = received.substr(0, headBytes);
-            received.erase(0, headBytes);
-            if (head.find("Tamarackcove-Attempt-Id: cut\r\n") != std::string::npos) {
-                ++cutAnswers;
-                (void)co_await asio::async_write(socket, asio::buffer(answer), UseTuple);
-                if (ending == Ending::Reset) {
-                    socket.set_option(tcp::socket::linger(true, 0));
-                }
-                // The destructor would undo the option and close the connection in order.
-                socket.close();
-                co_return;
-            }
-            const auto whole = wholeAnswer(head);
-            (void)co_await asio::async_write(socket, asio::buffer(whole), UseTuple);
-        }
-    }
-
-    static std::string wholeAnswer(const std::string &head)
-    {
-        static const std::string IdField = "Tamarackcove-Attempt-Id: ";
-        std::string fields;
-        if (const auto at = head.find(IdField); at != std::string::npos) {
-            fields = head.substr(at, head.find("\r\n", at) + 2 - at) + "Tamarackcove-Server-Seal: seal\r\n";
-        }
-        const std::string body = head.find("/v1/report") == std::string::npos
-            ? "whole"
-            : R"({"born":1,"seq":0,"models":[{"name":"m","version":1,"adapters":[]}]})";
-        return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    }
-
-    std::string m_service;
-    tcp::acceptor m_acceptor;
 };
 
 std::string chunk(const std::string &bytes)
@@ -137,13 +54,13 @@
 {
     server.answer = std::move(answer);
     server.ending = ending;
-    const auto answersBefore = server.cutAnswers;
+    const auto answersBefore = server.answers;
     const auto response = co_await deployment.call("POST", std::move(path), "cut");
     CAPTURE(server.answer);
     CAPTURE(static_cast<int>(ending));
     // 502 if nothing was relayed; 0 if the caller sees a connection that ends inside the answer.
     CHECK((response.status == 502 || response.status == 0));
-    CHECK(server.cutAnswers == answersBefore + 1);
+    CHECK(server.answers == answersBefore + 1);
 }
 
 static asio::awaitable<void> checkComplete(Deployment &deployment, CuttingServer &server, std::string path,
