End an answer as broken off if a check has noticed its reset before the read

What callers saw: the events that a silent server had sent, ended as a complete stream. Such a stream has no length, its server resets the connection while the entry asks another server to take the stream over, and that one refuses.

Cause: the kernel reports the error of a socket once. While another server is asked, the entry looks for unread bytes of the silent one (HttpConnection::hasUnreadBytes). That look took the reset and dropped it, and the next read saw the same as after a close in order, which ends an answer without a length.

Change: HttpConnection keeps an error that a look has taken, and a read that sees the end after it fails with this error. A write that takes the error needs nothing: it fails, and no caller reads the answer after that.

--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -52,8 +52,16 @@
     std::optional<seconds> keepAliveTimeout;
     bool unusable = false;
     bool inExchange = false;
+    /// The error of the socket that was taken without a read. The kernel reports an error once, and a read after that
+    /// sees the same as if the peer had closed the connection in order.
+    beast::error_code takenError;
 
     void startParser();
+    /// Looks at the next byte without waiting. Returns the number of bytes seen, 0 if the peer has closed its side, and
+    /// -1 if there is none yet or the connection is broken.
+    ssize_t peek();
+    /// The error of a read, or the taken error in place of the end that the read has seen.
+    [[nodiscard]] beast::error_code readError(const beast::error_code &error) const;
     /// Reads one head and gives it to the parser.
     asio::awaitable<Result<void, HttpError>> readHead();
     /// Marks the connection as unusable and returns the error.
@@ -95,11 +103,26 @@
         const auto [error, received] = co_await socket.readSome(buffer.prepare(ReadBytes));
         buffer.commit(received);
         if (error) {
-            co_return fail(error);
+            co_return fail(readError(error));
         }
     }
 }
 
+ssize_t HttpConnection::Impl::peek()
+{
+    char byte = 0;
+    const auto received = ::recv(socket.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+        takenError = beast::error_code(errno, boost::system::system_category());
+    }
+    return received;
+}
+
+beast::error_code HttpConnection::Impl::readError(const beast::error_code &error) const
+{
+    return error == asio::error::eof && takenError ? takenError : error;
+}
+
 HttpError HttpConnection::Impl::fail(HttpErrorCode code, std::string detail)
 {
     unusable = true;
@@ -295,6 +318,7 @@
             std::tie(error, received) = co_await impl.socket.readSome(impl.buffer.prepare(ReadBytes));
             impl.buffer.commit(received);
             impl.lastReadAt = Clock::now();
+            error = impl.readError(error);
             if (error == asio::error::eof) {
                 error = {};
                 parser.put_eof(error);
@@ -370,15 +394,12 @@
 bool HttpConnection::hasUnreadBytes() const
 {
     // The buffer holds nothing that a read would return: what is left there has to be completed by further bytes.
-    char byte = 0;
-    return ::recv(m_impl->socket.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return m_impl->peek() > 0;
 }
 
 bool HttpConnection::peerClosed() const
 {
-    char byte = 0;
-    const auto received = ::recv(m_impl->socket.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return m_impl->peek() >= 0 || m_impl->takenError;
 }
 
 void HttpConnection::close()
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -15,6 +15,8 @@
 static const std::string SizedBody = "Content-Length: 5\r\n\r\nwhole";
 static const std::string SizedStream
     = "Content-Type: text/event-stream\r\nContent-Length: 14\r\n\r\nid: 1\ndata: x\n\n";
+static const std::string UnsizedStreamHead
+    = "HTTP/1.1 200 OK\r\n" + OwnFields + "Content-Type: text/event-stream\r\n\r\n";
 
 static RawServer::Answer writes(std::string &answer)
 {
@@ -144,6 +146,42 @@
     });
 }
 
+// Guards against a stream whose reset is noticed, while another server is asked to take the stream over, by a check
+// that takes the error of the socket: the next read would see an end in order.
+TEST_CASE("a silent stream without a length that is reset while another server is asked ends as broken off")
+{
+    Deployment deployment;
+    int answers = 0;
+    const RawServer::Answer silentThenRefuses = [&](tcp::socket &socket) -> asio::awaitable<void> {
+        if (++answers == 1) {
+            const auto bytes = UnsizedStreamHead + "id: 1\ndata: x\n\n";
+            (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
+            while (answers == 1) {
+                co_await deployment.sleepFor(milliseconds(10));
+            }
+            endConnection(socket, Ending::Reset);
+            co_return;
+        }
+        // Longer than the interval in which the entry checks whether the silent server has gone on.
+        co_await deployment.sleepFor(milliseconds(350));
+        const auto bytes = "HTTP/1.1 503 Service Unavailable\r\n" + OwnFields
+            + "Tamarackcove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
+    };
+    RawServer first(deployment.executor(), "engines", silentThenRefuses);
+    RawServer second(deployment.executor(), "engines", silentThenRefuses);
+    deployment.addServer("p1", "plain", answerInFull);
+    deployment.addExternalServer("s1", first.heartbeat());
+    deployment.addExternalServer("s2", second.heartbeat());
+    deployment.run([&]() -> asio::awaitable<void> {
+        const auto response = co_await deployment.call("POST", "/stream/x", "cut");
+        CHECK(response.status == 0);
+        CHECK(answers == 2);
+        first.close();
+        second.close();
+    });
+}
+
 // Guards against a control host that gives orders by a state that the server has not stated.
 TEST_CASE("a state report with a status or a field name that HTTP does not allow counts as not read")
 {
