End an answer as broken off if its server is gone before it has the whole request

What callers saw: the beginning of an answer without a length, as the whole answer with 200. The server had answered a long upload at once, and its connection was closed in order and then reset, as bytes of the upload were left unread. This is what the kernel does for a server process that ends at such a moment.

Cause: data, the end and the reset arrive together. A read sees the data and the end, and an end after the data is the whole answer; nothing looked for the reset.

Change: before HttpConnection takes the end of the connection as that of an answer, it asks the socket for an error. While the kernel of the server has not accepted the whole request, it also waits for the reset that the rest of the request would cause, at most 250 ms and no longer than the read may take. A server that ends its answer and reads the rest of the request later sends no reset, and its answer passes.

Evidence: red on the code before, green now: Http "an answer that ends with its connection is broken off if the connection is reset with unread bytes of the request" (both subcases); Platform "an answer without a length is broken off if its server resets the connection during the upload" (12 of 55 checks, those of an upload of 40 KB that fits into the kernel, closed and then reset, on all three kinds of routes); Entry "a response that HTTP does not allow, or that is reset, is lost", which also failed for statuses before they were refused.

--- a/include/tamarackcove/Http/HttpConnection.h
+++ b/include/tamarackcove/Http/HttpConnection.h
@@ -55,9 +55,10 @@
 
     /// Reads the part of the body that has arrived, and returns nothing at the end of the body. A connection that is
     /// closed before the end of the body gives an error, as does chunk framing over its limit (TooLarge). A body with
-    /// neither a length nor chunks ends when the peer closes the connection, unless the status is 2xx and no byte of it
-    /// has come: that gives an error as well. The body has no limit: the caller counts the bytes and the time of all
-    /// pieces. After TimedOut it may be called again. Precondition: readHead() has succeeded.
+    /// neither a length nor chunks ends when the peer closes the connection, unless the connection is reset, also right
+    /// after that, or the status is 2xx and no byte of it has come: that gives an error as well. The body has no limit:
+    /// the caller counts the bytes and the time of all pieces. After TimedOut it may be called again. Precondition:
+    /// readHead() has succeeded.
     boost::asio::awaitable<Result<std::optional<std::string>, HttpError>> readPiece(milliseconds timeout);
 
     /// Sets a hook that is called when a read has reached its timeout. It returns for how much longer the read waits;
--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include "HttpConversion.h"
 #include "MessageFraming.h"
 #include "TimedSocket.h"
+#include "tamarackcove/Supervision/Timer.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -15,6 +16,9 @@
 #include <charconv>
 #include <chrono>
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -28,6 +32,9 @@
 static constexpr std::size_t ReadBytes = 8 * 1024;
 /// Longer bodies are written by a call of their own instead of being copied behind their head.
 static constexpr std::size_t MaxCopiedBodyBytes = 16 * 1024;
+/// How long the reset by a peer that is gone is waited for: it follows within a round trip, or after a retransmission.
+static constexpr milliseconds MaxResetDelay{250};
+static constexpr milliseconds ResetCheckInterval{5};
 static constexpr unsigned SwitchingProtocols = 101;
 /// Responses with a lower status are interim responses: the response to the request follows them.
 static constexpr unsigned FirstFinalStatus = 200;
@@ -62,6 +69,14 @@
     ssize_t peek();
     /// The error of a read, or the taken error in place of the end that the read has seen.
     [[nodiscard]] beast::error_code readError(const beast::error_code &error) const;
+    /// Takes the error of the socket without a read.
+    void takeError();
+    /// The number of bytes that the kernel of the peer has not accepted.
+    [[nodiscard]] int unacceptedBytes() const;
+    /// Checks the end of an answer that ends with its connection. The process of a peer that has not read the whole
+    /// request may be gone: its kernel ends the connection in order, and then resets it when further bytes of the
+    /// request arrive. Returns the error of such a connection, otherwise eof.
+    asio::awaitable<beast::error_code> confirmEnd();
     /// Reads one head and gives it to the parser.
     asio::awaitable<Result<void, HttpError>> readHead();
     /// Marks the connection as unusable and returns the error.
@@ -123,6 +138,37 @@
     return error == asio::error::eof && takenError ? takenError : error;
 }
 
+void HttpConnection::Impl::takeError()
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (::getsockopt(socket.socket().native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+        error = errno;
+    }
+    if (error != 0) {
+        takenError = beast::error_code(error, boost::system::system_category());
+    }
+}
+
+int HttpConnection::Impl::unacceptedBytes() const
+{
+    int bytes = 0;
+    return ::ioctl(socket.socket().native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
+asio::awaitable<beast::error_code> HttpConnection::Impl::confirmEnd()
+{
+    Timer timer(co_await asio::this_coro::executor);
+    const auto endTime = Clock::now() + MaxResetDelay;
+    takeError();
+    while (!takenError && unacceptedBytes() > 0 && Clock::now() < endTime && !socket.expired()) {
+        timer.expires_after(ResetCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        takeError();
+    }
+    co_return readError(asio::error::eof);
+}
+
 HttpError HttpConnection::Impl::fail(HttpErrorCode code, std::string detail)
 {
     unusable = true;
@@ -319,6 +365,9 @@
             impl.buffer.commit(received);
             impl.lastReadAt = Clock::now();
             error = impl.readError(error);
+            if (error == asio::error::eof && parser.need_eof()) {
+                error = co_await impl.confirmEnd();
+            }
             if (error == asio::error::eof) {
                 error = {};
                 parser.put_eof(error);
--- a/unittests/Entry/TargetCallTest.cpp
+++ b/unittests/Entry/TargetCallTest.cpp
@@ -17,15 +17,23 @@
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Supervision/Timer.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <functional>
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
 using namespace tamarackcove;
 
+static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
 /// Stands in for the connection of a caller.
 class RecordingResponder final : public HttpResponder
 {
@@ -83,26 +91,13 @@
 };
 
 static constexpr seconds MaxSendTime{6};
+/// More than a stand-in reads with the head of a request.
+static constexpr std::size_t RequestBodyBytes = 40 * 1024;
 
-/// Calls a stand-in that sends a body without end, in one attempt of a call that is not repeatable.
-static Outcome callEndless(DestinationKind kind, Pieces pieces, milliseconds timeToDeadline)
+/// Makes one attempt of a call that is not repeatable at a stand-in on this port, and awaits `stop` after it.
+static void callTarget(asio::io_context &io, DestinationKind kind, std::uint16_t port, milliseconds timeToDeadline,
+                       const std::function<asio::awaitable<void>()> &stop, Outcome &outcome)
 {
-    Outcome outcome;
-    asio::io_context io;
-    Supervisor supervisor(io.get_executor(), "test");
-    HttpServer server(supervisor, {}, [&](const HttpRequest &, HttpResponder &responder) -> asio::awaitable<void> {
-        const auto startTime = Clock::now();
-        Timer timer(io);
-        auto written = co_await responder.beginStream(streamHead(pieces.contentType));
-        while (written.has_value() && Clock::now() - startTime < MaxSendTime) {
-            written = co_await responder.writePiece(pieces.piece);
-            outcome.sentBytes += pieces.piece.size();
-            timer.expires_after(pieces.pause);
-            co_await timer.async_wait(asio::use_awaitable);
-        }
-    });
-    REQUIRE(server.listen({"127.0.0.1", 0}).has_value());
-    supervisor.start("accept", [&server] { return server.run(); });
     TargetConnections connections({});
     CrashLedger crashes({});
     UnreachableTargets unreachable;
@@ -125,6 +120,8 @@
     call.repeatable = false;
     call.deadline = Clock::now() + timeToDeadline;
     HttpRequest request;
+    request.method = "POST";
+    request.body.assign(RequestBodyBytes, 'x');
     RecordingResponder responder;
     RequestLifecycle life(false);
     life.admit();
@@ -136,18 +133,63 @@
             TargetCall target(context, call, request, responder, life, watched);
             Destination destination;
             destination.kind = kind;
-            destination.endpoint = Endpoint{.host = "127.0.0.1", .port = server.port()};
+            destination.endpoint = Endpoint{.host = "127.0.0.1", .port = port};
             destination.target = TargetId("t1");
             const auto startTime = Clock::now();
             outcome.end = co_await target.run(destination);
             outcome.time = Clock::now() - startTime;
             outcome.outcomeUnknown = target.reason().code == RefusalCode::OutcomeUnknown;
-            co_await supervisor.stop();
+            co_await stop();
         },
         asio::detached);
     io.run();
     outcome.responseStarted = responder.started();
     outcome.responseEnded = responder.ended;
+}
+
+/// Calls a stand-in that sends a body without end, in one attempt of a call that is not repeatable.
+static Outcome callEndless(DestinationKind kind, Pieces pieces, milliseconds timeToDeadline)
+{
+    Outcome outcome;
+    asio::io_context io;
+    Supervisor supervisor(io.get_executor(), "test");
+    HttpServer server(supervisor, {}, [&](const HttpRequest &, HttpResponder &responder) -> asio::awaitable<void> {
+        const auto startTime = Clock::now();
+        Timer timer(io);
+        auto written = co_await responder.beginStream(streamHead(pieces.contentType));
+        while (written.has_value() && Clock::now() - startTime < MaxSendTime) {
+            written = co_await responder.writePiece(pieces.piece);
+            outcome.sentBytes += pieces.piece.size();
+            timer.expires_after(pieces.pause);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    });
+    REQUIRE(server.listen({"127.0.0.1", 0}).has_value());
+    supervisor.start("accept", [&server] { return server.run(); });
+    callTarget(
+        io, kind, server.port(), timeToDeadline, [&] { return supervisor.stop(); }, outcome);
+    return outcome;
+}
+
+/// Calls a stand-in that answers with these bytes and ends the connection without reading the rest of the request, in
+/// one attempt of a call that is not repeatable.
+static Outcome callBroken(DestinationKind kind, std::string bytes)
+{
+    Outcome outcome;
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+            std::string received;
+            (void)co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", UseTuple);
+            (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
+            socket.shutdown(tcp::socket::shutdown_send);
+        },
+        asio::detached);
+    callTarget(
+        io, kind, acceptor.local_endpoint().port(), seconds(60), []() -> asio::awaitable<void> { co_return; }, outcome);
     return outcome;
 }
 
@@ -194,3 +236,22 @@
         CHECK(outcome.time < maxTime);
     }
 }
+
+// Guards against a broken answer in the hands of a caller, and against a refusal that says that a call which may have
+// run has not.
+TEST_CASE("a response that HTTP does not allow, or that is reset, is lost")
+{
+    const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    for (const auto kind : {DestinationKind::Entry, DestinationKind::Service}) {
+        for (const auto &bytes :
+             {"HTTP/1.1 000 Status\r\n\r\n" + sound, std::string("HTTP/1.1 600 Status\r\nContent-Length: 2\r\n\r\n{}"),
+              std::string("HTTP/1.1 200 OK\r\nX Field: 1\r\nContent-Length: 2\r\n\r\n{}"),
+              std::string("HTTP/1.1 200 OK\r\n\r\n{}")}) {
+            CAPTURE(bytes);
+            const auto outcome = callBroken(kind, bytes);
+            CHECK(outcome.end == TargetCall::End::Lost);
+            CHECK(outcome.outcomeUnknown);
+            CHECK_FALSE(outcome.responseStarted);
+        }
+    }
+}
--- a/unittests/Http/BrokenOffAnswerTest.cpp
+++ b/unittests/Http/BrokenOffAnswerTest.cpp
@@ -145,6 +145,36 @@
     }
 }
 
+// Guards against the part that a server in trouble has sent of its answer: its end is in order, but the bytes of the
+// request that it never read reset the connection.
+TEST_CASE(
+    "an answer that ends with its connection is broken off if the connection is reset with unread bytes of the request")
+{
+    milliseconds resetAfter{0};
+    SUBCASE("at once")
+    {
+    }
+    SUBCASE("later")
+    {
+        resetAfter = ShortTime;
+    }
+    const PeerTask endsWithoutReading = [&](tcp::socket &socket) -> asio::awaitable<void> {
+        (void)co_await asio::async_write(socket, asio::buffer(UnsizedAnswer), UseTuple);
+        socket.shutdown(tcp::socket::shutdown_send);
+        if (resetAfter > milliseconds(0)) {
+            co_await sleepFor(resetAfter);
+        }
+        socket.close();
+    };
+    const auto readWhole = [](HttpConnection &connection) -> asio::awaitable<void> {
+        const auto written = co_await connection.writeRequest(requestWith(ShortBodyBytes), Timeout);
+        REQUIRE(written.has_value());
+        co_await readPart(connection);
+        co_await checkBrokenOff(connection);
+    };
+    runBoth(endsWithoutReading, readWhole, SmallReceiveBuffer);
+}
+
 // Guards against a refusal of sound answers: a server may end its answer before it reads the rest of the request.
 TEST_CASE("an answer that ends with its connection is complete if its server reads the rest of the request later")
 {
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -25,6 +25,16 @@
     };
 }
 
+static asio::awaitable<HttpResponse> upload(Deployment &deployment, std::string path, std::size_t bodyBytes)
+{
+    auto request = Deployment::callerRequest("POST", std::move(path), "cut", {}, milliseconds(4000));
+    request.body.assign(bodyBytes, 'x');
+    auto response = co_await httpExchange(deployment.callerEndpoint(), std::move(request), CallTimeout);
+    HttpResponse failed;
+    failed.status = 0;
+    co_return response.has_value() ? std::move(response).value() : failed;
+}
+
 /// What a request may get whose only server has sent a broken answer: neither the answer nor a promise that the request
 /// has not run.
 static void checkBroken(const HttpResponse &response)
@@ -146,6 +156,51 @@
     });
 }
 
+// Guards against the beginning of an answer that is passed on as the whole answer: the server has reset the connection
+// before it had the whole request.
+TEST_CASE("an answer without a length is broken off if its server resets the connection during the upload")
+{
+    constexpr std::size_t LongBodyBytes = 3500 * 1024;
+    constexpr std::size_t ShortBodyBytes = 40 * 1024;
+    Deployment deployment;
+    std::string answer;
+    milliseconds pause{0};
+    Ending ending = Ending::Reset;
+    const RawServer::Answer answersAtOnce = [&](tcp::socket &socket) -> asio::awaitable<void> {
+        (void)co_await asio::async_write(socket, asio::buffer(answer), UseTuple);
+        if (pause > milliseconds(0)) {
+            co_await deployment.sleepFor(pause);
+        }
+        endConnection(socket, ending);
+    };
+    RawServer plain(deployment.executor(), "plain", answersAtOnce);
+    RawServer engine(deployment.executor(), "engines", answersAtOnce);
+    plain.setReceiveBuffer(4096);
+    engine.setReceiveBuffer(4096);
+    deployment.addExternalServer("p1", plain.heartbeat());
+    deployment.addExternalServer("s1", engine.heartbeat());
+    deployment.run([&]() -> asio::awaitable<void> {
+        for (const auto bodyBytes : {ShortBodyBytes, LongBodyBytes}) {
+            for (const auto way : {Ending::Reset, Ending::CloseThenReset}) {
+                for (const auto time : {milliseconds(0), milliseconds(50)}) {
+                    CAPTURE(bodyBytes);
+                    CAPTURE(static_cast<int>(way));
+                    CAPTURE(time.count());
+                    ending = way;
+                    pause = time;
+                    answer = "HTTP/1.1 200 OK\r\n" + OwnFields + "\r\npart";
+                    checkBroken(co_await upload(deployment, "/once/x", bodyBytes));
+                    checkBroken(co_await upload(deployment, "/again/x", bodyBytes));
+                    answer = UnsizedStreamHead + "id: 1\ndata: x\n\n";
+                    checkBroken(co_await upload(deployment, "/stream/x", bodyBytes));
+                }
+            }
+        }
+        plain.close();
+        engine.close();
+    });
+}
+
 // Guards against a stream whose reset is noticed, while another server is asked to take the stream over, by a check
 // that takes the error of the socket: the next read would see an end in order.
 TEST_CASE("a silent stream without a length that is reset while another server is asked ends as broken off")
