Log why a response to the product's own entry was refused or broken off

Operators saw attempts_lost_total and, at the caller, outcome_unknown, but not what the target had sent. Cause: the reason was dropped where the response is read. Change: one line response_broken_off with the request, the target and the reason, unless the caller has left. Shown by a run of EntryTests: the lines of "a response that HTTP does not allow, or that is reset, is lost" name the status, the field and the reset.

--- a/include/tamarackcove/Entry/Targets/StreamRelay.h
+++ b/include/tamarackcove/Entry/Targets/StreamRelay.h
@@ -13,6 +13,7 @@
 
 class HttpConnection;
 class HttpResponder;
+struct HttpError;
 
 /// Relays one completion stream to its caller. The stream may continue over several connections to the target.
 ///
@@ -48,6 +49,8 @@
     {
         /// Called before the first byte is written to the caller.
         std::function<void()> onStreamStart;
+        /// Called when the connection broke or timed out.
+        std::function<void(const HttpError &)> onBroken;
     };
 
     /// Precondition: the responder outlives the relay.
--- a/include/tamarackcove/Entry/Targets/TargetCall.h
+++ b/include/tamarackcove/Entry/Targets/TargetCall.h
@@ -21,6 +21,7 @@
 class StreamRelay;
 struct Call;
 struct DispatchContext;
+struct HttpError;
 struct HttpResponse;
 
 /// Sends one request to a target, relays the response, and resumes it when the connection breaks.
@@ -91,6 +92,8 @@
     [[nodiscard]] milliseconds readTimeout() const;
     /// The time after which a response that still arrives is given up.
     [[nodiscard]] TimePoint responseEndTime() const;
+    /// Logs that the response was refused or broken off, unless the caller has left.
+    void logBroken(const HttpError &error) const;
     /// Logs that the response exceeds a limit. Returns ReceiveEnd::Unresumable.
     [[nodiscard]] ReceiveEnd giveUp(std::string_view reason) const;
     /// Whether the response says that the request did not run; if so, sets the reason.
--- a/lib/Entry/Targets/StreamRelay.cpp
+++ b/lib/Entry/Targets/StreamRelay.cpp
@@ -75,6 +75,7 @@
         }
         auto piece = co_await connection.readPiece(m_options.progressTimeout);
         if (piece.has_error()) {
+            m_hooks.onBroken(piece.error());
             co_return End::Broken;
         }
         if (!piece.value()) {
--- a/lib/Entry/Targets/TargetCall.cpp
+++ b/lib/Entry/Targets/TargetCall.cpp
@@ -64,6 +64,9 @@
     hooks.onStreamStart = [&life] {
         life.startStream();
     };
+    hooks.onBroken = [this](const HttpError &error) {
+        logBroken(error);
+    };
     m_relay = std::make_unique<StreamRelay>(responder, options, std::move(hooks));
 }
 
@@ -212,6 +215,9 @@
         co_return endAsNotRun(
             {RefusalCode::NotRun, "the target closed the connection, retry later", m_context.options.notRunRetryAfter});
     }
+    if (written.has_error()) {
+        logBroken(written.error());
+    }
     auto received = written.has_error() ? ReceiveEnd::Broken : co_await receive(false);
     while (received == ReceiveEnd::Broken && !m_watched.isCallerGone()
            && m_destination.kind == DestinationKind::Engine) {
--- a/lib/Entry/Targets/TargetCallResponse.cpp
+++ b/lib/Entry/Targets/TargetCallResponse.cpp
@@ -31,6 +31,7 @@
 {
     auto head = co_await m_connection->readHead(readTimeout());
     if (head.has_error()) {
+        logBroken(head.error());
         co_return ReceiveEnd::Broken;
     }
     // Only a response shows that the target is up: a network relay may accept connections for a target that is down.
@@ -101,6 +102,7 @@
         }
         auto piece = co_await m_connection->readPiece(readTimeout());
         if (piece.has_error()) {
+            logBroken(piece.error());
             co_return ReceiveEnd::Broken;
         }
         if (!piece.value()) {
@@ -146,6 +148,7 @@
         }
         auto piece = co_await m_connection->readPiece(readTimeout());
         if (piece.has_error()) {
+            logBroken(piece.error());
             // The body cannot carry an error. The missing last chunk shows the caller that it was truncated.
             co_return ReceiveEnd::Broken;
         }
@@ -160,6 +163,20 @@
     co_return ReceiveEnd::Complete;
 }
 
+void TargetCall::logBroken(const HttpError &error) const
+{
+    // This entry has closed the connection itself.
+    if (m_watched.isCallerGone()) {
+        return;
+    }
+    LogLine(LogLevel::Info, "response_broken_off")
+        .add("request", m_call.id.value())
+        .add("target", m_destination.target.value())
+        .add("after_ms", duration_cast<milliseconds>(Clock::now() - m_dispatchedAt))
+        .add("tokens", m_relay->tokens())
+        .add("reason", error.detail);
+}
+
 TargetCall::ReceiveEnd TargetCall::giveUp(std::string_view reason) const
 {
     LogLine(LogLevel::Warning, "response_given_up")
