tamarackcovectl: an answer that cannot be read is no refusal and no crash

Found while checking every place that reads answers. What operators saw: a confirmation with status 200 and a body that is no JSON gave "status 200" and exit code 1 (refused), although the command may have been accepted; JSON of another shape ended the tool by an exception. Cause: any 200 with a JSON value counted as the expected object, and any other as a refusal. Change: such an answer gives exit code 3 and the command id to resend the command with.

--- a/lib/Operator/OperatorTool.cpp
+++ b/lib/Operator/OperatorTool.cpp
@@ -56,6 +56,8 @@
     }
 
     int run();
+    /// Prints that an answer is not what the interface of the control hosts defines, and returns the exit code.
+    int failUnreadable();
 
 private:
     using Render = void (*)(const json &, std::ostream &);
@@ -78,6 +80,14 @@
     int m_exitCode = 0;
 };
 
+int OperatorRun::failUnreadable()
+{
+    return fail(ExitUnreachable,
+                "the answer of a control host cannot be read; whether a command was accepted is not known, resend it "
+                "with --command-id "
+                    + m_commandId);
+}
+
 int OperatorRun::fail(int code, const std::string &reason)
 {
     m_err << "tamarackcovectl: " << reason << '\n';
@@ -99,8 +109,12 @@
         return std::nullopt;
     }
     auto body = json::parse(response.value().body, nullptr, false);
-    if (response.value().status == 200 && !body.is_discarded()) {
-        return body;
+    if (response.value().status == 200) {
+        if (body.is_object()) {
+            return body;
+        }
+        failUnreadable();
+        return std::nullopt;
     }
     std::string reason = "status " + std::to_string(response.value().status);
     if (body.is_object() && body.contains("error")) {
@@ -240,7 +254,12 @@
 
 int runOperatorCommand(const OperatorCommand &command, std::ostream &out, std::ostream &err)
 {
-    return OperatorRun(command, out, err).run();
+    OperatorRun operatorRun(command, out, err);
+    try {
+        return operatorRun.run();
+    } catch (const json::exception &) {
+        return operatorRun.failUnreadable();
+    }
 }
 
 } // namespace tamarackcove
--- a/unittests/Operator/OperatorToolTest.cpp
+++ b/unittests/Operator/OperatorToolTest.cpp
@@ -259,3 +259,20 @@
         CHECK(host.connections() == 2);
     }
 }
+
+// Guards against a tool that ends by an exception, or that calls a command refused which may have been accepted.
+TEST_CASE("an answer with a body that the tool cannot read gives exit code 3")
+{
+    for (const auto *body : {"", "{", "[]", "3", R"({"plan":7})"}) {
+        CAPTURE(body);
+        RawControlHost host({answerWith("HTTP/1.1 200 OK", body)});
+        const auto outcome = host.run({"plan", "confirm", "plan-1", "--base-revision", "0", "--command-id", "c7"});
+        CHECK(outcome.exitCode == ExitUnreachable);
+        CHECK(outcome.err.find("--command-id c7") != std::string::npos);
+    }
+    for (const auto *body : {R"({"error":7})", R"({"error":{"message":7}})", R"({"in_effect":[]})"}) {
+        CAPTURE(body);
+        RawControlHost host({answerWith("HTTP/1.1 409 Conflict", body)});
+        CHECK(host.run({"plan", "confirm", "plan-1", "--base-revision", "0"}).exitCode == ExitUnreachable);
+    }
+}
