tamarackcovectl: an unreadable answer to a read asks for no resend

The message named a command id to resend also after a read, which has none. Evidence: a check of "an answer with a body that the tool cannot read", added with the change.

--- a/lib/Operator/OperatorTool.cpp
+++ b/lib/Operator/OperatorTool.cpp
@@ -78,14 +78,17 @@
     std::ostream &m_err;
     std::string m_commandId;
     int m_exitCode = 0;
+    /// Whether the last request changes what is in force.
+    bool m_changesState = false;
 };
 
 int OperatorRun::failUnreadable()
 {
-    return fail(ExitUnreachable,
-                "the answer of a control host cannot be read; whether a command was accepted is not known, resend it "
-                "with --command-id "
-                    + m_commandId);
+    std::string reason = "the answer of a control host cannot be read";
+    if (m_changesState) {
+        reason += "; whether the command was accepted is not known, resend it with --command-id " + m_commandId;
+    }
+    return fail(ExitUnreachable, reason);
 }
 
 int OperatorRun::fail(int code, const std::string &reason)
@@ -97,6 +100,7 @@
 
 std::optional<json> OperatorRun::exchange(HttpRequest request, bool changesState)
 {
+    m_changesState = changesState;
     const auto response = sendRequest(m_command, std::move(request));
     if (response.has_error()) {
         auto reason = "no control host gave an answer: " + response.error().detail;
--- a/unittests/Operator/OperatorToolTest.cpp
+++ b/unittests/Operator/OperatorToolTest.cpp
@@ -275,4 +275,8 @@
         RawControlHost host({answerWith("HTTP/1.1 409 Conflict", body)});
         CHECK(host.run({"plan", "confirm", "plan-1", "--base-revision", "0"}).exitCode == ExitUnreachable);
     }
+    RawControlHost host({answerWith("HTTP/1.1 200 OK", "[]")});
+    const auto status = host.run({"status"});
+    CHECK(status.exitCode == ExitUnreachable);
+    CHECK(status.err.find("--command-id") == std::string::npos);
 }
