--- a/lib/Http/HttpConnection.cpp
+++ b/lib/Http/HttpConnection.cpp
@@ -64,7 +64,7 @@
     beast::error_code takenError;
 
     void startParser();
-    /// Looks at the next byte without waiting. Returns the number of bytes seen, 0 if the peer has closed its side, and
+    /// Peeks at the next byte without waiting. Returns the number of bytes seen, 0 if the peer has closed its side, and
     /// -1 if there is none yet or the connection is broken.
     ssize_t peek();
     /// The error of a read, or the taken error in place of the end that the read has seen.
