Tests: check retries, crash evidence and log reasons of refused answers; share raw stand-ins

"a request whose answer is refused goes on at another server only if it may be repeated" now checks that each repeat took a retry from the budget, that no answer counted as the crash of a server, and that the log names the status and both reasons for field names. It covers a control byte in a name as well. Heartbeats, pairs of raw servers, LogCapture and the peer that answers once are shared instead of repeated; no check has changed.

--- a/unittests/Entry/TargetCallTest.cpp
+++ b/unittests/Entry/TargetCallTest.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Entry/Targets/TargetCall.h"
 
+#include "../Http/AnsweringPeer.h"
 #include "tamarackcove/Entry/ControlCalls.h"
 #include "tamarackcove/Entry/Targets/Destination.h"
 #include "tamarackcove/Entry/Targets/DispatchContext.h"
@@ -17,14 +18,11 @@
 #include "tamarackcove/Supervision/Supervisor.h"
 #include "tamarackcove/Supervision/Timer.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <functional>
 
@@ -32,8 +30,6 @@
 using asio::ip::tcp;
 using namespace tamarackcove;
 
-static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-
 /// Stands in for the connection of a caller.
 class RecordingResponder final : public HttpResponder
 {
@@ -178,16 +174,7 @@
     Outcome outcome;
     asio::io_context io;
     tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-            std::string received;
-            (void)co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", UseTuple);
-            (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
-            socket.shutdown(tcp::socket::shutdown_send);
-        },
-        asio::detached);
+    asio::co_spawn(io, test::answerOnce(acceptor, bytes), asio::detached);
     callTarget(
         io, kind, acceptor.local_endpoint().port(), seconds(60), []() -> asio::awaitable<void> { co_return; }, outcome);
     return outcome;
--- a/unittests/Http/AnsweringPeer.h
+++ b/unittests/Http/AnsweringPeer.h
@@ -14,6 +14,20 @@
 
 namespace tamarackcove::test {
 
+/// Accepts one connection, reads the beginning of a request, answers with these bytes and ends the connection when
+/// further bytes arrive or the client closes it.
+inline boost::asio::awaitable<void> answerOnce(boost::asio::ip::tcp::acceptor &acceptor, const std::string &bytes)
+{
+    namespace asio = boost::asio;
+    constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::string request(4096, '\0');
+    (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
+    (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
+}
+
 struct Exchanged
 {
     Result<HttpResponse, HttpError> response = HttpError{};
@@ -25,21 +39,10 @@
 {
     namespace asio = boost::asio;
     using asio::ip::tcp;
-    constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
     Exchanged exchanged;
     asio::io_context io;
     tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    asio::co_spawn(
-        io,
-        [&]() -> asio::awaitable<void> {
-            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-            std::string request(4096, '\0');
-            (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
-            (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
-            socket.shutdown(tcp::socket::shutdown_send);
-            (void)co_await socket.async_read_some(asio::buffer(request), UseTuple);
-        },
-        asio::detached);
+    asio::co_spawn(io, answerOnce(acceptor, bytes), asio::detached);
     asio::co_spawn(
         io,
         [&]() -> asio::awaitable<void> {
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -1,6 +1,8 @@
+#include "LogCapture.h"
 #include "RawServer.h"
 
 #include <fmt/format.h>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +37,32 @@
     co_return response.has_value() ? std::move(response).value() : failed;
 }
 
+namespace {
+
+/// Two servers of a service with the same behaviour, in a deployment.
+class RawServerPair
+{
+public:
+    RawServerPair(Deployment &deployment, const std::string &service, const RawServer::Answer &answer)
+        : m_first(deployment.executor(), service, answer)
+        , m_second(deployment.executor(), service, answer)
+    {
+        deployment.addExternalServer("r1", m_first.heartbeat());
+        deployment.addExternalServer("r2", m_second.heartbeat());
+    }
+    void close()
+    {
+        m_first.close();
+        m_second.close();
+    }
+
+private:
+    RawServer m_first;
+    RawServer m_second;
+};
+
+} // namespace
+
 /// What a request may get whose only server has sent a broken answer: neither the answer nor a promise that the request
 /// has not run.
 static void checkBroken(const HttpResponse &response)
@@ -95,13 +123,13 @@
         const auto bytes = ++answers == 1 ? broken : "HTTP/1.1 200 OK\r\n" + OwnFields + SizedBody;
         (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
     };
-    RawServer first(deployment.executor(), "plain", breaksFirst);
-    RawServer second(deployment.executor(), "plain", breaksFirst);
-    deployment.addExternalServer("p1", first.heartbeat());
-    deployment.addExternalServer("p2", second.heartbeat());
+    RawServerPair servers(deployment, "plain", breaksFirst);
+    std::optional<LogCapture> capture;
     deployment.run([&]() -> asio::awaitable<void> {
+        capture.emplace();
         for (const auto &head : {"HTTP/1.1 000 Status\r\n" + OwnFields, "HTTP/1.1 600 Status\r\n" + OwnFields,
-                                 "HTTP/1.1 200 OK\r\n" + OwnFields + "X Field: 1\r\n"}) {
+                                 "HTTP/1.1 200 OK\r\n" + OwnFields + "X Field: 1\r\n",
+                                 "HTTP/1.1 200 OK\r\n" + OwnFields + "X\001Field: 1\r\n"}) {
             CAPTURE(head);
             broken = head + SizedBody;
             answers = 0;
@@ -118,10 +146,16 @@
         co_await deployment.sleepFor(milliseconds(500));
         const auto [entry, control] = co_await deployment.metrics();
         checkContains(control, "tamarackcove_crash_evidence 0");
-        checkContains(entry, "tamarackcove_server_answers_lost_total{service=\"plain\",how=\"broken\"} 6");
-        first.close();
-        second.close();
+        checkContains(entry, "tamarackcove_server_answers_lost_total{service=\"plain\",how=\"broken\"} 8");
+        checkContains(entry, "tamarackcove_retries_total{service=\"plain\",result=\"granted\"} 4");
+        servers.close();
     });
+    REQUIRE(capture);
+    for (const auto *reason :
+         {"the status is not between 100 and 599", "a field without a name that ends at its colon", "bad field"}) {
+        checkContains(capture->text(), fmt::format("reason=\"{}\"", reason));
+    }
+    CHECK(capture->text().find("evidence=closed") == std::string::npos);
 }
 
 // Guards against an interrupted stream that a broken answer ends as if it were complete.
@@ -137,11 +171,8 @@
             : broken;
         (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
     };
-    RawServer first(deployment.executor(), "engines", breaksOff);
-    RawServer second(deployment.executor(), "engines", breaksOff);
+    RawServerPair servers(deployment, "engines", breaksOff);
     deployment.addServer("p1", "plain", answerInFull);
-    deployment.addExternalServer("s1", first.heartbeat());
-    deployment.addExternalServer("s2", second.heartbeat());
     deployment.run([&]() -> asio::awaitable<void> {
         for (const auto &head : brokenHeads()) {
             CAPTURE(head);
@@ -151,8 +182,7 @@
             CHECK(response.status == 0);
             CHECK(answers == 2);
         }
-        first.close();
-        second.close();
+        servers.close();
     });
 }
 
@@ -223,17 +253,13 @@
             + "Tamarackcove-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         (void)co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
     };
-    RawServer first(deployment.executor(), "engines", silentThenRefuses);
-    RawServer second(deployment.executor(), "engines", silentThenRefuses);
+    RawServerPair servers(deployment, "engines", silentThenRefuses);
     deployment.addServer("p1", "plain", answerInFull);
-    deployment.addExternalServer("s1", first.heartbeat());
-    deployment.addExternalServer("s2", second.heartbeat());
     deployment.run([&]() -> asio::awaitable<void> {
         const auto response = co_await deployment.call("POST", "/stream/x", "cut");
         CHECK(response.status == 0);
         CHECK(answers == 2);
-        first.close();
-        second.close();
+        servers.close();
     });
 }
 
--- a/unittests/Platform/EndlessServer.h
+++ b/unittests/Platform/EndlessServer.h
@@ -48,14 +48,7 @@
     }
     [[nodiscard]] nlohmann::json heartbeat() const
     {
-        return {{"service", m_service},
-                {"addr", "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())},
-                {"zone", "z"},
-                {"slots", 8},
-                {"state", "ready"},
-                {"seq", 1},
-                {"born", 1},
-                {"models", models()}};
+        return singleHeartbeat(m_service, m_acceptor.local_endpoint().port(), modelsWithoutAdapters());
     }
     void close()
     {
@@ -67,11 +60,6 @@
     std::size_t sentBytes = 0;
 
 private:
-    static nlohmann::json models()
-    {
-        return {{{"name", "m"}, {"version", 1}, {"adapters", nlohmann::json::array()}}};
-    }
-
     boost::asio::awaitable<void> accept()
     {
         for (;;) {
@@ -108,7 +96,7 @@
                 co_return;
             }
             const std::string body = report
-                ? nlohmann::json{{"born", 1}, {"models", models()}, {"busy", false}, {"seq", 0}}.dump()
+                ? nlohmann::json{{"born", 1}, {"models", modelsWithoutAdapters()}, {"busy", false}, {"seq", 0}}.dump()
                 : m_service == "engines" ? "id: 1\ndata: x\n\n"
                                          : "whole";
             const std::string type = m_service == "engines" && !report ? "Content-Type: text/event-stream\r\n" : "";
--- a/unittests/Platform/RawServer.h
+++ b/unittests/Platform/RawServer.h
@@ -55,14 +55,7 @@
 
     [[nodiscard]] nlohmann::json heartbeat() const
     {
-        return {{"service", m_service},
-                {"addr", "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())},
-                {"zone", "z"},
-                {"slots", 8},
-                {"state", "ready"},
-                {"seq", 1},
-                {"born", 1},
-                {"models", {{{"name", "m"}, {"version", 1}, {"adapters", nlohmann::json::array()}}}}};
+        return singleHeartbeat(m_service, m_acceptor.local_endpoint().port(), modelsWithoutAdapters());
     }
     void close()
     {
--- a/unittests/Platform/ServerAnswerTest.cpp
+++ b/unittests/Platform/ServerAnswerTest.cpp
@@ -101,14 +101,7 @@
 
     [[nodiscard]] nlohmann::json heartbeat() const
     {
-        return {{"service", "engines"},
-                {"addr", "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())},
-                {"zone", "z"},
-                {"slots", 8},
-                {"state", "ready"},
-                {"seq", 1},
-                {"born", 1},
-                {"models", models()}};
+        return singleHeartbeat("engines", m_acceptor.local_endpoint().port(), models());
     }
     void close()
     {
--- a/unittests/Platform/StandInServer.h
+++ b/unittests/Platform/StandInServer.h
@@ -14,6 +14,21 @@
 
 namespace tamarackcove::test {
 
+/// The heartbeat of a server on this port of 127.0.0.1 that sends only one.
+inline nlohmann::json singleHeartbeat(const std::string &service, std::uint16_t port, nlohmann::json models)
+{
+    return {{"service", service}, {"addr", "127.0.0.1:" + std::to_string(port)},
+            {"zone", "z"},        {"slots", 8},
+            {"state", "ready"},   {"seq", 1},
+            {"born", 1},          {"models", std::move(models)}};
+}
+
+/// The models of a server that holds no adapters.
+inline nlohmann::json modelsWithoutAdapters()
+{
+    return {{{"name", "m"}, {"version", 1}, {"adapters", nlohmann::json::array()}}};
+}
+
 /// Stands in for a server of the platform: accepts orders, reports its state, and answers requests by the behaviour
 /// that the test passes in. Thread safety: used on the thread of the executor.
 class StandInServer
--- a/unittests/Platform/WholePathTest.cpp
+++ b/unittests/Platform/WholePathTest.cpp
@@ -1,9 +1,7 @@
 #include "Deployment.h"
-#include "tamarackcove/Operator/RequestExplanation.h"
+#include "LogCapture.h"
 
-#include <spdlog/sinks/ostream_sink.h>
-#include <spdlog/spdlog.h>
-#include <sstream>
+#include <optional>
 
 namespace asio = boost::asio;
 using namespace tamarackcove;
@@ -174,42 +172,6 @@
     });
 }
 
-/// Captures all log lines of this process during its lifetime.
-class LogCapture
-{
-public:
-    LogCapture()
-        : m_before(spdlog::default_logger())
-    {
-        auto sink = std::make_shared<spdlog::sinks::ostream_sink_st>(m_text);
-        auto logger = std::make_shared<spdlog::logger>("capture", std::move(sink));
-        logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l process=%n %v");
-        spdlog::set_default_logger(std::move(logger));
-    }
-    ~LogCapture()
-    {
-        spdlog::set_default_logger(m_before);
-    }
-    LogCapture(const LogCapture &) = delete;
-    LogCapture &operator=(const LogCapture &) = delete;
-
-    /// The explanation of one request that RequestExplanation derives from the captured log lines.
-    std::string explain(const std::string &request)
-    {
-        RequestExplanation explanation(request);
-        std::istringstream log(m_text.str());
-        explanation.read("log", log);
-        std::ostringstream out;
-        const bool found = explanation.write(out);
-        CHECK(found);
-        return out.str();
-    }
-
-private:
-    std::shared_ptr<spdlog::logger> m_before;
-    std::ostringstream m_text;
-};
-
 TEST_CASE("the logs explain the cause of a failed request by its id, and the metrics count it")
 {
     Deployment deployment;
