Tell entries of the departures that an earlier leader has acknowledged

Cause: a departure was kept as the absence of a record. The ack waits for the log, the update to entries for 15 ms, and the whole state of the next leader lists the servers that exist, not those that are gone. What entries reported of the server was dropped without an answer, until the complete list came 3.6 s later.

Change: the whole state names the starts of servers that drain or have ended, for as long as the log keeps them, and an update does when one is recorded. Entries keep them by id and start, and never choose such a start again, whatever is offered later. A later start, or another server at the address, is not affected.

--- a/include/tamarackcove/Control/Fleet/UpdateFeed.h
+++ b/include/tamarackcove/Control/Fleet/UpdateFeed.h
@@ -40,6 +40,8 @@
     void restart();
     /// Adds servers that were added, changed or removed to the next update.
     void addServers(const std::set<TargetId> &ids);
+    /// Adds a start of a server that drains or has ended to the next update.
+    void addDeparture(const ServerIdentity &server);
     void addHoldings(const std::vector<AdapterPlanner::HoldingChange> &changes);
     /// Adds the loads that differ from those of the previous call to the next update.
     void setLoads(const std::vector<ServerLoadMessage> &loads);
@@ -66,6 +68,8 @@
     void addCompleteList(FleetUpdateMessage &update) const;
     void addSuspects(FleetUpdateMessage &update) const;
     void addSilentServers(FleetUpdateMessage &update) const;
+    /// Adds the departures of the replicated state.
+    void addDepartures(FleetUpdateMessage &update) const;
     [[nodiscard]] SharedFrame encode(const FleetUpdateMessage &update);
     /// Encodes the whole state, unless it was encoded after the last published update.
     void refreshSnapshot();
@@ -83,6 +87,7 @@
     bool m_serversComplete = false;
     bool m_completeListPublished = false;
     std::set<TargetId> m_pendingServers;
+    std::set<ServerIdentity> m_pendingDepartures;
     std::map<std::pair<TargetId, AdapterKey>, AdapterPlanner::HoldingChange> m_pendingHoldings;
     std::map<std::string, ServerLoadMessage> m_loads;
     /// Whether entries have reported loads since restart(). From then on a server without load is sent as such, because
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -142,6 +142,9 @@
     /// Records that this start of a server has stated that it is leaving. It is not chosen any more, whatever the
     /// control host says of it later. Returns whether that is new.
     bool recordLeaving(const ServerIdentity &server, TimePoint now);
+    /// Records that these starts of servers drain or have ended, as the control host has said. They are not chosen any
+    /// more, whatever it offers later.
+    void recordDepartures(const std::vector<ServerIdentity> &servers, TimePoint now);
     /// The servers that have stated that they are leaving and are not known to the control host as draining.
     [[nodiscard]] std::vector<OfferedServer> unannouncedLeaving() const;
     /// Sends no request to this start of a server for the time that it has asked for, and a random part of that longer.
@@ -295,6 +298,8 @@
     /// Whether the server offers what the request needs, and wants new requests apart from a pause.
     [[nodiscard]] static bool suits(const Server &server, const Requirements &requirements);
     void forgetExpiredStatements(TimePoint now);
+    /// Returns whether the statement is new.
+    bool noteLeaving(const ServerIdentity &server, TimePoint now);
 
     Options m_options;
     std::mt19937_64 m_random;
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -33,6 +33,21 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServerMessage, id, startedAt, service, endpoint, zone, slots, draining, models)
 
+/// A start of a server that drains or has ended.
+struct DepartureMessage
+{
+    std::string server;
+    std::uint64_t startedAt = 0;
+};
+inline void to_json(nlohmann::json &json, const DepartureMessage &message)
+{
+    json = toArray(message.server, message.startedAt);
+}
+inline void from_json(const nlohmann::json &json, DepartureMessage &message)
+{
+    fromArray(json, message.server, message.startedAt);
+}
+
 /// The version of an adapter that a server holds; 0 when the server no longer holds the adapter.
 struct HoldingMessage
 {
@@ -140,6 +155,9 @@
     std::vector<WeightVersionMessage> versions;
     std::vector<ServerMessage> servers;
     std::vector<std::string> removed;
+    /// Starts of servers that get no new requests from now on, whatever later updates offer. Those of the last minutes
+    /// in the whole state.
+    std::vector<DepartureMessage> departed;
     /// Servers of which the entry forgets all holdings before it applies `holdings`. Set in the whole state, which does
     /// not name the adapters that a server has ceased to hold.
     std::vector<std::string> relisted;
@@ -162,7 +180,7 @@
     std::vector<std::string> silentServers;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetUpdateMessage, configurationVersion, document, versions, servers, removed,
-                                   relisted, holdings, complete, all, loads, listsPromptParts, watchedParts,
+                                   departed, relisted, holdings, complete, all, loads, listsPromptParts, watchedParts,
                                    quarantinedParts, listsSilentServers, silentServers)
 
 /// Requests that wait for an adapter.
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -189,7 +189,7 @@
         return;
     }
     if (const auto *departure = command == nullptr ? nullptr : std::get_if<NoteDeparture>(command)) {
-        registry.applyDeparture(departure->server, departure->gone);
+        applyDepartures(&departure->server.id);
         if (const auto *server = registry.find(departure->server.id); leading && server != nullptr) {
             updatePlanner(server->lastHeartbeat);
         }
@@ -197,9 +197,7 @@
         return;
     }
     readConfigurationInForce();
-    for (const auto &[server, departure] : state.departures()) {
-        registry.applyDeparture(server, departure.gone);
-    }
+    applyDepartures(nullptr);
     for (const auto &[key, version] : state.weightVersions()) {
         planner.setNewestVersion(key, version, Clock::now());
     }
@@ -215,6 +213,20 @@
     publishSuspects();
 }
 
+void FleetNode::Impl::applyDepartures(const TargetId *only)
+{
+    for (const auto &[server, departure] : log.state().departures()) {
+        if (only != nullptr && server.id != *only) {
+            continue;
+        }
+        registry.applyDeparture(server, departure.gone);
+        if (leading && only != nullptr) {
+            feed.addDeparture(server);
+            links.scheduleStateUpdate();
+        }
+    }
+}
+
 void FleetNode::Impl::updatePlanner(const ServerHeartbeat &heartbeat)
 {
     if (!configuration || !dispatcher.active()) {
--- a/lib/Control/Fleet/FleetNodeImpl.h
+++ b/lib/Control/Fleet/FleetNodeImpl.h
@@ -65,6 +65,8 @@
     /// Ends the leadership if it is still suspended after MaxSuspension.
     boost::asio::awaitable<void> awaitLease(std::uint64_t suspensionNumber);
     void publishServers();
+    /// Passes the departures of the replicated state, or only those of one server, on to the registry.
+    void applyDepartures(const TargetId *only);
     /// Proposes a NoteServer command if the replicated record of the server is outdated. `server` is its entry in the
     /// registry; null if it was removed.
     void proposeServerRecord(const TargetId &id, const ServerRegistry::Server *server);
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -29,6 +29,7 @@
     m_serversComplete = false;
     m_completeListPublished = false;
     m_pendingServers.clear();
+    m_pendingDepartures.clear();
     m_pendingHoldings.clear();
     m_loads.clear();
     m_loadsKnown = false;
@@ -46,6 +47,11 @@
     }
 }
 
+void UpdateFeed::addDeparture(const ServerIdentity &server)
+{
+    m_pendingDepartures.insert(server);
+}
+
 void UpdateFeed::addHoldings(const std::vector<AdapterPlanner::HoldingChange> &changes)
 {
     for (const auto &change : changes) {
@@ -123,6 +129,18 @@
     }
 }
 
+static DepartureMessage toDepartureMessage(const ServerIdentity &server)
+{
+    return {.server = server.id.value(), .startedAt = server.startedAt.value()};
+}
+
+void UpdateFeed::addDepartures(FleetUpdateMessage &update) const
+{
+    for (const auto &[server, departure] : m_state.departures()) {
+        update.departed.push_back(toDepartureMessage(server));
+    }
+}
+
 static HoldingMessage toHoldingMessage(const AdapterPlanner::HoldingChange &change)
 {
     return {.server = change.server.value(),
@@ -199,6 +217,9 @@
             update.servers.push_back(toServerMessage(*server));
         }
     }
+    for (const auto &server : m_pendingDepartures) {
+        update.departed.push_back(toDepartureMessage(server));
+    }
     for (const auto &[key, change] : m_pendingHoldings) {
         update.holdings.push_back(toHoldingMessage(change));
     }
@@ -215,12 +236,13 @@
         addSilentServers(update);
     }
     const bool empty = !update.listsPromptParts && !update.listsSilentServers && update.document.empty()
-        && update.versions.empty() && update.removed.empty() && update.servers.empty() && update.holdings.empty()
-        && update.loads.empty() && !update.complete;
+        && update.versions.empty() && update.removed.empty() && update.servers.empty() && update.departed.empty()
+        && update.holdings.empty() && update.loads.empty() && !update.complete;
     m_publishedConfigurationVersion = m_state.configurationVersion();
     m_publishedRevision = m_state.revision();
     m_completeListPublished = m_serversComplete;
     m_pendingServers.clear();
+    m_pendingDepartures.clear();
     m_pendingHoldings.clear();
     m_pendingLoads.clear();
     m_suspectsPending = false;
@@ -261,6 +283,9 @@
     addSuspects(update);
     addSilentServers(update);
     addFrame();
+    // In a frame of their own, as there may be many after a release.
+    addDepartures(update);
+    addFrame();
     for (const auto &[id, server] : m_registry.servers()) {
         update.servers.push_back(toServerMessage(server));
     }
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -84,6 +84,22 @@
 bool ServerDirectory::recordLeaving(const ServerIdentity &server, TimePoint now)
 {
     forgetExpiredStatements(now);
+    return noteLeaving(server, now);
+}
+
+void ServerDirectory::recordDepartures(const std::vector<ServerIdentity> &servers, TimePoint now)
+{
+    if (servers.empty()) {
+        return;
+    }
+    forgetExpiredStatements(now);
+    for (const auto &server : servers) {
+        noteLeaving(server, now);
+    }
+}
+
+bool ServerDirectory::noteLeaving(const ServerIdentity &server, TimePoint now)
+{
     auto &statement = m_statements[server];
     statement.statedAt = now;
     const bool isNew = !std::exchange(statement.leaving, true);
--- a/lib/Gateway/FleetView.cpp
+++ b/lib/Gateway/FleetView.cpp
@@ -84,7 +84,8 @@
 
 void FleetView::apply(const FleetUpdateMessage &update, TimePoint leaderClockZero, TimePoint now)
 {
-    bool changed = !update.holdings.empty() || !update.servers.empty() || !update.removed.empty();
+    bool changed
+        = !update.holdings.empty() || !update.servers.empty() || !update.removed.empty() || !update.departed.empty();
     const auto currentVersion = m_routes ? m_routes->configuration().version : 0;
     if (!update.document.empty() && update.configurationVersion > currentVersion) {
         auto read = m_dialect.readConfiguration(update.document);
@@ -115,6 +116,11 @@
             m_servers.put(std::move(*offered));
         }
     }
+    std::vector<ServerIdentity> departed;
+    for (const auto &server : update.departed) {
+        departed.push_back({.id = TargetId(server.server), .startedAt = Incarnation(server.startedAt)});
+    }
+    m_servers.recordDepartures(departed, now);
     for (const auto &id : update.removed) {
         m_servers.remove(TargetId(id));
         m_history.forget(TargetId(id));
--- a/unittests/Control/Fleet/UpdateFeedTest.cpp
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -66,6 +66,7 @@
             all.holdings.insert(all.holdings.end(), update.holdings.begin(), update.holdings.end());
             all.relisted.insert(all.relisted.end(), update.relisted.begin(), update.relisted.end());
             all.loads.insert(all.loads.end(), update.loads.begin(), update.loads.end());
+            all.departed.insert(all.departed.end(), update.departed.begin(), update.departed.end());
             all.complete = all.complete || update.complete;
         }
         return all;
@@ -311,3 +312,25 @@
     }
     CHECK(listed);
 }
+
+// Guards against a departure of which entries never learn, as the leader that has recorded it has ended before it told
+// them: the next one does not know the server.
+TEST_CASE_FIXTURE(UpdateFeedFixture, "the whole state names the starts of servers that drain or have ended")
+{
+    const auto depart = [&](const std::string &id, bool gone) {
+        const ServerIdentity server{.id = TargetId(id), .startedAt = Incarnation(7)};
+        state.apply(1, {}, NoteDeparture{.server = server, .service = {}, .gone = gone});
+    };
+    depart("gone", true);
+    depart("draining", false);
+    UpdateFeed::Position position;
+    const auto departed = receive(position).departed;
+    REQUIRE(departed.size() == 2);
+    CHECK(departed[0].server == "draining");
+    CHECK(departed[1].server == "gone");
+    CHECK(departed[1].startedAt == 7);
+    CHECK(receive(position).departed.empty());
+    feed.addDeparture({.id = TargetId("later"), .startedAt = Incarnation(8)});
+    CHECK(feed.publish());
+    CHECK(receive(position).departed.size() == 1);
+}
--- a/unittests/Fleet/ServerStatementsTest.cpp
+++ b/unittests/Fleet/ServerStatementsTest.cpp
@@ -145,3 +145,18 @@
     CHECK(servers.choose(Request, Start + milliseconds(30500)).has_value());
     CHECK(servers.pause(server("a").identity, milliseconds(-5), Start) == milliseconds(0));
 }
+
+// Guards against requests to a server that has left, while a leader that does not know of it offers the server.
+TEST_CASE("a start of a server that has departed is not chosen, whatever is offered later, and its next start is")
+{
+    auto servers = directory();
+    servers.put(server("a"));
+    servers.recordDepartures({server("a").identity, server("b").identity}, Start);
+    CHECK_FALSE(servers.choose(Request, Start).has_value());
+    servers.put(server("a"));
+    servers.put(server("b"));
+    CHECK_FALSE(servers.choose(Request, Start).has_value());
+    CHECK_FALSE(servers.seemsEnded(server("a").identity, Start));
+    servers.put(server("b", 2));
+    CHECK(servers.choose(Request, Start).has_value());
+}
