Record the departure of a server that is not registered

Cause: the departure was acknowledged without a record if the registry did not have the server, so that the late heartbeat was that of a new server.

Change: the departure is recorded. The replicated state keeps the last start of servers that were removed, which is the one that departs; without one, heartbeats of the server are ignored for 10 s or until a start is registered. A departure holds for earlier starts too, and records that reach the log out of order change nothing. Kept are 4,096 departures and former servers at most, in the state and in the memory of the leader, where they grew without a bound.

One check was wrong: FleetControlTest counted no proposal for an unknown server as right, which is this fault. The same test keeps its other checks, and one that the departure is recorded, once, takes the place of that one.

--- a/include/tamarackcove/Control/Fleet/FleetControl.h
+++ b/include/tamarackcove/Control/Fleet/FleetControl.h
@@ -74,9 +74,9 @@
     /// Processes a server's heartbeat. If the heartbeat says that the server drains and the departure of the server is
     /// not in the replicated state yet, completes only once it is.
     boost::asio::awaitable<Result<void, Refusal>> heartbeat(ServerHeartbeat heartbeat);
-    /// Records the departure of a server that is about to stop, so that entries send it no new requests. Completes once
-    /// the departure is in the replicated state; succeeds without effect if this host is confirmed as leader and the
-    /// server is not in its registry.
+    /// Records the departure of a server that is about to stop, so that entries send it no new requests and its delayed
+    /// heartbeats are ignored. Completes once the departure is in the replicated state, also if the server is not in
+    /// the registry.
     boost::asio::awaitable<Result<void, Refusal>> deregister(TargetId id);
 
 private:
--- a/include/tamarackcove/Fleet/FleetState.h
+++ b/include/tamarackcove/Fleet/FleetState.h
@@ -35,6 +35,9 @@
     ServiceName service;
     /// Whether the server has ended. Otherwise it drains.
     bool gone = false;
+    /// Whether `server.startedAt` is set. Otherwise the newest start on record departs, or any start if there is none;
+    /// see FleetState::Departure::anyStart.
+    bool startKnown = true;
 };
 
 /// Makes a control host the holder of the order duty: the role of the one control host that may order servers to load
@@ -87,6 +90,17 @@
         bool gone = false;
         /// When the command was appended to the log.
         std::chrono::system_clock::time_point at;
+        /// Whether no start of the server was on record, so that a heartbeat of any start may be a delayed one.
+        /// Recorded without a start time, and dropped once a start is registered.
+        bool anyStart = false;
+    };
+    /// A server that is not registered any more.
+    struct FormerServer
+    {
+        /// The newest start that was registered.
+        Incarnation lastStart;
+        /// When it was removed, by the time of the log.
+        std::chrono::system_clock::time_point at;
     };
     /// The control host that holds the order duty.
     struct OrderDuty
@@ -101,6 +115,8 @@
     /// How long a departure is kept, counted from the log time of its command. A server ends a few seconds after it has
     /// announced that it drains, and a delayed heartbeat of it arrives a few seconds later at most.
     static constexpr std::chrono::minutes DepartureRetention{5};
+    /// Largest number of departures, and of former servers, that are kept. Beyond it the oldest is dropped.
+    static constexpr std::size_t MaxDepartures = 4096;
     /// How long a suspect stays on probation after its quarantine, counted from the log time of its release.
     static constexpr std::chrono::hours ProbationTime{24};
     /// Largest number of suspects in quarantine, and on probation. Beyond it the oldest is dropped.
@@ -118,6 +134,8 @@
     [[nodiscard]] const std::shared_ptr<const std::string> &document() const;
     [[nodiscard]] const std::map<AdapterKey, std::uint64_t> &weightVersions() const;
     [[nodiscard]] const std::map<ServerIdentity, Departure> &departures() const;
+    /// Whether the server has ended and has not been registered again since.
+    [[nodiscard]] bool hasEnded(const TargetId &id) const;
     [[nodiscard]] const OrderDuty &duty() const;
     /// The suspects in quarantine, with the log time of their commands.
     [[nodiscard]] const SuspectTimes &quarantinedSuspects() const;
@@ -136,6 +154,7 @@
         std::map<ServerIdentity, Departure> departures;
         OrderDuty duty;
         std::map<TargetId, ServerHeartbeat> servers;
+        std::map<TargetId, FormerServer> formerServers;
         SuspectTimes quarantinedSuspects;
         SuspectTimes suspectsOnProbation;
     };
@@ -143,6 +162,9 @@
     void restore(Image image);
 
 private:
+    void noteDeparture(const NoteDeparture &departure, std::chrono::system_clock::time_point time);
+    void noteServer(const NoteServer &noted, std::chrono::system_clock::time_point time);
+
     Image m_image;
 };
 
--- a/include/tamarackcove/Fleet/ServerRegistry.h
+++ b/include/tamarackcove/Fleet/ServerRegistry.h
@@ -3,6 +3,8 @@
 #include "tamarackcove/Fleet/FleetState.h"
 #include "tamarackcove/Fleet/ServerRecord.h"
 
+#include <cstddef>
+#include <deque>
 #include <map>
 #include <set>
 
@@ -21,6 +23,10 @@
         milliseconds heartbeatTimeout{6000};
         /// A server without a heartbeat for this long may have ended.
         milliseconds maxHeartbeatGap{2500};
+        /// How long after the departure of a server of which no start is known its heartbeats count as delayed ones.
+        milliseconds heartbeatDelay{10000};
+        /// Largest number of departures that are kept. Beyond it the first ones are dropped.
+        std::size_t maxDepartures = FleetState::MaxDepartures;
     };
     /// The result of a heartbeat.
     enum class HeartbeatResult {
@@ -50,9 +56,9 @@
     /// ServerHeartbeat::validationError().
     [[nodiscard]] HeartbeatResult heartbeat(const ServerHeartbeat &heartbeat, TimePoint now);
     /// Adds a server that an entry or the replicated state lists and that has not sent a heartbeat to this host yet.
-    /// Returns false without a change if a server with this id is present, if any server with this address was
-    /// announced or added since clear(), if a departure says that this start of the server has ended, or if the record
-    /// is not valid, as one of an earlier version of the program may be.
+    /// Returns false without a change if this or a later start of the server is present, if another server with this
+    /// address was announced or added since clear(), if this start of the server has ended, or if the record is not
+    /// valid, as one of an earlier version of the program may be.
     bool addUnannounced(const ServerHeartbeat &heartbeat, bool draining, TimePoint now);
     /// Null when there is no server with this id.
     [[nodiscard]] const Server *find(const TargetId &id) const;
@@ -64,6 +70,11 @@
     [[nodiscard]] std::set<TargetId> silentServers(TimePoint now) const;
     /// Applies a departure that is in the replicated state. `gone` says that the server has ended; otherwise it drains.
     void applyDeparture(const ServerIdentity &server, bool gone);
+    /// Applies the departure of a server of which no start is known; see FleetState::Departure::anyStart. Heartbeats of
+    /// the server are ignored for Options::heartbeatDelay.
+    void applyDepartureOfAnyStart(const TargetId &id, TimePoint now);
+    /// Whether this start of the server has ended by a departure.
+    [[nodiscard]] bool hasEnded(const ServerIdentity &server, TimePoint now) const;
     /// Removes the servers whose Server::lastHeard is longer ago than Options::heartbeatTimeout.
     void expire(TimePoint now);
     [[nodiscard]] const std::map<TargetId, Server> &servers() const;
@@ -73,6 +84,7 @@
 
 private:
     void remove(const TargetId &id);
+    [[nodiscard]] bool mayAddUnannounced(const ServerHeartbeat &heartbeat, TimePoint now) const;
 
     Options m_options;
     std::map<TargetId, Server> m_servers;
@@ -81,6 +93,10 @@
     std::map<Endpoint, ServerIdentity> m_newestStartByAddress;
     /// The servers with a departure in the replicated state: true once the server has ended, false while it drains.
     std::map<ServerIdentity, bool> m_departures;
+    /// The keys of m_departures in the order in which they were added.
+    std::deque<ServerIdentity> m_departureOrder;
+    /// Until when all heartbeats of a server are ignored because no start of it was known when it departed.
+    std::map<TargetId, TimePoint> m_departuresOfAnyStart;
     std::set<TargetId> m_changes;
 };
 
--- a/lib/Control/Fleet/FleetCodec.cpp
+++ b/lib/Control/Fleet/FleetCodec.cpp
@@ -75,7 +75,8 @@
         return pack({{"t", "departure"},
                      {"server", identityJson(departure->server)},
                      {"service", departure->service.value()},
-                     {"gone", departure->gone}});
+                     {"gone", departure->gone},
+                     {"start_known", departure->startKnown}});
     }
     if (const auto *noted = std::get_if<NoteServer>(&command)) {
         return pack({{"t", "server"}, {"server", serverJson(noted->server)}, {"known", noted->registered}});
@@ -105,7 +106,9 @@
     if (type == "departure") {
         return NoteDeparture{.server = identityFrom(value.at("server")),
                              .service = ServiceName(value.at("service").get<std::string>()),
-                             .gone = value.at("gone").get<bool>()};
+                             .gone = value.at("gone").get<bool>(),
+                             // A command of an earlier release does not say so.
+                             .startKnown = value.value("start_known", true)};
     }
     if (type == "server") {
         return NoteServer{.server = serverFrom(value.at("server")), .registered = value.at("known").get<bool>()};
@@ -158,14 +161,20 @@
     auto departures = json::array();
     for (const auto &[server, departure] : image.departures) {
         const auto at = std::chrono::duration_cast<milliseconds>(departure.at.time_since_epoch());
-        departures.push_back(
-            json::array({identityJson(server), departure.service.value(), departure.gone, at.count()}));
+        departures.push_back(json::array(
+            {identityJson(server), departure.service.value(), departure.gone, at.count(), departure.anyStart}));
+    }
+    auto formerServers = json::array();
+    for (const auto &[id, former] : image.formerServers) {
+        const auto at = std::chrono::duration_cast<milliseconds>(former.at.time_since_epoch());
+        formerServers.push_back(json::array({identityJson({.id = id, .startedAt = former.lastStart}), at.count()}));
     }
     auto servers = json::array();
     for (const auto &[id, server] : image.servers) {
         servers.push_back(serverJson(server));
     }
     return pack({{"servers", std::move(servers)},
+                 {"former_servers", std::move(formerServers)},
                  {"quarantined", suspectsJson(image.quarantinedSuspects)},
                  {"probation", suspectsJson(image.suspectsOnProbation)},
                  {"revision", image.revision.value()},
@@ -194,7 +203,16 @@
         image.departures[identityFrom(item.at(0))]
             = {.service = ServiceName(item.at(1).get<std::string>()),
                .gone = item.at(2).get<bool>(),
-               .at = std::chrono::system_clock::time_point(milliseconds(item.at(3).get<std::int64_t>()))};
+               .at = std::chrono::system_clock::time_point(milliseconds(item.at(3).get<std::int64_t>())),
+               // A snapshot of an earlier release has four fields.
+               .anyStart = item.size() > 4 && item.at(4).get<bool>()};
+    }
+    // A snapshot of an earlier release has no such list.
+    for (const auto &item : value.value("former_servers", json::array())) {
+        const auto server = identityFrom(item.at(0));
+        image.formerServers[server.id]
+            = {.lastStart = server.startedAt,
+               .at = std::chrono::system_clock::time_point(milliseconds(item.at(1).get<std::int64_t>()))};
     }
     for (const auto &item : value.at("servers")) {
         auto server = serverFrom(item);
--- a/lib/Control/Fleet/FleetControl.cpp
+++ b/lib/Control/Fleet/FleetControl.cpp
@@ -174,15 +174,23 @@
             co_return toRefusal(barrier.error());
         }
         server = m_registry.find(id);
-        if (server == nullptr) {
-            co_return ok();
-        }
     }
-    LogLine(LogLevel::Info, "server_leaves").add("server", id.value());
-    const auto identity = server->lastHeartbeat.identity;
-    FleetCommand command = NoteDeparture{.server = identity, .service = server->lastHeartbeat.service, .gone = true};
-    m_registry.applyDeparture(identity, true);
-    m_hooks.onServersChanged();
+    if (server == nullptr && (!isValidName(id.value()) || m_state.hasEnded(id))) {
+        // No server has such a name, or its departure is recorded.
+        co_return ok();
+    }
+    LogLine(LogLevel::Info, "server_leaves")
+        .add("server", id.value())
+        .add("registered", server != nullptr ? "yes" : "no");
+    NoteDeparture departure{.server = {.id = id, .startedAt = {}}, .service = {}, .gone = true, .startKnown = false};
+    if (server != nullptr) {
+        departure.server = server->lastHeartbeat.identity;
+        departure.service = server->lastHeartbeat.service;
+        departure.startKnown = true;
+        m_registry.applyDeparture(departure.server, true);
+        m_hooks.onServersChanged();
+    }
+    FleetCommand command = std::move(departure);
     co_return co_await propose(std::move(command));
 }
 
--- a/lib/Control/Fleet/FleetNode.cpp
+++ b/lib/Control/Fleet/FleetNode.cpp
@@ -219,6 +219,10 @@
         if (only != nullptr && server.id != *only) {
             continue;
         }
+        if (departure.anyStart) {
+            registry.applyDepartureOfAnyStart(server.id, Clock::now());
+            continue;
+        }
         registry.applyDeparture(server, departure.gone);
         if (leading && only != nullptr) {
             feed.addDeparture(server);
--- a/lib/Control/Fleet/FleetNodeReports.cpp
+++ b/lib/Control/Fleet/FleetNodeReports.cpp
@@ -43,8 +43,13 @@
             continue;
         }
         reportedServer.endpoint = *endpoint;
-        if (registry.addUnannounced(reportedServer, server.draining, Clock::now())) {
+        const auto now = Clock::now();
+        if (registry.addUnannounced(reportedServer, server.draining, now)) {
             updatePlanner(reportedServer);
+        } else if (registry.hasEnded(reportedServer.identity, now)) {
+            // The whole state has told the entry only of the starts that are on record.
+            feed.addDeparture(reportedServer.identity);
+            links.scheduleStateUpdate();
         }
     }
     if (!report.servers.empty()) {
--- a/lib/Control/Fleet/UpdateFeed.cpp
+++ b/lib/Control/Fleet/UpdateFeed.cpp
@@ -137,7 +137,9 @@
 void UpdateFeed::addDepartures(FleetUpdateMessage &update) const
 {
     for (const auto &[server, departure] : m_state.departures()) {
-        update.departed.push_back(toDepartureMessage(server));
+        if (!departure.anyStart) {
+            update.departed.push_back(toDepartureMessage(server));
+        }
     }
 }
 
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -4,15 +4,75 @@
 
 namespace tamarackcove {
 
+/// Drops the oldest item if there are too many. `timeOf` returns the time of an item.
+template<typename Map, typename TimeOf>
+static void limitSize(Map &items, std::size_t maxSize, TimeOf timeOf)
+{
+    if (items.size() > maxSize) {
+        items.erase(std::min_element(items.begin(), items.end(), [&](const auto &a, const auto &b) {
+            return timeOf(a.second) < timeOf(b.second);
+        }));
+    }
+}
+
 /// Sets the time of the suspect, and drops the oldest one if there are too many.
 static void addBounded(FleetState::SuspectTimes &suspects, const CrashSuspect &suspect,
                        std::chrono::system_clock::time_point time)
 {
     suspects[suspect] = time;
-    if (suspects.size() > FleetState::MaxSuspects) {
-        suspects.erase(std::min_element(suspects.begin(), suspects.end(),
-                                        [](const auto &a, const auto &b) { return a.second < b.second; }));
+    limitSize(suspects, FleetState::MaxSuspects, [](const auto &at) { return at; });
+}
+
+void FleetState::noteDeparture(const NoteDeparture &departure, std::chrono::system_clock::time_point time)
+{
+    auto &departures = m_image.departures;
+    std::erase_if(departures, [&](const auto &item) { return item.second.at + DepartureRetention < time; });
+    auto identity = departure.server;
+    bool startKnown = departure.startKnown;
+    if (!startKnown) {
+        const auto registered = m_image.servers.find(identity.id);
+        const auto former = m_image.formerServers.find(identity.id);
+        startKnown = registered != m_image.servers.end() || former != m_image.formerServers.end();
+        if (startKnown) {
+            identity.startedAt = registered != m_image.servers.end() ? registered->second.identity.startedAt
+                                                                     : former->second.lastStart;
+        }
+    }
+    auto &noted = departures[identity];
+    noted.service = departure.service;
+    noted.gone = noted.gone || departure.gone;
+    noted.at = time;
+    noted.anyStart = noted.anyStart || !startKnown;
+    limitSize(departures, MaxDepartures, [](const Departure &item) { return item.at; });
+    if (departure.gone) {
+        m_image.servers.erase(identity.id);
+    }
+}
+
+void FleetState::noteServer(const NoteServer &noted, std::chrono::system_clock::time_point time)
+{
+    const auto &identity = noted.server.identity;
+    auto &formerServers = m_image.formerServers;
+    if (!noted.registered) {
+        const auto registered = m_image.servers.find(identity.id);
+        if (registered != m_image.servers.end() && registered->second.identity.startedAt > identity.startedAt) {
+            return;
+        }
+        std::erase_if(formerServers, [&](const auto &item) { return item.second.at + DepartureRetention < time; });
+        formerServers[identity.id] = {.lastStart = identity.startedAt, .at = time};
+        limitSize(formerServers, MaxDepartures, [](const FormerServer &item) { return item.at; });
+        m_image.servers.erase(identity.id);
+        return;
+    }
+    const auto departure = m_image.departures.find(identity);
+    if (departure != m_image.departures.end() && departure->second.gone && !departure->second.anyStart) {
+        // Proposed before the departure and appended after it.
+        return;
     }
+    std::erase_if(m_image.departures,
+                  [&](const auto &item) { return item.first.id == identity.id && item.second.anyStart; });
+    formerServers.erase(identity.id);
+    m_image.servers[identity.id] = noted.server;
 }
 
 void FleetState::apply(std::uint64_t index, std::chrono::system_clock::time_point time, const FleetCommand &command)
@@ -30,22 +90,11 @@
         }
         version = versions->version;
     } else if (const auto *departure = std::get_if<NoteDeparture>(&command)) {
-        std::erase_if(m_image.departures, [&](const auto &item) { return item.second.at + DepartureRetention < time; });
-        auto &noted = m_image.departures[departure->server];
-        noted.service = departure->service;
-        noted.gone = noted.gone || departure->gone;
-        noted.at = time;
-        if (departure->gone) {
-            m_image.servers.erase(departure->server.id);
-        }
+        noteDeparture(*departure, time);
     } else if (const auto *duty = std::get_if<TakeOrderDuty>(&command)) {
         m_image.duty = {.holder = duty->holder, .boot = duty->boot, .fence = FencingNumber(index)};
     } else if (const auto *noted = std::get_if<NoteServer>(&command)) {
-        if (noted->registered) {
-            m_image.servers[noted->server.identity.id] = noted->server;
-        } else {
-            m_image.servers.erase(noted->server.identity.id);
-        }
+        noteServer(*noted, time);
         // The revision stays the same: a higher one makes the leader send the versions of weights to entries again.
         // Entries learn of servers from the registry of the leader, not from this record.
         return;
@@ -93,6 +142,13 @@
     return m_image.departures;
 }
 
+bool FleetState::hasEnded(const TargetId &id) const
+{
+    return !m_image.servers.contains(id)
+        && std::any_of(m_image.departures.begin(), m_image.departures.end(),
+                       [&](const auto &item) { return item.first.id == id && item.second.gone; });
+}
+
 const FleetState::OrderDuty &FleetState::duty() const
 {
     return m_image.duty;
--- a/lib/Fleet/ServerRegistry.cpp
+++ b/lib/Fleet/ServerRegistry.cpp
@@ -26,7 +26,7 @@
 {
     const auto &id = heartbeat.identity.id;
     const auto departure = m_departures.find(heartbeat.identity);
-    if (departure != m_departures.end() && departure->second) {
+    if (hasEnded(heartbeat.identity, now)) {
         return HeartbeatResult::Outdated;
     }
     const auto existing = m_servers.find(id);
@@ -65,16 +65,28 @@
     return changed ? HeartbeatResult::Changed : HeartbeatResult::Unchanged;
 }
 
+bool ServerRegistry::mayAddUnannounced(const ServerHeartbeat &heartbeat, TimePoint now) const
+{
+    const auto &identity = heartbeat.identity;
+    const auto known = m_servers.find(identity.id);
+    if (known != m_servers.end() && known->second.lastHeartbeat.identity.startedAt >= identity.startedAt) {
+        return false;
+    }
+    const auto atAddress = m_newestStartByAddress.find(heartbeat.endpoint);
+    const bool addressTaken = atAddress != m_newestStartByAddress.end()
+        && (atAddress->second.id != identity.id || known == m_servers.end());
+    return !addressTaken && !hasEnded(identity, now) && !heartbeat.validationError();
+}
+
 bool ServerRegistry::addUnannounced(const ServerHeartbeat &heartbeat, bool draining, TimePoint now)
 {
-    const auto departure = m_departures.find(heartbeat.identity);
-    if (m_servers.contains(heartbeat.identity.id) || m_newestStartByAddress.contains(heartbeat.endpoint)
-        || (departure != m_departures.end() && departure->second) || heartbeat.validationError()) {
+    if (!mayAddUnannounced(heartbeat, now)) {
         return false;
     }
     m_newestStartByAddress[heartbeat.endpoint] = heartbeat.identity;
-    m_servers[heartbeat.identity.id]
-        = {.lastHeartbeat = heartbeat, .lastHeard = now, .draining = draining || departure != m_departures.end()};
+    m_servers[heartbeat.identity.id] = {.lastHeartbeat = heartbeat,
+                                        .lastHeard = now,
+                                        .draining = draining || m_departures.contains(heartbeat.identity)};
     m_changes.insert(heartbeat.identity.id);
     return true;
 }
@@ -114,8 +126,15 @@
 
 void ServerRegistry::applyDeparture(const ServerIdentity &server, bool gone)
 {
-    auto &hasEnded = m_departures[server];
-    hasEnded = hasEnded || gone;
+    const auto [departure, isNew] = m_departures.try_emplace(server, gone);
+    departure->second = departure->second || gone;
+    if (isNew) {
+        m_departureOrder.push_back(server);
+        if (m_departureOrder.size() > m_options.maxDepartures) {
+            m_departures.erase(m_departureOrder.front());
+            m_departureOrder.pop_front();
+        }
+    }
     const auto found = m_servers.find(server.id);
     if (found == m_servers.end() || found->second.lastHeartbeat.identity != server) {
         return;
@@ -126,6 +145,26 @@
     }
 }
 
+void ServerRegistry::applyDepartureOfAnyStart(const TargetId &id, TimePoint now)
+{
+    std::erase_if(m_departuresOfAnyStart, [now](const auto &item) { return item.second <= now; });
+    if (m_departuresOfAnyStart.size() < m_options.maxDepartures) {
+        m_departuresOfAnyStart[id] = now + m_options.heartbeatDelay;
+    }
+}
+
+bool ServerRegistry::hasEnded(const ServerIdentity &server, TimePoint now) const
+{
+    // Also those before a start that has departed: a server has one start at a time.
+    const auto departure = m_departures.lower_bound(server);
+    if (departure != m_departures.end() && departure->first.id == server.id
+        && (departure->second || departure->first.startedAt > server.startedAt)) {
+        return true;
+    }
+    const auto ofAnyStart = m_departuresOfAnyStart.find(server.id);
+    return ofAnyStart != m_departuresOfAnyStart.end() && now < ofAnyStart->second;
+}
+
 void ServerRegistry::expire(TimePoint now)
 {
     for (auto it = m_servers.begin(); it != m_servers.end();) {
@@ -158,6 +197,8 @@
     m_servers.clear();
     m_newestStartByAddress.clear();
     m_departures.clear();
+    m_departureOrder.clear();
+    m_departuresOfAnyStart.clear();
     m_changes.clear();
 }
 
--- a/unittests/Control/Fleet/FleetControlTest.cpp
+++ b/unittests/Control/Fleet/FleetControlTest.cpp
@@ -1,5 +1,6 @@
 #include "tamarackcove/Control/Fleet/FleetControl.h"
 
+#include "tamarackcove/Control/Fleet/FleetCodec.h"
 #include "tamarackcove/Observe/LogLine.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -41,8 +42,11 @@
     LogClient client()
     {
         LogClient log;
-        log.propose = [this](std::string) -> asio::awaitable<Result<std::string, LogError>> {
+        log.propose = [this](std::string bytes) -> asio::awaitable<Result<std::string, LogError>> {
             ++proposals;
+            const auto command = decodeFleetCommand(bytes);
+            REQUIRE(command.has_value());
+            state.apply(static_cast<std::uint64_t>(proposals), std::chrono::system_clock::now(), command.value());
             co_return std::string();
         };
         log.readBarrier = [this]() -> asio::awaitable<Result<void, LogError>> {
@@ -79,7 +83,6 @@
 // elected or has lost its majority: requests then still reach the server.
 TEST_CASE_FIXTURE(FleetControlFixture, "the departure of an unknown server is confirmed only by a confirmed leader")
 {
-    CHECK(deregister("s1").has_value());
     confirmed = false;
     const auto refused = deregister("s1");
     REQUIRE(refused.has_error());
@@ -87,13 +90,28 @@
     CHECK(proposals == 0);
     // The host becomes leader while the call waits, and learns of the server from the log.
     confirmed = true;
-    onConfirmed = [this] {
+    const ServerIdentity identity{.id = TargetId("s1"), .startedAt = Incarnation(1)};
+    onConfirmed = [this, identity] {
         ServerHeartbeat server;
-        server.identity = {.id = TargetId("s1"), .startedAt = Incarnation(1)};
+        server.identity = identity;
         server.service = ServiceName("engines");
         server.endpoint = {.host = "10.0.0.1", .port = 80};
         CHECK(registry.addUnannounced(server, false, Clock::now()));
     };
     CHECK(deregister("s1").has_value());
     CHECK(proposals == 1);
+    CHECK(state.departures().contains(identity));
+}
+
+// Guards against a departure that is acknowledged and recorded nowhere, because the heartbeats of the server had
+// stopped: one that arrives late then makes it a new server.
+TEST_CASE_FIXTURE(FleetControlFixture, "the departure of an unknown server is recorded once")
+{
+    CHECK(deregister("s1").has_value());
+    CHECK(proposals == 1);
+    CHECK(state.hasEnded(TargetId("s1")));
+    CHECK(deregister("s1").has_value());
+    CHECK(proposals == 1);
+    CHECK(deregister("no\nname").has_value());
+    CHECK(proposals == 1);
 }
--- a/unittests/Control/Fleet/UpdateFeedTest.cpp
+++ b/unittests/Control/Fleet/UpdateFeedTest.cpp
@@ -317,12 +317,13 @@
 // them: the next one does not know the server.
 TEST_CASE_FIXTURE(UpdateFeedFixture, "the whole state names the starts of servers that drain or have ended")
 {
-    const auto depart = [&](const std::string &id, bool gone) {
-        const ServerIdentity server{.id = TargetId(id), .startedAt = Incarnation(7)};
-        state.apply(1, {}, NoteDeparture{.server = server, .service = {}, .gone = gone});
+    const auto depart = [&](const std::string &id, bool gone, bool startKnown = true) {
+        const ServerIdentity server{.id = TargetId(id), .startedAt = Incarnation(startKnown ? 7 : 0)};
+        state.apply(1, {}, NoteDeparture{.server = server, .service = {}, .gone = gone, .startKnown = startKnown});
     };
     depart("gone", true);
     depart("draining", false);
+    depart("unknown", true, false);
     UpdateFeed::Position position;
     const auto departed = receive(position).departed;
     REQUIRE(departed.size() == 2);
@@ -334,3 +335,16 @@
     CHECK(feed.publish());
     CHECK(receive(position).departed.size() == 1);
 }
+
+// Guards against entries that get no whole state because the departures do not fit into a frame.
+TEST_CASE_FIXTURE(UpdateFeedFixture, "the whole state has all departures, also of servers with the longest names")
+{
+    const std::string padding(MaxNameBytes - 5, 'a');
+    for (std::size_t i = 0; i < FleetState::MaxDepartures; ++i) {
+        const ServerIdentity server{.id = TargetId(padding + std::to_string(10000 + i)),
+                                    .startedAt = Incarnation(253402300799999)};
+        state.apply(1, {}, NoteDeparture{.server = server, .service = {}, .gone = true});
+    }
+    UpdateFeed::Position position;
+    CHECK(receive(position).departed.size() == FleetState::MaxDepartures);
+}
--- a/unittests/Fleet/FleetStateTest.cpp
+++ b/unittests/Fleet/FleetStateTest.cpp
@@ -85,3 +85,85 @@
     state.apply(1, Start + FleetState::ProbationTime + seconds(4000), ReleaseSuspect{});
     CHECK(state.suspectsOnProbation().empty());
 }
+
+static NoteServer noteServer(const std::string &id, std::uint64_t startedAt, bool registered = true)
+{
+    NoteServer noted;
+    noted.server.identity = {.id = TargetId(id), .startedAt = Incarnation(startedAt)};
+    noted.registered = registered;
+    return noted;
+}
+
+static NoteDeparture departureOfUnknownStart(const std::string &id)
+{
+    return {.server = {.id = TargetId(id), .startedAt = {}}, .service = {}, .gone = true, .startKnown = false};
+}
+
+// Guards against a departure that is acknowledged and not recorded, as the server is not registered when it leaves.
+TEST_CASE("the departure of a server without a known start is that of the newest start on record")
+{
+    FleetState state;
+    const ServerIdentity server{.id = TargetId("s"), .startedAt = Incarnation(5)};
+    state.apply(1, Start, noteServer("s", 5));
+    SUBCASE("which is registered")
+    {
+    }
+    SUBCASE("which was removed")
+    {
+        state.apply(2, Start, noteServer("s", 5, false));
+    }
+    CHECK_FALSE(state.hasEnded(server.id));
+    state.apply(3, Start, departureOfUnknownStart("s"));
+    REQUIRE(state.departures().contains(server));
+    CHECK(state.departures().at(server).gone);
+    CHECK_FALSE(state.departures().at(server).anyStart);
+    CHECK(state.hasEnded(server.id));
+    state.apply(4, Start, noteServer("s", 6));
+    CHECK_FALSE(state.hasEnded(server.id));
+}
+
+// Guards against a start that is refused although it came after the departure, and against a departure that is lost
+// because nothing was on record.
+TEST_CASE("a departure of any start is kept until a start is registered")
+{
+    FleetState state;
+    state.apply(1, Start, departureOfUnknownStart("s"));
+    REQUIRE(state.departures().size() == 1);
+    CHECK(state.departures().begin()->second.anyStart);
+    CHECK(state.hasEnded(TargetId("s")));
+    state.apply(2, Start, noteServer("s", 7));
+    CHECK(state.departures().empty());
+    CHECK(state.servers().contains(TargetId("s")));
+}
+
+// Guards against records that are appended to the log in another order than they were proposed: a server that has left
+// is offered again by the next leader, or a new start is unknown to it.
+TEST_CASE("a record of a server that is appended late changes nothing that has come after it")
+{
+    FleetState state;
+    const ServerIdentity server{.id = TargetId("s"), .startedAt = Incarnation(5)};
+    state.apply(1, Start, NoteDeparture{.server = server, .service = ServiceName("x"), .gone = true});
+    state.apply(2, Start, noteServer("s", 5));
+    CHECK_FALSE(state.servers().contains(server.id));
+    state.apply(3, Start, noteServer("s", 6));
+    state.apply(4, Start, noteServer("s", 5, false));
+    CHECK(state.servers().contains(server.id));
+}
+
+// Guards against a replicated state that grows with each server that has ever left.
+TEST_CASE("departures and former servers are bounded, and the newest are kept")
+{
+    FleetState state;
+    constexpr std::size_t Servers = FleetState::MaxDepartures + 100;
+    for (std::size_t i = 0; i < Servers; ++i) {
+        const auto id = "s" + std::to_string(i);
+        const auto time = Start + milliseconds(i);
+        state.apply(i, time, departureOfUnknownStart(id));
+        state.apply(i, time, noteServer("former" + id, 1, false));
+    }
+    CHECK(state.departures().size() == FleetState::MaxDepartures);
+    CHECK(state.image().formerServers.size() == FleetState::MaxDepartures);
+    CHECK(state.hasEnded(TargetId("s" + std::to_string(Servers - 1))));
+    state.apply(1, Start + FleetState::DepartureRetention + seconds(10), noteServer("last", 1, false));
+    CHECK(state.image().formerServers.size() == 1);
+}
--- a/unittests/Fleet/ServerRegistryTest.cpp
+++ b/unittests/Fleet/ServerRegistryTest.cpp
@@ -168,3 +168,63 @@
     (void)registry.heartbeat(heartbeat("a", 1, 2), Start + milliseconds(3000));
     CHECK(registry.silentServers(Start + milliseconds(3000)).empty());
 }
+
+// Guards against a delayed heartbeat that makes a new server of one that has left, where nothing is known of the
+// server.
+TEST_CASE("heartbeats of a server that left before any of its starts was known are ignored for a while")
+{
+    ServerRegistry registry({.heartbeatDelay = milliseconds(5000)});
+    registry.applyDepartureOfAnyStart(TargetId("a"), Start);
+    CHECK(registry.hasEnded(heartbeat("a", 1, 1).identity, Start + milliseconds(4999)));
+    CHECK(registry.heartbeat(heartbeat("a", 1, 1), Start + milliseconds(4999)) == HeartbeatResult::Outdated);
+    CHECK_FALSE(registry.addUnannounced(heartbeat("a", 1, 1), false, Start + milliseconds(4999)));
+    CHECK(registry.find(TargetId("a")) == nullptr);
+    CHECK(registry.heartbeat(heartbeat("b", 1, 1), Start) == HeartbeatResult::Changed);
+    CHECK(registry.heartbeat(heartbeat("a", 2, 2), Start + milliseconds(5000)) == HeartbeatResult::Changed);
+}
+
+// Guards against a server that is taken for an earlier start of its own, and against one that comes back because a
+// start before the last is heard of late.
+TEST_CASE("a departure holds for the start that has left and those before it, and for no later one")
+{
+    ServerRegistry registry({});
+    bool gone = false;
+    SUBCASE("which drains")
+    {
+    }
+    SUBCASE("which has ended")
+    {
+        gone = true;
+    }
+    registry.applyDeparture(heartbeat("a", 5, 1).identity, gone);
+    CHECK(registry.hasEnded(heartbeat("a", 4, 9).identity, Start));
+    CHECK(registry.heartbeat(heartbeat("a", 4, 9), Start) == HeartbeatResult::Outdated);
+    CHECK(registry.hasEnded(heartbeat("a", 5, 1).identity, Start) == gone);
+    CHECK((registry.heartbeat(heartbeat("a", 5, 2), Start) == HeartbeatResult::Outdated) == gone);
+    CHECK_FALSE(registry.hasEnded(heartbeat("a", 6, 1).identity, Start));
+    CHECK(registry.heartbeat(heartbeat("a", 6, 1), Start) == HeartbeatResult::Changed);
+    CHECK_FALSE(registry.find(TargetId("a"))->draining);
+}
+
+// Guards against a departure of an earlier start that is recorded in place of that of the present one, because the
+// leader before could not record the latter.
+TEST_CASE("a later start that an entry reports replaces the one on record, and an earlier one does not")
+{
+    ServerRegistry registry({});
+    REQUIRE(registry.addUnannounced(heartbeat("a", 1, 0), false, Start));
+    CHECK(registry.addUnannounced(heartbeat("a", 2, 0), false, Start));
+    CHECK_FALSE(registry.addUnannounced(heartbeat("a", 1, 0), false, Start));
+    CHECK(registry.find(TargetId("a"))->lastHeartbeat.identity.startedAt == Incarnation(2));
+}
+
+// Guards against a leader whose memory grows with each server that leaves.
+TEST_CASE("the departures that a registry keeps are bounded, and the newest are kept")
+{
+    ServerRegistry registry({.maxDepartures = 3});
+    for (std::uint64_t startedAt = 1; startedAt <= 9; ++startedAt) {
+        registry.applyDeparture(heartbeat("s" + std::to_string(startedAt), startedAt, 1).identity, true);
+    }
+    CHECK_FALSE(registry.hasEnded(heartbeat("s6", 6, 1).identity, Start));
+    CHECK(registry.hasEnded(heartbeat("s7", 7, 1).identity, Start));
+    CHECK(registry.hasEnded(heartbeat("s9", 9, 1).identity, Start));
+}
--- a/unittests/Platform/Deployment.h
+++ b/unittests/Platform/Deployment.h
@@ -276,6 +276,8 @@
     std::function<void(nlohmann::json &)> adjustConfiguration;
     /// How the control host writes its files. Set before run().
     FileHooks files = FileHooks::system();
+    /// How often the control host expects heartbeats of servers. Set before run().
+    milliseconds heartbeatInterval = FleetControlSettings().heartbeatInterval;
     /// How long the control host keeps what crashes servers in quarantine. Set before run().
     milliseconds quarantineTime = FleetControlSettings().quarantineTime;
     /// Time from the begin of stopEntry() until the process of the entry would be killed. Set before run().
@@ -370,6 +372,7 @@
         m_controlSettings.firstStart = true;
         m_controlSettings.dataFolder = m_folder;
         m_controlSettings.quarantineTime = quarantineTime;
+        m_controlSettings.heartbeatInterval = heartbeatInterval;
         startControl();
         startEntry();
         for (const auto &member : m_servers) {
