Take crashes in the middle of a stream as evidence, and only whole answers as a proof after them

Cause: the first event counted as a proof that all that is suspect in the request is sound, and nothing that came after it was evidence. It proves that a server has begun the request.

Change: a stream that its server breaks off is evidence, unless the server is known to drain or to have left. Reports tell answers that have begun from complete ones; what servers have ended under in the middle of an answer is cleared only by the latter, everything else as before. A part to which other answers have begun is convicted at the fifth crash and 2 s later, so that streams beside it have time to end.

--- a/include/tamarackcove/Fleet/CrashAttribution.h
+++ b/include/tamarackcove/Fleet/CrashAttribution.h
@@ -28,6 +28,10 @@
 /// as far as is known. It may have crashed shortly after its last sign of life, and only what was sent to it until then
 /// explains that.
 ///
+/// A server that has begun to answer a request may still crash under it. Once it has, what is suspect in the request is
+/// cleared only by answers that are complete. A part to which other answers have begun since then is convicted like one
+/// that is in few of the crashes, so that they have time to end.
+///
 /// Requests that differ in adapter, prompt or body are convicted together, by what they share, if their crashes are
 /// more than one request explains. That takes further crashes, as sound requests may share it.
 ///
@@ -98,21 +102,23 @@
         /// The suspects that were only in requests which had been sent to another server before, in the same attempt of
         /// their callers.
         std::set<CrashSuspect> sentAgain;
+        /// The suspects in those requests that the server had begun to answer.
+        std::set<CrashSuspect> begun;
     };
 
     explicit CrashAttribution(Options options);
 
-    /// Records a request that a start of a server has broken off before it began to answer: what is suspect in it and
-    /// when it was sent. The requests of one start of a server count as one crash, at the earliest time reported.
-    /// `sentAgain` is as in Silence.
+    /// Records a request that a start of a server has broken off: what is suspect in it and when it was sent. The
+    /// requests of one start of a server count as one crash, at the earliest time reported. `sentAgain` and `begun` are
+    /// as in Silence.
     void recordCrash(const ServerIdentity &server, TimePoint crashedAt,
                      const std::map<CrashSuspect, TimePoint> &sentTimes, TimePoint now,
-                     const std::set<CrashSuspect> &sentAgain = {});
+                     const std::set<CrashSuspect> &sentAgain = {}, const std::set<CrashSuspect> &begun = {});
     /// Records requests that a start of a server has not answered, although their connections are open. They count as a
     /// crash from the time on at which Options::hasEnded says that the server has ended.
     void recordSilence(const ServerIdentity &server, const Silence &silence, TimePoint now);
-    /// Records that a server has begun to answer a request with the suspect at this time.
-    void recordAnswered(const CrashSuspect &suspect, TimePoint at);
+    /// Records that a server has begun or completed the answer to a request with the suspect at this time.
+    void recordAnswered(const CrashSuspect &suspect, TimePoint at, AnswerProgress progress = AnswerProgress::Begun);
     /// Records a heartbeat of a start of a server. A crash of it before Options::heartbeatDelay does not count any
     /// more, and convictions that rest on it are withdrawn.
     void recordAlive(const ServerIdentity &server, TimePoint now);
@@ -160,6 +166,13 @@
         /// has only fallen silent.
         std::map<CrashSuspect, TimePoint> sentTimes;
         std::set<CrashSuspect> sentAgain;
+        std::set<CrashSuspect> begun;
+    };
+    /// When a suspect was last answered.
+    struct Answers
+    {
+        TimePoint last;
+        std::optional<TimePoint> lastComplete;
     };
     /// What the crashes since the last answer say of a suspect.
     struct Suspicion
@@ -170,7 +183,7 @@
         /// How many crashes it may explain, whether they count or not, and the time of the first of them.
         std::size_t met = 0;
         TimePoint firstMetAt;
-        /// Whether it is in too few of the crashes; see Options::doubtTime.
+        /// Whether it is in too few of the crashes, or answers to it have begun; see Options::doubtTime.
         bool amongMany = false;
         TimePoint lastCrashAt;
         /// Since when all of them count, the first two, and as many as requiredCrashes().
@@ -184,7 +197,11 @@
 
     Crash &crashOf(const ServerIdentity &server, TimePoint now);
     void addSuspects(Crash &crash, const std::map<CrashSuspect, TimePoint> &sentTimes,
-                     const std::set<CrashSuspect> &sentAgain);
+                     const std::set<CrashSuspect> &sentAgain, const std::set<CrashSuspect> &begun);
+    /// When the suspect was last answered, as far as that clears it; nothing if it was not.
+    [[nodiscard]] std::optional<TimePoint> lastCleared(const CrashSuspect &suspect) const;
+    /// Whether a server has ended in the middle of an answer to the suspect, and another one has begun one since then.
+    [[nodiscard]] bool hasBegunSince(const CrashSuspect &suspect, TimePoint at) const;
     void countEndedServers(TimePoint now);
     void dropOldEvidence(TimePoint now);
     /// Drops the crashes that are too many.
@@ -213,8 +230,9 @@
     std::map<ServerIdentity, Crash> m_crashes;
     /// Number of suspects in all crashes.
     std::size_t m_suspectCount = 0;
-    /// When the suspects were last answered.
-    std::map<CrashSuspect, TimePoint> m_answeredAt;
+    std::map<CrashSuspect, Answers> m_answers;
+    /// The suspects that servers had begun to answer when they crashed, as of the last evaluation.
+    std::set<CrashSuspect> m_brokenOff;
     std::set<CrashSuspect> m_convicted;
     /// Those of the convicted suspects that setVerdicts() has not named yet.
     std::set<CrashSuspect> m_unrecorded;
--- a/include/tamarackcove/Fleet/CrashSuspect.h
+++ b/include/tamarackcove/Fleet/CrashSuspect.h
@@ -23,6 +23,14 @@
     RequestPath,
 };
 
+/// How far a server has got with the answer to a request.
+enum class AnswerProgress {
+    /// The server has begun to run the request.
+    Begun,
+    /// The server has run the request to its end.
+    Complete,
+};
+
 /// Begin the ids of the kinds of requests. The ids of parts have no colon.
 inline constexpr std::string_view RequestSuspectPrefix = "request:";
 inline constexpr std::string_view RequestBodySuspectPrefix = "request-body:";
--- a/include/tamarackcove/Fleet/ServerDirectory.h
+++ b/include/tamarackcove/Fleet/ServerDirectory.h
@@ -145,6 +145,8 @@
     /// Records that these starts of servers drain or have ended, as the control host has said. They are not chosen any
     /// more, whatever it offers later.
     void recordDepartures(const std::vector<ServerIdentity> &servers, TimePoint now);
+    /// Whether this start of a server drains, or has departed, as far as is known.
+    [[nodiscard]] bool isDeparting(const ServerIdentity &server) const;
     /// The servers that have stated that they are leaving and are not known to the control host as draining.
     [[nodiscard]] std::vector<OfferedServer> unannouncedLeaving() const;
     /// Sends no request to this start of a server for the time that it has asked for, and a random part of that longer.
--- a/include/tamarackcove/Gateway/CrashSuspectWatch.h
+++ b/include/tamarackcove/Gateway/CrashSuspectWatch.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace tamarackcove {
@@ -54,15 +55,17 @@
     [[nodiscard]] std::size_t quarantinedCount() const;
 
     /// Records that a server has closed the connection of a request with these suspects, sent at this time, before it
-    /// began to answer. `again` says that this attempt of the caller had been sent to another server before.
+    /// had answered it in full. `again` says that this attempt of the caller had been sent to another server before,
+    /// `begun` that the server had begun to answer it.
     void recordCrash(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects, TimePoint sentAt,
-                     TimePoint now, bool again = false);
-    /// Records that a server has not answered such a request until now, on an open connection.
+                     TimePoint now, bool again = false, bool begun = false);
+    /// Records that a server has not answered such a request in full until now, on an open connection.
     void recordSilence(const ServerIdentity &server, const Endpoint &endpoint,
-                       const std::vector<CrashSuspect> &suspects, TimePoint sentAt, TimePoint now, bool again = false);
-    /// Records that a server has begun a stream for a request with these suspects, or has answered it in full; without
-    /// suspects, that it was heard of.
-    void recordAnswered(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects, TimePoint now);
+                       const std::vector<CrashSuspect> &suspects, TimePoint sentAt, TimePoint now, bool again = false,
+                       bool begun = false);
+    /// Records how far a server has answered a request with these suspects; without suspects, that it was heard of.
+    void recordAnswered(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects, TimePoint now,
+                        AnswerProgress progress = AnswerProgress::Begun);
 
     /// Quarantines what has crashed servers by the crashes that this entry has met, if no leader is connected. Called
     /// before a request is checked with findQuarantined().
@@ -98,8 +101,16 @@
         TimePoint at;
         /// Whether each of them had been sent to another server before.
         bool again = false;
+        /// Whether the server had begun to answer one of them.
+        bool begun = false;
         std::uint64_t change = 0;
     };
+    /// When a suspect was last answered.
+    struct Answers
+    {
+        TimePoint last;
+        std::optional<TimePoint> lastComplete;
+    };
     struct Crash
     {
         ServerIdentity server;
@@ -115,8 +126,7 @@
     };
 
     Crash &crashOf(const ServerIdentity &server, TimePoint now);
-    void addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects, TimePoint sentAt, bool again,
-                     TimePoint now);
+    void addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects, const Sent &sent, TimePoint now);
     /// Makes all that is known of a crash part of the next reports.
     void renew(Crash &crash);
     [[nodiscard]] std::optional<TimePoint> lastHeard(const ServerIdentity &server) const;
@@ -131,8 +141,8 @@
     std::map<CrashSuspect, TimePoint> m_ownQuarantine;
     bool m_leaderConnected = false;
     TimePoint m_decidedAt;
-    /// When the suspects were last answered, for those of which that is not long ago.
-    std::unordered_map<CrashSuspect, TimePoint> m_answeredAt;
+    /// Of the suspects that were answered not long ago.
+    std::unordered_map<CrashSuspect, Answers> m_answers;
     /// When the servers were last heard of, for those of which that is not long ago.
     std::map<ServerIdentity, TimePoint> m_heardAt;
     TimePoint m_evidenceCheckedAt;
@@ -143,8 +153,8 @@
     /// The answered suspects of the next report, and the last one of the report before.
     std::set<CrashSuspect> m_answered;
     CrashSuspect m_lastAnswered;
-    /// When it was last noted that a watched suspect was answered.
-    std::map<CrashSuspect, TimePoint> m_answerNotedAt;
+    /// When it was last noted that a watched suspect was answered so far.
+    std::map<std::pair<CrashSuspect, AnswerProgress>, TimePoint> m_answerNotedAt;
     /// The servers whose heartbeats have stopped.
     std::set<TargetId> m_silentServers;
 };
--- a/include/tamarackcove/Wire/FleetMessages.h
+++ b/include/tamarackcove/Wire/FleetMessages.h
@@ -239,26 +239,43 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HistoryMessage, server, startedAt, model, adapters)
 
-/// A part of prompts or a request that may crash servers, and how long before the report something was done with it.
+/// A part of prompts or a request that may have crashed a server, and how long before the report it was sent there.
 struct SuspectMessage
 {
     std::string suspect;
     std::int64_t agoMs = 0;
-    /// In a crash, whether each request with the suspect had been sent to another server before, in the same attempt of
-    /// its caller.
+    /// Whether each request with the suspect had been sent to another server before, in the same attempt of its caller.
     bool again = false;
+    /// Whether the server had begun to answer one of these requests.
+    bool begun = false;
 };
 inline void to_json(nlohmann::json &json, const SuspectMessage &message)
 {
-    json = toArray(message.suspect, message.agoMs, message.again);
+    json = toArray(message.suspect, message.agoMs, message.again, message.begun);
 }
 inline void from_json(const nlohmann::json &json, SuspectMessage &message)
 {
-    fromArray(json, message.suspect, message.agoMs, message.again);
+    fromArray(json, message.suspect, message.agoMs, message.again, message.begun);
 }
 
-/// A start of a server that has broken off requests before it began to answer them, or that has not answered them and
-/// has ended.
+/// A suspect that servers have answered, and how long before the report they last began or completed such an answer.
+struct AnswerMessage
+{
+    std::string suspect;
+    std::int64_t agoMs = 0;
+    /// -1 if no answer was complete.
+    std::int64_t completeAgoMs = -1;
+};
+inline void to_json(nlohmann::json &json, const AnswerMessage &message)
+{
+    json = toArray(message.suspect, message.agoMs, message.completeAgoMs);
+}
+inline void from_json(const nlohmann::json &json, AnswerMessage &message)
+{
+    fromArray(json, message.suspect, message.agoMs, message.completeAgoMs);
+}
+
+/// A start of a server that has broken off requests, or that has not answered them in full and has ended.
 struct CrashMessage
 {
     std::string server;
@@ -298,7 +315,7 @@
     /// do not lead get them too, so that they are known to the next leader if the entry ends with this one.
     std::vector<CrashMessage> crashes;
     /// The suspects that the leader watches or that are in `crashes`, and that servers have answered lately.
-    std::vector<SuspectMessage> answeredSuspects;
+    std::vector<AnswerMessage> answeredSuspects;
     /// Whether the report only adds demands to those of the previous report. The fields after `demands` are then empty
     /// and say nothing, except `allowances`.
     bool onlyNewDemands = false;
--- a/lib/Control/Fleet/FleetNodeCrashes.cpp
+++ b/lib/Control/Fleet/FleetNodeCrashes.cpp
@@ -25,17 +25,25 @@
     }
     const auto now = Clock::now();
     for (const auto &answered : report.answeredSuspects) {
-        crashes.recordAnswered(CrashSuspect(answered.suspect), now - milliseconds(answered.agoMs));
+        const CrashSuspect suspect(answered.suspect);
+        crashes.recordAnswered(suspect, now - milliseconds(answered.agoMs));
+        if (answered.completeAgoMs >= 0) {
+            crashes.recordAnswered(suspect, now - milliseconds(answered.completeAgoMs), AnswerProgress::Complete);
+        }
     }
     for (const auto &crash : report.crashes) {
         crashEvidenceCount += 1 + crash.suspects.size();
         std::map<CrashSuspect, TimePoint> sentTimes;
         std::set<CrashSuspect> sentAgain;
+        std::set<CrashSuspect> begun;
         for (const auto &suspect : crash.suspects) {
             sentTimes.emplace(suspect.suspect, now - milliseconds(suspect.agoMs));
             if (suspect.again) {
                 sentAgain.emplace(suspect.suspect);
             }
+            if (suspect.begun) {
+                begun.emplace(suspect.suspect);
+            }
         }
         const ServerIdentity server{.id = TargetId(crash.server), .startedAt = Incarnation(crash.startedAt)};
         const bool isNew = !crashes.hasEvidence(server);
@@ -48,10 +56,11 @@
             }
             silence.sentTimes = sentTimes;
             silence.sentAgain = sentAgain;
+            silence.begun = begun;
             crashes.recordSilence(server, silence, now);
         }
         if (crash.closed) {
-            crashes.recordCrash(server, now - milliseconds(crash.agoMs), sentTimes, now, sentAgain);
+            crashes.recordCrash(server, now - milliseconds(crash.agoMs), sentTimes, now, sentAgain, begun);
         }
         // One line for each server, however many entries report it.
         if (isNew) {
--- a/lib/Fleet/CrashAttribution.cpp
+++ b/lib/Fleet/CrashAttribution.cpp
@@ -42,8 +42,8 @@
         return expired;
     });
     const auto lifetime
-        = m_answeredAt.size() > m_options.maxAnswers ? m_options.crashLifetime / 2 : m_options.crashLifetime;
-    std::erase_if(m_answeredAt, [&](const auto &item) { return item.second + lifetime < now; });
+        = m_answers.size() > m_options.maxAnswers ? m_options.crashLifetime / 2 : m_options.crashLifetime;
+    std::erase_if(m_answers, [&](const auto &item) { return item.second.last + lifetime < now; });
 }
 
 void CrashAttribution::limitCrashes()
@@ -77,7 +77,7 @@
 }
 
 void CrashAttribution::addSuspects(Crash &crash, const std::map<CrashSuspect, TimePoint> &sentTimes,
-                                   const std::set<CrashSuspect> &sentAgain)
+                                   const std::set<CrashSuspect> &sentAgain, const std::set<CrashSuspect> &begun)
 {
     const auto before = crash.sentTimes.size();
     for (const auto &[suspect, sentAt] : sentTimes) {
@@ -94,6 +94,11 @@
             if (again) {
                 crash.sentAgain.insert(suspect);
             }
+        } else {
+            continue;
+        }
+        if (begun.contains(suspect)) {
+            crash.begun.insert(suspect);
         }
     }
     m_suspectCount += crash.sentTimes.size() - before;
@@ -101,12 +106,12 @@
 
 void CrashAttribution::recordCrash(const ServerIdentity &server, TimePoint crashedAt,
                                    const std::map<CrashSuspect, TimePoint> &sentTimes, TimePoint now,
-                                   const std::set<CrashSuspect> &sentAgain)
+                                   const std::set<CrashSuspect> &sentAgain, const std::set<CrashSuspect> &begun)
 {
     auto &crash = crashOf(server, now);
     crash.closedAt = std::min(crash.closedAt.value_or(crashedAt), crashedAt);
     crash.countsSince = std::max(*crash.closedAt, m_decisionsBeginAt);
-    addSuspects(crash, sentTimes, sentAgain);
+    addSuspects(crash, sentTimes, sentAgain, begun);
     limitCrashes();
 }
 
@@ -121,9 +126,10 @@
                                 .firstSentAt = silence.firstSentAt,
                                 .lastHeardAt = silence.lastHeardAt,
                                 .sentTimes = {},
-                                .sentAgain = {}};
+                                .sentAgain = {},
+                                .begun = {}};
     }
-    addSuspects(crash, silence.sentTimes, silence.sentAgain);
+    addSuspects(crash, silence.sentTimes, silence.sentAgain, silence.begun);
     limitCrashes();
 }
 
@@ -152,18 +158,37 @@
     return crash.closedAt || sentAt <= timeOf(crash);
 }
 
-void CrashAttribution::recordAnswered(const CrashSuspect &suspect, TimePoint at)
+void CrashAttribution::recordAnswered(const CrashSuspect &suspect, TimePoint at, AnswerProgress progress)
 {
-    auto &answeredAt = m_answeredAt[suspect];
-    if (answeredAt >= at) {
+    auto &answers = m_answers[suspect];
+    const bool completes = progress == AnswerProgress::Complete && answers.lastComplete.value_or(TimePoint::min()) < at;
+    if (answers.last >= at && !completes) {
         return;
     }
-    answeredAt = at;
+    answers.last = std::max(answers.last, at);
+    if (completes) {
+        answers.lastComplete = at;
+    }
     if (m_suspicions && m_suspicions->contains(suspect)) {
         m_suspicions.reset();
     }
 }
 
+std::optional<TimePoint> CrashAttribution::lastCleared(const CrashSuspect &suspect) const
+{
+    const auto found = m_answers.find(suspect);
+    if (found == m_answers.end()) {
+        return std::nullopt;
+    }
+    return m_brokenOff.contains(suspect) ? found->second.lastComplete : found->second.last;
+}
+
+bool CrashAttribution::hasBegunSince(const CrashSuspect &suspect, TimePoint at) const
+{
+    const auto found = m_answers.find(suspect);
+    return m_brokenOff.contains(suspect) && found != m_answers.end() && found->second.last >= at;
+}
+
 void CrashAttribution::recordAlive(const ServerIdentity &server, TimePoint now)
 {
     const auto crash = m_crashes.find(server);
@@ -198,6 +223,7 @@
         // The crashes before the release have led to the quarantine that has ended.
         for (auto &[server, crash] : m_crashes) {
             m_suspectCount -= crash.sentTimes.erase(suspect);
+            crash.begun.erase(suspect);
         }
     }
     m_suspicions.reset();
@@ -266,10 +292,12 @@
 CrashAttribution::Suspicions CrashAttribution::findSuspicions(TimePoint now)
 {
     m_suspicionsHoldUntil = TimePoint::max();
+    m_brokenOff.clear();
     std::vector<const Crash *> counted;
     for (const auto &[server, crash] : m_crashes) {
         if (crash.countsSince && !hasExpired(crash, now)) {
             counted.push_back(&crash);
+            m_brokenOff.insert(crash.begun.begin(), crash.begun.end());
             m_suspicionsHoldUntil
                 = std::min(m_suspicionsHoldUntil, std::min(timeOf(crash), crash.reportedAt) + m_options.crashLifetime);
         }
@@ -307,6 +335,11 @@
             const auto around = static_cast<std::size_t>(times.end() - first);
             suspicion.amongMany = kind == SuspectKind::Part
                 && (suspicion.answeredBefore ? 3 * suspicion.met < 2 * around : 2 * suspicion.met < around);
+            if (kind == SuspectKind::Part && hasBegunSince(suspect, suspicion.firstMetAt)) {
+                // Answers to requests with the part may be under way that will clear it.
+                suspicion.answeredBefore = true;
+                suspicion.amongMany = true;
+            }
         }
         all.merge(ofKind);
     }
@@ -327,11 +360,11 @@
             if (kindOf(suspect) != kind || !mayExplain(*crash, sentAt)) {
                 continue;
             }
-            const auto answered = m_answeredAt.find(suspect);
+            const auto clearedAt = lastCleared(suspect);
             auto &suspicion = ofKind[suspect];
             suspicion.onProbation = m_onProbation.contains(suspect);
-            suspicion.answeredBefore = answered != m_answeredAt.end();
-            if (!suspicion.answeredBefore || answered->second < timeOf(*crash)) {
+            suspicion.answeredBefore = clearedAt.has_value();
+            if (!clearedAt || *clearedAt < timeOf(*crash)) {
                 explainedBy[suspect].push_back({.crash = crash, .sentAt = sentAt});
             }
         }
--- a/lib/Fleet/ServerDirectory.cpp
+++ b/lib/Fleet/ServerDirectory.cpp
@@ -181,6 +181,13 @@
     return stated != m_statements.end() && stated->second.leaving;
 }
 
+bool ServerDirectory::isDeparting(const ServerIdentity &server) const
+{
+    const auto found = m_servers.find(server.id);
+    return hasStatedLeaving(server)
+        || (found != m_servers.end() && found->second.offered.identity == server && found->second.offered.draining);
+}
+
 bool ServerDirectory::isGone(const ServerIdentity &server) const
 {
     if (hasStatedLeaving(server)) {
--- a/lib/Gateway/CrashSuspectWatch.cpp
+++ b/lib/Gateway/CrashSuspectWatch.cpp
@@ -38,7 +38,7 @@
         }
     }
     m_watched = std::move(newlyWatched);
-    std::erase_if(m_answerNotedAt, [this](const auto &item) { return !m_watched.contains(item.first); });
+    std::erase_if(m_answerNotedAt, [this](const auto &item) { return !m_watched.contains(item.first.first); });
     auto newlyQuarantined = toSuspects(quarantined);
     for (const auto &suspect : newlyQuarantined) {
         if (!m_quarantined.contains(suspect)) {
@@ -76,8 +76,8 @@
 
 bool CrashSuspectWatch::answeredLately(const CrashSuspect &suspect, TimePoint now) const
 {
-    const auto found = m_answeredAt.find(suspect);
-    return found != m_answeredAt.end() && now < found->second + EvidenceLifetime;
+    const auto found = m_answers.find(suspect);
+    return found != m_answers.end() && now < found->second.last + EvidenceLifetime;
 }
 
 void CrashSuspectWatch::forgetOldEvidence(TimePoint now)
@@ -86,8 +86,8 @@
         return;
     }
     m_evidenceCheckedAt = now;
-    const auto lifetime = m_answeredAt.size() > MaxAnswers ? EvidenceLifetime / 2 : EvidenceLifetime;
-    std::erase_if(m_answeredAt, [&](const auto &item) { return item.second + lifetime <= now; });
+    const auto lifetime = m_answers.size() > MaxAnswers ? EvidenceLifetime / 2 : EvidenceLifetime;
+    std::erase_if(m_answers, [&](const auto &item) { return item.second.last + lifetime <= now; });
     std::erase_if(m_crashes, [&](const auto &crash) { return crash.recordedAt + EvidenceLifetime <= now; });
     std::erase_if(m_heardAt, [&](const auto &item) { return item.second + EvidenceLifetime <= now; });
     std::erase_if(m_ownQuarantine, [&](const auto &item) { return item.second <= now; });
@@ -110,8 +110,8 @@
     return m_crashes.back();
 }
 
-void CrashSuspectWatch::addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects, TimePoint sentAt,
-                                    bool again, TimePoint now)
+void CrashSuspectWatch::addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects, const Sent &sent,
+                                    TimePoint now)
 {
     crash.change = ++m_changes;
     for (const auto &suspect : suspects) {
@@ -119,11 +119,14 @@
         if (known != crash.suspects.end()) {
             // What a silent server was sent once more, after it had ended, was there before it ended all the same.
             known->second
-                = {.at = crash.closedAt ? std::max(known->second.at, sentAt) : std::min(known->second.at, sentAt),
-                   .again = known->second.again && again,
+                = {.at = crash.closedAt ? std::max(known->second.at, sent.at) : std::min(known->second.at, sent.at),
+                   .again = known->second.again && sent.again,
+                   .begun = known->second.begun || sent.begun,
                    .change = crash.change};
         } else if (crash.suspects.size() < MaxSuspectsPerCrash) {
-            crash.suspects.emplace(suspect, Sent{.at = sentAt, .again = again, .change = crash.change});
+            auto added = sent;
+            added.change = crash.change;
+            crash.suspects.emplace(suspect, added);
         }
         if (answeredLately(suspect, now)) {
             m_answered.insert(suspect);
@@ -132,12 +135,12 @@
 }
 
 void CrashSuspectWatch::recordCrash(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects,
-                                    TimePoint sentAt, TimePoint now, bool again)
+                                    TimePoint sentAt, TimePoint now, bool again, bool begun)
 {
     auto &crash = crashOf(server, now);
     const bool wasReported = crash.closedAt || crash.ended;
     crash.closedAt = crash.closedAt.value_or(now);
-    addSuspects(crash, suspects, sentAt, again, now);
+    addSuspects(crash, suspects, {.at = sentAt, .again = again, .begun = begun}, now);
     if (!wasReported) {
         renew(crash);
     }
@@ -148,16 +151,16 @@
 
 void CrashSuspectWatch::recordSilence(const ServerIdentity &server, const Endpoint &endpoint,
                                       const std::vector<CrashSuspect> &suspects, TimePoint sentAt, TimePoint now,
-                                      bool again)
+                                      bool again, bool begun)
 {
     auto &crash = crashOf(server, now);
     crash.endpoint = endpoint;
     crash.silentSince = std::min(crash.silentSince.value_or(sentAt), sentAt);
-    addSuspects(crash, suspects, sentAt, again, now);
+    addSuspects(crash, suspects, {.at = sentAt, .again = again, .begun = begun}, now);
 }
 
 void CrashSuspectWatch::recordAnswered(const ServerIdentity &server, const std::vector<CrashSuspect> &suspects,
-                                       TimePoint now)
+                                       TimePoint now, AnswerProgress progress)
 {
     forgetOldEvidence(now);
     m_heardAt[server] = now;
@@ -165,11 +168,15 @@
     std::erase_if(m_crashes, [&](const Crash &crash) { return crash.server == server && !crash.closedAt; });
     bool news = false;
     for (const auto &suspect : suspects) {
-        m_answeredAt[suspect] = now;
+        auto &answers = m_answers[suspect];
+        answers.last = now;
+        if (progress == AnswerProgress::Complete) {
+            answers.lastComplete = now;
+        }
         if (!m_watched.contains(suspect)) {
             continue;
         }
-        auto &notedAt = m_answerNotedAt[suspect];
+        auto &notedAt = m_answerNotedAt[{suspect, progress}];
         if (notedAt + AnswerInterval <= now) {
             notedAt = now;
             news = m_answered.insert(suspect).second || news;
@@ -193,24 +200,34 @@
     for (const auto &crash : m_crashes) {
         std::map<CrashSuspect, TimePoint> sentTimes;
         std::set<CrashSuspect> sentAgain;
+        std::set<CrashSuspect> begun;
         for (const auto &[suspect, sent] : crash.suspects) {
             sentTimes.emplace(suspect, sent.at);
             if (sent.again) {
                 sentAgain.insert(suspect);
             }
-            if (const auto answered = m_answeredAt.find(suspect); answered != m_answeredAt.end()) {
-                crashes.recordAnswered(suspect, answered->second);
+            if (sent.begun) {
+                begun.insert(suspect);
+            }
+            const auto answered = m_answers.find(suspect);
+            if (answered == m_answers.end()) {
+                continue;
+            }
+            crashes.recordAnswered(suspect, answered->second.last);
+            if (const auto &complete = answered->second.lastComplete) {
+                crashes.recordAnswered(suspect, *complete, AnswerProgress::Complete);
             }
         }
         if (crash.closedAt) {
-            crashes.recordCrash(crash.server, *crash.closedAt, sentTimes, now, sentAgain);
+            crashes.recordCrash(crash.server, *crash.closedAt, sentTimes, now, sentAgain, begun);
         } else {
             crashes.recordSilence(crash.server,
                                   {.endpoint = crash.endpoint,
                                    .firstSentAt = *crash.silentSince,
                                    .lastHeardAt = lastHeard(crash.server),
                                    .sentTimes = sentTimes,
-                                   .sentAgain = sentAgain},
+                                   .sentAgain = sentAgain,
+                                   .begun = begun},
                                   now);
         }
     }
@@ -323,8 +340,10 @@
         }
         for (const auto &[suspect, sent] : crash.suspects) {
             if (sent.change >= oldest) {
-                message.suspects.push_back(
-                    {.suspect = suspect.value(), .agoMs = ageMs(sent.at, now), .again = sent.again});
+                message.suspects.push_back({.suspect = suspect.value(),
+                                            .agoMs = ageMs(sent.at, now),
+                                            .again = sent.again,
+                                            .begun = sent.begun});
             }
         }
         report.crashes.push_back(std::move(message));
@@ -351,9 +370,11 @@
         }
         m_lastAnswered = *next;
         next = m_answered.erase(next);
-        if (const auto answered = m_answeredAt.find(m_lastAnswered); answered != m_answeredAt.end()) {
-            report.answeredSuspects.push_back(
-                {.suspect = m_lastAnswered.value(), .agoMs = ageMs(answered->second, now)});
+        if (const auto answered = m_answers.find(m_lastAnswered); answered != m_answers.end()) {
+            const auto &[last, lastComplete] = answered->second;
+            report.answeredSuspects.push_back({.suspect = m_lastAnswered.value(),
+                                               .agoMs = ageMs(last, now),
+                                               .completeAgoMs = lastComplete ? ageMs(*lastComplete, now) : -1});
         }
     }
 }
--- a/lib/Gateway/RequestAnswers.cpp
+++ b/lib/Gateway/RequestAnswers.cpp
@@ -201,7 +201,8 @@
         head.body += *piece.value();
     }
     // Not before: the server may crash in the middle of its answer.
-    m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, Clock::now());
+    m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, Clock::now(),
+                                                AnswerProgress::Complete);
     exchange.watched.connection = nullptr;
     m_parts.connections.release(choice.server, std::move(attempt->connection));
     const bool failed = head.status >= 500;
@@ -293,6 +294,8 @@
         const bool ended = !piece.value();
         if (ended && !exchange.splitter.incompleteEvent().empty()) {
             exchange.splitter.discardIncompleteEvent();
+            // The stream may have no length, and end with its server.
+            recordUnanswered(exchange, *attempt, HttpError{HttpErrorCode::TimedOut, {}});
             co_return recordLostAnswer(exchange, choice, ServerOutcome::Broken, "the stream ended inside an event");
         }
         auto events = ended ? std::string() : exchange.splitter.consume(*piece.value());
@@ -316,13 +319,16 @@
         giveUpSilentAttempt(exchange, "another server has taken the request over");
         ++exchange.eventCount;
         attempt->progressAt = exchange.lastProgressAt = Clock::now();
+        if (!std::exchange(attempt->streamBegun, true)) {
+            m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, exchange.lastProgressAt,
+                                                        AnswerProgress::Begun);
+        }
         if (!exchange.streamStarted) {
             exchange.streamStarted = true;
             exchange.tokensInFirstBlock = tokensGenerated(exchange);
             exchange.firstEventAt = exchange.lastProgressAt;
             servers.recordFirstAnswer(choice.server.id, exchange.lastProgressAt - attempt->sentAt,
                                       exchange.lastProgressAt);
-            m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, exchange.lastProgressAt);
             const auto started = co_await exchange.responder.beginStream(*attempt->streamHead);
             if (started.has_error()) {
                 servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Unrelated, Clock::now());
@@ -345,6 +351,7 @@
     connection.setSilenceHook({});
     m_parts.connections.release(choice.server, std::move(attempt->connection));
     const auto now = Clock::now();
+    m_parts.view.crashSuspects().recordAnswered(choice.server, exchange.suspects, now, AnswerProgress::Complete);
     servers.recordDuration(choice.server.id, now - attempt->sentAt);
     recordCost(exchange);
     servers.endRequest(choice.server.id, exchange.weight, ServerOutcome::Served, now);
--- a/lib/Gateway/RequestExchange.h
+++ b/lib/Gateway/RequestExchange.h
@@ -63,6 +63,8 @@
     AnswerBuffer eventBuffer;
     /// Whether the head of an answer that is no stream has arrived.
     bool answerBegun = false;
+    /// Whether an event of the stream has arrived.
+    bool streamBegun = false;
     /// Whether the server was recorded as giving no answer when it fell silent.
     bool silenceRecorded = false;
 };
--- a/lib/Gateway/RequestRelay.cpp
+++ b/lib/Gateway/RequestRelay.cpp
@@ -392,20 +392,23 @@
 void RequestRelay::recordUnanswered(const Exchange &exchange, const Attempt &attempt, const HttpError &error)
 {
     const auto now = Clock::now();
-    if (exchange.streamStarted || answersGivenUp(now)) {
+    const auto &server = attempt.choice.server;
+    // A server that leaves ends in the middle of what it still runs.
+    if (answersGivenUp(now) || (attempt.streamBegun && m_parts.view.servers().isDeparting(server))) {
         return;
     }
     auto &watch = m_parts.view.crashSuspects();
-    const auto &server = attempt.choice.server;
     // The connection of a caller that has left was closed by this entry. A server that breaks off an answer may go on,
     // and has crashed only if it has ended as well.
     const bool lost = error.code == HttpErrorCode::Closed || error.code == HttpErrorCode::TimedOut;
     const bool closed = error.code == HttpErrorCode::Closed && !exchange.watched.isCallerGone() && !attempt.answerBegun;
+    const bool begun = attempt.answerBegun || attempt.streamBegun;
     const bool silent = !closed && (lost || exchange.watched.isCallerGone());
     if (closed) {
-        watch.recordCrash(server, exchange.suspects, attempt.sentAt, now, attempt.sentAgain);
+        watch.recordCrash(server, exchange.suspects, attempt.sentAt, now, attempt.sentAgain, begun);
     } else if (silent) {
-        watch.recordSilence(server, attempt.choice.endpoint, exchange.suspects, attempt.sentAt, now, attempt.sentAgain);
+        watch.recordSilence(server, attempt.choice.endpoint, exchange.suspects, attempt.sentAt, now, attempt.sentAgain,
+                            begun);
     }
     LogLine(LogLevel::Info, "request_unanswered")
         .add("request", exchange.caller.attemptId)
@@ -415,6 +418,7 @@
              closed       ? "closed"
                  : silent ? "silent"
                           : "none")
+        .add("begun", begun ? "yes" : "no")
         .add("suspects", static_cast<std::uint64_t>(exchange.suspects.size()))
         .add("suspect", exchange.suspects.empty() ? std::string_view() : exchange.suspects.back().value())
         .add("after_ms", duration_cast<milliseconds>(now - attempt.sentAt));
--- a/unittests/Gateway/CrashSuspectWatchTest.cpp
+++ b/unittests/Gateway/CrashSuspectWatchTest.cpp
@@ -259,3 +259,25 @@
     }
     CHECK(reported.size() == names.size());
 }
+
+// Guards against a leader that takes a suspect as cleared, or as never answered, because an entry does not say how far
+// its answers have got.
+TEST_CASE("a report says which answers were complete, and which crashes came in the middle of one")
+{
+    CrashSuspectWatch watch;
+    const TimePoint start{seconds(100)};
+    watch.setLists({Request.value()}, {}, start);
+    watch.recordCrash(server(1), {Request}, start, start, false, true);
+    watch.recordAnswered(server(2), {Request}, start + milliseconds(10), AnswerProgress::Begun);
+    std::uint64_t reported = 0;
+    const auto first = reportOf(watch, false, start + milliseconds(20), reported);
+    REQUIRE(first.crashes.size() == 1);
+    CHECK(first.crashes.front().suspects.front().begun);
+    REQUIRE(first.answeredSuspects.size() == 1);
+    CHECK(first.answeredSuspects.front().completeAgoMs == -1);
+    // Soon after the answer that has begun.
+    watch.recordAnswered(server(2), {Request}, start + milliseconds(30), AnswerProgress::Complete);
+    const auto second = reportOf(watch, false, start + milliseconds(40), reported);
+    REQUIRE(second.answeredSuspects.size() == 1);
+    CHECK(second.answeredSuspects.front().completeAgoMs == 10);
+}
--- a/unittests/Platform/CrashingPromptTest.cpp
+++ b/unittests/Platform/CrashingPromptTest.cpp
@@ -61,6 +61,14 @@
         }
     }
 
+    /// The number of the first event of the answer: a resumed stream goes on after the last one.
+    static int nextEvent(const std::string &head)
+    {
+        constexpr std::string_view Name = "Last-Event-Id: ";
+        const auto at = head.find(Name);
+        return at == std::string::npos ? 1 : std::stoi(head.substr(at + Name.size())) + 1;
+    }
+
     asio::awaitable<void> serve(asio::ip::tcp::socket socket)
     {
         constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
@@ -85,7 +93,7 @@
             const bool report = head.find("/v1/report") != std::string::npos;
             const std::string body = report ? R"({"born":)" + std::to_string(m_number + 100 * crashes)
                     + R"(,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0})"
-                                            : "id: 1\ndata: x\n\n";
+                                            : "id: " + std::to_string(nextEvent(head)) + "\ndata: x\n\n";
             constexpr std::size_t MissingBytes = 100;
             std::string answer
                 = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size() + (dead ? MissingBytes : 0));
@@ -107,6 +115,18 @@
     asio::ip::tcp::acceptor m_acceptor;
 };
 
+/// Adds eight engines, and a server of another service, by which the deployment is found ready.
+std::vector<std::unique_ptr<CrashingEngine>> addEngines(Deployment &deployment, bool crashInStream)
+{
+    deployment.addServer("p1", "plain", answerInFull);
+    std::vector<std::unique_ptr<CrashingEngine>> engines;
+    for (int i = 1; i <= 8; ++i) {
+        engines.push_back(std::make_unique<CrashingEngine>(deployment.executor(), i, crashInStream));
+        deployment.addExternalServer(engines.back()->id(), engines.back()->heartbeat());
+    }
+    return engines;
+}
+
 } // namespace
 
 // Guards against back ends that crash one after the other under requests that share one part of their prompts and
@@ -114,12 +134,7 @@
 TEST_CASE("requests with a part of the prompt that crashes servers are refused, and sound ones are served")
 {
     Deployment deployment;
-    deployment.addServer("p1", "plain", answerInFull);
-    std::vector<std::unique_ptr<CrashingEngine>> engines;
-    for (int i = 1; i <= 8; ++i) {
-        engines.push_back(std::make_unique<CrashingEngine>(deployment.executor(), i));
-        deployment.addExternalServer(engines.back()->id(), engines.back()->heartbeat());
-    }
+    auto engines = addEngines(deployment, false);
     const auto crashes = [&] {
         int sum = 0;
         for (const auto &engine : engines) {
@@ -158,12 +173,7 @@
 {
     constexpr int MaxCrashes = 6;
     Deployment deployment;
-    deployment.addServer("p1", "plain", answerInFull);
-    std::vector<std::unique_ptr<CrashingEngine>> engines;
-    for (int i = 1; i <= 8; ++i) {
-        engines.push_back(std::make_unique<CrashingEngine>(deployment.executor(), i, true));
-        deployment.addExternalServer(engines.back()->id(), engines.back()->heartbeat());
-    }
+    auto engines = addEngines(deployment, true);
     deployment.run([&]() -> asio::awaitable<void> {
         int crashes = 0;
         for (int i = 0; i < 12; ++i) {
@@ -178,3 +188,28 @@
         CHECK(crashes <= MaxCrashes);
     });
 }
+
+// Guards against sound streams that pay for a deadly request on their path, by their caller and with parts that they
+// share.
+TEST_CASE("streams beside requests under which servers crash in the middle of a stream are served")
+{
+    Deployment deployment;
+    auto engines = addEngines(deployment, true);
+    deployment.run([&]() -> asio::awaitable<void> {
+        constexpr seconds ContactTime{3};
+        const auto refusedBy = Clock::now() + ContactTime;
+        for (int i = 0; Clock::now() < refusedBy + milliseconds(500); ++i) {
+            const auto number = std::to_string(i);
+            const auto sound = co_await deployment.callWithPrompt("sound" + number, "shared:155,own" + number + ":9");
+            CHECK(sound.status == 200);
+            const bool mustBeRefused = Clock::now() >= refusedBy;
+            const auto deadly
+                = co_await deployment.callWithPrompt("deadly" + number, "shared:155,dead:40,other" + number + ":9");
+            CHECK((deadly.status == 503 || !mustBeRefused));
+            co_await deployment.sleepFor(milliseconds(100));
+        }
+        for (const auto &engine : engines) {
+            engine->close();
+        }
+    });
+}
