Tests: hold the ports of a replica group for as long as it lives

The fixture closed the sockets that held its ports, so that the kernel could give a port to any outgoing connection on the machine while its process was stopped.

--- a/unittests/Control/Replica/ThreeReplicas.h
+++ b/unittests/Control/Replica/ThreeReplicas.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <optional>
+#include <vector>
 
 namespace tamarackcove::test {
 
@@ -18,11 +19,13 @@
         : adjust(std::move(adjustSettings))
         , filesOf(std::move(filesOfReplica))
     {
-        // The settings of each process name the ports of the others, so the ports must be known before the first start:
-        // the kernel chooses each port, and the acceptor that holds the port is closed.
-        for (auto &port : ports) {
-            boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
-            port = acceptor.local_endpoint().port();
+        // The settings of each process name the ports of the others, so the ports must be known before the first start.
+        // The kernel chooses each port, and gives it to nobody else while a socket that does not listen is bound to it.
+        for (std::size_t i = 0; i < ports.size(); ++i) {
+            auto &reservation = reservations.emplace_back(io, boost::asio::ip::tcp::v4());
+            reservation.set_option(boost::asio::socket_base::reuse_address(true));
+            reservation.bind({boost::asio::ip::address_v4::loopback(), 0});
+            ports[i] = reservation.local_endpoint().port();
         }
         for (int i = 0; i < 3; ++i) {
             start(i);
@@ -130,6 +133,7 @@
     boost::asio::io_context io;
     TemporaryFolder folder;
     std::array<std::uint16_t, 3> ports{};
+    std::vector<boost::asio::ip::tcp::socket> reservations;
     std::function<void(ReplicaSettings &)> adjust;
     /// How the process of this index writes its files; the system calls if not set.
     std::function<FileHooks(int)> filesOf;
