--- a/unittests/Fleet/BrokenOffAnswersTest.cpp
+++ b/unittests/Fleet/BrokenOffAnswersTest.cpp
@@ -232,7 +232,7 @@
 {
     constexpr seconds ContactTime{3};
     constexpr int MaxLateCrashes = 3;
-    constexpr std::uint64_t Seeds = 50;
+    constexpr std::uint64_t Seeds = 10;
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
         CAPTURE(seed);
         StreamLoad load(seed);
