Record a departure again if a delayed heartbeat has registered the server meanwhile

Cause: the departure of a server of which no start is on record is dropped when a start is registered, as a later start is none that has left. One that registers while the departure is on its way to the log was sent before it.

Change: the leader looks at its registry again before it acknowledges, and records the departure of that start.

Evidence: FleetControlTest, with the heartbeat between the command and its ack: no departure on record and the server not draining before, both now.

--- a/lib/Control/Fleet/FleetControl.cpp
+++ b/lib/Control/Fleet/FleetControl.cpp
@@ -190,8 +190,18 @@
         m_registry.applyDeparture(departure.server, true);
         m_hooks.onServersChanged();
     }
+    const bool wasRegistered = departure.startKnown;
     FleetCommand command = std::move(departure);
-    co_return co_await propose(std::move(command));
+    auto recorded = co_await propose(std::move(command));
+    if (recorded.has_error() || wasRegistered) {
+        co_return recorded;
+    }
+    // A delayed heartbeat that has arrived meanwhile has registered the server.
+    const auto *late = m_registry.find(id);
+    if (late == nullptr || late->draining) {
+        co_return ok();
+    }
+    co_return co_await deregister(std::move(id));
 }
 
 } // namespace tamarackcove
--- a/unittests/Control/Fleet/FleetControlTest.cpp
+++ b/unittests/Control/Fleet/FleetControlTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
+#include <utility>
 
 namespace asio = boost::asio;
 using namespace tamarackcove;
@@ -47,6 +48,9 @@
             const auto command = decodeFleetCommand(bytes);
             REQUIRE(command.has_value());
             state.apply(static_cast<std::uint64_t>(proposals), std::chrono::system_clock::now(), command.value());
+            if (onRecorded) {
+                std::exchange(onRecorded, {})();
+            }
             co_return std::string();
         };
         log.readBarrier = [this]() -> asio::awaitable<Result<void, LogError>> {
@@ -70,6 +74,8 @@
     /// Whether a majority confirms that this host is the leader.
     bool confirmed = true;
     std::function<void()> onConfirmed;
+    /// Called once, when the first command is in the log and its caller does not know yet.
+    std::function<void()> onRecorded;
     int proposals = 0;
     FleetState state;
     ServerRegistry registry{{}};
@@ -115,3 +121,20 @@
     CHECK(deregister("no\nname").has_value());
     CHECK(proposals == 1);
 }
+
+// Guards against a delayed heartbeat that registers a server while its departure is on its way to the log.
+TEST_CASE_FIXTURE(FleetControlFixture, "a server that is registered while its departure is being recorded has left")
+{
+    ServerHeartbeat late;
+    late.identity = {.id = TargetId("s1"), .startedAt = Incarnation(1)};
+    late.service = ServiceName("engines");
+    late.endpoint = {.host = "10.0.0.1", .port = 80};
+    onRecorded = [this, late] {
+        CHECK(registry.heartbeat(late, Clock::now()) == ServerRegistry::HeartbeatResult::Changed);
+        state.apply(1, std::chrono::system_clock::now(), NoteServer{.server = late, .registered = true});
+    };
+    CHECK(deregister("s1").has_value());
+    CHECK(state.hasEnded(late.identity.id));
+    REQUIRE(state.departures().contains(late.identity));
+    CHECK(registry.find(late.identity.id)->draining);
+}
