Keep the latest departures when the clock of the leader is set forward

Cause: departures expire by the time of the log, which is that of the leader's clock. After a jump all of them are old.

Change: the latest 256 departures and former servers are kept whatever their age; the others for 5 minutes, 4,096 at most, as before. Departures without a start time expire by time alone, as a later start could not be told from them.

--- a/include/tamarackcove/Fleet/FleetState.h
+++ b/include/tamarackcove/Fleet/FleetState.h
@@ -115,6 +115,9 @@
     /// How long a departure is kept, counted from the log time of its command. A server ends a few seconds after it has
     /// announced that it drains, and a delayed heartbeat of it arrives a few seconds later at most.
     static constexpr std::chrono::minutes DepartureRetention{5};
+    /// Number of departures, and of former servers, that are kept for longer: the time of the log is that of a leader's
+    /// clock, which may be set forward. Departures without a start time are not, since a later start has none either.
+    static constexpr std::size_t KeptDepartures = 256;
     /// Largest number of departures, and of former servers, that are kept. Beyond it the oldest is dropped.
     static constexpr std::size_t MaxDepartures = 4096;
     /// How long a suspect stays on probation after its quarantine, counted from the log time of its release.
--- a/lib/Fleet/FleetState.cpp
+++ b/lib/Fleet/FleetState.cpp
@@ -15,6 +15,20 @@
     }
 }
 
+/// Drops the oldest of the items that are older than the retention time, but for the newest KeptDepartures.
+template<typename Map>
+static void dropOld(Map &items, std::chrono::system_clock::time_point time)
+{
+    while (items.size() > FleetState::KeptDepartures) {
+        const auto oldest = std::min_element(items.begin(), items.end(),
+                                             [](const auto &a, const auto &b) { return a.second.at < b.second.at; });
+        if (oldest->second.at + FleetState::DepartureRetention >= time) {
+            return;
+        }
+        items.erase(oldest);
+    }
+}
+
 /// Sets the time of the suspect, and drops the oldest one if there are too many.
 static void addBounded(FleetState::SuspectTimes &suspects, const CrashSuspect &suspect,
                        std::chrono::system_clock::time_point time)
@@ -26,7 +40,9 @@
 void FleetState::noteDeparture(const NoteDeparture &departure, std::chrono::system_clock::time_point time)
 {
     auto &departures = m_image.departures;
-    std::erase_if(departures, [&](const auto &item) { return item.second.at + DepartureRetention < time; });
+    std::erase_if(departures, [&](const auto &item) {
+        return item.first.startedAt == Incarnation() && item.second.at + DepartureRetention < time;
+    });
     auto identity = departure.server;
     bool startKnown = departure.startKnown;
     if (!startKnown) {
@@ -43,6 +59,7 @@
     noted.gone = noted.gone || departure.gone;
     noted.at = time;
     noted.anyStart = noted.anyStart || !startKnown;
+    dropOld(departures, time);
     limitSize(departures, MaxDepartures, [](const Departure &item) { return item.at; });
     if (departure.gone) {
         m_image.servers.erase(identity.id);
@@ -58,8 +75,8 @@
         if (registered != m_image.servers.end() && registered->second.identity.startedAt > identity.startedAt) {
             return;
         }
-        std::erase_if(formerServers, [&](const auto &item) { return item.second.at + DepartureRetention < time; });
         formerServers[identity.id] = {.lastStart = identity.startedAt, .at = time};
+        dropOld(formerServers, time);
         limitSize(formerServers, MaxDepartures, [](const FormerServer &item) { return item.at; });
         m_image.servers.erase(identity.id);
         return;
--- a/unittests/Platform/DepartureTest.cpp
+++ b/unittests/Platform/DepartureTest.cpp
@@ -92,6 +92,12 @@
             co_await test.replaceLeader();
             (void)co_await test.sendRequests(milliseconds(500));
         }
+        SUBCASE("after a restart of all")
+        {
+            co_await test.replaceLeader();
+            co_await deployment.restartEntry();
+            (void)co_await test.sendRequests(milliseconds(500));
+        }
         co_await test.sendHeartbeat();
         CHECK(co_await test.sendRequests(milliseconds(800)) == 0);
         co_await test.sendHeartbeat(true);
