--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")"
 python3 - <<'CHECK'
 import pathlib
-for path in [pathlib.Path("kit_3.py"), pathlib.Path("servers_3.py"), *sorted(pathlib.Path(".").glob("1[1-5]/case.py"))]:
+for path in [pathlib.Path("kit_3.py"), pathlib.Path("servers_3.py"), pathlib.Path("starved_3.py"), *sorted(pathlib.Path(".").glob("1[1-5]/case.py"))]:
     compile(path.read_text(), str(path), "exec")
 CHECK
 echo "the stand-ins of review/11 to review/15 are ready"
