--- a/review/kit_3.py
+++ b/review/kit_3.py
@@ -9,8 +9,6 @@
 import pathlib
 import random
 import shutil
-import signal
-import socket
 import subprocess
 import tempfile
 import threading
@@ -75,33 +73,20 @@
         with open(self.log, "ab") as log:
             self.popen = subprocess.Popen([self.binary, "--settings", self.path], stdout=log, stderr=log, cwd=ROOT)
 
-    def signal(self, number):
-        self.popen.send_signal(number)
-
     def kill(self):
         if self.popen and self.popen.poll() is None:
-            self.popen.send_signal(signal.SIGCONT)
             self.popen.kill()
             self.popen.wait()
 
     def running(self):
         return self.popen is not None and self.popen.poll() is None
 
-    def memory_mb(self, key="VmRSS"):
+    def memory_mb(self):
         for line in pathlib.Path(f"/proc/{self.popen.pid}/status").read_text().splitlines():
-            if line.startswith(key + ":"):
+            if line.startswith("VmRSS:"):
                 return int(line.split()[1]) / 1024
         return 0.0
 
-    def text(self):
-        return self.log.read_text(errors="replace") if self.log.exists() else ""
-
-
-def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
 
 class Deployment:
     """Control hosts and entries, each on a loopback address of its own, with the bounds of a small deployment."""
@@ -163,18 +148,6 @@
         return wait_for(lambda: self.call_any("POST", "/v1/Config.Replace", document), seconds,
                         "the configuration got no answer")
 
-    def leader(self):
-        """The control host that leads, as its metrics say; None if none does."""
-        for process in self.controls:
-            if not process.running():
-                continue
-            host, port = process.settings["metrics_listen"].split(":")
-            answer = call((host, int(port)), "GET", "/metrics", None, 0.5)
-            if answer and any(line.startswith("leads 1") or line.split(" ")[0].endswith("leads")
-                              and line.endswith(" 1") for line in answer[1].decode().splitlines()):
-                return process
-        return None
-
     def ready(self, index):
         answer = call((self.entry_hosts[index], self.ready_port), "GET", "/v1/readyz", None, 1.0)
         return answer is not None and answer[0] == 200
